Placement: links of stores, their pace, and fetches from runners' caches

Entries now share the tokens that wait at each store, learn its pace from the time to the first event, and may fetch from a runner that has the part cached.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	}
 	g := &Gateway{options: options, state: newState()}
 	g.state.budgets.limits = options.Budget
+	g.state.readPerMs = options.Rates.ReadPerMs
 	return g, nil
 }
 
--- /dev/null
+++ b/internal/gateway/pace.go
@@ -0,0 +1,58 @@
+package gateway
+
+import "time"
+
+const (
+	// paceWeight is the weight of the newest transfer in a store's pace.
+	paceWeight = 0.3
+	// paceFor is how long a pace counts without a new transfer; a store that
+	// was slow is then tried again.
+	paceFor = 3 * time.Second
+	// paceLeast is the shortest predicted transfer that tells anything: the
+	// rest of the time to the first event varies by some 20 ms.
+	paceLeast = 8.0
+	// paceMost bounds one observation.
+	paceMost = 40.0
+	// firstEventMs is what a runner takes to a first event besides fetching
+	// and reading.
+	firstEventMs = 50.0
+	// paceNormal is the slowness up to which a store counts as sound.
+	paceNormal = 2.0
+)
+
+// pace is how much longer a store's transfers take than its link says.
+type pace struct {
+	factor float64
+	at     time.Time
+}
+
+func (p *pace) note(factor float64, now time.Time) {
+	factor = min(max(factor, 0), paceMost)
+	if now.Sub(p.at) > paceFor {
+		p.factor = 1
+	}
+	p.factor += paceWeight * (factor - p.factor)
+	p.at = now
+}
+
+func (p *pace) slowness(now time.Time) float64 {
+	if now.Sub(p.at) > paceFor || p.factor < paceNormal {
+		return 1
+	}
+	return p.factor
+}
+
+// notePace learns from a prompt whose answer has begun how fast its fetches
+// were. The caller holds the lock.
+func (s *state) notePace(p *plan, now time.Time) {
+	if p.send.Prompt == nil || p.fetchMs < paceLeast {
+		return
+	}
+	rest := firstEventMs + float64(p.reads+p.logged.Unread)/s.readPerMs
+	took := milliseconds(now.Sub(p.sent)) - rest
+	for _, from := range p.send.Prompt.Fetch {
+		if store := s.stores[from.Address]; from.Address != "" && store != nil {
+			store.pace.note(took/p.fetchMs, now)
+		}
+	}
+}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -31,6 +31,10 @@
 	crossPerKB = 350 * time.Microsecond
 	// saveFor is how long a save on its way counts.
 	saveFor = 4 * time.Second
+	// cacheRisk is the probability that a part has left a runner's cache by the
+	// time that another one asks for it. What is known of caches is 100 to
+	// 300 ms old, and a cache turns over in two to three seconds.
+	cacheRisk = 0.1
 	// maxRank is the lowest rank that upstreams know.
 	maxRank = 9
 	// connectionShare is how much of an upstream's connections the entries use
@@ -52,7 +56,11 @@
 	// candidates is the number of upstreams that the choice was made among.
 	candidates int
 	keys       []holdings.Key
-	logged     decision.Choice
+	// fetchMs is the predicted time of the fetches, at the pace that the links
+	// should have; sent is when the request left.
+	fetchMs float64
+	sent    time.Time
+	logged  decision.Choice
 }
 
 // tryPlan chooses an upstream and accounts for the send. It returns nothing
@@ -82,6 +90,7 @@
 		return nil, nil
 	}
 	s.commit(p, now)
+	p.sent = now
 	p.send.Upstream, p.send.Address = p.upstream.record.ID, p.upstream.record.Address
 	p.describe(now)
 	p.upstream.own.Requests++
@@ -177,7 +186,7 @@
 			Unread: u.own.Unread + u.others.Unread, Distrust: extra,
 		}
 	}
-	stores, addresses := s.storeList(now)
+	stores, addresses := s.storeList(candidates, service.Engine, now)
 	// The choice is made as for the newest version; the runner's own decides
 	// what may be fetched.
 	asked := s.describe(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates, addresses, now)
@@ -189,6 +198,7 @@
 		choice, _ = placement.Choose(&r.gateway.options.Rates, asked.salt, &asked.prompt, runners[choice.Runner:choice.Runner+1], stores)
 	}
 	p.choice = choice
+	p.fetchMs = fetchMs(&asked.prompt, choice, stores)
 	p.tokens = asked.prompt.Tokens() + prompt.Output
 	p.reads = choice.Reads
 	p.send.Prompt = &PromptSend{Salt: asked.salt, Version: version}
@@ -223,8 +233,9 @@
 	return d
 }
 
-// storeList describes the stores of the configuration that are followed.
-func (s *state) storeList(now time.Time) ([]placement.Store, []string) {
+// storeList describes the stores of the configuration that are followed, and
+// the runners, whose caches others may fetch from.
+func (s *state) storeList(runners []*upstreamState, engine *catalog.Engine, now time.Time) ([]placement.Store, []string) {
 	trusted := s.shelvesTrusted(now) && s.clock > 0
 	var stores []placement.Store
 	var addresses []string
@@ -237,12 +248,36 @@
 			Address: service.Store.Address, DataCentre: service.Store.DataCentre, LinkMbps: service.Store.LinkMbps,
 			FirstByte: service.Store.FirstByte, Capacity: service.Store.CapacityTokens,
 			Used: known.shelf.Tokens() + known.pendingTokens(now), Open: trusted && known.open,
+			Queued: known.own + known.others, Slowness: known.pace.slowness(now),
 		})
 		addresses = append(addresses, service.Store.Address)
 	}
+	for _, u := range runners {
+		known := s.stores[u.record.Address]
+		if known == nil || known.shelf.Len() == 0 {
+			continue
+		}
+		stores = append(stores, placement.Store{
+			Address: u.record.Address, DataCentre: u.record.DataCentre, LinkMbps: engine.LinkMbps,
+			Open: trusted && !now.Before(u.trust.avoided) && !u.silent, Risk: cacheRisk,
+			Queued: known.own + known.others, Slowness: known.pace.slowness(now),
+		})
+		addresses = append(addresses, u.record.Address)
+	}
 	return stores, addresses
 }
 
+// fetchMs is the predicted time of a choice's fetches in milliseconds.
+func fetchMs(p *placement.Prompt, choice placement.Choice, stores []placement.Store) float64 {
+	total := 0.0
+	for part, at := range choice.Fetch {
+		if at >= 0 {
+			total += placement.TransferMs(p, part, &stores[at])
+		}
+	}
+	return total
+}
+
 func (st *storeState) pendingTokens(now time.Time) int {
 	total := 0
 	for key, save := range st.pending {
@@ -293,6 +328,11 @@
 	for i := range max(len(parts)-1, 0) {
 		s.recent.note(p.keys[i], p.upstream.record.ID, now)
 	}
+	for _, from := range p.send.Prompt.Fetch {
+		if from.Address != "" {
+			s.stores[from.Address].own += from.Tokens
+		}
+	}
 	for i, address := range p.send.Prompt.Save {
 		if address != "" {
 			s.stores[address].pending[p.keys[i]] = pendingSave{tokens: parts[i].Tokens, until: now.Add(saveFor)}
@@ -327,11 +367,25 @@
 	p.upstream.own.Requests--
 	p.upstream.own.Tokens -= p.tokens
 	if !p.begun {
-		p.upstream.own.Unread -= p.reads
+		s.read(p)
 	}
 	s.dispatch(time.Now())
 }
 
+// read ends the accounting of what a runner had to fetch and read. The caller
+// holds the lock.
+func (s *state) read(p *plan) {
+	p.upstream.own.Unread -= p.reads
+	if p.send.Prompt == nil {
+		return
+	}
+	for _, from := range p.send.Prompt.Fetch {
+		if store := s.stores[from.Address]; store != nil {
+			store.own -= from.Tokens
+		}
+	}
+}
+
 // whole notes an answer that came to its end.
 func (r *run) whole(p *plan, good bool) {
 	s := r.gateway.state
@@ -348,7 +402,8 @@
 	defer s.mu.Unlock()
 	if !p.begun && !p.done {
 		p.begun = true
-		p.upstream.own.Unread -= p.reads
+		s.read(p)
+		s.notePace(p, time.Now())
 		s.dispatch(time.Now())
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -65,11 +65,18 @@
 	// waiting are the requests that wait for room, the most urgent first.
 	waiting []*waiter
 	budgets *budgets
+	// readPerMs is how many tokens a runner reads in a millisecond.
+	readPerMs float64
 }
 
+// storeState is what this entry knows of a store, or of a runner's cache.
 type storeState struct {
 	shelf *holdings.Shelf
 	open  bool
+	// own and others are the tokens that prompts under way wait for, of this
+	// entry and of the others.
+	own, others int
+	pace        pace
 	// pending are saves on their way, with the time at which they are given up.
 	pending map[holdings.Key]pendingSave
 }
@@ -100,6 +107,11 @@
 	if s.index != nil {
 		request.Document = s.index.Version()
 	}
+	for address, store := range s.stores {
+		if store.own > 0 {
+			request.Loads = append(request.Loads, steward.Load{Upstream: address, Unread: store.own})
+		}
+	}
 	for id, u := range s.members {
 		if u.own.Requests > 0 {
 			load := u.own
@@ -172,6 +184,9 @@
 		u.silent, u.loading = false, false
 		u.others = steward.Load{}
 	}
+	for _, store := range s.stores {
+		store.others = 0
+	}
 	for _, id := range answer.Silent {
 		if u := s.members[id]; u != nil {
 			u.silent = true
@@ -185,6 +200,8 @@
 	for _, load := range answer.Loads {
 		if u := s.members[load.Upstream]; u != nil {
 			u.others = load
+		} else if store := s.stores[load.Upstream]; store != nil {
+			store.others = load.Unread
 		}
 	}
 }
@@ -196,7 +213,9 @@
 		s.clock, s.clockAt = answer.Clock, time.Now()
 	}
 	if answer.Reset {
-		s.stores = make(map[string]*storeState)
+		for _, store := range s.stores {
+			store.shelf = holdings.NewShelf()
+		}
 	}
 	for _, store := range s.stores {
 		store.open = false
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -14,8 +14,10 @@
 	methodJoin   port.Method = "steward.join"
 )
 
-// Load is the work that one entry has under way at an upstream.
+// Load is the work that one entry has under way at an upstream, or what it
+// waits for from a store.
 type Load struct {
+	// Upstream is the upstream's name or, for a store, its address.
 	Upstream string `cbor:"1,keyasint"`
 	Requests int    `cbor:"2,keyasint"`
 	// Tokens are those of the prompts under way.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -43,7 +43,7 @@
 // worth.
 func DefaultRates() Rates {
 	return Rates{
-		ReadPerMs: 120, RereadMsPerToken: 0.06, MoveMsPerToken: 0.001,
+		ReadPerMs: 120, RereadMsPerToken: 0.16, MoveMsPerToken: 0.001,
 		HomePull: 0.35, FirstPull: 0.85, CrossFactor: 2, FullMs: 600, SlotMs: 40,
 	}
 }
@@ -61,7 +61,8 @@
 	Tokens int
 }
 
-// Store is a host that keeps parts.
+// Store is a host that keeps parts, or a runner whose cache others may fetch
+// from.
 type Store struct {
 	Address    string
 	DataCentre string
@@ -71,6 +72,14 @@
 	// Used are the tokens known to be held or on their way.
 	Used int
 	Open bool
+	// Queued are the tokens that others are already waiting for.
+	Queued int
+	// Slowness is how many times longer its transfers take than its link says;
+	// zero counts as one.
+	Slowness float64
+	// Risk is the probability that a part is gone by the time of the fetch, as
+	// it may be from a runner's cache.
+	Risk float64
 }
 
 // Runner is one candidate.
@@ -181,7 +190,8 @@
 		case home:
 			absent = 1 - rates.FirstPull
 		}
-		if store >= 0 && chain {
+		again := float64(part.Tokens) * (rates.RereadMsPerToken + 1/rates.ReadPerMs)
+		if store >= 0 && chain && fetchMs < again {
 			c.Fetch[i] = store
 			ms += absent * (fetchMs + rates.MoveMsPerToken*float64(part.Tokens))
 			continue
@@ -226,6 +236,7 @@
 			continue
 		}
 		ms := float64(store.FirstByte)/float64(time.Millisecond) + transferMs(rates, p, part, store, r)
+		ms += store.Risk * rates.RereadMsPerToken * float64(p.Parts[part].Tokens)
 		if best < 0 || ms < bestMs {
 			best, bestMs = index, ms
 		}
@@ -233,16 +244,26 @@
 	return best, bestMs
 }
 
+// TransferMs is how long a part takes from a store in its own data centre at the
+// pace that its link should have, behind what waits there already.
+func TransferMs(p *Prompt, part int, store *Store) float64 {
+	if store.LinkMbps <= 0 {
+		return 0
+	}
+	bits := float64(p.Parts[part].Tokens+store.Queued) * float64(p.TokenBytes) * 8
+	return bits/(store.LinkMbps*1000) + float64(store.FirstByte)/float64(time.Millisecond)
+}
+
 func transferMs(rates *Rates, p *Prompt, part int, store *Store, r *Runner) float64 {
 	if store.LinkMbps <= 0 {
 		return 0
 	}
-	bits := float64(p.Parts[part].Tokens) * float64(p.TokenBytes) * 8
-	ms := bits / (store.LinkMbps * 1000)
+	perToken := float64(p.TokenBytes) * 8 / (store.LinkMbps * 1000)
+	own := perToken * float64(p.Parts[part].Tokens)
 	if store.DataCentre != r.DataCentre {
-		ms *= rates.CrossFactor
+		own *= rates.CrossFactor
 	}
-	return ms
+	return (own + perToken*float64(store.Queued)) * max(store.Slowness, 1)
 }
 
 func hash(a, b string) uint64 {
