Steward: a group below its size commits nothing; tests of the routed deployment

Proposals wait until the group has its size again, and after 3 s, with no host to take in, go on with what there is.

--- /dev/null
+++ b/holdings/holdings_test.go
@@ -0,0 +1,65 @@
+package holdings
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestShelfFollowsChanges(t *testing.T) {
+	s := NewShelf()
+	s.Begin(1, []Change{{Key{"v1", "a"}, 100}}, start, 0)
+	s.Apply(Change{Key{"v1", "b"}, 50})
+	s.Apply(Change{Key{"v1", "a"}, 120})
+	if s.Whole(Key{"v1", "a"}) != 120 || s.Tokens() != 170 || s.Len() != 2 {
+		t.Fatalf("holds %d of a, %d in all, %d parts", s.Whole(Key{"v1", "a"}), s.Tokens(), s.Len())
+	}
+	s.Apply(Change{Key{"v1", "a"}, 0})
+	s.Apply(Change{Key{"v1", "never"}, 0})
+	if s.Whole(Key{"v1", "a"}) != 0 || s.Tokens() != 50 {
+		t.Fatalf("after its end a is %d, %d in all", s.Whole(Key{"v1", "a"}), s.Tokens())
+	}
+	if s.Whole(Key{"v2", "b"}) != 0 {
+		t.Fatal("a part of one weight version is found under another")
+	}
+}
+
+// A caller would get an answer made from half a part. A store restarts empty;
+// one entry knows and writes the part anew, another still believes it whole.
+// The shelf stays closed until the other can no longer act on its belief.
+func TestAnotherLifeOpensAfterThePause(t *testing.T) {
+	s := NewShelf()
+	if s.Open(start) {
+		t.Fatal("a store that was never asked is open")
+	}
+	s.Begin(1, []Change{{Key{"v1", "a"}, 100}}, start, 0)
+	if !s.Open(start) {
+		t.Fatal("a known life is closed")
+	}
+	s.Close()
+	if s.Open(start.Add(time.Hour)) {
+		t.Fatal("a store that does not answer is open")
+	}
+	s.Begin(2, nil, start, 3*time.Second)
+	if s.Whole(Key{"v1", "a"}) != 0 || s.Tokens() != 0 {
+		t.Fatal("parts of the former life are still known")
+	}
+	if s.Open(start.Add(3*time.Second - 1)) {
+		t.Fatal("open before the pause is over")
+	}
+	if !s.Open(start.Add(3 * time.Second)) {
+		t.Fatal("closed after the pause")
+	}
+}
+
+func TestShelfIsBounded(t *testing.T) {
+	s := NewShelf()
+	s.Begin(1, nil, start, 0)
+	for i := range MaxParts + 10 {
+		s.Apply(Change{Key{"v1", string(rune(i))}, 1})
+	}
+	if s.Len() > MaxParts {
+		t.Fatalf("%d parts are kept", s.Len())
+	}
+}
--- /dev/null
+++ b/internal/gateway/fakes_test.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/holdings"
+	"github.com/lovagereach/lovagereach/internal/decision"
+	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/outcome"
+	"github.com/lovagereach/lovagereach/placement"
+	"github.com/lovagereach/lovagereach/roster"
+)
+
+// scriptedSender answers sends by a function and remembers them.
+type scriptedSender struct {
+	mu     sync.Mutex
+	sends  []*Send
+	script func(n int, s *Send) (*Answer, error)
+}
+
+func (f *scriptedSender) Send(_ context.Context, s *Send) (*Answer, error) {
+	f.mu.Lock()
+	f.sends = append(f.sends, s)
+	n := len(f.sends)
+	f.mu.Unlock()
+	return f.script(n, s)
+}
+
+func (f *scriptedSender) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.sends)
+}
+
+// events is a Body of events that may break.
+type events struct {
+	pieces []Piece
+	end    error
+	closed bool
+}
+
+func (e *events) Next() (Piece, error) {
+	if len(e.pieces) == 0 {
+		return Piece{}, e.end
+	}
+	p := e.pieces[0]
+	e.pieces = e.pieces[1:]
+	return p, nil
+}
+
+func (e *events) Close() { e.closed = true }
+
+func stream(end error, ids ...string) *Answer {
+	body := &events{end: end}
+	for _, id := range ids {
+		body.pieces = append(body.pieces, Piece{Data: []byte("id: " + id + "\n\n"), ID: id})
+	}
+	return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: body}
+}
+
+func status(code int) *Answer {
+	return &Answer{Status: code, Header: http.Header{}, Length: 0, Body: &events{end: io.EOF}}
+}
+
+func refusal(r Refusal) *Answer {
+	return &Answer{Status: 503, Header: http.Header{}, Refusal: r, Body: &events{end: io.EOF}}
+}
+
+// recorder is a Responder that remembers what the caller got.
+type recorder struct {
+	status int
+	body   string
+	// ends is "done", "broken" or "refused".
+	ends  string
+	cause error
+	// gone makes the caller vanish.
+	gone bool
+}
+
+func (r *recorder) Begin(a *Answer) error {
+	r.status = a.Status
+	if r.gone {
+		return errors.New("gone")
+	}
+	return nil
+}
+
+func (r *recorder) Piece(data []byte) error {
+	r.body += string(data)
+	return nil
+}
+
+func (r *recorder) Done()              { r.ends += "done" }
+func (r *recorder) Break()             { r.ends += "broken" }
+func (r *recorder) Refuse(cause error) { r.ends += "refused"; r.cause = cause }
+
+// kept is a part that stands in the store of the test's configuration.
+var keptPart = holdings.Key{Salt: "m.1", Part: "kept"}
+
+func testDocument() *catalog.Document {
+	target := func(service string) []catalog.Target { return []catalog.Target{{Service: service, Weight: 1}} }
+	route := func(name string, kind catalog.Kind, attempts int, resumable bool, service string) catalog.Route {
+		return catalog.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second,
+			Target: time.Second, Attempts: attempts, Resumable: resumable, Targets: target(service)}
+	}
+	return &catalog.Document{
+		Version: 7, Keyed: true, Source: []byte("x"),
+		Routes: []catalog.Route{
+			route("safe", catalog.Safe, 2, false, "app"), route("unsafe", catalog.Unsafe, 1, false, "app"),
+			route("bids", catalog.Unsafe, 3, false, "app"),
+			route("stream", catalog.Stream, 1, false, "llm"), route("resume", catalog.Stream, 2, true, "llm"),
+		},
+		Services: []catalog.Service{
+			{Name: "app"}, {Name: "llm", Engine: &catalog.Engine{Slots: 4, MemoryTokens: 50000, TokenBytes: 18432, LinkMbps: 370000}},
+			{Name: "store", Store: &catalog.Store{Address: "store:1", CapacityTokens: 1000000, LinkMbps: 83000, Managed: true}},
+		},
+		Teams: []catalog.Team{{Name: "growers", Keys: []string{"k"}}, {Name: "bank", Keys: []string{"kb"}, Isolated: true}},
+	}
+}
+
+func testAnswer() *steward.WatchAnswer {
+	up := func(id, service string) roster.Upstream {
+		return roster.Upstream{ID: id, Service: service, Address: id + ":1", State: roster.Serving, Slots: 4,
+			Loaded: []roster.Loaded{{Model: "m", Version: 1}}}
+	}
+	return &steward.WatchAnswer{
+		Term: 1, Document: testDocument(),
+		Weights: &steward.WeightsView{Revision: 1},
+		Roster: &steward.RosterView{Revision: 1, Upstreams: []roster.Upstream{
+			up("a1", "app"), up("a2", "app"), up("a3", "app"), up("l1", "llm"), up("l2", "llm"),
+		}},
+		States:  []steward.ShelfState{{Address: "store:1", Life: 1, Open: true}},
+		Changes: []steward.ShelfChange{{Address: "store:1", Change: holdings.Change{Key: keptPart, Tokens: 9000}}},
+		Clock:   1000, Reset: true,
+	}
+}
+
+func testGateway(t *testing.T, script func(n int, s *Send) (*Answer, error)) (*Gateway, *scriptedSender) {
+	t.Helper()
+	sender := &scriptedSender{script: script}
+	quiet := log.New(io.Discard)
+	g, err := New(Options{
+		Host: "e1", Sender: sender, Budget: BudgetLimits{Ratio: 0.2, Extra: 200}, Rates: placement.DefaultRates(),
+		Log: quiet, Decisions: decision.New(quiet),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Told(testAnswer(), time.Now())
+	return g, sender
+}
+
+func request(path string) *Request {
+	return &Request{ID: "id-1", Method: "POST", Host: "h", Target: path, Path: path, Header: http.Header{}, Key: "k",
+		Wait: 4 * time.Second, Arrived: time.Now()}
+}
+
+func prompt(parts ...placement.Part) *Prompt {
+	return &Prompt{Model: "m", Parts: parts, Output: 10}
+}
+
+func serve(g *Gateway, r *Request) *recorder {
+	rec := &recorder{}
+	g.Serve(context.Background(), r, rec)
+	return rec
+}
+
+func lost() error {
+	return &outcome.Unknown{Reason: outcome.ReasonConnectionLost, Detail: "reset"}
+}
+
+func undialled() error {
+	return &outcome.NotRun{Reason: outcome.ReasonDial, Detail: "refused"}
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,319 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/outcome"
+	"github.com/lovagereach/lovagereach/placement"
+	"github.com/lovagereach/lovagereach/roster"
+)
+
+// What a caller is told must be true. Each case is one request and what its
+// upstreams do; "refused" as not run is allowed only if no send may have run.
+func TestFinalAnswers(t *testing.T) {
+	type script = func(n int, s *Send) (*Answer, error)
+	always := func(a func() *Answer, err error) script {
+		return func(int, *Send) (*Answer, error) {
+			if err != nil {
+				return nil, err
+			}
+			return a(), nil
+		}
+	}
+	inTurn := func(steps ...any) script {
+		return func(n int, _ *Send) (*Answer, error) {
+			switch step := steps[min(n, len(steps))-1].(type) {
+			case error:
+				return nil, step
+			case *Answer:
+				return step, nil
+			}
+			return nil, errors.New("no such step")
+		}
+	}
+	cases := []struct {
+		name, path string
+		script     script
+		sends      int
+		ends       string
+		kind       outcome.Kind
+		status     int
+	}{
+		{"safe, whole", "/safe/x", always(func() *Answer { return status(200) }, nil), 1, "done", outcome.KindDone, 200},
+		{"safe, lost once", "/safe/x", inTurn(lost(), status(200)), 2, "done", outcome.KindDone, 200},
+		{"safe, failed once", "/safe/x", inTurn(status(500), status(200)), 2, "done", outcome.KindDone, 200},
+		{"safe, failed twice: the second failure is passed on", "/safe/x", inTurn(status(500), status(500)), 2, "done", outcome.KindDone, 500},
+		{"safe, lost twice", "/safe/x", inTurn(lost(), lost()), 2, "refused", outcome.KindUnknown, 0},
+		{"safe, lost and then full: it may have run", "/safe/x", inTurn(lost(), refusal(Full)), 2, "refused", outcome.KindUnknown, 0},
+		{"unsafe, lost: never sent again", "/unsafe/x", inTurn(lost()), 1, "refused", outcome.KindUnknown, 0},
+		{"unsafe, failed: never sent again", "/unsafe/x", inTurn(status(500)), 1, "done", outcome.KindDone, 500},
+		{"unsafe, full: not run", "/unsafe/x", inTurn(refusal(Full)), 1, "refused", outcome.KindNotRun, 0},
+		{"unsafe, unsent once: another upstream", "/unsafe/x", inTurn(undialled(), status(200)), 2, "done", outcome.KindDone, 200},
+		{"unsafe, never sent: not run", "/unsafe/x", inTurn(undialled()), 3, "refused", outcome.KindNotRun, 0},
+		{"unsafe with more attempts, full once", "/bids/x", inTurn(refusal(Full), status(200)), 2, "done", outcome.KindDone, 200},
+		{"unsafe with more attempts, lost", "/bids/x", inTurn(refusal(Full), lost()), 2, "refused", outcome.KindUnknown, 0},
+		{"unsafe, the address is another's", "/unsafe/x", inTurn(refusal(OtherUpstream)), 1, "refused", outcome.KindNotRun, 0},
+		{"no such place", "/none/x", inTurn(status(200)), 0, "refused", outcome.KindNotRun, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g, sender := testGateway(t, c.script)
+			rec := serve(g, request(c.path))
+			if sender.count() != c.sends || rec.ends != c.ends || rec.status != c.status {
+				t.Fatalf("%d sends, ends %q with status %d (%v)", sender.count(), rec.ends, rec.status, rec.cause)
+			}
+			if got := outcome.KindOf(rec.cause); got != c.kind {
+				t.Fatalf("told %v (%v), want %v", got, rec.cause, c.kind)
+			}
+		})
+	}
+}
+
+// A stream that breaks off must never look whole, and one that may be resumed
+// goes on after the last event that the caller has, without a gap or a repeat.
+func TestStreams(t *testing.T) {
+	broken := errors.New("reset")
+	cases := []struct {
+		name, path  string
+		first, next *Answer
+		ends, body  string
+		resumeAfter string
+	}{
+		{"whole", "/stream/x", stream(io.EOF, "1", "2"), nil, "done", "id: 1\n\nid: 2\n\n", ""},
+		{"broken, not resumable", "/stream/x", stream(broken, "1"), stream(io.EOF, "2"), "broken", "id: 1\n\n", ""},
+		{"broken before its first event, not resumable", "/stream/x", stream(broken), nil, "broken", "", ""},
+		{"broken, resumable", "/resume/x", stream(broken, "1", "2"), stream(io.EOF, "3"), "done", "id: 1\n\nid: 2\n\nid: 3\n\n", "2"},
+		{"broken twice", "/resume/x", stream(broken, "1"), stream(broken, "2"), "broken", "id: 1\n\nid: 2\n\n", "1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g, sender := testGateway(t, func(n int, _ *Send) (*Answer, error) {
+				if n == 1 {
+					return c.first, nil
+				}
+				return c.next, nil
+			})
+			r := request(c.path)
+			r.Prompt = prompt(placement.Part{ID: "p", Tokens: 100})
+			rec := serve(g, r)
+			if rec.ends != c.ends || rec.body != c.body {
+				t.Fatalf("ends %q with %q", rec.ends, rec.body)
+			}
+			if c.resumeAfter != "" && sender.sends[1].ResumeAfter != c.resumeAfter {
+				t.Fatalf("resumed after %q", sender.sends[1].ResumeAfter)
+			}
+			if c.resumeAfter != "" && sender.sends[0].Upstream == sender.sends[1].Upstream {
+				t.Fatal("resumed at the upstream that broke off")
+			}
+		})
+	}
+}
+
+func TestKeysDecideTheTeam(t *testing.T) {
+	cases := []struct {
+		name, key, team string
+		reason          outcome.Reason
+	}{
+		{"known", "k", "growers", ""},
+		{"unknown", "other", "", outcome.ReasonUnauthorized},
+		{"none", "", "", outcome.ReasonUnauthorized},
+	}
+	for _, c := range cases {
+		g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return status(200), nil })
+		r := request("/safe/x")
+		r.Key = c.key
+		rec := serve(g, r)
+		if c.reason == "" {
+			if sender.count() != 1 || sender.sends[0].Team != c.team {
+				t.Errorf("%s: sent as %v", c.name, sender.sends)
+			}
+			continue
+		}
+		var refused *outcome.NotRun
+		if !errors.As(rec.cause, &refused) || refused.Reason != c.reason {
+			t.Errorf("%s: %v", c.name, rec.cause)
+		}
+	}
+}
+
+// An entry that has just started must not tell a caller that its route does
+// not exist: the route may be in force everywhere else.
+func TestWithoutAConfigurationCallersComeBack(t *testing.T) {
+	g, _ := testGateway(t, nil)
+	g.state.index = nil
+	rec := serve(g, request("/safe/x"))
+	var refused *outcome.NotRun
+	if !errors.As(rec.cause, &refused) || refused.Reason != ReasonNoConfig || refused.RetryAfter <= 0 {
+		t.Fatalf("told %v", rec.cause)
+	}
+	if g.Ready() {
+		t.Fatal("ready without a configuration")
+	}
+}
+
+// An answer of a control host that lags brings an older configuration.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	g, _ := testGateway(t, nil)
+	older := testAnswer()
+	older.Document.Version = 3
+	older.Roster = nil
+	g.Told(older, time.Now())
+	if g.Index().Version() != 7 {
+		t.Fatalf("version %d is in force", g.Index().Version())
+	}
+}
+
+func TestUpstreamsThatLeaveGetNothingNew(t *testing.T) {
+	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return status(200), nil })
+	left := testAnswer()
+	left.Document = nil
+	left.Roster.Revision = 2
+	for i := range left.Roster.Upstreams {
+		if left.Roster.Upstreams[i].ID != "a2" {
+			left.Roster.Upstreams[i].State = roster.Leaving
+		}
+	}
+	g.Told(left, time.Now())
+	for range 20 {
+		serve(g, request("/safe/x"))
+	}
+	for _, s := range sender.sends {
+		if s.Upstream != "a2" {
+			t.Fatalf("%s was sent a request", s.Upstream)
+		}
+	}
+}
+
+// Memory of one weight version, or of an isolated team, must never serve
+// another: the salt and the version that the runner must have go together.
+func TestSaltsKeepVersionsAndIsolatedTeamsApart(t *testing.T) {
+	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return stream(io.EOF, "1"), nil })
+	send := func(key string) *PromptSend {
+		r := request("/stream/x")
+		r.Key = key
+		r.Prompt = prompt(placement.Part{ID: "kept", Tokens: 9000}, placement.Part{ID: "own", Tokens: 10})
+		serve(g, r)
+		return sender.sends[sender.count()-1].Prompt
+	}
+	open, walled := send("k"), send("kb")
+	if open.Version != 1 || open.Salt == walled.Salt || !strings.Contains(walled.Salt, "bank") {
+		t.Fatalf("salts %q and %q, version %d", open.Salt, walled.Salt, open.Version)
+	}
+	if open.Fetch == nil || open.Fetch[0].Address != "store:1" || open.Fetch[0].Tokens != 9000 {
+		t.Fatalf("the kept part is not fetched: %+v", open)
+	}
+	if walled.Fetch != nil {
+		t.Fatalf("an isolated team fetches what others made: %+v", walled.Fetch)
+	}
+	swapped := testAnswer()
+	swapped.Document, swapped.Reset, swapped.Changes = nil, false, nil
+	swapped.Roster.Revision = 2
+	for i := range swapped.Roster.Upstreams {
+		swapped.Roster.Upstreams[i].Loaded = []roster.Loaded{{Model: "m", Version: 2}}
+	}
+	g.Told(swapped, time.Now())
+	if after := send("k"); after.Version != 2 || after.Salt == open.Salt || after.Fetch != nil {
+		t.Fatalf("after new weights: %+v", after)
+	}
+}
+
+// What an entry knows of the stores goes stale; a store may have restarted
+// since, and what it fetches could be half written.
+func TestStoresAreReadOnlyWhileKnowledgeIsFresh(t *testing.T) {
+	cases := []struct {
+		name  string
+		spoil func(*steward.WatchAnswer) time.Time
+		fetch bool
+	}{
+		{"fresh", func(*steward.WatchAnswer) time.Time { return time.Now() }, true},
+		{"old", func(*steward.WatchAnswer) time.Time { return time.Now().Add(-steward.ShelfTrust) }, false},
+		{"closed", func(a *steward.WatchAnswer) time.Time { a.States[0].Open = false; return time.Now() }, false},
+		{"no state told", func(a *steward.WatchAnswer) time.Time { a.States = nil; return time.Now() }, false},
+	}
+	for _, c := range cases {
+		g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return stream(io.EOF, "1"), nil })
+		answer := testAnswer()
+		sent := c.spoil(answer)
+		g.Told(answer, sent)
+		r := request("/stream/x")
+		r.Prompt = prompt(placement.Part{ID: "kept", Tokens: 9000}, placement.Part{ID: "own", Tokens: 10})
+		serve(g, r)
+		p := sender.sends[0].Prompt
+		if (p.Fetch != nil) != c.fetch || (!c.fetch && p.Save != nil) {
+			t.Errorf("%s: fetch %v, save %v", c.name, p.Fetch, p.Save)
+		}
+		if c.fetch && (p.Until < 1000 || p.Until > 1000+2*steward.FetchPermit.Milliseconds()) {
+			t.Errorf("%s: the fetch may last until %d", c.name, p.Until)
+		}
+	}
+}
+
+// A runner has the new weights before this entry was told. It refuses without
+// having run the request, which then goes to the same runner under its version.
+func TestOtherVersionIsAskedAgainAtTheSameRunner(t *testing.T) {
+	g, sender := testGateway(t, func(n int, _ *Send) (*Answer, error) {
+		if n == 1 {
+			return refusal(OtherVersion), nil
+		}
+		return stream(io.EOF, "1"), nil
+	})
+	named := testAnswer()
+	named.Document, named.Roster = nil, nil
+	named.Weights = &steward.WeightsView{Revision: 2, Newest: []roster.Loaded{{Model: "m", Version: 2}}}
+	g.Told(named, time.Now())
+	r := request("/stream/x")
+	r.Prompt = prompt(placement.Part{ID: "p", Tokens: 100}, placement.Part{ID: "own", Tokens: 10})
+	rec := serve(g, r)
+	if rec.ends != "done" || sender.count() != 2 {
+		t.Fatalf("ends %q after %d sends: %v", rec.ends, sender.count(), rec.cause)
+	}
+	a, b := sender.sends[0], sender.sends[1]
+	if a.Upstream != b.Upstream || a.Prompt.Version != 1 || b.Prompt.Version != 2 || a.Prompt.Salt == b.Prompt.Salt {
+		t.Fatalf("sent to %s as %d %q, then to %s as %d %q", a.Upstream, a.Prompt.Version, a.Prompt.Salt, b.Upstream, b.Prompt.Version, b.Prompt.Salt)
+	}
+}
+
+func TestCallerThatLeavesEndsTheSend(t *testing.T) {
+	body := &events{end: io.EOF, pieces: []Piece{{Data: []byte("x")}}}
+	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return &Answer{Status: 200, Body: body}, nil })
+	rec := &recorder{gone: true}
+	g.Serve(context.Background(), request("/safe/x"), rec)
+	if sender.count() != 1 || !body.closed {
+		t.Fatalf("%d sends, upstream's answer closed: %t", sender.count(), body.closed)
+	}
+	if u := g.state.members[sender.sends[0].Upstream]; u.own.Requests != 0 || u.trust.inRow != 0 {
+		t.Fatalf("accounted %+v, trust %+v", u.own, u.trust)
+	}
+}
+
+func TestAccountsEndWithTheRequests(t *testing.T) {
+	scripts := map[string]func(int, *Send) (*Answer, error){
+		"whole":   func(int, *Send) (*Answer, error) { return stream(io.EOF, "1"), nil },
+		"broken":  func(int, *Send) (*Answer, error) { return stream(errors.New("reset"), "1"), nil },
+		"refused": func(int, *Send) (*Answer, error) { return refusal(Full), nil },
+		"lost":    func(int, *Send) (*Answer, error) { return nil, lost() },
+		"unsent":  func(int, *Send) (*Answer, error) { return nil, undialled() },
+	}
+	for name, script := range scripts {
+		g, _ := testGateway(t, script)
+		r := request("/resume/x")
+		r.Prompt = prompt(placement.Part{ID: "kept", Tokens: 9000}, placement.Part{ID: "own", Tokens: 10})
+		serve(g, r)
+		for id, u := range g.state.members {
+			if u.own != (steward.Load{}) {
+				t.Errorf("%s: %s keeps %+v", name, id, u.own)
+			}
+		}
+		for address, store := range g.state.stores {
+			if store.own != 0 {
+				t.Errorf("%s: %d tokens wait at %s for ever", name, store.own, address)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/room_test.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lovagereach/lovagereach/placement"
+)
+
+// gate lets answers through one by one.
+type gate struct{ open chan struct{} }
+
+func (b *gate) Next() (Piece, error) {
+	<-b.open
+	return Piece{}, io.EOF
+}
+
+func (b *gate) Close() {}
+
+// Two runners with memory for 50,000 tokens are offered ten prompts of 20,000.
+// Beyond their memory they would fetch parts and drop them unread; the prompts
+// wait at the entry and get their turn, the most urgent first.
+func TestPromptsBeyondTheMemoryWait(t *testing.T) {
+	open := make(chan struct{})
+	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return &Answer{Status: 200, Body: &gate{open}}, nil })
+	var all sync.WaitGroup
+	for i := range 10 {
+		all.Go(func() {
+			r := request("/stream/x")
+			r.Wait, r.Arrived = time.Minute, time.Now()
+			r.Prompt = prompt(placement.Part{ID: string(rune('a' + i)), Tokens: 16000}, placement.Part{ID: "own", Tokens: 4000})
+			rec := &recorder{}
+			g.Serve(context.Background(), r, rec)
+			if rec.ends != "done" {
+				t.Errorf("prompt %d ends %q: %v", i, rec.ends, rec.cause)
+			}
+		})
+	}
+	waiting := func() int {
+		g.state.mu.Lock()
+		defer g.state.mu.Unlock()
+		return len(g.state.waiting)
+	}
+	for sender.count() < 4 || waiting() < 6 {
+		time.Sleep(time.Millisecond)
+	}
+	g.state.mu.Lock()
+	for id, u := range g.state.members {
+		if u.own.Tokens > 42500 {
+			t.Errorf("%s was given %d tokens", id, u.own.Tokens)
+		}
+	}
+	g.state.mu.Unlock()
+	for range 10 {
+		open <- struct{}{}
+	}
+	all.Wait()
+	if sender.count() != 10 || waiting() != 0 {
+		t.Fatalf("%d sends, %d still wait", sender.count(), waiting())
+	}
+}
+
+func TestQueueIsInOrderOfRank(t *testing.T) {
+	g, _ := testGateway(t, nil)
+	s := g.state
+	index := g.Index()
+	add := func(priority int, id string) {
+		route := *index.Route("h", "/stream/x")
+		route.Priority = priority
+		s.enqueue(&waiter{run: &run{gateway: g, request: &Request{ID: id}, route: &route}})
+	}
+	for _, w := range []struct {
+		priority int
+		id       string
+	}{{1, "b1"}, {0, "a1"}, {1, "b2"}, {0, "a2"}, {2, "c1"}} {
+		add(w.priority, w.id)
+	}
+	got := ""
+	for _, w := range s.waiting {
+		got += w.run.request.ID + " "
+	}
+	if got != "a1 a2 b1 b2 c1 " {
+		t.Fatalf("waiting in order %s", got)
+	}
+}
+
+// The budget is a promise of all entries together: eight of them that each
+// take all they may, twice over because they were restarted once, must stay
+// within what the deployment allows in a window.
+func TestBudgetsAddUp(t *testing.T) {
+	limits := BudgetLimits{Ratio: 0.2, Extra: 58}
+	const entries, perEntry = 8, 400
+	taken := 0
+	for range entries * 2 {
+		b := newBudgets()
+		b.limits = limits
+		now := b.start
+		for range perEntry / 2 {
+			now = now.Add(20 * time.Millisecond)
+			b.first("app", now)
+			for b.take("app", entries, now) {
+				taken++
+			}
+		}
+	}
+	allowed := limits.Ratio*entries*perEntry + float64(limits.Extra)
+	if float64(taken) > allowed || taken == 0 {
+		t.Fatalf("%d further sends, %v are allowed", taken, allowed)
+	}
+}
+
+func TestBudgetWindowSlides(t *testing.T) {
+	b := newBudgets()
+	b.limits = BudgetLimits{Extra: 32}
+	take := func(at time.Duration) (n int) {
+		for b.take("app", 8, b.start.Add(at)) {
+			n++
+		}
+		return n
+	}
+	if first, again := take(0), take(9*time.Second); first != 2 || again != 0 {
+		t.Fatalf("%d, then %d within the window", first, again)
+	}
+	if later := take(11 * time.Second); later != 2 {
+		t.Fatalf("%d after the window", later)
+	}
+}
+
+func TestTrustComesBack(t *testing.T) {
+	var u trust
+	now := time.Unix(100, 0)
+	u.failed(now)
+	if u.cost(now, false) < distrustCost {
+		t.Fatal("a failed upstream is not avoided")
+	}
+	if u.cost(now.Add(distrustMost), false) >= distrustCost {
+		t.Fatal("an upstream is avoided for ever")
+	}
+	for range 50 {
+		u.answered(true)
+	}
+	if cost := u.cost(now, false); cost != 0 {
+		t.Fatalf("a well upstream costs %v", cost)
+	}
+}
+
+func TestPaceForgetsASlowTime(t *testing.T) {
+	var p pace
+	now := time.Unix(100, 0)
+	for range 5 {
+		p.note(8, now)
+	}
+	if p.slowness(now) < 4 {
+		t.Fatalf("five transfers 8 times as long count as %v", p.slowness(now))
+	}
+	if p.slowness(now.Add(paceFor+1)) != 1 {
+		t.Fatal("a slow store is never tried again")
+	}
+}
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -41,6 +41,9 @@
 	mu      sync.Mutex
 	beats   map[string]time.Time
 	entries map[string]*followedEntry
+	// small is since when the group has been below its size, zero when it is
+	// not.
+	small time.Time
 }
 
 type followedEntry struct {
@@ -109,6 +112,20 @@
 	return l
 }
 
+// mayCommit reports whether a group of so many voters may commit.
+func (l *leadership) mayCommit(voters int, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if voters >= l.steward.options.voters() {
+		l.small = time.Time{}
+		return true
+	}
+	if l.small.IsZero() {
+		l.small = now
+	}
+	return voters > l.steward.options.Tolerated && now.Sub(l.small) > smallFor
+}
+
 // beat notes that an upstream was heard.
 func (l *leadership) beat(id string, now time.Time) {
 	l.mu.Lock()
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -17,6 +17,8 @@
 	// proposeTimeout bounds a commit. Callers turn to another control host
 	// after a second; a commit takes two disks' syncs and one round trip.
 	proposeTimeout = 900 * time.Millisecond
+	// smallFor is how long a group below its size commits nothing.
+	smallFor = 3 * time.Second
 	// readTimeout bounds the proof that a read is up to date.
 	readTimeout = 700 * time.Millisecond
 )
@@ -151,12 +153,16 @@
 	return err
 }
 
-// propose commits a command. A group that has not its size yet commits nothing:
-// what a quorum of too few voters holds could be lost with the disks that the
-// group must bear to lose.
+// propose commits a command. A group below its size commits nothing for a
+// while: with two voters of three, the loss of one disk more would leave no
+// quorum, and what was acknowledged could never be read again. The group gets
+// its size back within a second if a host stands ready; if none does, the
+// losses are more than it must bear, and it goes on with what there is.
 func (s *Steward) propose(ctx context.Context, c command) (verdict, error) {
-	if voters := len(s.replica().Status().Voters); voters < 2*s.options.Tolerated {
-		return verdict{}, eris.Wrapf(ErrUnavailable, "the group has %d voters", voters)
+	voters := len(s.replica().Status().Voters)
+	l := s.leading.Load()
+	if l != nil && !l.mayCommit(voters, time.Now()) {
+		return verdict{}, eris.Wrapf(ErrUnavailable, "the group has %d voters of %d", voters, s.options.voters())
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
