Gateway: an answer to a safe request is passed on once it is whole

Answers to safe requests are held back up to 64 KB until whole; once a caller has a part, nothing is repeated but a resumable stream.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,9 @@
 	leastWait = 10 * time.Millisecond
 	// defaultWait bounds requests whose caller does not say how long it waits.
 	defaultWait = 30 * time.Second
+	// heldBack is how much of the answer to a safe request is held back until
+	// it is whole, so that the request can be repeated if the answer breaks off.
+	heldBack = 64 << 10
 	// maxUnsent bounds the upstreams tried one after the other when no byte of
 	// the request has reached any.
 	maxUnsent = 3
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
@@ -86,7 +87,7 @@
 		return false, r.refusal(outcome.ReasonRefused, comeBackFull, err.Error())
 	case errors.As(err, &repeat):
 		return true, nil
-	case r.route.Repeatable() && r.sends < r.attempts() && r.takeBudget(now):
+	case r.mayRepeat() && r.sends < r.attempts() && r.takeBudget(now):
 		return true, nil
 	}
 	var unknown *outcome.Unknown
@@ -96,6 +97,12 @@
 	return false, &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: err.Error()}
 }
 
+// mayRepeat reports whether the request may run once more: a resumable stream
+// at any time, a safe request while the caller has nothing of an answer.
+func (r *run) mayRepeat() bool {
+	return r.route.Repeatable() && (r.route.Kind == catalog.Stream || !r.begun)
+}
+
 // refusal states that the request has not run or, when an earlier send may
 // have, that nothing is known.
 func (r *run) refusal(reason outcome.Reason, after time.Duration, detail string) error {
@@ -190,17 +197,14 @@
 
 // pass passes an answer on to its end.
 func (r *run) pass(ctx context.Context, respond Responder, p *plan, answer *Answer) error {
-	if !r.begun {
-		if err := respond.Begin(answer); err != nil {
-			r.finish(p)
-			return errCallerGone
-		}
-		r.begun = true
-		r.status = answer.Status
-	}
+	relay := &relay{run: r, respond: respond, answer: answer, holds: r.route.Kind == catalog.Safe}
 	for {
 		piece, err := answer.Body.Next()
 		if errors.Is(err, io.EOF) {
+			if err := relay.end(); err != nil {
+				r.finish(p)
+				return err
+			}
 			r.whole(p, answer.Status < 500)
 			return nil
 		}
@@ -212,12 +216,59 @@
 		if r.first == 0 {
 			r.first = time.Since(r.request.Arrived)
 		}
-		if err := respond.Piece(piece.Data); err != nil {
+		if err := relay.piece(piece); err != nil {
 			r.finish(p)
+			return err
+		}
+	}
+}
+
+// relay passes one answer to the caller. The answer to a safe request is held
+// back until it is whole, as far as it is short: once the caller has a part of
+// it, the request can't be repeated any more, for the caller would get the head
+// of one answer with the body of another.
+type relay struct {
+	run     *run
+	respond Responder
+	answer  *Answer
+	holds   bool
+	held    []byte
+}
+
+func (l *relay) piece(piece Piece) error {
+	if l.holds && len(l.held)+len(piece.Data) <= heldBack {
+		l.held = append(l.held, piece.Data...)
+		return nil
+	}
+	if err := l.begin(); err != nil {
+		return err
+	}
+	if l.respond.Piece(piece.Data) != nil {
+		return errCallerGone
+	}
+	if piece.ID != "" {
+		l.run.lastEvent = piece.ID
+	}
+	return nil
+}
+
+// begin passes on the head and what was held back, once.
+func (l *relay) begin() error {
+	l.holds = false
+	if !l.run.begun {
+		if l.respond.Begin(l.answer) != nil {
 			return errCallerGone
 		}
-		if piece.ID != "" {
-			r.lastEvent = piece.ID
+		l.run.begun = true
+		l.run.status = l.answer.Status
+	}
+	if len(l.held) > 0 {
+		if l.respond.Piece(l.held) != nil {
+			return errCallerGone
 		}
+		l.held = nil
 	}
+	return nil
 }
+
+func (l *relay) end() error { return l.begin() }
