Room for urgent prompts, short waits; disks read again; drains end in time; dead runners hold no turn

Runners with room come first, two slots and a share of memory are kept for the most urgent rank, at most 3 others wait, 150 ms at most. Silent and unreachable runners lose their turn; a runner whose address answers as another's, or is heard as another's, is given up.

--- a/cmd/lovage-fleet/control.go
+++ b/cmd/lovage-fleet/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -11,50 +13,110 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/process"
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/platform"
 )
 
-// loadsAtOnce is how many runners load weights at the same time at most in a
-// small fleet: beyond two to three, the weight store makes each load take
-// longer.
-const loadsAtOnce = 3
+const (
+	// loadsAtOnce is how many runners load weights at the same time at most in
+	// a small fleet: beyond two to three, the weight store makes each load take
+	// longer.
+	loadsAtOnce = 3
+	// diskRetry is how long after a failure of its disk a control host reads
+	// the data folder again. A full or faulty disk may stay so for seconds.
+	diskRetry = 500 * time.Millisecond
+)
 
 func runControl(ctx context.Context, env *process.Env, s *platform.Settings) error {
-	var listeners []net.Listener
-	for _, address := range []string{s.PeerAddress(), s.Operators, s.Directory} {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return errors.Join(process.ErrUsage, eris.Wrapf(err, "listen on %s", address))
-		}
-		listeners = append(listeners, listener)
+	operators, err := net.Listen("tcp", s.Operators)
+	if err != nil {
+		return errors.Join(process.ErrUsage, eris.Wrap(err, "operators: listen"))
 	}
-	management := platform.NewManagement()
-	host, err := steward.New(steward.Options{
-		Self: ident.Host(s.Host), DataCentre: s.DataCentre, PeerPort: s.PeerPorts[0], Listener: listeners[0],
-		Seeds: s.SeedHosts(), Bootstrap: s.Bootstrap, Tolerated: s.ToleratedDisks,
-		Cluster: cluster, Key: []byte(peerKey), Data: s.Data,
-		LoadsAtOnce: loadsAtOnce, VersionTime: s.VersionTime(), HolderLease: s.HolderLease(),
-		Stores: management, Runners: management, Log: env.Log,
-	})
+	directory, err := net.Listen("tcp", s.Directory)
 	if err != nil {
-		return err
+		return errors.Join(process.ErrUsage, eris.Wrap(err, "directory: listen"))
 	}
 	env.Log.Info("started", "role", "control", "name", s.Name, "host", s.Host, "bootstrap", s.Bootstrap)
-	operators := platform.NewOperators(host, s.Operators, env.Log)
-	directory := platform.NewDirectory(host)
+	c := &controlHost{env: env, settings: s}
+	seeds := s.SeedHosts()
+	c.seeds.Store(&seeds)
+	operatorsServer := platform.NewOperators(c.current.Load, s.Operators, env.Log)
+	directoryServer := platform.NewDirectory(c.current.Load)
 	tasks, ctx := errgroup.WithContext(ctx)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	tasks.Go(func() error { return serve(operators, listeners[1]) })
-	tasks.Go(func() error { return serve(directory, listeners[2]) })
-	tasks.Go(func() error { watchSettings(ctx, env, host.SetSeeds); return nil })
+	tasks.Go(func() error { return serve(operatorsServer, operators) })
+	tasks.Go(func() error { return serve(directoryServer, directory) })
+	tasks.Go(func() error { watchSettings(ctx, env, c.setSeeds); return nil })
 	tasks.Go(func() error {
 		defer stop()
-		err := host.Run(ctx, env.Drain)
-		_ = operators.Close()
-		_ = directory.Close()
+		err := c.run(ctx)
+		_ = operatorsServer.Close()
+		_ = directoryServer.Close()
 		env.Log.Info("stopped", "err", err)
 		return err
 	})
 	return tasks.Wait()
 }
+
+// controlHost runs one steward after the other: when its disk fails, what the
+// disk holds of the last writes is unknown, and only reading it again, as after
+// a crash, tells. The listeners stay, and answer that the host is starting.
+type controlHost struct {
+	env      *process.Env
+	settings *platform.Settings
+	seeds    atomic.Pointer[[]ident.Host]
+	current  atomic.Pointer[steward.Steward]
+}
+
+func (c *controlHost) setSeeds(seeds []ident.Host) {
+	c.seeds.Store(&seeds)
+	if s := c.current.Load(); s != nil {
+		s.SetSeeds(seeds)
+	}
+}
+
+func (c *controlHost) run(ctx context.Context) error {
+	for {
+		err := c.once(ctx)
+		if err == nil || !diskFailed(err) {
+			return err
+		}
+		c.env.Log.Error("disk failed, reading it again", "err", err)
+		select {
+		case <-c.env.Drain:
+			return nil
+		default:
+		}
+		if !wait.For(ctx, diskRetry) {
+			return nil
+		}
+	}
+}
+
+// diskFailed tells a disk that failed from settings that can't work.
+func diskFailed(err error) bool {
+	return errors.Is(err, steward.ErrDisk)
+}
+
+func (c *controlHost) once(ctx context.Context) error {
+	s := c.settings
+	peers, err := net.Listen("tcp", s.PeerAddress())
+	if err != nil {
+		return eris.Wrap(err, "peers: listen")
+	}
+	management := platform.NewManagement()
+	host, err := steward.New(steward.Options{
+		Self: ident.Host(s.Host), DataCentre: s.DataCentre, PeerPort: s.PeerPorts[0], Listener: peers,
+		Seeds: *c.seeds.Load(), Bootstrap: s.Bootstrap, Tolerated: s.ToleratedDisks,
+		Cluster: cluster, Key: []byte(peerKey), Data: s.Data,
+		LoadsAtOnce: loadsAtOnce, VersionTime: s.VersionTime(), HolderLease: s.HolderLease(),
+		Stores: management, Runners: management, Log: c.env.Log,
+	})
+	if err != nil {
+		return err
+	}
+	c.current.Store(host)
+	defer c.current.Store(nil)
+	return host.Run(ctx, c.env.Drain)
+}
--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -24,9 +24,11 @@
 	// stopReserve is kept of the time to stop: the process must have ended by
 	// itself before it is ended by force.
 	stopReserve = 700 * time.Millisecond
-	// lastRequests is how long before that the listener closes and requests
-	// under way are waited for.
-	lastRequests = 1500 * time.Millisecond
+	// takesFor is how long a leaving entry takes further requests: most callers
+	// hold an answer of the directory for 2 s. A request that it takes later
+	// might not end before the process must; its caller finds another entry
+	// sooner if the listener is closed.
+	takesFor = 2700 * time.Millisecond
 )
 
 func runEntry(ctx context.Context, env *process.Env, s *platform.Settings) error {
@@ -83,18 +85,17 @@
 	stopWithin time.Duration
 }
 
-// awaitStop leaves gracefully. Callers go on using the address until their
-// answers of the directory have run out, so the listener stays open for nearly
-// all of the time: an entry that shut its door at once would refuse them.
+// awaitStop leaves gracefully: out of the directory first, then out of the
+// listener, then out of the last request.
 func (e *entry) awaitStop(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-e.env.Drain:
 		e.gateway.Leave()
 		e.env.Log.Info("leaving", "open", e.gateway.Open())
-		wait.For(ctx, e.stopWithin-stopReserve-lastRequests)
+		wait.For(ctx, min(takesFor, e.stopWithin/3))
 	}
-	bound, cancel := context.WithTimeout(context.Background(), lastRequests)
+	bound, cancel := context.WithTimeout(context.Background(), e.stopWithin-stopReserve-min(takesFor, e.stopWithin/3))
 	defer cancel()
 	if err := e.callers.Stop(bound); err != nil {
 		e.env.Log.Warn("requests cut off", "open", e.gateway.Open(), "err", err)
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -21,6 +21,11 @@
 	// loadingCost is added for a runner that is being ordered to load: it takes
 	// no request until it is done.
 	loadingCost = 2 * time.Second
+	// noRoomCost is added for a runner without room. For the most urgent rank,
+	// whose prompts are short, one with room comes first whatever it has to
+	// read; for the others a part that is read again may cost more than a wait.
+	noRoomCost       = 800 * time.Millisecond
+	noRoomCostUrgent = 20 * time.Second
 	// fullFor is how long an upstream that said it is full is avoided.
 	fullFor = 60 * time.Millisecond
 	// fullCost is added meanwhile.
@@ -86,7 +91,7 @@
 	if service != nil && service.Engine != nil {
 		memory = service.Engine.MemoryTokens
 	}
-	if !p.hasRoom(memory) {
+	if !p.upstream.hasRoom(p.send.Rank, p.tokens, p.reads, memory) {
 		return nil, nil
 	}
 	s.commit(p, now)
@@ -172,6 +177,15 @@
 func (r *run) placePrompt(s *state, p *plan, service *catalog.Service, candidates []*upstreamState, now time.Time) {
 	prompt := r.request.Prompt
 	newest := s.weights[prompt.Model]
+	noRoom := noRoomCost
+	if p.send.Rank == urgentRank {
+		noRoom = noRoomCostUrgent
+	}
+	tokens, own := prompt.Output, 0
+	for _, part := range prompt.Parts {
+		tokens += part.Tokens
+		own = part.Tokens
+	}
 	runners := make([]placement.Runner, len(candidates))
 	version := uint64(0)
 	for i, u := range candidates {
@@ -180,6 +194,9 @@
 		if u.versionOf(prompt.Model) < newest {
 			extra += oldWeightsCost
 		}
+		if !u.hasRoom(p.send.Rank, tokens, own, service.Engine.MemoryTokens) {
+			extra += noRoom
+		}
 		runners[i] = placement.Runner{
 			ID: u.record.ID, DataCentre: u.record.DataCentre, Slots: u.record.Slots, Memory: service.Engine.MemoryTokens,
 			Requests: u.own.Requests + u.others.Requests, Tokens: u.own.Tokens + u.others.Tokens,
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -15,21 +15,32 @@
 // the most urgent first, until a runner has room.
 const (
 	// roomTokens is the part of a runner's memory that prompts under way may
-	// fill; the rest keeps cached parts.
-	roomTokens = 0.85
+	// fill; the rest keeps cached parts. The most urgent rank may fill more.
+	roomTokens       = 0.85
+	roomTokensUrgent = 1.0
 	// roomUnread bounds the tokens that a runner has still to read, about
-	// 250 ms of its work.
-	roomUnread = 30000
-	// roomWaiting is how many requests beyond its slots a runner is given.
-	roomWaiting = 2
+	// 120 ms of its work: short urgent prompts are read behind them. A prompt
+	// longer than that is sent where nothing else is to be read.
+	roomUnread = 15000
+	// roomSlots are the slots that only the most urgent rank may take, and
+	// roomWaiting how many requests of it a runner is given beyond its slots.
+	roomSlots   = 2
+	roomWaiting = 4
+	// urgentRank is the most urgent rank.
+	urgentRank = 0
 	// maxWaiting bounds the requests that wait at one entry.
 	maxWaiting = 2048
 	// dispatchDepth bounds the waiting requests that are looked at for one
 	// that fits.
 	dispatchDepth = 16
-	// waitShare is the part of its time that a request may wait for room; what
-	// is left must do for the answer.
-	waitShare = 0.6
+	// waitShare is the part of its time that a request may wait for room, and
+	// waitMost the longest: callers leave a stream after 2 s without an event,
+	// and one that is refused sooner may come back in time.
+	waitShare = 0.3
+	waitMost  = 150 * time.Millisecond
+	// waitingMost bounds the requests below the most urgent rank that wait at
+	// one entry.
+	waitingMost = 3
 )
 
 // waiter is a request that waits for room.
@@ -39,23 +50,29 @@
 	granted chan *plan
 }
 
-// hasRoom reports whether the upstream of a plan has room for it.
-func (p *plan) hasRoom(memory int) bool {
-	u := p.upstream
+// hasRoom reports whether an upstream has room for a request of a rank with so
+// many tokens, of which reads are to be read. memory is that of a runner, 0 for
+// a plain service.
+func (u *upstreamState) hasRoom(rank, tokens, reads, memory int) bool {
 	requests := u.own.Requests + u.others.Requests
 	if requests == 0 {
 		return true
 	}
-	if u.record.Slots > 0 && requests >= u.record.Slots+roomWaiting {
+	slots, share := u.record.Slots-roomSlots, roomTokens
+	if rank == urgentRank || memory == 0 {
+		slots, share = u.record.Slots+roomWaiting, roomTokensUrgent
+	}
+	if u.record.Slots > 0 && requests >= max(slots, 1) {
 		return false
 	}
 	if memory == 0 {
 		return true
 	}
-	if u.own.Unread+u.others.Unread+p.reads > roomUnread && p.reads > 0 {
+	unread := u.own.Unread + u.others.Unread
+	if rank != urgentRank && unread > 0 && unread+reads > roomUnread {
 		return false
 	}
-	return float64(u.own.Tokens+u.others.Tokens+p.tokens) <= roomTokens*float64(memory)
+	return float64(u.own.Tokens+u.others.Tokens+tokens) <= share*float64(memory)
 }
 
 // await returns a plan, at once or when an upstream has room.
@@ -68,7 +85,7 @@
 		s.mu.Unlock()
 		return p, err
 	}
-	if len(s.waiting) >= maxWaiting {
+	if len(s.waiting) >= maxWaiting || (r.rank() != urgentRank && s.waitingBelow(urgentRank) >= waitingMost) {
 		s.mu.Unlock()
 		return nil, r.refusal(outcome.ReasonOverloaded, comeBack, "too many requests wait for an upstream with room")
 	}
@@ -77,7 +94,7 @@
 	s.mu.Unlock()
 
 	left := r.deadline.Sub(now)
-	timer := time.NewTimer(time.Duration(waitShare * float64(left)))
+	timer := time.NewTimer(min(time.Duration(waitShare*float64(left)), waitMost))
 	defer timer.Stop()
 	select {
 	case p := <-w.granted:
@@ -111,6 +128,17 @@
 	s.waiting = slices.Insert(s.waiting, at, w)
 }
 
+// waitingBelow counts the waiting requests of a lower rank.
+func (s *state) waitingBelow(rank int) int {
+	n := 0
+	for _, w := range s.waiting {
+		if w.run.rank() > rank {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *state) dequeue(w *waiter) {
 	if at := slices.Index(s.waiting, w); at >= 0 {
 		s.waiting = slices.Delete(s.waiting, at, at+1)
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -154,19 +154,35 @@
 	return silent
 }
 
-// housekeep gives up upstreams that have been silent for long.
+// heard lists the upstreams that are not silent.
+func (l *leadership) heard(live []roster.Upstream, now time.Time) []roster.Upstream {
+	silent := l.silent(live, now)
+	return slices.DeleteFunc(live, func(u roster.Upstream) bool { return slices.Contains(silent, u.ID) })
+}
+
+// lost lists the upstreams to give up: those that have been silent for long,
+// and the silent ones at whose address another is heard.
+func (l *leadership) lost(live []roster.Upstream, now time.Time) []roster.Upstream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	taken := make(map[string]bool)
+	for i := range live {
+		if now.Sub(l.lastHeard(live[i].ID)) <= silentAfter {
+			taken[live[i].Address] = true
+		}
+	}
+	return slices.DeleteFunc(live, func(u roster.Upstream) bool {
+		silent := now.Sub(l.lastHeard(u.ID))
+		return silent < forgetAfter && (silent <= silentAfter || !taken[u.Address])
+	})
+}
+
+// housekeep gives up upstreams that are lost.
 func (l *leadership) housekeep(ctx context.Context) {
 	for wait.For(ctx, housekeeping) {
-		now := time.Now()
-		for _, u := range l.steward.machine.live() {
-			l.mu.Lock()
-			heard := l.lastHeard(u.ID)
-			l.mu.Unlock()
-			if now.Sub(heard) < forgetAfter {
-				continue
-			}
+		for _, u := range l.lost(l.steward.machine.live(), time.Now()) {
 			u.State = roster.Gone
-			l.steward.options.Log.Info("upstream given up", "upstream", u.ID, "silent", now.Sub(heard))
+			l.steward.options.Log.Info("upstream given up", "upstream", u.ID, "address", u.Address)
 			if _, err := l.steward.propose(ctx, command{Upstream: &u}); err != nil {
 				l.steward.options.Log.Warn("upstream not given up", "upstream", u.ID, "err", err)
 				break
--- a/internal/steward/loads.go
+++ b/internal/steward/loads.go
@@ -40,10 +40,18 @@
 	drainLead = 500 * time.Millisecond
 	// inTime is the part of the time for a new version within which all runners
 	// are to have it. Fewer loads at a time leave more runners to serve.
-	inTime = 0.75
+	inTime = 0.65
 	// loadsShare bounds the loads at a time to one runner in so many, where that
 	// is more than the setting.
 	loadsShare = 5
+	// unreachableFor is how long a runner is left alone that could not be asked
+	// or refused its order, and unreachableMost the longest; each time in a row
+	// doubles it. A crashed runner would else hold one of the few turns.
+	unreachableFor  = 500 * time.Millisecond
+	unreachableMost = 4 * time.Second
+	// askedInVain is after how many questions without an answer in a row a
+	// loading runner loses its turn.
+	askedInVain = 3
 	// holderSlack is added to the time that a new leader waits before its first
 	// order, for the difference of the hosts' clocks and an order on its way.
 	holderSlack = 500 * time.Millisecond
@@ -64,13 +72,21 @@
 	// busy are those that were ordered.
 	named map[string]time.Time
 	busy  map[string]time.Time
+	// avoided are the runners that are left alone for a while.
+	avoided map[string]avoidance
 	// usual is how long a load takes from the order on.
 	usual  time.Duration
 	learnt bool
 }
 
+type avoidance struct {
+	until time.Time
+	inRow int
+}
+
 func newLoader(l *leadership) *loader {
-	return &loader{leadership: l, named: make(map[string]time.Time), busy: make(map[string]time.Time), usual: loadFirst}
+	return &loader{leadership: l, named: make(map[string]time.Time), busy: make(map[string]time.Time),
+		avoided: make(map[string]avoidance), usual: loadFirst}
 }
 
 func (o *loader) run(ctx context.Context) {
@@ -81,11 +97,9 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	for wait.For(ctx, loadEvery) {
-		for _, u := range o.next(s.machine.live(), time.Now()) {
-			tasks.Go(func() {
-				defer o.release(u.ID)
-				o.load(ctx, u)
-			})
+		now := time.Now()
+		for _, u := range o.next(o.leadership.heard(s.machine.live(), now), now) {
+			tasks.Go(func() { o.release(u.ID, o.load(ctx, u)) })
 		}
 	}
 }
@@ -106,7 +120,7 @@
 	for i := range live {
 		u := &live[i]
 		_, loads := o.busy[u.ID]
-		if _, version := o.wanted(u); version == 0 || loads {
+		if _, version := o.wanted(u); version == 0 || loads || now.Before(o.avoided[u.ID].until) {
 			continue
 		}
 		wanting[u.ID] = true
@@ -151,10 +165,20 @@
 	return "", 0
 }
 
-func (o *loader) release(id string) {
+// release ends a runner's turn. One that it did not bring to the version is
+// left alone for a while.
+func (o *loader) release(id string, done bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.busy, id)
+	if done {
+		delete(o.avoided, id)
+		return
+	}
+	known := o.avoided[id]
+	known.until = time.Now().Add(min(unreachableFor<<min(known.inRow, 8), unreachableMost))
+	known.inRow++
+	o.avoided[id] = known
 }
 
 // loading lists the runners that take no requests for the sake of a load.
@@ -164,37 +188,44 @@
 	return append(slices.Sorted(maps.Keys(o.busy)), slices.Sorted(maps.Keys(o.named))...)
 }
 
-// load orders one runner and waits until it has the version.
-func (o *loader) load(ctx context.Context, u roster.Upstream) {
+// load orders one runner, waits until it has the version and reports whether
+// it came to have it.
+func (o *loader) load(ctx context.Context, u roster.Upstream) bool {
 	s := o.leadership.steward
 	model, version := o.wanted(&u)
 	ctx, cancel := context.WithTimeout(ctx, loadGivenUp)
 	defer cancel()
 	report, err := o.report(ctx, u)
 	if err != nil {
-		s.options.Log.Warn("runner not asked", "upstream", u.ID, "cause", err)
-		return
+		s.options.Log.Info("runner not asked", "upstream", u.ID, "cause", err)
+		return false
 	}
 	began := time.Now()
 	if report.Versions[model] < version && !report.Busy {
-		o.order(ctx, u, model, version, report.Accepted)
+		if !o.order(ctx, u, model, version, report.Accepted) {
+			return false
+		}
 		wait.For(ctx, o.firstCheck())
 	}
-	for wait.For(ctx, loadCheck) {
+	failed := 0
+	for failed < askedInVain && wait.For(ctx, loadCheck) {
 		report, err = o.report(ctx, u)
 		if err != nil {
-			s.options.Log.Info("runner not asked", "upstream", u.ID, "cause", err)
+			failed++
 			continue
 		}
+		failed = 0
 		if report.Versions[model] >= version {
 			o.noteUsual(time.Since(began))
 			o.record(ctx, u, model, report.Versions[model])
-			return
+			return true
 		}
 		if !report.Busy && time.Since(began) > unansweredFor {
-			return
+			break
 		}
 	}
+	s.options.Log.Info("weights not loaded", "upstream", u.ID, "version", version, "unanswered", failed, "cause", err)
+	return false
 }
 
 // firstCheck is how long after its order a runner is first asked.
@@ -223,13 +254,14 @@
 	return o.leadership.steward.options.Runners.Report(ctx, u.ID, u.Address)
 }
 
-func (o *loader) order(ctx context.Context, u roster.Upstream, model string, version, accepted uint64) {
+// order gives an order and reports whether it may have been accepted.
+func (o *loader) order(ctx context.Context, u roster.Upstream, model string, version, accepted uint64) bool {
 	s := o.leadership.steward
 	// A host that stood still may have been replaced meanwhile.
 	detail, err := s.manager.Detail(group)
 	if err != nil || detail.Role != quorum.RoleLeader || detail.Term != o.leadership.term || !detail.Leased {
 		s.options.Log.Info("order held back", "upstream", u.ID, "cause", "leadership not certain")
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -239,6 +271,14 @@
 	})
 	s.options.Log.Info("order", "upstream", u.ID, "model", model, "version", version,
 		"fence", o.leadership.term, "result", result, "err", err)
+	if result == OrderMisdirected {
+		// Another upstream has the address: this one has ended.
+		u.State = roster.Gone
+		if _, err := s.propose(ctx, command{Upstream: &u}); err != nil {
+			s.options.Log.Warn("upstream not given up", "upstream", u.ID, "err", err)
+		}
+	}
+	return result != OrderRefused && result != OrderMisdirected
 }
 
 // record tells the entries what a runner has loaded.
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -57,6 +57,8 @@
 	OrderHolds
 	// OrderRefused orders changed nothing.
 	OrderRefused
+	// OrderMisdirected: another upstream has the address.
+	OrderMisdirected
 )
 
 // RunnerReport is a runner's report on itself.
@@ -80,7 +82,7 @@
 	DataCentre ident.DataCentre
 	// PeerPort is the port of all processes' listeners for one another.
 	PeerPort int
-	// Listener accepts the other processes.
+	// Listener accepts the other processes. New takes it over.
 	Listener net.Listener
 	// Seeds are the control hosts known at the start.
 	Seeds []ident.Host
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -18,6 +18,7 @@
 	"github.com/lovagereach/lovagereach/internal/adapter/peer"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/replica"
+	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/quorum"
 )
 
@@ -27,6 +28,8 @@
 	// leaderPoll is how often this host looks whether it leads. It bounds how
 	// long after an election nobody answers watches.
 	leaderPoll = 25 * time.Millisecond
+	// diskPoll is how often the data folder is looked at.
+	diskPoll = 100 * time.Millisecond
 	// stopTimeout bounds the handing over of leadership at a graceful stop.
 	stopTimeout = 2 * time.Second
 	// heartbeat and the election times are longer than quorum's defaults: a
@@ -36,8 +39,17 @@
 	heartbeat   = 80 * time.Millisecond
 	electionMin = 350 * time.Millisecond
 	electionMax = 600 * time.Millisecond
+	// segmentBytes bounds one file of the log. Two of them and two snapshots
+	// stand on the disk at most, of which a control host has 128 MB.
+	segmentBytes = 16 << 20
+	// reserveBytes is written ahead of the log at a time.
+	reserveBytes = 256 << 10
 )
 
+// ErrDisk reports that the data folder is out of use. What the disk holds of
+// the last writes is unknown; New reads it again, as after a crash.
+var ErrDisk = errors.New("steward: the data folder is out of use")
+
 // Steward is one control host.
 type Steward struct {
 	options   Options
@@ -67,7 +79,7 @@
 	s := &Steward{options: options, machine: NewMachine(), joining: newJoinQueue()}
 	s.seeds.Store(&options.Seeds)
 	if err := s.build(); err != nil {
-		return nil, errors.Join(err, s.closeFolder())
+		return nil, errors.Join(err, s.closeFolder(), options.Listener.Close())
 	}
 	return s, nil
 }
@@ -83,11 +95,13 @@
 	}
 	files, err := disk.NewFS(o.Data)
 	if err != nil {
-		return err
+		return errors.Join(ErrDisk, err)
 	}
-	s.folder, err = disk.Open(disk.Options{FS: files, Cluster: o.Cluster, Host: o.Self})
+	s.folder, err = disk.Open(disk.Options{
+		FS: files, Cluster: o.Cluster, Host: o.Self, SegmentBytes: segmentBytes, ReserveBytes: reserveBytes,
+	})
 	if err != nil {
-		return eris.Wrapf(err, "steward: data folder %s", o.Data)
+		return dataFolderError(o.Data, err)
 	}
 	s.manager, err = replica.New(replica.Options{
 		Self:     o.Self,
@@ -96,6 +110,8 @@
 		Registry: s.transport,
 		Address:  s.peerAddress,
 		Workers:  1,
+		// A snapshot is taken well before a segment is full.
+		SnapshotBytes: segmentBytes / 4,
 		Quorum: quorum.Options{
 			Heartbeat: heartbeat, ElectionMin: electionMin, ElectionMax: electionMax,
 		},
@@ -113,6 +129,17 @@
 	return nil
 }
 
+// dataFolderError tells a folder that may be readable later, as after a full
+// disk, from one that never will be.
+func dataFolderError(folder string, err error) error {
+	wrapped := eris.Wrapf(err, "steward: data folder %s", folder)
+	var damaged *disk.DamageError
+	if errors.Is(err, disk.ErrForeign) || errors.Is(err, disk.ErrLocked) || errors.As(err, &damaged) {
+		return wrapped
+	}
+	return errors.Join(ErrDisk, wrapped)
+}
+
 // peerOptions are the options that all processes of a deployment share.
 func peerOptions(cluster string, key []byte, self port.Peer) peer.Options {
 	return peer.Options{
@@ -198,9 +225,20 @@
 	tasks.Go(func() error { s.followLeadership(ctx); return nil })
 	tasks.Go(func() error { s.followLeader(ctx); return nil })
 	tasks.Go(func() error { s.askToJoin(ctx); return nil })
+	tasks.Go(func() error { return s.watchDisk(ctx) })
 	return tasks.Wait()
 }
 
+// watchDisk returns an error once the data folder is out of use.
+func (s *Steward) watchDisk(ctx context.Context) error {
+	for wait.For(ctx, diskPoll) {
+		if err := s.folder.Err(); err != nil {
+			return errors.Join(ErrDisk, err)
+		}
+	}
+	return nil
+}
+
 // jitter returns a duration between half of d and d.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
