Steward: lost orders are given again within a turn, late loads catch up

An order waits 0.4 s for its answer and is given again under the same precondition; behind time, half as many more runners take turns.

Tests: the disk that fills up, lost and displaced upstreams, loads in time, unreachable runners.

--- a/internal/steward/loads.go
+++ b/internal/steward/loads.go
@@ -16,8 +16,12 @@
 const (
 	// loadEvery is how often the leader looks for runners to order.
 	loadEvery = 50 * time.Millisecond
-	// orderTimeout bounds one order or report.
-	orderTimeout = 700 * time.Millisecond
+	// orderTimeout bounds one order or report; an answer takes a few ms.
+	orderTimeout = 400 * time.Millisecond
+	// orderTries is how often an order without an answer is given in one turn.
+	orderTries = 5
+	// reportLag is how far a runner's report may be behind.
+	reportLag = 200 * time.Millisecond
 	// loadCheck is how often a runner is asked whether it is done, once the
 	// usual time of a load is nearly over. Each question costs the runner work.
 	loadCheck = 120 * time.Millisecond
@@ -28,10 +32,6 @@
 	// loadGivenUp is how long a load may take before another runner gets its
 	// turn and the runner is looked at again.
 	loadGivenUp = 8 * time.Second
-	// unansweredFor is how long a runner is watched that did not answer its
-	// order and does nothing. The order may come later; another one that the
-	// runner accepts first makes it void.
-	unansweredFor = time.Second
 	// loadNotice is how long before its order a runner is at least named to the
 	// entries, so that they send it nothing that it would refuse.
 	loadNotice = watchWait + 80*time.Millisecond
@@ -40,7 +40,7 @@
 	drainLead = 500 * time.Millisecond
 	// inTime is the part of the time for a new version within which all runners
 	// are to have it. Fewer loads at a time leave more runners to serve.
-	inTime = 0.65
+	inTime = 0.8
 	// loadsShare bounds the loads at a time to one runner in so many, where that
 	// is more than the setting.
 	loadsShare = 5
@@ -77,6 +77,10 @@
 	// usual is how long a load takes from the order on.
 	usual  time.Duration
 	learnt bool
+	// newest is the newest version that a runner was found to lack, and due is
+	// when all should have it.
+	newest uint64
+	due    time.Time
 }
 
 type avoidance struct {
@@ -99,7 +103,10 @@
 	for wait.For(ctx, loadEvery) {
 		now := time.Now()
 		for _, u := range o.next(o.leadership.heard(s.machine.live(), now), now) {
-			tasks.Go(func() { o.release(u.ID, o.load(ctx, u)) })
+			tasks.Go(func() {
+				done := o.load(ctx, u)
+				o.release(u.ID, done, time.Now())
+			})
 		}
 	}
 }
@@ -108,7 +115,8 @@
 func (o *loader) next(live []roster.Upstream, now time.Time) []roster.Upstream {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	most := o.atOnce(live)
+	lacking, runners := o.census(live, now)
+	most := o.atOnce(lacking, runners, now)
 	free := most - len(o.busy)
 	for _, since := range o.busy {
 		if now.Sub(since) > o.usual-drainLead {
@@ -139,17 +147,36 @@
 	return turn
 }
 
-// atOnce is how many runners may load at a time. The caller holds the lock.
-func (o *loader) atOnce(live []roster.Upstream) int {
-	runners := 0
+// atOnce is how many runners may load at a time for so many to have the version
+// in the time left. The caller holds the lock.
+func (o *loader) atOnce(wanting, runners int, now time.Time) int {
+	options := &o.leadership.steward.options
+	left := max(o.due.Sub(now), o.usual)
+	needed := int(math.Ceil(float64(wanting) * float64(o.usual+loadNotice) / float64(left)))
+	limit := max(options.LoadsAtOnce, runners/loadsShare)
+	// Behind time, half as many more: runners that don't answer their orders
+	// hold turns without loading.
+	return min(max(needed, 1), limit+limit/2)
+}
+
+// census counts the model runners and those that lack the newest version, and
+// notes when all are due to have it. The caller holds the lock.
+func (o *loader) census(live []roster.Upstream, now time.Time) (wanting, runners int) {
 	for i := range live {
-		if len(live[i].Loaded) > 0 && live[i].State == roster.Serving {
-			runners++
+		u := &live[i]
+		if len(u.Loaded) == 0 || u.State != roster.Serving {
+			continue
+		}
+		runners++
+		if _, version := o.wanted(u); version != 0 {
+			wanting++
+			if version > o.newest {
+				o.newest = version
+				o.due = now.Add(time.Duration(inTime * float64(o.leadership.steward.options.VersionTime)))
+			}
 		}
 	}
-	options := &o.leadership.steward.options
-	needed := math.Ceil(float64(runners) * float64(o.usual+loadNotice) / (inTime * float64(options.VersionTime)))
-	return min(max(int(needed), 1), max(options.LoadsAtOnce, runners/loadsShare))
+	return wanting, runners
 }
 
 // wanted returns the model and version that a runner lacks, version 0 if none.
@@ -167,7 +194,7 @@
 
 // release ends a runner's turn. One that it did not bring to the version is
 // left alone for a while.
-func (o *loader) release(id string, done bool) {
+func (o *loader) release(id string, done bool, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.busy, id)
@@ -176,7 +203,7 @@
 		return
 	}
 	known := o.avoided[id]
-	known.until = time.Now().Add(min(unreachableFor<<min(known.inRow, 8), unreachableMost))
+	known.until = now.Add(min(unreachableFor<<min(known.inRow, 8), unreachableMost))
 	known.inRow++
 	o.avoided[id] = known
 }
@@ -195,22 +222,16 @@
 	model, version := o.wanted(&u)
 	ctx, cancel := context.WithTimeout(ctx, loadGivenUp)
 	defer cancel()
-	report, err := o.report(ctx, u)
-	if err != nil {
-		s.options.Log.Info("runner not asked", "upstream", u.ID, "cause", err)
+	if !o.give(ctx, u, model, version) {
 		return false
 	}
 	began := time.Now()
-	if report.Versions[model] < version && !report.Busy {
-		if !o.order(ctx, u, model, version, report.Accepted) {
-			return false
-		}
-		wait.For(ctx, o.firstCheck())
-	}
+	wait.For(ctx, o.firstCheck())
 	failed := 0
+	var report RunnerReport
+	var err error
 	for failed < askedInVain && wait.For(ctx, loadCheck) {
-		report, err = o.report(ctx, u)
-		if err != nil {
+		if report, err = o.report(ctx, u); err != nil {
 			failed++
 			continue
 		}
@@ -220,7 +241,7 @@
 			o.record(ctx, u, model, report.Versions[model])
 			return true
 		}
-		if !report.Busy && time.Since(began) > unansweredFor {
+		if !report.Busy {
 			break
 		}
 	}
@@ -228,6 +249,30 @@
 	return false
 }
 
+// give gives the order until the runner carries it out, and reports whether it
+// does. An order without an answer may come later or never; the next one names
+// the same count of accepted orders, so that only one of them takes effect.
+func (o *loader) give(ctx context.Context, u roster.Upstream, model string, version uint64) bool {
+	for range orderTries {
+		report, err := o.report(ctx, u)
+		if err != nil {
+			o.leadership.steward.options.Log.Info("runner not asked", "upstream", u.ID, "cause", err)
+			return false
+		}
+		if report.Busy || report.Versions[model] >= version {
+			return true
+		}
+		switch o.order(ctx, u, model, version, report.Accepted) {
+		case OrderTaken, OrderHolds:
+			return true
+		case OrderRefused, OrderMisdirected:
+			return false
+		}
+		wait.For(ctx, reportLag)
+	}
+	return false
+}
+
 // firstCheck is how long after its order a runner is first asked.
 func (o *loader) firstCheck() time.Duration {
 	o.mu.Lock()
@@ -254,14 +299,14 @@
 	return o.leadership.steward.options.Runners.Report(ctx, u.ID, u.Address)
 }
 
-// order gives an order and reports whether it may have been accepted.
-func (o *loader) order(ctx context.Context, u roster.Upstream, model string, version, accepted uint64) bool {
+// order gives an order; a result of zero tells that it got no answer.
+func (o *loader) order(ctx context.Context, u roster.Upstream, model string, version, accepted uint64) OrderResult {
 	s := o.leadership.steward
 	// A host that stood still may have been replaced meanwhile.
 	detail, err := s.manager.Detail(group)
 	if err != nil || detail.Role != quorum.RoleLeader || detail.Term != o.leadership.term || !detail.Leased {
 		s.options.Log.Info("order held back", "upstream", u.ID, "cause", "leadership not certain")
-		return false
+		return OrderRefused
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -278,7 +323,7 @@
 			s.options.Log.Warn("upstream not given up", "upstream", u.ID, "err", err)
 		}
 	}
-	return result != OrderRefused && result != OrderMisdirected
+	return result
 }
 
 // record tells the entries what a runner has loaded.
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagereach/lovagereach/holdings"
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/adapter/disk"
 )
 
 // StoreEvents is what a store tells of its parts.
@@ -94,8 +95,10 @@
 	// Cluster and Key authenticate the processes of one deployment.
 	Cluster string
 	Key     []byte
-	// Data is the folder of the replicated state.
-	Data string
+	// Data is the folder of the replicated state, and Files opens its file
+	// system; nil means the operating system's.
+	Data  string
+	Files func(folder string) (disk.FS, error)
 	// LoadsAtOnce bounds the runners that load weights at the same time, and
 	// VersionTime is when all runners must have a version that was named.
 	LoadsAtOnce int
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -93,7 +93,11 @@
 	if err != nil {
 		return eris.Wrap(err, "steward: peers")
 	}
-	files, err := disk.NewFS(o.Data)
+	open := o.Files
+	if open == nil {
+		open = disk.NewFS
+	}
+	files, err := open(o.Data)
 	if err != nil {
 		return errors.Join(ErrDisk, err)
 	}
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +18,8 @@
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/holdings"
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/adapter/disk"
+	"github.com/lovagereach/lovagereach/internal/adapter/disk/disktest"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -83,12 +87,22 @@
 	runners *fakeRunners
 	mu      sync.Mutex
 	running map[ident.Host]*member
+	// files are disks in memory by name, where a test wants faults.
+	files map[string]*disktest.FS
+}
+
+func (f *fleet) filesOf(name string) func(string) (disk.FS, error) {
+	if files := f.files[name]; files != nil {
+		return func(string) (disk.FS, error) { return files, nil }
+	}
+	return nil
 }
 
 type member struct {
 	steward *Steward
 	stop    context.CancelFunc
 	done    chan struct{}
+	err     error
 }
 
 func hostName(i int) ident.Host { return ident.Host(fmt.Sprintf("127.0.0.%d", i)) }
@@ -109,7 +123,7 @@
 	return f
 }
 
-func (f *fleet) start(host ident.Host, disk string, bootstrap bool) *Steward {
+func (f *fleet) start(host ident.Host, folder string, bootstrap bool) *Steward {
 	f.t.Helper()
 	var listener net.Listener
 	f.await("the port of "+string(host), func() bool {
@@ -120,9 +134,9 @@
 	s, err := New(Options{
 		Self: host, DataCentre: "north", PeerPort: f.port, Listener: listener,
 		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, Bootstrap: bootstrap, Tolerated: 1,
-		Cluster: "test", Key: []byte("a key of the test processes"), Data: filepath.Join(f.dir, disk),
+		Cluster: "test", Key: []byte("a key of the test processes"), Data: filepath.Join(f.dir, folder),
 		LoadsAtOnce: 2, VersionTime: 10 * time.Second, HolderLease: 50 * time.Millisecond,
-		Stores: f.stores, Runners: f.runners, Log: log.New(io.Discard),
+		Stores: f.stores, Runners: f.runners, Log: log.New(io.Discard), Files: f.filesOf(folder),
 	})
 	if err != nil {
 		f.t.Fatal(err)
@@ -131,9 +145,7 @@
 	m := &member{steward: s, stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(m.done)
-		if err := s.Run(ctx, nil); err != nil {
-			f.t.Logf("%s: %v", host, err)
-		}
+		m.err = s.Run(ctx, nil)
 	}()
 	f.mu.Lock()
 	f.running[host] = m
@@ -324,6 +336,128 @@
 	}
 }
 
+// A disk is full for some seconds. The host's log is out of use from the first
+// write that fails; the host says so by ending, and the process starts it again
+// on the same folder, so that the group has its three voters back.
+func TestFullDiskEndsTheHostAndIsReadAgain(t *testing.T) {
+	f := newFleet(t)
+	files := disktest.New()
+	f.files = map[string]*disktest.FS{"disk3": files}
+	f.startThree()
+	f.put(1, "one")
+	f.mu.Lock()
+	full := f.running[hostName(3)]
+	f.mu.Unlock()
+	files.LimitRoom(0)
+	for version := catalog.Version(2); ; version++ {
+		f.put(version, fmt.Sprint("version ", version, strings.Repeat("x", 1<<16)))
+		if full.steward.folder.Err() != nil {
+			break
+		}
+	}
+	<-full.done
+	if !errors.Is(full.err, ErrDisk) {
+		t.Fatalf("the host ended with %v", full.err)
+	}
+	files.LimitRoom(1 << 30)
+	f.mu.Lock()
+	delete(f.running, hostName(3))
+	f.mu.Unlock()
+	again := f.start(hostName(3), "disk3", false)
+	f.put(1000, "last")
+	f.await("the host has what was acknowledged meanwhile", func() bool {
+		d := again.machine.Document()
+		return d != nil && d.Version == 1000
+	})
+}
+
+func TestLostUpstreamsAreThoseSilentForLongOrDisplaced(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := &leadership{since: now.Add(-2 * forgetAfter), beats: map[string]time.Time{
+		"new": now, "cut": now.Add(-2 * silentAfter), "old": now.Add(-2 * silentAfter), "young": now.Add(-silentAfter / 2),
+	}}
+	at := func(id, address string) roster.Upstream {
+		return roster.Upstream{ID: id, Address: address, State: roster.Serving}
+	}
+	live := []roster.Upstream{at("new", "a"), at("old", "a"), at("cut", "b"), at("young", "a"), at("never", "c")}
+	var got []string
+	for _, u := range l.lost(live, now) {
+		got = append(got, u.ID)
+	}
+	// "old" has a successor at its address, "never" was not heard since long; "cut"
+	// may be behind a partition and come back.
+	if fmt.Sprint(got) != "[old never]" {
+		t.Fatalf("given up: %v", got)
+	}
+}
+
+func testLoader(runners int) (*loader, []roster.Upstream) {
+	machine := NewMachine()
+	machine.weights["m"] = 2
+	s := &Steward{machine: machine, options: Options{LoadsAtOnce: 3, VersionTime: 15 * time.Second, Log: log.New(io.Discard)}}
+	var live []roster.Upstream
+	for i := range runners {
+		live = append(live, roster.Upstream{ID: fmt.Sprintf("r%02d", i), State: roster.Serving, Loaded: []roster.Loaded{{Model: "m", Version: 1}}})
+	}
+	return newLoader(&leadership{steward: s}), live
+}
+
+// loaded notes that a runner has the newest version.
+func loaded(live []roster.Upstream, id string) {
+	i := slices.IndexFunc(live, func(u roster.Upstream) bool { return u.ID == id })
+	live[i].Loaded = []roster.Loaded{{Model: "m", Version: 2}}
+}
+
+// All runners must have named weights in time, with as few as possible out of
+// service at once: each load takes 1.8 s here, and every turn is taken at once.
+func TestLoadsAreInTimeWithFewAtOnce(t *testing.T) {
+	for _, c := range []struct{ runners, most int }{{18, 4}, {9, 2}, {3, 1}, {57, 13}} {
+		o, live := testLoader(c.runners)
+		now := time.Unix(1000, 0)
+		began, ends, most, left := now, map[string]time.Time{}, 0, c.runners
+		for left > 0 && now.Sub(began) < time.Minute {
+			for id, end := range ends {
+				if !now.Before(end) {
+					delete(ends, id)
+					o.release(id, true, now)
+					o.noteUsual(1800 * time.Millisecond)
+					loaded(live, id)
+					left--
+				}
+			}
+			for _, u := range o.next(live, now) {
+				ends[u.ID] = now.Add(1800 * time.Millisecond)
+			}
+			most = max(most, len(ends))
+			now = now.Add(loadEvery)
+		}
+		if took := now.Sub(began); took > 15*time.Second || most > c.most {
+			t.Errorf("%d runners: %v, %d at once", c.runners, took, most)
+		}
+	}
+}
+
+// A crashed runner refuses every question. It must not keep the others from
+// their turns.
+func TestUnreachableRunnersHoldNoTurn(t *testing.T) {
+	o, live := testLoader(6)
+	now := time.Now()
+	turns := map[string]int{}
+	for range 400 {
+		for _, u := range o.next(live, now) {
+			turns[u.ID]++
+			o.release(u.ID, u.ID != "r00", now)
+			if u.ID != "r00" {
+				loaded(live, u.ID)
+			}
+		}
+		now = now.Add(5 * time.Millisecond)
+	}
+	if turns["r00"] > 4 || turns["r05"] == 0 {
+		t.Fatalf("turns: %v", turns)
+	}
+}
+
 func TestAnnouncementsReachWatchersThroughAnyHost(t *testing.T) {
 	f := newFleet(t)
 	f.startThree()
@@ -404,13 +538,19 @@
 	f := newFleet(t)
 	f.startThree()
 	f.put(1, "one")
-	for i := range 5 {
-		u := roster.Upstream{ID: fmt.Sprint("r", i), Service: "llm", Address: fmt.Sprint("r", i, ":1"), State: roster.Serving,
-			Sequence: 1, Loaded: []roster.Loaded{{Model: "m", Version: 1}}}
-		f.await("an acknowledgement", func() bool { return f.any().Announce(context.Background(), u) == nil })
+	sequence := uint64(0)
+	announce := func() {
+		sequence++
+		for i := range 5 {
+			u := roster.Upstream{ID: fmt.Sprint("r", i), Service: "llm", Address: fmt.Sprint("r", i, ":1"), State: roster.Serving,
+				Sequence: sequence, Loaded: []roster.Loaded{{Model: "m", Version: 1}}}
+			f.await("an acknowledgement", func() bool { return f.any().Announce(context.Background(), u) == nil })
+		}
 	}
+	announce()
 	f.await("the weights are named", func() bool { return f.any().PutWeights(context.Background(), "m", 4) == nil })
 	f.await("all runners are told to have them", func() bool {
+		announce()
 		lead := f.leader()
 		if lead == nil {
 			return false
