Explaining a request afterwards: lovagectl explain, paces and trust in the log

A late stream's line did not tell which store it had fetched from, nor that this store was known to be slow. The line names sources, their pace and queue; paces and trust that change are lines of their own; lovagectl explain puts a request's lines, the beliefs of its entry before them and what control hosts wrote of the same upstreams together, without regard to clocks, and names the cause.

--- a/cmd/lovagectl/run.go
+++ b/cmd/lovagectl/run.go
@@ -46,6 +46,8 @@
   dump                                                          show a control host's state
   audit    [-open] [-team T] [-request ID] [-batch B] [-limit N]
                                                                 ask what answered requests
+  explain  -request ID LOG...                                   why a request ended as it did, from the
+                                                                logs of entries and control hosts
   version                                                       print the version
 
 common flags:
@@ -85,6 +87,8 @@
 type command struct {
 	flags func(*flag.FlagSet)
 	run   func(ctx context.Context, tool *tool, args []string) error
+	// offline commands ask no control host; their tool has no client.
+	offline bool
 }
 
 // tool is what every subcommand needs.
@@ -147,9 +151,12 @@
 		}
 		return usageError("%s", err)
 	}
-	tool, err := shared.tool(std)
-	if err != nil {
-		return err
+	tool := &tool{streams: std, output: shared.output}
+	if !cmd.offline {
+		var err error
+		if tool, err = shared.tool(std); err != nil {
+			return err
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, shared.timeout)
 	defer cancel()
@@ -166,6 +173,7 @@
 		"members": {run: members},
 		"dump":    {run: dump},
 		"audit":   newAudit(),
+		"explain": newExplain(),
 	}
 }
 
--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -1,6 +1,9 @@
 package decision
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Choice is what the choice of an upstream went by.
 type Choice struct {
@@ -16,6 +19,12 @@
 	// were to be fetched, Saved how many to be kept.
 	Home           bool
 	Fetched, Saved int
+	// Sources are the hosts to fetch from, in the order of the parts; Pace is the
+	// slowest one's time as a multiple of what its link says, and Queue the
+	// tokens that waited there.
+	Sources string
+	Pace    float64
+	Queue   int
 	// Distrust is what former failures added.
 	Distrust time.Duration
 	Version  uint64
@@ -106,6 +115,7 @@
 	return append(fields,
 		"upstream", c.Upstream, "candidates", c.Candidates, "requests", c.Requests, "tokens", c.Tokens, "unread", c.Unread,
 		"reads", c.Reads, "cost_ms", int(c.CostMs), "home", c.Home, "fetched", c.Fetched, "saved", c.Saved,
+		"sources", c.Sources, "pace", math.Round(c.Pace*10)/10, "queue", c.Queue,
 		"distrust_ms", ms(c.Distrust), "weights", c.Version)
 }
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math"
+	"strings"
 	"time"
 
 	"github.com/lovagereach/lovagereach/internal/decision"
@@ -42,9 +44,9 @@
 	return r.last.logged
 }
 
-// describe notes what the choice of an upstream went by. The caller holds the
+// describePlan notes what the choice of an upstream went by. The caller holds the
 // lock; the plan is not yet accounted for.
-func (p *plan) describe(now time.Time) {
+func (s *state) describePlan(p *plan, now time.Time) {
 	u := p.upstream
 	p.logged = decision.Choice{
 		Upstream: u.record.ID, Candidates: p.candidates,
@@ -55,11 +57,19 @@
 		return
 	}
 	p.logged.Version = p.send.Prompt.Version
+	var sources []string
 	for _, f := range p.send.Prompt.Fetch {
-		if f.Address != "" {
-			p.logged.Fetched++
+		if f.Address == "" {
+			continue
+		}
+		p.logged.Fetched++
+		sources = append(sources, f.Address)
+		if store := s.stores[f.Address]; store != nil {
+			p.logged.Pace = max(p.logged.Pace, store.pace.slowness(now))
+			p.logged.Queue = max(p.logged.Queue, store.own+store.others)
 		}
 	}
+	p.logged.Sources = strings.Join(sources, ",")
 	for _, s := range p.send.Prompt.Save {
 		if s != "" {
 			p.logged.Saved++
@@ -77,3 +87,10 @@
 	}
 	return v
 }
+
+// believe logs that an upstream is avoided, or trusted again.
+func (g *Gateway) believe(u *upstreamState, avoided bool, cause error) {
+	g.options.Decisions.Emit(&decision.UpstreamTrust{
+		Upstream: u.record.ID, Avoided: avoided, InRow: u.trust.inRow, Failures: math.Round(u.trust.failures*100) / 100, Cause: cause,
+	})
+}
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/lovagereach/lovagereach/internal/decision"
+)
 
 const (
 	// paceWeight is the weight of the newest transfer in a store's pace.
@@ -44,15 +49,25 @@
 
 // notePace learns from a prompt whose answer has begun how fast its fetches
 // were. The caller holds the lock.
-func (s *state) notePace(p *plan, now time.Time) {
+func (g *Gateway) notePace(p *plan, now time.Time) {
+	s := g.state
 	if p.send.Prompt == nil || p.fetchMs < paceLeast {
 		return
 	}
 	rest := firstEventMs + float64(p.reads+p.logged.Unread)/s.readPerMs
 	took := milliseconds(now.Sub(p.sent)) - rest
 	for _, from := range p.send.Prompt.Fetch {
-		if store := s.stores[from.Address]; from.Address != "" && store != nil {
-			store.pace.note(took/p.fetchMs, now)
+		store := s.stores[from.Address]
+		if from.Address == "" || store == nil {
+			continue
+		}
+		before := store.pace.slowness(now) > 1
+		store.pace.note(took/p.fetchMs, now)
+		if slow := store.pace.slowness(now) > 1; slow != before {
+			g.options.Decisions.Emit(&decision.StorePace{
+				Store: from.Address, Slow: slow, Pace: math.Round(store.pace.factor*10) / 10,
+				Took: time.Duration(took) * time.Millisecond, Predicted: time.Duration(p.fetchMs) * time.Millisecond,
+			})
 		}
 	}
 }
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -94,10 +94,10 @@
 	if !p.upstream.hasRoom(p.send.Rank, p.tokens, p.reads, memory) {
 		return nil, nil
 	}
-	s.commit(p, now)
 	p.sent = now
 	p.send.Upstream, p.send.Address = p.upstream.record.ID, p.upstream.record.Address
-	p.describe(now)
+	s.describePlan(p, now)
+	s.commit(p, now)
 	p.upstream.own.Requests++
 	p.upstream.own.Tokens += p.tokens
 	p.upstream.own.Unread += p.reads
@@ -409,7 +409,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settle(p)
+	avoided := p.upstream.trust.inRow > 0
 	p.upstream.trust.answered(good)
+	if avoided {
+		r.gateway.believe(p.upstream, false, nil)
+	}
 }
 
 // noteBegun notes that the runner has read the prompt.
@@ -420,14 +424,14 @@
 	if !p.begun && !p.done {
 		p.begun = true
 		s.read(p)
-		s.notePace(p, time.Now())
+		r.gateway.notePace(p, time.Now())
 		s.dispatch(time.Now())
 	}
 }
 
 // fail notes that a send ended without a whole answer. A caller that went away
 // says nothing of the upstream.
-func (r *run) fail(ctx context.Context, p *plan) {
+func (r *run) fail(ctx context.Context, p *plan, cause error) {
 	s := r.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -437,6 +441,7 @@
 		return
 	}
 	p.upstream.trust.failed(time.Now())
+	r.gateway.believe(p.upstream, true, cause)
 	s.forgetPending(p)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -145,7 +145,7 @@
 			r.sends++
 			r.mayHaveRun = true
 		}
-		r.fail(ctx, p)
+		r.fail(ctx, p, err)
 		return err
 	}
 	r.sends++
@@ -209,7 +209,7 @@
 			return nil
 		}
 		if err != nil {
-			r.fail(ctx, p)
+			r.fail(ctx, p, err)
 			return err
 		}
 		r.noteBegun(p)
