--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -91,12 +91,13 @@
 	if service != nil && service.Engine != nil {
 		memory = service.Engine.MemoryTokens
 	}
+	p.send.Upstream, p.send.Address = p.upstream.record.ID, p.upstream.record.Address
+	s.describePlan(p, now)
+	r.last = p
 	if !p.upstream.hasRoom(p.send.Rank, p.tokens, p.reads, memory) {
 		return nil, nil
 	}
 	p.sent = now
-	p.send.Upstream, p.send.Address = p.upstream.record.ID, p.upstream.record.Address
-	s.describePlan(p, now)
 	s.commit(p, now)
 	p.upstream.own.Requests++
 	p.upstream.own.Tokens += p.tokens
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -137,7 +137,6 @@
 	if err != nil {
 		return err
 	}
-	r.last = p
 	answer, err := r.gateway.options.Sender.Send(ctx, p.send)
 	if err != nil {
 		var unsent *outcome.NotRun
