--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -26,6 +26,10 @@
 	// read; for the others a part that is read again may cost more than a wait.
 	noRoomCost       = 800 * time.Millisecond
 	noRoomCostUrgent = 20 * time.Second
+	// loadDoubt spreads the choice among replicas whose loads differ by less
+	// requests than the entries' words are late by: all would else choose the
+	// same one.
+	loadDoubt = 2.0
 	// fullFor is how long an upstream that said it is full is avoided.
 	fullFor = 60 * time.Millisecond
 	// fullCost is added meanwhile.
@@ -151,7 +155,7 @@
 	start := rand.IntN(len(candidates))
 	for i := range candidates {
 		u := candidates[(start+i)%len(candidates)]
-		under := float64(u.own.Requests + u.others.Requests)
+		under := float64(u.own.Requests+u.others.Requests) + loadDoubt*rand.Float64()
 		cost := under*r.gateway.options.Rates.SlotMs/float64(max(u.record.Slots, 1)) + milliseconds(r.extra(u, now))
 		if over := int(under) + 1 - u.record.Slots; over > 0 {
 			cost += float64(over) * r.gateway.options.Rates.SlotMs
@@ -417,6 +421,18 @@
 	}
 }
 
+// noteLoad takes in what an upstream says of itself with an answer. It is newer
+// than what the other entries told; the next word of theirs replaces it.
+func (r *run) noteLoad(p *plan, load *Load) {
+	if load == nil {
+		return
+	}
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.upstream.others.Requests = max(load.Running+load.Waiting-p.upstream.own.Requests, 0)
+}
+
 // noteBegun notes that the runner has read the prompt.
 func (r *run) noteBegun(p *plan) {
 	s := r.gateway.state
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -160,3 +160,29 @@
 		t.Fatal("a slow store is never tried again")
 	}
 }
+
+// What an upstream says of itself with an answer is newer than what the other
+// entries told: a replica that is full by its own word gets no further request
+// while another has room.
+func TestToldLoadDecidesBetweenReplicas(t *testing.T) {
+	g, sender := testGateway(t, func(_ int, s *Send) (*Answer, error) {
+		a := status(200)
+		a.Load = &Load{Running: 0, Slots: 4}
+		if s.Upstream != "a2" {
+			a.Load = &Load{Running: 4, Waiting: 6, Slots: 4}
+		}
+		return a, nil
+	})
+	for range 30 {
+		serve(g, request("/safe/x"))
+	}
+	others := 0
+	for _, s := range sender.sends {
+		if s.Upstream != "a2" {
+			others++
+		}
+	}
+	if others > 2 {
+		t.Fatalf("%d of 30 requests went to replicas that said they were full", others)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -149,6 +149,7 @@
 	}
 	r.sends++
 	defer answer.Body.Close()
+	r.noteLoad(p, answer.Load)
 	if answer.Refusal != Ran {
 		return r.refused(p, answer)
 	}
