Gateway: room goes by size, not by rank; bounded waits in tests

Light prompts, up to 2,000 tokens, have the reserve, go first and are not bounded by the queue of the others.

The test of waiting prompts took the bounds of the product and hung when they changed; it now sets its own and gives up with what it saw.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -26,6 +26,7 @@
 		{"(no-configuration-yet)", "the entry had no configuration yet"},
 		{"(unauthorized)", "its key was not known in configuration " + last.Fields["config"]},
 		{"(no-upstream)", "no upstream of the service was known, or all had been tried"},
+		{"too many requests wait", "no upstream had room, and as many requests as may waited at the entry already"},
 		{"(overloaded)", fmt.Sprintf("no upstream had room within %s ms", last.Fields["waited_ms"])},
 		{"(refused-by-upstream)", fmt.Sprintf("upstream %s refused it without running it (%s)", last.Fields["upstream"], after(cause, "upstream: "))},
 		{"(dial-failed)", "no upstream could be reached; no byte was sent"},
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -51,6 +51,7 @@
 		{"safe, failed twice: the second failure is passed on", "/safe/x", inTurn(status(500), status(500)), 2, "done", outcome.KindDone, 500},
 		{"safe, lost twice", "/safe/x", inTurn(lost(), lost()), 2, "refused", outcome.KindUnknown, 0},
 		{"safe, lost and then full: it may have run", "/safe/x", inTurn(lost(), refusal(Full)), 2, "refused", outcome.KindUnknown, 0},
+		{"safe, failed and then full: it has run", "/safe/x", inTurn(status(500), refusal(Full)), 2, "refused", outcome.KindUnknown, 0},
 		{"unsafe, lost: never sent again", "/unsafe/x", inTurn(lost()), 1, "refused", outcome.KindUnknown, 0},
 		{"unsafe, failed: never sent again", "/unsafe/x", inTurn(status(500)), 1, "done", outcome.KindDone, 500},
 		{"unsafe, full: not run", "/unsafe/x", inTurn(refusal(Full)), 1, "refused", outcome.KindNotRun, 0},
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -21,11 +21,11 @@
 	// loadingCost is added for a runner that is being ordered to load: it takes
 	// no request until it is done.
 	loadingCost = 2 * time.Second
-	// noRoomCost is added for a runner without room. For the most urgent rank,
-	// whose prompts are short, one with room comes first whatever it has to
-	// read; for the others a part that is read again may cost more than a wait.
-	noRoomCost       = 800 * time.Millisecond
-	noRoomCostUrgent = 20 * time.Second
+	// noRoomCost is added for a runner without room. For light prompts one with
+	// room comes first whatever it has to read; for the others a part that is
+	// read again may cost more than a wait.
+	noRoomCost      = 800 * time.Millisecond
+	noRoomCostLight = 20 * time.Second
 	// loadDoubt spreads the choice among replicas whose loads differ by less
 	// requests than the entries' words are late by: all would else choose the
 	// same one.
@@ -98,7 +98,7 @@
 	p.send.Upstream, p.send.Address = p.upstream.record.ID, p.upstream.record.Address
 	s.describePlan(p, now)
 	r.last = p
-	if !p.upstream.hasRoom(p.send.Rank, p.tokens, p.reads, memory) {
+	if !p.upstream.hasRoom(r.light(), p.tokens, p.reads, memory) {
 		return nil, nil
 	}
 	p.sent = now
@@ -182,9 +182,9 @@
 func (r *run) placePrompt(s *state, p *plan, service *catalog.Service, candidates []*upstreamState, now time.Time) {
 	prompt := r.request.Prompt
 	newest := s.weights[prompt.Model]
-	noRoom := noRoomCost
-	if p.send.Rank == urgentRank {
-		noRoom = noRoomCostUrgent
+	light, noRoom := r.light(), noRoomCost
+	if light {
+		noRoom = noRoomCostLight
 	}
 	tokens, own := prompt.Output, 0
 	for _, part := range prompt.Parts {
@@ -199,7 +199,7 @@
 		if u.versionOf(prompt.Model) < newest {
 			extra += oldWeightsCost
 		}
-		if !u.hasRoom(p.send.Rank, tokens, own, service.Engine.MemoryTokens) {
+		if !u.hasRoom(light, tokens, own, service.Engine.MemoryTokens) {
 			extra += noRoom
 		}
 		runners[i] = placement.Runner{
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -12,22 +12,24 @@
 // of those that wait, and drops them again before they are read: all prompts
 // are then read from the start, each stays longer, and the runner does not
 // recover while requests keep coming. Requests therefore wait at the entry,
-// the most urgent first, until a runner has room.
+// light ones first, until a runner has room.
 const (
+	// lightTokens is the size in tokens up to which a prompt is light. Light
+	// prompts are worth several times as much for each token of memory and
+	// reading as the others: of the overload they feel as little as possible.
+	lightTokens = 2000
 	// roomTokens is the part of a runner's memory that prompts under way may
-	// fill; the rest keeps cached parts. The most urgent rank may fill more.
-	roomTokens       = 0.85
-	roomTokensUrgent = 1.0
+	// fill; the rest keeps cached parts. Light ones may fill more.
+	roomTokens      = 0.85
+	roomTokensLight = 1.0
 	// roomUnread bounds the tokens that a runner has still to read, about
-	// 120 ms of its work: short urgent prompts are read behind them. A prompt
-	// longer than that is sent where nothing else is to be read.
+	// 120 ms of its work: light prompts are read behind them. A prompt longer
+	// than that is sent where nothing else is to be read.
 	roomUnread = 15000
-	// roomSlots are the slots that only the most urgent rank may take, and
-	// roomWaiting how many requests of it a runner is given beyond its slots.
+	// roomSlots are the slots that only light prompts may take, and roomWaiting
+	// how many of them a runner is given beyond its slots.
 	roomSlots   = 2
 	roomWaiting = 4
-	// urgentRank is the most urgent rank.
-	urgentRank = 0
 	// maxWaiting bounds the requests that wait at one entry.
 	maxWaiting = 2048
 	// dispatchDepth bounds the waiting requests that are looked at for one
@@ -38,11 +40,17 @@
 	// and one that is refused sooner may come back in time.
 	waitShare = 0.3
 	waitMost  = 150 * time.Millisecond
-	// waitingMost bounds the requests below the most urgent rank that wait at
-	// one entry.
+	// waitingMost bounds the prompts that are not light and wait at one entry.
 	waitingMost = 3
 )
 
+// patience bounds the waiting for room.
+type patience struct {
+	longest time.Duration
+	// heavy is how many prompts that are not light may wait.
+	heavy int
+}
+
 // waiter is a request that waits for room.
 type waiter struct {
 	run *run
@@ -50,17 +58,30 @@
 	granted chan *plan
 }
 
-// hasRoom reports whether an upstream has room for a request of a rank with so
-// many tokens, of which reads are to be read. memory is that of a runner, 0 for
-// a plain service.
-func (u *upstreamState) hasRoom(rank, tokens, reads, memory int) bool {
+// light reports whether the request takes little of an upstream, as calls of
+// plain services and short prompts do.
+func (r *run) light() bool {
+	if r.request.Prompt == nil {
+		return true
+	}
+	tokens := r.request.Prompt.Output
+	for _, part := range r.request.Prompt.Parts {
+		tokens += part.Tokens
+	}
+	return tokens <= lightTokens
+}
+
+// hasRoom reports whether an upstream has room for a request with so many
+// tokens, of which reads are to be read. memory is that of a runner, 0 for a
+// plain service.
+func (u *upstreamState) hasRoom(light bool, tokens, reads, memory int) bool {
 	requests := u.own.Requests + u.others.Requests
 	if requests == 0 {
 		return true
 	}
 	slots, share := u.record.Slots-roomSlots, roomTokens
-	if rank == urgentRank || memory == 0 {
-		slots, share = u.record.Slots+roomWaiting, roomTokensUrgent
+	if light {
+		slots, share = u.record.Slots+roomWaiting, roomTokensLight
 	}
 	if u.record.Slots > 0 && requests >= max(slots, 1) {
 		return false
@@ -69,7 +90,7 @@
 		return true
 	}
 	unread := u.own.Unread + u.others.Unread
-	if rank != urgentRank && unread > 0 && unread+reads > roomUnread {
+	if !light && unread > 0 && unread+reads > roomUnread {
 		return false
 	}
 	return float64(u.own.Tokens+u.others.Tokens+tokens) <= share*float64(memory)
@@ -85,7 +106,7 @@
 		s.mu.Unlock()
 		return p, err
 	}
-	if len(s.waiting) >= maxWaiting || (r.rank() != urgentRank && s.waitingBelow(urgentRank) >= waitingMost) {
+	if len(s.waiting) >= maxWaiting || (!r.light() && s.heavyWaiting() >= s.patience.heavy) {
 		s.mu.Unlock()
 		return nil, r.refusal(outcome.ReasonOverloaded, comeBack, "too many requests wait for an upstream with room")
 	}
@@ -94,7 +115,7 @@
 	s.mu.Unlock()
 
 	left := r.deadline.Sub(now)
-	timer := time.NewTimer(min(time.Duration(waitShare*float64(left)), waitMost))
+	timer := time.NewTimer(min(time.Duration(waitShare*float64(left)), s.patience.longest))
 	defer timer.Stop()
 	select {
 	case p := <-w.granted:
@@ -119,20 +140,29 @@
 	return nil, err
 }
 
+// before reports whether a request is to be served before another: light ones
+// first, then by rank.
+func (r *run) before(other *run) bool {
+	if r.light() != other.light() {
+		return r.light()
+	}
+	return r.rank() < other.rank()
+}
+
 // enqueue puts a request behind those that are as urgent.
 func (s *state) enqueue(w *waiter) {
 	at := len(s.waiting)
-	for at > 0 && s.waiting[at-1].run.rank() > w.run.rank() {
+	for at > 0 && w.run.before(s.waiting[at-1].run) {
 		at--
 	}
 	s.waiting = slices.Insert(s.waiting, at, w)
 }
 
-// waitingBelow counts the waiting requests of a lower rank.
-func (s *state) waitingBelow(rank int) int {
+// heavyWaiting counts the waiting prompts that are not light.
+func (s *state) heavyWaiting() int {
 	n := 0
 	for _, w := range s.waiting {
-		if w.run.rank() > rank {
+		if !w.run.light() {
 			n++
 		}
 	}
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -22,15 +22,16 @@
 
 // Two runners with memory for 50,000 tokens are offered ten prompts of 20,000.
 // Beyond their memory they would fetch parts and drop them unread; the prompts
-// wait at the entry and get their turn, the most urgent first.
+// wait at the entry and get their turn.
 func TestPromptsBeyondTheMemoryWait(t *testing.T) {
 	open := make(chan struct{})
 	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return &Answer{Status: 200, Body: &gate{open}}, nil })
+	g.state.patience = patience{longest: time.Minute, heavy: 10}
 	var all sync.WaitGroup
 	for i := range 10 {
 		all.Go(func() {
 			r := request("/stream/x")
-			r.Wait, r.Arrived = time.Minute, time.Now()
+			r.Wait, r.Arrived = time.Hour, time.Now()
 			r.Prompt = prompt(placement.Part{ID: string(rune('a' + i)), Tokens: 16000}, placement.Part{ID: "own", Tokens: 4000})
 			rec := &recorder{}
 			g.Serve(context.Background(), r, rec)
@@ -44,8 +45,10 @@
 		defer g.state.mu.Unlock()
 		return len(g.state.waiting)
 	}
-	for sender.count() < 4 || waiting() < 6 {
-		time.Sleep(time.Millisecond)
+	for deadline := time.Now().Add(20 * time.Second); sender.count() < 4 || waiting() < 6; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d sends and %d waiting, want 4 and 6", sender.count(), waiting())
+		}
 	}
 	g.state.mu.Lock()
 	for id, u := range g.state.members {
@@ -63,26 +66,32 @@
 	}
 }
 
-func TestQueueIsInOrderOfRank(t *testing.T) {
+// A short prompt of a team with a low rank must not be refused because long
+// ones wait: it takes next to nothing.
+func TestQueueIsInOrderOfSizeAndRank(t *testing.T) {
 	g, _ := testGateway(t, nil)
 	s := g.state
 	index := g.Index()
-	add := func(priority int, id string) {
+	add := func(priority, tokens int, id string) {
 		route := *index.Route("h", "/stream/x")
 		route.Priority = priority
-		s.enqueue(&waiter{run: &run{gateway: g, request: &Request{ID: id}, route: &route}})
+		r := &Request{ID: id, Prompt: prompt(placement.Part{ID: "p", Tokens: tokens})}
+		s.enqueue(&waiter{run: &run{gateway: g, request: r, route: &route}})
 	}
 	for _, w := range []struct {
-		priority int
-		id       string
-	}{{1, "b1"}, {0, "a1"}, {1, "b2"}, {0, "a2"}, {2, "c1"}} {
-		add(w.priority, w.id)
+		priority, tokens int
+		id               string
+	}{{1, 9000, "d1"}, {0, 300, "a1"}, {1, 9000, "d2"}, {0, 300, "a2"}, {2, 300, "b1"}, {0, 9000, "c1"}} {
+		add(w.priority, w.tokens, w.id)
 	}
 	got := ""
 	for _, w := range s.waiting {
 		got += w.run.request.ID + " "
 	}
-	if got != "a1 a2 b1 b2 c1 " {
+	if s.heavyWaiting() != 3 {
+		t.Errorf("%d of 3 long prompts are counted", s.heavyWaiting())
+	}
+	if got != "a1 a2 b1 c1 d1 d2 " {
 		t.Fatalf("waiting in order %s", got)
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -62,9 +62,10 @@
 	clockAt time.Time
 	entries int
 	recent  *recentParts
-	// waiting are the requests that wait for room, the most urgent first.
-	waiting []*waiter
-	budgets *budgets
+	// waiting are the requests that wait for room, in the order of their turns.
+	waiting  []*waiter
+	patience patience
+	budgets  *budgets
 	// readPerMs is how many tokens a runner reads in a millisecond.
 	readPerMs float64
 }
@@ -94,6 +95,8 @@
 		stores:  make(map[string]*storeState),
 		recent:  newRecentParts(),
 		budgets: newBudgets(),
+
+		patience: patience{longest: waitMost, heavy: waitingMost},
 	}
 }
 
