--- /dev/null
+++ b/internal/gateway/account.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// finish ends the accounting of a send that says nothing of its upstream.
+func (r *run) finish(p *plan) {
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(p)
+}
+
+// settle ends the accounting of a send and lets others have its room. The
+// caller holds the lock.
+func (s *state) settle(p *plan) {
+	if p.done {
+		return
+	}
+	p.done = true
+	p.upstream.own.Requests--
+	p.upstream.own.Tokens -= p.tokens
+	if !p.begun {
+		s.read(p)
+	}
+	s.dispatch(time.Now())
+}
+
+// read ends the accounting of what a runner had to fetch and read. The caller
+// holds the lock.
+func (s *state) read(p *plan) {
+	p.upstream.own.Unread -= p.reads
+	if p.send.Prompt == nil {
+		return
+	}
+	for _, from := range p.send.Prompt.Fetch {
+		if store := s.stores[from.Address]; store != nil {
+			store.own -= from.Tokens
+		}
+	}
+}
+
+// whole notes an answer that came to its end.
+func (r *run) whole(p *plan, good bool) {
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(p)
+	avoided := p.upstream.trust.inRow > 0
+	p.upstream.trust.answered(good)
+	if avoided {
+		r.gateway.believe(p.upstream, false, nil)
+	}
+}
+
+// noteLoad takes in what an upstream says of itself with an answer. It is newer
+// than what the other entries told; the next word of theirs replaces it.
+func (r *run) noteLoad(p *plan, load *Load) {
+	if load == nil {
+		return
+	}
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.upstream.others.Requests = max(load.Running+load.Waiting-p.upstream.own.Requests, 0)
+}
+
+// noteBegun notes that the runner has read the prompt.
+func (r *run) noteBegun(p *plan) {
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !p.begun && !p.done {
+		p.begun = true
+		s.read(p)
+		r.gateway.notePace(p, time.Now())
+		s.dispatch(time.Now())
+	}
+}
+
+// fail notes that a send ended without a whole answer. A caller that went away
+// says nothing of the upstream.
+func (r *run) fail(ctx context.Context, p *plan, cause error) {
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(p)
+	r.tried[p.upstream.record.ID] = true
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	p.upstream.trust.failed(time.Now())
+	r.gateway.believe(p.upstream, true, cause)
+	s.forgetPending(p)
+}
+
+// forgetPending takes back the saves of a send that failed.
+func (s *state) forgetPending(p *plan) {
+	if p.send.Prompt == nil {
+		return
+	}
+	for i, address := range p.send.Prompt.Save {
+		if store := s.stores[address]; address != "" && store != nil {
+			delete(store.pending, p.keys[i])
+		}
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -201,7 +201,7 @@
 	for {
 		piece, err := answer.Body.Next()
 		if errors.Is(err, io.EOF) {
-			if err := relay.end(); err != nil {
+			if err := relay.begin(); err != nil {
 				r.finish(p)
 				return err
 			}
@@ -270,5 +270,3 @@
 	}
 	return nil
 }
-
-func (l *relay) end() error { return l.begin() }
--- /dev/null
+++ b/internal/gateway/sources.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/holdings"
+	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/placement"
+)
+
+// salt names the memory that a prompt may use: of its model's weight version
+// and, for an isolated team, of that team alone.
+func salt(model string, version uint64, team *catalog.Team) string {
+	if team != nil && team.Isolated {
+		return fmt.Sprintf("%s.%d/%s", model, version, team.Name)
+	}
+	return fmt.Sprintf("%s.%d", model, version)
+}
+
+// described is a prompt under one salt.
+type described struct {
+	salt   string
+	prompt placement.Prompt
+	keys   []holdings.Key
+}
+
+func (s *state) describe(prompt *Prompt, salt string, engine *catalog.Engine, candidates []*upstreamState, addresses []string, now time.Time) described {
+	d := described{salt: salt, keys: make([]holdings.Key, len(prompt.Parts))}
+	d.prompt = placement.Prompt{Parts: prompt.Parts, Output: prompt.Output, TokenBytes: engine.TokenBytes, Whole: make([][]int, len(prompt.Parts))}
+	for i, part := range prompt.Parts {
+		d.keys[i] = holdings.Key{Salt: salt, Part: part.ID}
+		for index, address := range addresses {
+			if s.stores[address].shelf.Whole(d.keys[i]) >= part.Tokens {
+				d.prompt.Whole[i] = append(d.prompt.Whole[i], index)
+			}
+		}
+	}
+	d.prompt.Cached = func(runner, part int) bool {
+		record := &candidates[runner].record
+		if known := s.stores[record.Address]; known != nil && known.shelf.Whole(d.keys[part]) >= prompt.Parts[part].Tokens {
+			return true
+		}
+		return s.recent.at(d.keys[part], record.ID, now)
+	}
+	return d
+}
+
+// storeList describes the stores of the configuration that are followed, and
+// the runners, whose caches others may fetch from.
+func (s *state) storeList(runners []*upstreamState, engine *catalog.Engine, now time.Time) ([]placement.Store, []string) {
+	trusted := s.shelvesTrusted(now) && s.clock > 0
+	var stores []placement.Store
+	var addresses []string
+	for _, service := range s.index.Stores() {
+		known := s.stores[service.Store.Address]
+		if known == nil {
+			continue
+		}
+		stores = append(stores, placement.Store{
+			Address: service.Store.Address, DataCentre: service.Store.DataCentre, LinkMbps: service.Store.LinkMbps,
+			FirstByte: service.Store.FirstByte, Capacity: service.Store.CapacityTokens,
+			Used: known.shelf.Tokens() + known.pendingTokens(now), Open: trusted && known.open,
+			Queued: known.own + known.others, Slowness: known.pace.slowness(now),
+		})
+		addresses = append(addresses, service.Store.Address)
+	}
+	for _, u := range runners {
+		known := s.stores[u.record.Address]
+		if known == nil || known.shelf.Len() == 0 {
+			continue
+		}
+		stores = append(stores, placement.Store{
+			Address: u.record.Address, DataCentre: u.record.DataCentre, LinkMbps: engine.LinkMbps,
+			Open: trusted && !now.Before(u.trust.avoided) && !u.silent, Risk: cacheRisk,
+			Queued: known.own + known.others, Slowness: known.pace.slowness(now),
+		})
+		addresses = append(addresses, u.record.Address)
+	}
+	return stores, addresses
+}
+
+// fetchMs is the predicted time of a choice's fetches in milliseconds.
+func fetchMs(p *placement.Prompt, choice placement.Choice, stores []placement.Store) float64 {
+	total := 0.0
+	for part, at := range choice.Fetch {
+		if at >= 0 {
+			total += placement.TransferMs(p, part, &stores[at])
+		}
+	}
+	return total
+}
+
+func (st *storeState) pendingTokens(now time.Time) int {
+	total := 0
+	for key, save := range st.pending {
+		if now.After(save.until) {
+			delete(st.pending, key)
+			continue
+		}
+		total += save.tokens
+	}
+	return total
+}
+
+// fetchAndSave fills in where parts come from and where they are to be kept.
+func (s *state) fetchAndSave(p *plan, asked *described, choice placement.Choice, stores []placement.Store, addresses []string, now time.Time) {
+	parts := asked.prompt.Parts
+	fetch, fetches := make([]FetchFrom, len(parts)), false
+	save, saves := make([]string, len(parts)), false
+	for i := range parts[:max(len(parts)-1, 0)] {
+		if at := choice.Fetch[i]; at >= 0 {
+			fetch[i] = FetchFrom{Address: addresses[at], Tokens: parts[i].Tokens}
+			fetches = true
+			continue
+		}
+		if len(asked.prompt.Whole[i]) > 0 || s.isPending(asked.keys[i], now) {
+			continue
+		}
+		if at := placement.KeepAt(asked.salt, parts[i], stores); at >= 0 {
+			save[i] = addresses[at]
+			saves = true
+		}
+	}
+	if fetches {
+		p.send.Prompt.Fetch = fetch
+		p.send.Prompt.Until = s.upstreamsClock(now) + steward.FetchPermit.Milliseconds()
+	}
+	if saves {
+		p.send.Prompt.Save = save
+	}
+	p.keys = asked.keys
+}
+
+// commit notes what a plan that goes ahead brings to its runner and stores.
+func (s *state) commit(p *plan, now time.Time) {
+	if p.send.Prompt == nil {
+		return
+	}
+	parts := p.send.Request.Prompt.Parts
+	for i := range max(len(parts)-1, 0) {
+		s.recent.note(p.keys[i], p.upstream.record.ID, now)
+	}
+	for _, from := range p.send.Prompt.Fetch {
+		if from.Address != "" {
+			s.stores[from.Address].own += from.Tokens
+		}
+	}
+	for i, address := range p.send.Prompt.Save {
+		if address != "" {
+			s.stores[address].pending[p.keys[i]] = pendingSave{tokens: parts[i].Tokens, until: now.Add(saveFor)}
+		}
+	}
+}
+
+func (s *state) isPending(key holdings.Key, now time.Time) bool {
+	for _, store := range s.stores {
+		if save, known := store.pending[key]; known && now.Before(save.until) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/steward/fleet_test.go
@@ -0,0 +1,238 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/holdings"
+	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/adapter/disk"
+	"github.com/lovagereach/lovagereach/internal/adapter/disk/disktest"
+)
+
+// fakeStores holds parts in memory.
+type fakeStores struct {
+	mu     sync.Mutex
+	life   uint64
+	events []holdings.Change
+	down   bool
+}
+
+func (f *fakeStores) List(ctx context.Context, _ string) (StoreEvents, error) {
+	return f.Events(ctx, "", 0, 0)
+}
+
+func (f *fakeStores) Events(ctx context.Context, _ string, since uint64, wait time.Duration) (StoreEvents, error) {
+	select {
+	case <-time.After(wait / 20):
+	case <-ctx.Done():
+		return StoreEvents{}, ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return StoreEvents{}, errors.New("down")
+	}
+	since = min(since, uint64(len(f.events)))
+	return StoreEvents{Life: f.life, Next: uint64(len(f.events)), Changes: f.events[since:], Clock: 5000}, nil
+}
+
+func (f *fakeStores) add(c holdings.Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, c)
+}
+
+// fakeRunners takes orders at once and remembers who gave them.
+type fakeRunners struct {
+	mu       sync.Mutex
+	versions map[string]uint64
+	orders   []LoadOrder
+}
+
+func (f *fakeRunners) Order(_ context.Context, o LoadOrder) (OrderResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, o)
+	f.versions[o.Upstream] = o.Version
+	return OrderTaken, nil
+}
+
+func (f *fakeRunners) Report(_ context.Context, upstream, _ string) (RunnerReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return RunnerReport{Versions: map[string]uint64{"m": max(f.versions[upstream], 1)}}, nil
+}
+
+// fleet is a control group on loopback addresses, all with one peer port as on
+// the machines.
+type fleet struct {
+	t       *testing.T
+	dir     string
+	port    int
+	stores  *fakeStores
+	runners *fakeRunners
+	mu      sync.Mutex
+	running map[ident.Host]*member
+	// files are disks in memory by name, where a test wants faults.
+	files map[string]*disktest.FS
+}
+
+func (f *fleet) filesOf(name string) func(string) (disk.FS, error) {
+	if files := f.files[name]; files != nil {
+		return func(string) (disk.FS, error) { return files, nil }
+	}
+	return nil
+}
+
+type member struct {
+	steward *Steward
+	stop    context.CancelFunc
+	done    chan struct{}
+	err     error
+}
+
+func hostName(i int) ident.Host { return ident.Host(fmt.Sprintf("127.0.0.%d", i)) }
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := probe.Addr().(*net.TCPAddr).Port
+	probe.Close()
+	f := &fleet{
+		t: t, dir: t.TempDir(), port: port, stores: &fakeStores{life: 1},
+		runners: &fakeRunners{versions: make(map[string]uint64)}, running: make(map[ident.Host]*member),
+	}
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+func (f *fleet) start(host ident.Host, folder string, bootstrap bool) *Steward {
+	f.t.Helper()
+	var listener net.Listener
+	f.await("the port of "+string(host), func() bool {
+		var err error
+		listener, err = net.Listen("tcp", fmt.Sprintf("%s:%d", host, f.port))
+		return err == nil
+	})
+	s, err := New(Options{
+		Self: host, DataCentre: "north", PeerPort: f.port, Listener: listener,
+		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, Bootstrap: bootstrap, Tolerated: 1,
+		Cluster: "test", Key: []byte("a key of the test processes"), Data: filepath.Join(f.dir, folder),
+		LoadsAtOnce: 2, VersionTime: 10 * time.Second, HolderLease: 50 * time.Millisecond,
+		Stores: f.stores, Runners: f.runners, Log: log.New(io.Discard), Files: f.filesOf(folder),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{steward: s, stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(m.done)
+		m.err = s.Run(ctx, nil)
+	}()
+	f.mu.Lock()
+	f.running[host] = m
+	f.mu.Unlock()
+	return s
+}
+
+// kill ends a host without a farewell.
+func (f *fleet) kill(host ident.Host) {
+	f.mu.Lock()
+	m := f.running[host]
+	delete(f.running, host)
+	f.mu.Unlock()
+	m.stop()
+	<-m.done
+}
+
+func (f *fleet) stopAll() {
+	f.mu.Lock()
+	var hosts []ident.Host
+	for host := range f.running {
+		hosts = append(hosts, host)
+	}
+	f.mu.Unlock()
+	for _, host := range hosts {
+		f.kill(host)
+	}
+}
+
+func (f *fleet) startThree() {
+	for i := 1; i <= 3; i++ {
+		f.start(hostName(i), fmt.Sprint("disk", i), true)
+	}
+}
+
+// await polls until something holds; the deadline only ends a hung test.
+func (f *fleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(60 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("never: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (f *fleet) any() *Steward {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.running {
+		return m.steward
+	}
+	return nil
+}
+
+func (f *fleet) leader() *Steward {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.running {
+		if m.steward.leading.Load() != nil {
+			return m.steward
+		}
+	}
+	return nil
+}
+
+func testDocument(version catalog.Version, source string) *catalog.Document {
+	return &catalog.Document{Version: version, Source: []byte(source), Services: []catalog.Service{
+		{Name: "llm", Engine: &catalog.Engine{}}, {Name: "store", Store: &catalog.Store{Address: "store:1"}},
+	}}
+}
+
+func (f *fleet) put(version catalog.Version, source string) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("version %d acknowledged", version), func() bool {
+		_, err := f.any().PutDocument(context.Background(), testDocument(version, source))
+		return err == nil
+	})
+}
+
+func (f *fleet) read() string {
+	var source string
+	f.await("a read of the configuration", func() bool {
+		d, err := f.any().Document(context.Background())
+		if err != nil || d == nil {
+			return false
+		}
+		source = string(d.Source)
+		return true
+	})
+	return source
+}
