--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -205,6 +205,13 @@
 	l.entries[request.Entry.Host] = &followedEntry{view: *request.Entry, seen: now, loads: request.Loads}
 }
 
+// entryCount returns the number of entries that are followed.
+func (l *leadership) entryCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.entries)
+}
+
 // list returns the entries heard of lately, by name.
 func (l *leadership) list(now time.Time) []EntryView {
 	l.mu.Lock()
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -26,6 +26,14 @@
 	// runnerPause is the time between two questions to a runner. Its cache
 	// changes with every request, so that each question is answered at once.
 	runnerPause = 150 * time.Millisecond
+	// cacheWatchers is up to how many entries the runners' caches are followed.
+	// Each change of a cache goes to every entry: 400 changes a second to 64
+	// entries take the leader's whole share of a core, and configurations then
+	// come into force late.
+	cacheWatchers = 16
+	// adoptEvery is how often it is looked at whom to follow, besides at each
+	// change of the configuration or the roster.
+	adoptEvery = time.Second
 	// runnerLeast is the least size in tokens of a cached part that is passed
 	// on. Smaller ones are read sooner than they are looked up, and are most of
 	// the changes: 1,700 of 1,900 a second at 340 prompts a second.
@@ -78,6 +86,7 @@
 		k.adoptRunners(ctx, d)
 		select {
 		case <-news:
+		case <-time.After(adoptEvery):
 		case <-ctx.Done():
 		}
 		wait.For(ctx, gather)
@@ -105,8 +114,9 @@
 		}
 	}
 	wanted := make(map[string]bool)
+	follows := k.leadership.entryCount() <= cacheWatchers
 	for _, u := range k.leadership.steward.machine.live() {
-		if engines[u.Service] {
+		if follows && engines[u.Service] {
 			wanted[u.Address] = true
 		}
 	}
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -239,6 +239,34 @@
 	f.await("the store opens", func() bool { a := watch(); return open(a, 2) && len(a.Changes) == 0 })
 }
 
+// A large fleet's configuration would come into force late: with many entries,
+// each change of a runner's cache costs the leader one message to each of them.
+func TestCachesAreFollowedForFewEntriesOnly(t *testing.T) {
+	f := newFleet(t)
+	f.startThree()
+	f.put(1, "one")
+	u := roster.Upstream{ID: "r0", Service: "llm", Address: "r0:1", State: roster.Serving, Sequence: 1}
+	f.await("an acknowledgement", func() bool { return f.any().Announce(context.Background(), u) == nil })
+	followed := func(entries int) (int, bool) {
+		lead := f.leader()
+		if lead == nil {
+			return 0, false
+		}
+		l := lead.leading.Load()
+		if l == nil {
+			return 0, false
+		}
+		for i := range entries {
+			l.follow(&WatchRequest{Entry: &EntryView{Host: fmt.Sprint("e", i)}}, time.Now())
+		}
+		l.shelves.mu.Lock()
+		defer l.shelves.mu.Unlock()
+		return len(l.shelves.byRunner), true
+	}
+	f.await("the runner is followed", func() bool { n, ok := followed(1); return ok && n == 1 })
+	f.await("it is not, with many entries", func() bool { n, ok := followed(cacheWatchers + 1); return ok && n == 0 })
+}
+
 // Two runners' orders may never come from two holders in turn: each order names
 // the leader's term, which no other host ever has.
 func TestRunnersAreBroughtToNamedWeights(t *testing.T) {
