--- /dev/null
+++ b/holdings/book.go
@@ -0,0 +1,367 @@
+package holdings
+
+import (
+	"maps"
+	"math"
+	"slices"
+)
+
+const (
+	// journalLength bounds the records kept for readers that lag. At 400 records
+	// a second it covers 20 s.
+	journalLength = 8192
+	// PageRecords bounds the records of one update but for one shelf that is
+	// told whole. A record takes about 80 bytes, and a reader's link 10 Mbit/s:
+	// a page arrives within 0.1 s.
+	PageRecords = 1000
+	// unfinished is the floor of a source whose latest dropped batch has not
+	// ended yet.
+	unfinished = math.MaxUint64
+)
+
+// Record is one step in the life of a shelf. Applied in order, and more than
+// once if need be, records lead to what the writer holds.
+type Record struct {
+	// Address is that of the store or runner.
+	Address string `cbor:"1,keyasint"`
+	// Cleared tells that the shelf is empty and in another life, Life.
+	Cleared bool   `cbor:"2,keyasint,omitempty"`
+	Life    uint64 `cbor:"4,keyasint,omitempty"`
+	// Change is what changed, if Change.Key is set.
+	Change Change `cbor:"3,keyasint,omitempty"`
+	// Next is how far the source's own events are followed with this record;
+	// zero on all records of a batch but the last.
+	Next uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Position is a place in the journal of one term. Those who pass records on
+// keep the places that the writer gave them.
+type Position struct {
+	Term uint64 `cbor:"1,keyasint"`
+	Next uint64 `cbor:"2,keyasint"`
+}
+
+// Held is how far a reader has followed one source. It says the same to every
+// writer, unlike a position.
+type Held struct {
+	Address string `cbor:"1,keyasint"`
+	Life    uint64 `cbor:"2,keyasint"`
+	Next    uint64 `cbor:"3,keyasint"`
+}
+
+// Question asks for what a reader lacks: after At or, if Listed, beyond Held.
+type Question struct {
+	At     Position `cbor:"1,keyasint"`
+	Listed bool     `cbor:"2,keyasint,omitempty"`
+	Held   []Held   `cbor:"3,keyasint,omitempty"`
+}
+
+// Update answers a Question.
+type Update struct {
+	// At is the reader's position after Records.
+	At      Position `cbor:"1,keyasint"`
+	Records []Record `cbor:"2,keyasint,omitempty"`
+	// Unknown tells that the position asked for means nothing here; the next
+	// question must be Listed.
+	Unknown bool `cbor:"3,keyasint,omitempty"`
+	// More tells that the reader lacks more than Records, so that what it holds
+	// stands for no moment.
+	More bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Book holds the shelves of all sources, and the journal by which readers keep
+// theirs alike. The leader's book is written by the sources' events, and every
+// other from another book. It is not safe for concurrent use.
+type Book struct {
+	shelves map[string]*page
+	at      Position
+	// complete tells that the book stands for a moment of the leader's.
+	complete bool
+	// touched tells that records came since the book was last complete.
+	touched bool
+
+	// journal holds the latest records up to place at.Next. Places below
+	// aligned mean nothing in this term.
+	journal []Record
+	aligned uint64
+	// floors are how far each source's events are covered by records that the
+	// journal holds no more.
+	floors map[string]uint64
+	// kept bounds the journal, and paged one update.
+	kept, paged int
+}
+
+type page struct {
+	shelf *Shelf
+	next  uint64
+}
+
+// NewBook returns an empty book. One that is read by others keeps a journal.
+func NewBook(keepsJournal bool) *Book {
+	b := &Book{shelves: make(map[string]*page), floors: make(map[string]uint64), paged: PageRecords}
+	if keepsJournal {
+		b.kept = journalLength
+	}
+	return b
+}
+
+// Lead begins a term in which this book is the one that others follow.
+func (b *Book) Lead(term uint64) {
+	b.at.Term, b.aligned = term, b.at.Next
+	b.complete, b.touched = true, false
+}
+
+// Shelf returns the shelf of a source, an empty one if it is not known.
+func (b *Book) Shelf(address string) *Shelf {
+	if p := b.shelves[address]; p != nil {
+		return p.shelf
+	}
+	return NewShelf()
+}
+
+// Whole returns the tokens of a part that a source holds whole, 0 when it does
+// not.
+func (b *Book) Whole(address string, key Key) int {
+	if p := b.shelves[address]; p != nil {
+		return p.shelf.Whole(key)
+	}
+	return 0
+}
+
+// Next returns how far a source's events are followed, and whether they are.
+func (b *Book) Next(address string) (uint64, bool) {
+	p := b.shelves[address]
+	if p == nil || p.shelf.Life() == 0 {
+		return 0, false
+	}
+	return p.next, true
+}
+
+// Addresses lists the sources in order.
+func (b *Book) Addresses() []string { return slices.Sorted(maps.Keys(b.shelves)) }
+
+// Write takes in a batch of records of a source.
+func (b *Book) Write(records ...Record) {
+	for _, record := range records {
+		b.apply(record)
+		b.log(record)
+	}
+	b.trim()
+}
+
+// Advance notes that a source's events are followed up to next, and that those
+// since the last record change nothing.
+func (b *Book) Advance(address string, next uint64) {
+	if p := b.shelves[address]; p != nil {
+		p.next = next
+	}
+}
+
+// Forget drops a source.
+func (b *Book) Forget(address string) {
+	if b.shelves[address] != nil {
+		b.Write(Record{Address: address, Cleared: true})
+	}
+}
+
+func (b *Book) apply(record Record) {
+	if record.Cleared && record.Life == 0 {
+		delete(b.shelves, record.Address)
+		return
+	}
+	p := b.shelves[record.Address]
+	if p == nil {
+		p = &page{shelf: NewShelf()}
+		b.shelves[record.Address] = p
+	}
+	if record.Cleared {
+		p.shelf.Clear(record.Life)
+		p.next = 0
+	}
+	if record.Change.Key != (Key{}) {
+		p.shelf.Apply(record.Change)
+	}
+	if record.Next != 0 {
+		p.next = record.Next
+	}
+}
+
+func (b *Book) log(record Record) {
+	b.at.Next++
+	if b.kept == 0 {
+		return
+	}
+	b.journal = append(b.journal, record)
+	if record.Next != 0 && b.floors[record.Address] == unfinished {
+		b.floors[record.Address] = record.Next
+	}
+}
+
+// trim drops the oldest records. What they covered of each source counts as its
+// floor: a reader that holds less is told the shelf whole.
+func (b *Book) trim() {
+	if len(b.journal) <= 2*b.kept {
+		return
+	}
+	cut := len(b.journal) - b.kept
+	for i := range b.journal {
+		record := &b.journal[i]
+		floor := b.floors[record.Address]
+		switch {
+		case record.Cleared:
+			// The journal holds all of this life from here on.
+			floor = 0
+			if i < cut && record.Next == 0 {
+				floor = unfinished
+			}
+		case i < cut && record.Next == 0:
+			floor = unfinished
+		case i < cut || floor == unfinished && record.Next != 0:
+			floor = record.Next
+		}
+		b.floors[record.Address] = floor
+	}
+	b.journal = slices.Clone(b.journal[cut:])
+}
+
+// Ask returns the question for what this book lacks.
+func (b *Book) Ask() Question {
+	if b.at.Term != 0 {
+		return Question{At: b.at}
+	}
+	question := Question{Listed: true}
+	for _, address := range b.Addresses() {
+		p := b.shelves[address]
+		question.Held = append(question.Held, Held{Address: address, Life: p.shelf.Life(), Next: p.next})
+	}
+	return question
+}
+
+// Take takes in the answer to a question of this book and reports whether the
+// book now stands for a moment of the leader's.
+func (b *Book) Take(u *Update) bool {
+	for _, record := range u.Records {
+		b.apply(record)
+		b.log(record)
+	}
+	b.trim()
+	b.touched = b.touched || len(u.Records) > 0
+	if u.Unknown {
+		b.at, b.complete = Position{}, false
+		return false
+	}
+	if u.At.Term != b.at.Term || u.At.Next != b.at.Next {
+		// Told whole, not from the journal: its places begin here.
+		b.at, b.aligned = u.At, u.At.Next
+	}
+	b.complete = !u.More
+	if b.complete {
+		b.touched = false
+	}
+	return b.complete
+}
+
+// Mixed reports whether records of later moments were added to a book that
+// stood for one: nothing in it may be relied on until it is complete again.
+func (b *Book) Mixed() bool { return !b.complete && b.touched }
+
+// Complete reports whether the book stands for a moment of the leader's.
+func (b *Book) Complete() bool { return b.complete }
+
+// At returns the position up to which the book is complete.
+func (b *Book) At() Position { return b.at }
+
+// Answer returns what the asker lacks.
+func (b *Book) Answer(q *Question) Update {
+	if !b.complete {
+		return Update{At: q.At, More: true}
+	}
+	if q.Listed {
+		return b.beyond(q.Held)
+	}
+	if q.At.Term == b.at.Term && q.At.Next > b.at.Next {
+		// The asker has followed further than this book.
+		return Update{At: q.At, More: true}
+	}
+	lacks := b.at.Next - q.At.Next
+	if q.At.Term != b.at.Term || q.At.Next < b.aligned || lacks > uint64(len(b.journal)) {
+		return Update{Unknown: true}
+	}
+	records := b.journal[uint64(len(b.journal))-lacks:]
+	records = records[:b.pageEnd(records)]
+	end := Position{Term: b.at.Term, Next: q.At.Next + uint64(len(records))}
+	return Update{At: end, Records: slices.Clip(records), More: end != b.at}
+}
+
+// pageEnd is the end of the batch with which a page is full. A reader that has
+// a part of a batch could not say how far it holds the source.
+func (b *Book) pageEnd(records []Record) int {
+	for end := b.paged; end < len(records); end++ {
+		if records[end-1].Next != 0 {
+			return end
+		}
+	}
+	return len(records)
+}
+
+// beyond returns what is missing beyond what a reader holds, a shelf at least
+// and no further one after a page.
+func (b *Book) beyond(held []Held) Update {
+	var records []Record
+	known := make(map[string]Held, len(held))
+	for _, h := range held {
+		known[h.Address] = h
+		if b.shelves[h.Address] == nil {
+			records = append(records, Record{Address: h.Address, Cleared: true})
+		}
+	}
+	recent := b.recent(known)
+	for _, address := range b.Addresses() {
+		if len(records) >= b.paged {
+			return Update{Records: records, More: true}
+		}
+		h, holds := known[address]
+		switch p := b.shelves[address]; {
+		case holds && h.Life == p.shelf.Life() && h.Next > p.next:
+			return Update{Records: records, More: true}
+		case holds && h.Life == p.shelf.Life() && h.Next >= b.floors[address] && h.Next > 0:
+			records = append(records, recent[address]...)
+		default:
+			records = append(records, b.whole(address)...)
+		}
+	}
+	return Update{At: b.at, Records: records}
+}
+
+// recent lists by source the journal's records beyond what a reader holds.
+func (b *Book) recent(known map[string]Held) map[string][]Record {
+	batches := make(map[string][]Record)
+	missing := make(map[string][]Record)
+	for _, record := range b.journal {
+		address := record.Address
+		if record.Cleared {
+			// Numbers of a former life mean nothing in this one.
+			missing[address], batches[address] = nil, nil
+		}
+		batches[address] = append(batches[address], record)
+		if record.Next == 0 {
+			continue
+		}
+		if record.Next > known[address].Next {
+			missing[address] = append(missing[address], batches[address]...)
+		}
+		batches[address] = nil
+	}
+	return missing
+}
+
+// whole lists everything that a shelf holds.
+func (b *Book) whole(address string) []Record {
+	p := b.shelves[address]
+	records := []Record{{Address: address, Cleared: true, Life: p.shelf.Life()}}
+	for _, change := range p.shelf.All() {
+		records = append(records, Record{Address: address, Change: change})
+	}
+	records[len(records)-1].Next = p.next
+	return records
+}
--- /dev/null
+++ b/holdings/book_test.go
@@ -0,0 +1,232 @@
+package holdings
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+)
+
+// source is a store with events that are numbered as they happen.
+type source struct {
+	life   uint64
+	parts  map[Key]int
+	events []Change
+}
+
+func (s *source) step(r *rand.Rand) {
+	if r.IntN(400) == 0 {
+		*s = source{life: s.life + 1, parts: make(map[Key]int)}
+		return
+	}
+	change := Change{Key: Key{Salt: "s", Part: fmt.Sprint(r.IntN(60))}, Tokens: r.IntN(3) * 100}
+	if change.Tokens == 0 {
+		delete(s.parts, change.Key)
+	} else {
+		s.parts[change.Key] = change.Tokens
+	}
+	s.events = append(s.events, change)
+}
+
+// poll brings a leader's book up to date with a source.
+func poll(b *Book, address string, s *source) {
+	next, known := b.Next(address)
+	var records []Record
+	if !known || b.Shelf(address).Life() != s.life {
+		records = append(records, Record{Address: address, Cleared: true, Life: s.life})
+		for key, tokens := range s.parts {
+			records = append(records, Record{Address: address, Change: Change{Key: key, Tokens: tokens}})
+		}
+	} else {
+		for _, change := range s.events[next:] {
+			records = append(records, Record{Address: address, Change: change})
+		}
+	}
+	if len(records) == 0 {
+		return
+	}
+	records[len(records)-1].Next = uint64(len(s.events))
+	b.Write(records...)
+}
+
+func partsOf(s *Shelf) map[Key]int {
+	parts := make(map[Key]int)
+	for _, change := range s.All() {
+		parts[change.Key] = change.Tokens
+	}
+	return parts
+}
+
+// A caller is answered from memory that was never made if an entry believes a
+// part whole that isn't. Whatever leaders follow one another, and whichever
+// host an entry asks, what it holds must be what some leader held at one
+// moment, and it must get there.
+func TestReadersHoldWhatOneMomentHeld(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			addresses := []string{"a", "b", "c"}
+			sources := make(map[string]*source)
+			for _, address := range addresses {
+				sources[address] = &source{life: 1, parts: make(map[Key]int)}
+			}
+			hosts := []*Book{NewBook(true), NewBook(true), NewBook(true)}
+			entries := []*Book{NewBook(false), NewBook(false), NewBook(false), NewBook(false)}
+			for _, host := range hosts {
+				host.kept, host.paged = 20+int(seed)*5, 4+int(seed)
+			}
+			// moments are the shelves of the leader by position.
+			moments := make(map[Position]map[string]map[Key]int)
+			note := func(b *Book) {
+				held := make(map[string]map[Key]int)
+				for _, address := range b.Addresses() {
+					held[address] = partsOf(b.Shelf(address))
+				}
+				moments[b.At()] = held
+			}
+			leader, term := 0, uint64(1)
+			hosts[0].Lead(term)
+			note(hosts[0])
+			check := func(b *Book) {
+				held := moments[b.At()]
+				if held == nil {
+					t.Fatalf("complete at %v, which no leader was at", b.At())
+				}
+				for _, address := range b.Addresses() {
+					if got := partsOf(b.Shelf(address)); !maps.Equal(got, held[address]) {
+						t.Fatalf("at %v %s holds %v, the leader held %v", b.At(), address, got, held[address])
+					}
+				}
+			}
+			follow := func(reader, from *Book) {
+				question := reader.Ask()
+				update := from.Answer(&question)
+				if reader.Take(&update) {
+					check(reader)
+				}
+			}
+			for range 4000 {
+				switch n := r.IntN(100); {
+				case n < 55:
+					sources[addresses[r.IntN(3)]].step(r)
+				case n < 75:
+					address := addresses[r.IntN(3)]
+					poll(hosts[leader], address, sources[address])
+					note(hosts[leader])
+				case n < 85:
+					if i := r.IntN(3); i != leader {
+						follow(hosts[i], hosts[leader])
+					}
+				case n < 98:
+					follow(entries[r.IntN(4)], hosts[r.IntN(3)])
+				case n < 99:
+					leader = r.IntN(3)
+					term++
+					hosts[leader].Lead(term)
+					note(hosts[leader])
+				default:
+					hosts[leader].Forget(addresses[r.IntN(3)])
+					note(hosts[leader])
+				}
+			}
+			for _, address := range addresses {
+				poll(hosts[leader], address, sources[address])
+				note(hosts[leader])
+			}
+			for i, host := range hosts {
+				if i != leader {
+					settle(t, host, hosts[leader], check)
+				}
+			}
+			for i, entry := range entries {
+				settle(t, entry, hosts[i%3], check)
+				if entry.At() != hosts[leader].At() {
+					t.Fatalf("an entry ended at %v, the leader is at %v", entry.At(), hosts[leader].At())
+				}
+			}
+		})
+	}
+}
+
+func settle(t *testing.T, reader, from *Book, check func(*Book)) {
+	t.Helper()
+	for range 100 {
+		question := reader.Ask()
+		update := from.Answer(&question)
+		if reader.Take(&update) {
+			check(reader)
+			return
+		}
+	}
+	t.Fatal("never complete")
+}
+
+// An election must not make every entry read every listing again: a reader that
+// lacks one change is told one change by the next leader.
+func TestNextLeaderTellsOnlyWhatIsMissing(t *testing.T) {
+	first, second, entry := NewBook(true), NewBook(true), NewBook(false)
+	first.Lead(1)
+	records := []Record{{Address: "a", Cleared: true, Life: 9}}
+	for i := range 5000 {
+		records = append(records, Record{Address: "a", Change: Change{Key: Key{Part: fmt.Sprint(i)}, Tokens: 1}})
+	}
+	records[5000].Next = 5000
+	first.Write(records...)
+	settle(t, second, first, func(*Book) {})
+	settle(t, entry, first, func(*Book) {})
+	second.Lead(2)
+	second.Write(Record{Address: "a", Change: Change{Key: Key{Part: "new"}, Tokens: 1}, Next: 5001})
+	question := entry.Ask()
+	if update := second.Answer(&question); !update.Unknown {
+		t.Fatalf("a position of another term was taken for one of this: %+v", update)
+	} else {
+		entry.Take(&update)
+	}
+	question = entry.Ask()
+	update := second.Answer(&question)
+	if len(update.Records) != 1 || !entry.Take(&update) || entry.Shelf("a").Whole(Key{Part: "new"}) != 1 {
+		t.Fatalf("told %d records", len(update.Records))
+	}
+}
+
+// A listing larger than an entry's link carries before it gives up would be
+// asked for again for ever.
+func TestLargeListingsComeInPages(t *testing.T) {
+	book, entry := NewBook(true), NewBook(false)
+	book.Lead(1)
+	for s := range 12 {
+		address := fmt.Sprint("store", s)
+		book.Write(Record{Address: address, Cleared: true, Life: 1})
+		for i := range 1500 {
+			book.Write(Record{Address: address, Change: Change{Key: Key{Part: fmt.Sprint(i)}, Tokens: 1}, Next: uint64(i + 1)})
+		}
+	}
+	for pages := 1; ; pages++ {
+		question := entry.Ask()
+		update := book.Answer(&question)
+		if len(update.Records) > PageRecords+1501 {
+			t.Fatalf("a page of %d records", len(update.Records))
+		}
+		if entry.Take(&update) {
+			break
+		}
+		if !entry.Mixed() {
+			t.Fatal("a part of the shelves passed for all")
+		}
+		if pages > 12 {
+			t.Fatal("the listing does not end")
+		}
+	}
+	if entry.Shelf("store11").Len() != 1500 {
+		t.Fatal("the last store is not held whole")
+	}
+	// The journal holds less than all of them: a reader that lagged beyond it
+	// must not be told the tail for the whole.
+	late := NewBook(false)
+	question := Question{Listed: true, Held: []Held{{Address: "store0", Life: 1, Next: 10}}}
+	update := book.Answer(&question)
+	late.Take(&update)
+	if late.Shelf("store0").Len() != 1500 {
+		t.Fatalf("store0 is told with %d parts", late.Shelf("store0").Len())
+	}
+}
--- a/holdings/holdings.go
+++ b/holdings/holdings.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// Clear empties the shelf for another life of its store and closes it.
+func (s *Shelf) Clear(life uint64) {
+	*s = Shelf{life: life, parts: make(map[Key]int), closed: true}
+}
+
+// Reopen opens a closed shelf again, pause later, when its store is found in
+// the same life and nothing was missed of it.
+func (s *Shelf) Reopen(now time.Time, pause time.Duration) {
+	s.closed = false
+	s.opens = now.Add(pause)
+}
+
 // Apply takes in one change.
 func (s *Shelf) Apply(change Change) {
 	if change.Tokens <= 0 {
@@ -84,6 +96,9 @@
 	return !s.closed && !now.Before(s.opens)
 }
 
+// Closed reports whether the store can't be asked.
+func (s *Shelf) Closed() bool { return s.closed }
+
 // Whole returns the tokens of a part that stands whole, 0 when it does not.
 func (s *Shelf) Whole(key Key) int { return s.parts[key] }
 
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -138,9 +138,12 @@
 		Roster: &steward.RosterView{Revision: 1, Upstreams: []roster.Upstream{
 			up("a1", "app"), up("a2", "app"), up("a3", "app"), up("l1", "llm"), up("l2", "llm"),
 		}},
-		States:  []steward.ShelfState{{Address: "store:1", Life: 1, Open: true}},
-		Changes: []steward.ShelfChange{{Address: "store:1", Change: holdings.Change{Key: keptPart, Tokens: 9000}}},
-		Clock:   1000, Reset: true,
+		States: []steward.ShelfState{{Address: "store:1", Life: 1, Open: true}},
+		Shelves: &holdings.Update{At: holdings.Position{Term: 1, Next: 2}, Records: []holdings.Record{
+			{Address: "store:1", Cleared: true, Life: 1},
+			{Address: "store:1", Change: holdings.Change{Key: keptPart, Tokens: 9000}, Next: 1},
+		}},
+		Clock: 1000, EntryCount: 1,
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -251,7 +251,7 @@
 		t.Fatalf("an isolated team fetches what others made: %+v", walled.Fetch)
 	}
 	swapped := testAnswer()
-	swapped.Document, swapped.Reset, swapped.Changes = nil, false, nil
+	swapped.Document, swapped.Shelves.Records = nil, nil
 	swapped.Roster.Revision = 2
 	for i := range swapped.Roster.Upstreams {
 		swapped.Roster.Upstreams[i].Loaded = []roster.Loaded{{Model: "m", Version: 2}}
@@ -272,6 +272,7 @@
 	}{
 		{"fresh", func(*steward.WatchAnswer) time.Time { return time.Now() }, true},
 		{"old", func(*steward.WatchAnswer) time.Time { return time.Now().Add(-steward.ShelfTrust) }, false},
+		{"newer parts beside the old word", func(a *steward.WatchAnswer) time.Time { a.Shelves.More = true; return time.Now() }, false},
 		{"closed", func(a *steward.WatchAnswer) time.Time { a.States[0].Open = false; return time.Now() }, false},
 		{"no state told", func(a *steward.WatchAnswer) time.Time { a.States = nil; return time.Now() }, false},
 	}
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -32,14 +32,14 @@
 	for i, part := range prompt.Parts {
 		d.keys[i] = holdings.Key{Salt: salt, Part: part.ID}
 		for index, address := range addresses {
-			if s.stores[address].shelf.Whole(d.keys[i]) >= part.Tokens {
+			if s.book.Whole(address, d.keys[i]) >= part.Tokens {
 				d.prompt.Whole[i] = append(d.prompt.Whole[i], index)
 			}
 		}
 	}
 	d.prompt.Cached = func(runner, part int) bool {
 		record := &candidates[runner].record
-		if known := s.stores[record.Address]; known != nil && known.shelf.Whole(d.keys[part]) >= prompt.Parts[part].Tokens {
+		if s.book.Whole(record.Address, d.keys[part]) >= prompt.Parts[part].Tokens {
 			return true
 		}
 		return s.recent.at(d.keys[part], record.ID, now)
@@ -61,14 +61,14 @@
 		stores = append(stores, placement.Store{
 			Address: service.Store.Address, DataCentre: service.Store.DataCentre, LinkMbps: service.Store.LinkMbps,
 			FirstByte: service.Store.FirstByte, Capacity: service.Store.CapacityTokens,
-			Used: known.shelf.Tokens() + known.pendingTokens(now), Open: trusted && known.open,
+			Used: s.book.Shelf(service.Store.Address).Tokens() + known.pendingTokens(now), Open: trusted && known.open,
 			Queued: known.own + known.others, Slowness: known.pace.slowness(now),
 		})
 		addresses = append(addresses, service.Store.Address)
 	}
 	for _, u := range runners {
 		known := s.stores[u.record.Address]
-		if known == nil || known.shelf.Len() == 0 {
+		if known == nil || s.book.Shelf(u.record.Address).Len() == 0 {
 			continue
 		}
 		stores = append(stores, placement.Store{
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -53,9 +53,10 @@
 	// serving lists the upstreams that take work by service.
 	serving map[string][]*upstreamState
 	stores  map[string]*storeState
-	// shelvesAt is when the question for the latest answer was sent.
+	// book holds the shelves. It stood for a moment after shelvesAt, when it was
+	// last complete.
+	book      *holdings.Book
 	shelvesAt time.Time
-	position  steward.Position
 	term      uint64
 	// clock is the upstreams' clock at clockAt, 0 when unknown.
 	clock   int64
@@ -72,8 +73,7 @@
 
 // storeState is what this entry knows of a store, or of a runner's cache.
 type storeState struct {
-	shelf *holdings.Shelf
-	open  bool
+	open bool
 	// own and others are the tokens that prompts under way wait for, of this
 	// entry and of the others.
 	own, others int
@@ -93,6 +93,7 @@
 		members: make(map[string]*upstreamState),
 		serving: make(map[string][]*upstreamState),
 		stores:  make(map[string]*storeState),
+		book:    holdings.NewBook(false),
 		recent:  newRecentParts(),
 		budgets: newBudgets(),
 
@@ -105,8 +106,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	request := &steward.WatchRequest{
-		Entry: &view, Weights: s.weightsR, Roster: s.rosterR, Shelves: s.position, Term: s.term,
+		Entry: &view, Weights: s.weightsR, Roster: s.rosterR, Term: s.term,
 	}
+	question := s.book.Ask()
+	request.Shelves = &question
 	if s.index != nil {
 		request.Document = s.index.Version()
 	}
@@ -146,7 +149,7 @@
 	}
 	s.noteLoads(answer)
 	s.noteShelves(answer, sent)
-	s.entries = len(answer.Entries)
+	s.entries = answer.EntryCount
 	s.dispatch(time.Now())
 	return adopted
 }
@@ -210,45 +213,42 @@
 }
 
 func (s *state) noteShelves(answer *steward.WatchAnswer, sent time.Time) {
-	s.shelvesAt = sent
-	s.position = answer.Shelves
 	if answer.Clock > 0 {
 		s.clock, s.clockAt = answer.Clock, time.Now()
 	}
-	if answer.Reset {
-		for _, store := range s.stores {
-			store.shelf = holdings.NewShelf()
-		}
+	if answer.Shelves == nil {
+		return
+	}
+	for i := range answer.Shelves.Records {
+		record := &answer.Shelves.Records[i]
+		delete(s.store(record.Address).pending, record.Change.Key)
+	}
+	if !s.book.Take(answer.Shelves) {
+		return
 	}
+	s.shelvesAt = sent
 	for _, store := range s.stores {
 		store.open = false
 	}
 	for _, told := range answer.States {
 		s.store(told.Address).open = told.Open
 	}
-	for _, change := range answer.Changes {
-		store := s.store(change.Address)
-		if change.Cleared {
-			store.shelf = holdings.NewShelf()
-			continue
-		}
-		store.shelf.Apply(change.Change)
-		delete(store.pending, change.Change.Key)
-	}
 }
 
 func (s *state) store(address string) *storeState {
 	store := s.stores[address]
 	if store == nil {
-		store = &storeState{shelf: holdings.NewShelf(), pending: make(map[holdings.Key]pendingSave)}
+		store = &storeState{pending: make(map[holdings.Key]pendingSave)}
 		s.stores[address] = store
 	}
 	return store
 }
 
-// shelvesTrusted reports whether what is known of the stores may be used.
+// shelvesTrusted reports whether what is known of the stores may be used. It may
+// not while newer parts stand beside an older word on which stores are open: a
+// part may be half written in the next life of a store.
 func (s *state) shelvesTrusted(now time.Time) bool {
-	return now.Sub(s.shelvesAt) < steward.ShelfTrust
+	return !s.book.Mixed() && now.Sub(s.shelvesAt) < steward.ShelfTrust
 }
 
 // upstreamsClock is the earliest that the upstreams' clock can show.
--- /dev/null
+++ b/internal/steward/branch.go
@@ -0,0 +1,144 @@
+package steward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lovagereach/lovagereach/internal/port"
+)
+
+const (
+	// entriesAlone is up to how many entries the leader answers by itself. An
+	// answer takes the leader's host about 0.1 ms of its quarter of a core, and
+	// an entry asks up to 25 times a second.
+	entriesAlone = 16
+	// relayWait is the longest that a watch of another control host is kept
+	// open. It is shorter than the entries' own watches, so that passing loads
+	// on through one more host does not make them much older.
+	relayWait = 40 * time.Millisecond
+	// branchFresh is how old the leader's latest answer may be for this host to
+	// answer watches. Several answers may fail meanwhile; a watcher that finds a
+	// host cut off turns to another well within the time that it may rely on
+	// what it knew.
+	branchFresh = 500 * time.Millisecond
+)
+
+// branch is what a control host that does not lead knows from the leader's
+// answers. It answers the watches of entries with it, so that the leader's work
+// grows with the number of control hosts, not with that of entries.
+//
+// An answer tells how old what it says is at most, and entries count from there.
+type branch struct {
+	machine  *Machine
+	watchers *watchers
+	book     *sharedBook
+
+	mu sync.Mutex
+	// told is the leader's latest answer, which was asked for at asked and came
+	// at came.
+	told        WatchAnswer
+	asked, came time.Time
+	// states are which stores may be used, as of shelvesAsked, when the
+	// shelves were last complete.
+	states       []ShelfState
+	shelvesAsked time.Time
+	// lacked is what the leader's state held at least, where this host's was
+	// found behind.
+	lacked revisions
+}
+
+func newBranch(machine *Machine, book *sharedBook, log *log.Logger) *branch {
+	return &branch{machine: machine, book: book, watchers: newWatchers(log)}
+}
+
+// request returns what this host asks the leader for. While the leader answers
+// the entries by itself, or this host's own log is behind, it asks for the list
+// of entries only.
+func (b *branch) request(now time.Time) *WatchRequest {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	held := b.machine.held()
+	request := &WatchRequest{
+		Term: b.told.Term, Document: held.document, Weights: held.weights, Roster: held.roster,
+	}
+	if !b.told.Relaying || !held.cover(b.lacked) {
+		return request
+	}
+	request.Relay = true
+	request.Below = b.watchers.entries(now)
+	request.Loads = b.watchers.loads()
+	request.Shelves = b.book.ask()
+	return request
+}
+
+// take takes in an answer of the leader to a question that was sent at asked.
+func (b *branch) take(answer *WatchAnswer, asked, came time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if answer.Shelves != nil && b.book.take(answer.Shelves) {
+		b.states, b.shelvesAsked = answer.States, asked
+	}
+	b.lacked = answer.revisions()
+	b.told, b.asked, b.came = *answer, asked, came
+	b.told.Shelves, b.told.Document, b.told.Weights, b.told.Roster = nil, nil, nil, nil
+}
+
+// follow implements bulletin.
+func (b *branch) follow(from port.Peer, request *WatchRequest, now time.Time) {
+	b.watchers.follow(from, request, now)
+}
+
+// serves reports whether this host may answer a watch: it must have heard from
+// the leader lately, and know no less than the watcher.
+func (b *branch) serves(request *WatchRequest, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.told.Relaying && now.Sub(b.asked) <= branchFresh &&
+		request.Term <= b.told.Term && b.machine.held().cover(b.lacked)
+}
+
+// term implements bulletin.
+func (b *branch) term() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.told.Term
+}
+
+// fill implements bulletin.
+func (b *branch) fill(request *WatchRequest, answer *WatchAnswer) bool {
+	if request.Shelves == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found bool
+	answer.Shelves, found, _ = b.book.answer(request.Shelves, nil, b.asked)
+	answer.States = b.states
+	return found
+}
+
+// complete implements bulletin.
+func (b *branch) complete(from port.Peer, answer *WatchAnswer, now time.Time) {
+	b.mu.Lock()
+	told, came := b.told, b.came
+	answer.Age = now.Sub(b.shelvesAsked)
+	b.mu.Unlock()
+	answer.Term = told.Term
+	answer.Leader = told.Leader
+	answer.Relaying, answer.Relays = told.Relaying, told.Relays
+	answer.EntryCount = told.EntryCount
+	answer.Silent, answer.Loading = told.Silent, told.Loading
+	if told.Clock > 0 {
+		answer.Clock = told.Clock + now.Sub(came).Milliseconds()
+	}
+	answer.Loads = b.watchers.loadsBut(from.Host, told.Loads)
+}
+
+// entries is the leader's list of entries.
+func (b *branch) entries() []EntryView {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.told.Entries
+}
--- /dev/null
+++ b/internal/steward/branch_test.go
@@ -0,0 +1,91 @@
+package steward
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/holdings"
+	"github.com/lovagereach/lovagereach/internal/wire"
+)
+
+// relayingAnswer is a leader's answer with one part of one store.
+func relayingAnswer(term uint64) *WatchAnswer {
+	return &WatchAnswer{
+		Term: term, Leader: "c1", Relaying: true, EntryCount: 20,
+		States: []ShelfState{{Address: "store:1", Life: 1, Open: true}},
+		Shelves: &holdings.Update{At: holdings.Position{Term: term, Next: 2}, Records: []holdings.Record{
+			{Address: "store:1", Cleared: true, Life: 1},
+			{Address: "store:1", Change: holdings.Change{Key: holdings.Key{Part: "p"}, Tokens: 9}, Next: 1},
+		}},
+	}
+}
+
+// A caller is served by an old configuration, or from a store that has
+// restarted, if its entry takes the word of a host that knows less than itself
+// or has not heard from the leader for long.
+func TestBranchAnswersOnlyWhatItMay(t *testing.T) {
+	asked := time.Now()
+	document := func(version catalog.Version) []byte {
+		return wire.MustMarshal(command{Document: testDocument(version, "one")})
+	}
+	cases := []struct {
+		name    string
+		told    func(*WatchAnswer)
+		request WatchRequest
+		at      time.Duration
+		serves  bool
+	}{
+		{"fresh", func(*WatchAnswer) {}, WatchRequest{Term: 3}, branchFresh, true},
+		{"an entry of the term before", func(*WatchAnswer) {}, WatchRequest{Term: 2}, 0, true},
+		{"not heard from the leader", func(*WatchAnswer) {}, WatchRequest{Term: 3}, branchFresh + 1, false},
+		{"the entry knows a later leader", func(*WatchAnswer) {}, WatchRequest{Term: 4}, 0, false},
+		{"the leader answers by itself", func(a *WatchAnswer) { a.Relaying = false }, WatchRequest{Term: 3}, 0, false},
+		{"its own log is behind", func(a *WatchAnswer) { a.Document = testDocument(6, "two") }, WatchRequest{Term: 3}, 0, false},
+		{"its own log has caught up", func(a *WatchAnswer) { a.Document = testDocument(5, "one") }, WatchRequest{Term: 3}, 0, true},
+	}
+	for _, c := range cases {
+		machine := NewMachine()
+		machine.Apply(1, document(5))
+		b := newBranch(machine, newSharedBook(), log.New(io.Discard))
+		answer := relayingAnswer(3)
+		c.told(answer)
+		b.take(answer, asked, asked)
+		if got := b.serves(&c.request, asked.Add(c.at)); got != c.serves {
+			t.Errorf("%s: serves %v", c.name, got)
+		}
+	}
+}
+
+// An entry relies on what it was told of the stores for a time after the leader
+// was asked, not after the relay was: the word must not look younger on its way.
+func TestBranchTellsTheAgeOfItsWord(t *testing.T) {
+	asked := time.Now()
+	b := newBranch(NewMachine(), newSharedBook(), log.New(io.Discard))
+	first := relayingAnswer(3)
+	b.take(first, asked, asked.Add(10*time.Millisecond))
+	ask := func(at time.Duration) *WatchAnswer {
+		request := entryRequest("e1", true)
+		request.Shelves = &holdings.Question{Listed: true}
+		answer := &WatchAnswer{}
+		b.fill(request, answer)
+		b.complete(entryPeer("e1"), answer, asked.Add(at))
+		return answer
+	}
+	if a := ask(50 * time.Millisecond); a.Age != 50*time.Millisecond || a.Shelves.More || len(a.Shelves.Records) != 2 || !a.States[0].Open {
+		t.Fatalf("told %+v, shelves %+v", a, a.Shelves)
+	}
+	// A part of the next records has come, and with it no moment to stand for.
+	part := relayingAnswer(3)
+	part.States[0].Open = false
+	part.Shelves = &holdings.Update{At: holdings.Position{Term: 3, Next: 3}, More: true, Records: []holdings.Record{
+		{Address: "store:1", Change: holdings.Change{Key: holdings.Key{Part: "q"}, Tokens: 9}, Next: 2},
+	}}
+	b.take(part, asked.Add(60*time.Millisecond), asked.Add(70*time.Millisecond))
+	if a := ask(100 * time.Millisecond); !a.Shelves.More || len(a.Shelves.Records) != 0 {
+		t.Fatalf("an incomplete book is passed on: %+v", a.Shelves)
+	}
+}
--- a/internal/steward/entry.go
+++ b/internal/steward/entry.go
@@ -31,5 +31,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "steward: peers")
 	}
-	return NewFollower(FollowerOptions{Transport: transport, Seeds: o.Seeds, PeerPort: o.PeerPort, Self: o.Host, Log: o.Log}), nil
+	return NewFollower(FollowerOptions{
+		Transport: transport, Seeds: o.Seeds, PeerPort: o.PeerPort, Self: o.Host, DataCentre: o.DataCentre, Log: o.Log,
+	}), nil
 }
--- a/internal/steward/fleet_test.go
+++ b/internal/steward/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/adapter/disk"
 	"github.com/lovagereach/lovagereach/internal/adapter/disk/disktest"
+	"github.com/lovagereach/lovagereach/internal/port"
 )
 
 // fakeStores holds parts in memory.
@@ -102,6 +103,9 @@
 	err     error
 }
 
+// entryPeer is an entry as its peers see it.
+func entryPeer(host string) port.Peer { return port.Peer{Host: ident.Host(host), Role: roleEntry} }
+
 func hostName(i int) ident.Host { return ident.Host(fmt.Sprintf("127.0.0.%d", i)) }
 
 func newFleet(t *testing.T) *fleet {
--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -14,6 +15,7 @@
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/internal/wire"
+	"github.com/lovagereach/lovagereach/relay"
 )
 
 const (
@@ -21,6 +23,12 @@
 	watchTimeout = 600 * time.Millisecond
 	// followPause is the least time between two watches.
 	followPause = 20 * time.Millisecond
+	// silentFor is how long a host is not asked again that did not answer. A
+	// control host is back within about 1 s of its end.
+	silentFor = 2 * time.Second
+	// elsewhereFor is the same for a host that had nothing to pass on. After an
+	// election it has within 0.1 s.
+	elsewhereFor = 200 * time.Millisecond
 	// idlePause is how often a host that need not follow looks again.
 	idlePause = 100 * time.Millisecond
 )
@@ -31,25 +39,45 @@
 	// Seeds are the control hosts known at the start.
 	Seeds    []ident.Host
 	PeerPort int
-	// Self is left out of the hosts to ask.
-	Self ident.Host
-	Log  *log.Logger
+	// Self is left out of the hosts to ask, and DataCentre preferred.
+	Self       ident.Host
+	DataCentre ident.DataCentre
+	// LeaderOnly asks no host but the leader.
+	LeaderOnly bool
+	Log        *log.Logger
 }
 
-// Follower keeps watching the leader, whoever that is.
+// Follower keeps watching the leader, or a host that passes on what the leader
+// tells. It is not safe for concurrent use but for SetSeeds.
 type Follower struct {
 	options FollowerOptions
 	seeds   atomic.Pointer[[]ident.Host]
-	// members are the control hosts of the latest answer.
+	// members are the control hosts of the latest answer, and relays those that
+	// pass on what the leader tells, the best first.
 	members []ident.Host
+	relays  []ident.Host
 	leader  ident.Host
-	next    int
-	lost    bool
+	// avoided are hosts that failed lately. A leader is asked all the same, once
+	// another host names it again.
+	avoided map[ident.Host]failure
+	// asked is the host of the latest answer.
+	asked ident.Host
+	// term is the highest of all answers.
+	term uint64
+	next int
+	lost bool
+}
+
+// failure is why a host is not asked for a while.
+type failure struct {
+	until time.Time
+	// silent hosts did not answer; others told to ask elsewhere.
+	silent bool
 }
 
 // NewFollower returns a follower; Run starts it.
 func NewFollower(options FollowerOptions) *Follower {
-	f := &Follower{options: options}
+	f := &Follower{options: options, avoided: make(map[ident.Host]failure)}
 	f.SetSeeds(options.Seeds)
 	return f
 }
@@ -58,7 +86,7 @@
 func (f *Follower) SetSeeds(seeds []ident.Host) { f.seeds.Store(&seeds) }
 
 // Run watches until ctx ends. ask returns what to send, nil to pause; told
-// takes each answer and the time at which its question was sent. Both are
+// takes each answer and a time before which nothing in it changed. Both are
 // called from one goroutine.
 func (f *Follower) Run(ctx context.Context, ask func() *WatchRequest, told func(*WatchAnswer, time.Time)) {
 	for ctx.Err() == nil {
@@ -76,12 +104,13 @@
 
 // once makes one call and reports whether it was answered by a leader.
 func (f *Follower) once(ctx context.Context, request *WatchRequest, told func(*WatchAnswer, time.Time)) bool {
-	host := f.target()
+	host := f.target(time.Now())
 	if host == "" {
 		return false
 	}
 	bound, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
+	request.Direct = f.unreached()
 	sent := time.Now()
 	address := net.JoinHostPort(string(host), strconv.Itoa(f.options.PeerPort))
 	raw, err := f.options.Transport.Call(bound, address, methodWatch, wire.MustMarshal(request))
@@ -99,32 +128,90 @@
 			f.members = append(f.members, ident.Host(name))
 		}
 	}
-	if answer.NotLeader {
-		f.leader = ident.Host(answer.Leader)
-		if f.leader == host {
-			f.leader = ""
-		}
+	if answer.Elsewhere || answer.Term < f.term {
+		f.redirected(host, &answer)
 		return false
 	}
-	if f.lost || f.leader != host {
+	if f.lost || f.asked != host {
 		f.lost = false
-		f.options.Log.Info("leader followed", "leader", host, "term", answer.Term)
+		f.options.Log.Info("leader followed", "leader", answer.Leader, "through", host, "term", answer.Term)
 	}
-	f.leader = host
-	told(&answer, sent)
+	f.asked, f.term = host, answer.Term
+	f.leader = ident.Host(answer.Leader)
+	f.relays = f.order(answer.Relays)
+	told(&answer, sent.Add(-answer.Age))
 	return true
 }
 
+// unreached reports whether none of the hosts answers that pass on what the
+// leader tells. Hosts that answer, but have nothing yet, do not count: after an
+// election the leader would have to answer all entries.
+func (f *Follower) unreached() bool {
+	for _, host := range f.relays {
+		if !f.avoided[host].silent {
+			return false
+		}
+	}
+	return len(f.relays) > 0
+}
+
+// redirected turns to the host that an answer names. One that should have
+// passed on what the leader tells, but can't, is left alone for a while.
+func (f *Follower) redirected(host ident.Host, answer *WatchAnswer) {
+	if slices.Contains(f.relays, host) {
+		f.avoided[host] = failure{until: time.Now().Add(elsewhereFor)}
+	}
+	f.leader = ident.Host(answer.Leader)
+	if len(answer.Relays) > 0 {
+		f.relays = f.order(answer.Relays)
+	} else if f.leader == host {
+		f.leader = ""
+	}
+}
+
+// order sorts the hosts that pass on what the leader tells: those of this data
+// centre first, and each entry in an order of its own.
+func (f *Follower) order(views []RelayView) []ident.Host {
+	if f.options.LeaderOnly {
+		return nil
+	}
+	var near, far []string
+	for _, view := range views {
+		if view.DataCentre == string(f.options.DataCentre) {
+			near = append(near, view.Host)
+		} else {
+			far = append(far, view.Host)
+		}
+	}
+	var hosts []ident.Host
+	for _, name := range append(relay.Order(f.options.Self, near), relay.Order(f.options.Self, far)...) {
+		hosts = append(hosts, ident.Host(name))
+	}
+	return hosts
+}
+
 func (f *Follower) failed(host ident.Host, err error) {
 	if !f.lost {
 		f.lost = true
 		f.options.Log.Warn("leader lost", "host", host, "cause", err)
 	}
-	f.leader = ""
+	f.avoided[host] = failure{until: time.Now().Add(silentFor), silent: true}
+	if f.leader == host {
+		f.leader = ""
+	}
 }
 
-// target is the leader, or the next of the known control hosts.
-func (f *Follower) target() ident.Host {
+// target is the host to ask: one that passes on what the leader tells, else the
+// leader, else the next of the known control hosts.
+func (f *Follower) target(now time.Time) ident.Host {
+	maps.DeleteFunc(f.avoided, func(_ ident.Host, why failure) bool { return !now.Before(why.until) })
+	usable := func(host ident.Host) bool {
+		_, avoided := f.avoided[host]
+		return host != f.options.Self && !avoided
+	}
+	if i := slices.IndexFunc(f.relays, usable); i >= 0 {
+		return f.relays[i]
+	}
 	if f.leader != "" && f.leader != f.options.Self {
 		return f.leader
 	}
@@ -135,6 +222,9 @@
 		}
 	}
 	hosts = slices.DeleteFunc(hosts, func(host ident.Host) bool { return host == f.options.Self })
+	if slices.ContainsFunc(hosts, usable) {
+		hosts = slices.DeleteFunc(hosts, func(host ident.Host) bool { return !usable(host) })
+	}
 	if len(hosts) == 0 {
 		return ""
 	}
--- /dev/null
+++ b/internal/steward/follower_test.go
@@ -0,0 +1,101 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/port"
+	"github.com/lovagereach/lovagereach/internal/wire"
+)
+
+// scriptedHosts answer watches by a table; a host without an answer is silent.
+type scriptedHosts struct {
+	answers map[string]*WatchAnswer
+	asked   string
+	request WatchRequest
+}
+
+func (s *scriptedHosts) Call(_ context.Context, address string, _ port.Method, body []byte) ([]byte, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	s.asked, s.request = host, WatchRequest{}
+	if err := wire.Unmarshal(body, &s.request); err != nil {
+		return nil, err
+	}
+	answer := s.answers[host]
+	if answer == nil {
+		return nil, errors.New("silent")
+	}
+	return wire.MustMarshal(answer), nil
+}
+
+func (s *scriptedHosts) Send(string, port.Method, []byte) bool { return false }
+
+func testFollower(hosts *scriptedHosts) *Follower {
+	return NewFollower(FollowerOptions{
+		Transport: hosts, Seeds: []ident.Host{"c1"}, PeerPort: 1, Self: "e1", DataCentre: "north", Log: log.New(io.Discard),
+	})
+}
+
+func twoRelays() []RelayView {
+	return []RelayView{{Host: "c2", DataCentre: "south"}, {Host: "c3", DataCentre: "north"}}
+}
+
+// Requests go by an old configuration while an entry hears nothing. It must find
+// another host at once when the one that it asked is lost or has nothing to
+// tell, and must not fall upon the leader together with all others.
+func TestFollowerTurnsToAnotherHost(t *testing.T) {
+	ok := func(term uint64) *WatchAnswer { return &WatchAnswer{Term: term, Leader: "c1", Relays: twoRelays()} }
+	hosts := &scriptedHosts{answers: map[string]*WatchAnswer{"c1": ok(1), "c2": ok(1), "c3": ok(1)}}
+	f := testFollower(hosts)
+	told := 0
+	step := func(want string, direct, answered bool) {
+		t.Helper()
+		before := told
+		f.once(context.Background(), &WatchRequest{Entry: &EntryView{Host: "e1"}}, func(*WatchAnswer, time.Time) { told++ })
+		if hosts.asked != want || hosts.request.Direct != direct || (told > before) != answered {
+			t.Fatalf("asked %s (direct %v, answered %v), want %s (direct %v, answered %v)",
+				hosts.asked, hosts.request.Direct, told > before, want, direct, answered)
+		}
+	}
+	step("c1", false, true) // the seed, which names the relays
+	step("c3", false, true) // the relay of its own data centre
+	hosts.answers["c3"] = nil
+	step("c3", false, false)
+	step("c2", false, true) // the other relay
+	hosts.answers["c2"] = &WatchAnswer{Elsewhere: true, Leader: "c1"}
+	step("c2", false, false)
+	step("c1", false, true) // one relay answers: the leader is asked, but need not serve
+	hosts.answers["c2"] = nil
+	f.avoided["c2"] = failure{}
+	step("c2", false, false)
+	step("c1", true, true) // no relay answers: the leader must serve
+}
+
+// A host that was cut off wakes with an old belief. What it tells must not take
+// the place of what a later leader told.
+func TestFollowerKeepsToTheLatestTerm(t *testing.T) {
+	hosts := &scriptedHosts{answers: map[string]*WatchAnswer{"c1": {Term: 7, Leader: "c1"}}}
+	f := testFollower(hosts)
+	var terms []uint64
+	watch := func() {
+		f.once(context.Background(), &WatchRequest{}, func(a *WatchAnswer, _ time.Time) { terms = append(terms, a.Term) })
+	}
+	watch()
+	hosts.answers["c1"] = &WatchAnswer{Term: 6, Leader: "c1"}
+	watch()
+	hosts.answers["c1"] = &WatchAnswer{Term: 8, Leader: "c1"}
+	watch()
+	if len(terms) != 2 || terms[0] != 7 || terms[1] != 8 {
+		t.Fatalf("took the terms %v", terms)
+	}
+}
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/roster"
 )
@@ -23,9 +23,6 @@
 	// forgetAfter is when a silent upstream is given up for good. One behind a
 	// cut comes back sooner; a crashed one says nothing any more.
 	forgetAfter = 60 * time.Second
-	// entryKept is how long an entry stays in the list after its last watch.
-	// Watches follow one another within watchWait.
-	entryKept = 1200 * time.Millisecond
 	// housekeeping is how often silent upstreams are looked for.
 	housekeeping = 500 * time.Millisecond
 )
@@ -33,25 +30,20 @@
 // leadership is what a host knows only while it leads.
 type leadership struct {
 	steward *Steward
-	term    uint64
-	since   time.Time
-	shelves *shelves
-	loader  *loader
-
-	mu      sync.Mutex
-	beats   map[string]time.Time
-	entries map[string]*followedEntry
+	// elected is the term in which this host leads.
+	elected  uint64
+	since    time.Time
+	watchers *watchers
+	shelves  *shelves
+	loader   *loader
+
+	mu    sync.Mutex
+	beats map[string]time.Time
 	// small is since when the group has been below its size, zero when it is
 	// not.
 	small time.Time
 }
 
-type followedEntry struct {
-	view  EntryView
-	seen  time.Time
-	loads []Load
-}
-
 // followLeadership runs the leader's part whenever this host leads.
 func (s *Steward) followLeadership(ctx context.Context) {
 	for wait.For(ctx, leaderPoll) {
@@ -90,6 +82,7 @@
 		}
 	}
 	s.leading.Store(nil)
+	s.book.stepDown()
 	cancel()
 	if err := tasks.Wait(); err != nil {
 		s.options.Log.Error("leader's tasks", "err", err)
@@ -99,15 +92,15 @@
 
 func newLeadership(s *Steward, term uint64, now time.Time) *leadership {
 	l := &leadership{
-		steward: s, term: term, since: now,
-		beats: make(map[string]time.Time), entries: make(map[string]*followedEntry),
+		steward: s, elected: term, since: now, watchers: newWatchers(s.options.Log), beats: make(map[string]time.Time),
 	}
 	l.shelves = newShelves(l)
 	l.loader = newLoader(l)
+	s.book.lead(term)
 	// The entries will call within one watch; until then the list of the
 	// leader before keeps callers supplied with addresses.
 	for _, view := range s.entryList() {
-		l.entries[view.Host] = &followedEntry{view: view, seen: now}
+		l.watchers.expect(view, now)
 	}
 	return l
 }
@@ -191,65 +184,46 @@
 	}
 }
 
-// follow takes in what a watch says of its caller.
-func (l *leadership) follow(request *WatchRequest, now time.Time) {
-	if request.Entry == nil {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	known := l.entries[request.Entry.Host]
-	if known == nil || known.view != *request.Entry {
-		l.steward.options.Log.Info("entry", "host", request.Entry.Host, "ready", request.Entry.Ready)
-	}
-	l.entries[request.Entry.Host] = &followedEntry{view: *request.Entry, seen: now, loads: request.Loads}
+// follow implements bulletin.
+func (l *leadership) follow(from port.Peer, request *WatchRequest, now time.Time) {
+	l.watchers.follow(from, request, now)
 }
 
-// entryCount returns the number of entries that are followed.
-func (l *leadership) entryCount() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.entries)
+// fill implements bulletin.
+func (l *leadership) fill(request *WatchRequest, answer *WatchAnswer) bool {
+	return l.shelves.fill(request, answer)
 }
 
-// list returns the entries heard of lately, by name.
-func (l *leadership) list(now time.Time) []EntryView {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var views []EntryView
-	for host, entry := range l.entries {
-		if now.Sub(entry.seen) > entryKept {
-			l.steward.options.Log.Info("entry lost", "host", host, "silent", now.Sub(entry.seen))
-			delete(l.entries, host)
-			continue
-		}
-		views = append(views, entry.view)
-	}
-	slices.SortFunc(views, func(a, b EntryView) int { return strings.Compare(a.Host, b.Host) })
-	return views
+// serves reports whether the leader answers a watch by itself: not an entry's,
+// where there are others to ask. After an election all entries come to the new
+// leader at once, each without anything of its term; answers to all of them
+// would take it seconds.
+func (l *leadership) serves(request *WatchRequest, now time.Time) bool {
+	return request.Entry == nil || request.Direct || len(l.relays(now)) == 0
 }
 
-// loadsBut adds up the loads of all entries but one.
-func (l *leadership) loadsBut(host string) []Load {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	sums := make(map[string]Load)
-	for name, entry := range l.entries {
-		if name == host {
-			continue
-		}
-		for _, load := range entry.loads {
-			sum := sums[load.Upstream]
-			sum.Upstream = load.Upstream
-			sum.Requests += load.Requests
-			sum.Tokens += load.Tokens
-			sum.Unread += load.Unread
-			sums[load.Upstream] = sum
-		}
-	}
-	list := make([]Load, 0, len(sums))
-	for _, sum := range sums {
-		list = append(list, sum)
+// relays lists the hosts that entries are to ask instead of the leader, none
+// while there are few entries.
+func (l *leadership) relays(now time.Time) []RelayView {
+	if l.watchers.count() <= entriesAlone {
+		return nil
 	}
-	return list
+	return l.watchers.relays(now)
+}
+
+// term implements bulletin.
+func (l *leadership) term() uint64 { return l.elected }
+
+// complete implements bulletin.
+func (l *leadership) complete(from port.Peer, answer *WatchAnswer, now time.Time) {
+	answer.Term = l.elected
+	answer.Leader = string(l.steward.options.Self)
+	answer.Entries = l.watchers.entries(now)
+	answer.EntryCount = len(answer.Entries)
+	answer.Relaying = answer.EntryCount > entriesAlone
+	answer.Relays = l.relays(now)
+	answer.Silent = l.silent(l.steward.machine.live(), now)
+	answer.Loading = l.loader.loading()
+	answer.Clock = l.shelves.clock(now)
+	answer.Loads = l.watchers.loadsBut(from.Host, nil)
 }
--- a/internal/steward/loads.go
+++ b/internal/steward/loads.go
@@ -303,7 +303,7 @@
 	s := o.leadership.steward
 	// A host that stood still may have been replaced meanwhile.
 	detail, err := s.manager.Detail(group)
-	if err != nil || detail.Role != quorum.RoleLeader || detail.Term != o.leadership.term || !detail.Leased {
+	if err != nil || detail.Role != quorum.RoleLeader || detail.Term != o.leadership.elected || !detail.Leased {
 		s.options.Log.Info("order held back", "upstream", u.ID, "cause", "leadership not certain")
 		return OrderRefused
 	}
@@ -311,10 +311,10 @@
 	defer cancel()
 	result, err := s.options.Runners.Order(ctx, LoadOrder{
 		Upstream: u.ID, Address: u.Address, Model: model, Version: version,
-		Holder: string(s.options.Self), Fence: o.leadership.term, Accepted: accepted,
+		Holder: string(s.options.Self), Fence: o.leadership.elected, Accepted: accepted,
 	})
 	s.options.Log.Info("order", "upstream", u.ID, "model", model, "version", version,
-		"fence", o.leadership.term, "result", result, "err", err)
+		"fence", o.leadership.elected, "result", result, "err", err)
 	if result == OrderMisdirected {
 		// Another upstream has the address: this one has ended.
 		u.State = roster.Gone
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -214,23 +214,36 @@
 		answer.Document = m.document
 		found = true
 	}
-	if m.weightsRevision != request.Weights {
+	if m.weightsRevision > request.Weights {
 		answer.Weights = &WeightsView{Revision: m.weightsRevision, Newest: m.namedWeights()}
 		found = true
 	}
-	if m.roster.Revision() != request.Roster {
+	if m.roster.Revision() > request.Roster {
 		answer.Roster = &RosterView{Revision: m.roster.Revision(), Upstreams: m.roster.Live()}
 		found = true
 	}
 	return found
 }
 
-// held returns the versions and revisions of the state.
-func (m *Machine) held() (document catalog.Version, weights, rosterRevision uint64) {
+// revisions tell how far a state has come.
+type revisions struct {
+	document catalog.Version
+	weights  uint64
+	roster   uint64
+}
+
+// cover reports whether nothing of other is missing.
+func (r revisions) cover(other revisions) bool {
+	return r.document >= other.document && r.weights >= other.weights && r.roster >= other.roster
+}
+
+// held returns how far the state has come.
+func (m *Machine) held() revisions {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	held := revisions{weights: m.weightsRevision, roster: m.roster.Revision()}
 	if m.document != nil {
-		document = m.document.Version
+		held.document = m.document.Version
 	}
-	return document, m.weightsRevision, m.roster.Revision()
+	return held
 }
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -1,6 +1,8 @@
 package steward
 
 import (
+	"time"
+
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/holdings"
 	"github.com/lovagereach/lovagereach/internal/port"
@@ -45,17 +47,24 @@
 	Document catalog.Version `cbor:"2,keyasint"`
 	Weights  uint64          `cbor:"3,keyasint"`
 	Roster   uint64          `cbor:"4,keyasint"`
-	// Shelves is how far the caller has followed the journal of the shelves.
-	Shelves Position `cbor:"5,keyasint"`
-	Loads   []Load   `cbor:"6,keyasint,omitempty"`
+	// Shelves asks for what the caller lacks of the shelves, nil for nothing.
+	Shelves *holdings.Question `cbor:"5,keyasint,omitempty"`
+	Loads   []Load             `cbor:"6,keyasint,omitempty"`
 	// Term is that of the answer before, zero for the first call.
 	Term uint64 `cbor:"7,keyasint"`
+	// Relay tells that the caller is a control host that answers watches itself,
+	// Below are the entries that ask it, and Loads their sum.
+	Relay bool        `cbor:"8,keyasint,omitempty"`
+	Below []EntryView `cbor:"9,keyasint,omitempty"`
+	// Direct tells that the caller, an entry, reaches none of the hosts that it
+	// was told to ask instead of the leader.
+	Direct bool `cbor:"10,keyasint,omitempty"`
 }
 
-// Position is a place in the journal of shelf changes of one leader.
-type Position struct {
-	Term uint64 `cbor:"1,keyasint"`
-	Next uint64 `cbor:"2,keyasint"`
+// RelayView is a control host that answers the watches of entries.
+type RelayView struct {
+	Host       string `cbor:"1,keyasint"`
+	DataCentre string `cbor:"2,keyasint"`
 }
 
 // WeightsView is the newest weight version of each model.
@@ -77,20 +86,13 @@
 	Open    bool   `cbor:"3,keyasint"`
 }
 
-// ShelfChange is a part that became whole in a store or runner, or ceased to
-// be.
-type ShelfChange struct {
-	Address string `cbor:"1,keyasint"`
-	// Cleared tells that all earlier changes of the store are void.
-	Cleared bool            `cbor:"2,keyasint,omitempty"`
-	Change  holdings.Change `cbor:"3,keyasint,omitempty"`
-}
-
 // WatchAnswer is what the caller lacked.
 type WatchAnswer struct {
-	// Leader is where to ask instead; the rest is empty then.
-	NotLeader bool   `cbor:"1,keyasint,omitempty"`
-	Leader    string `cbor:"2,keyasint,omitempty"`
+	// Elsewhere tells to ask another host: one of Relays or, if there are none,
+	// Leader. The rest is empty then, but for Members.
+	Elsewhere bool `cbor:"1,keyasint,omitempty"`
+	// Leader is the host that leads, empty if none is known.
+	Leader string `cbor:"2,keyasint,omitempty"`
 	// Members are the control hosts of the group.
 	Members  []string          `cbor:"3,keyasint,omitempty"`
 	Term     uint64            `cbor:"4,keyasint"`
@@ -101,19 +103,41 @@
 	Silent []string `cbor:"8,keyasint,omitempty"`
 	// Loading are the runners that are being ordered to load weights.
 	Loading []string `cbor:"16,keyasint,omitempty"`
-	// Shelves is the position after Changes. Reset tells that Changes begin
-	// from empty shelves.
-	Shelves Position      `cbor:"9,keyasint"`
-	Reset   bool          `cbor:"10,keyasint,omitempty"`
-	States  []ShelfState  `cbor:"11,keyasint,omitempty"`
-	Changes []ShelfChange `cbor:"12,keyasint,omitempty"`
+	// Shelves is what the caller lacked of the shelves, and States which stores
+	// may be used once the shelves are complete.
+	Shelves *holdings.Update `cbor:"9,keyasint,omitempty"`
+	States  []ShelfState     `cbor:"11,keyasint,omitempty"`
 	// Clock is the upstreams' clock in milliseconds, at the earliest; zero
 	// while unknown.
 	Clock int64 `cbor:"13,keyasint,omitempty"`
 	// Loads are the other entries' work under way.
 	Loads []Load `cbor:"14,keyasint,omitempty"`
-	// Entries lists the entries.
-	Entries []EntryView `cbor:"15,keyasint,omitempty"`
+	// Entries lists the entries, for control hosts; entries get their number.
+	Entries    []EntryView `cbor:"15,keyasint,omitempty"`
+	EntryCount int         `cbor:"17,keyasint"`
+	// Relaying tells that there are more entries than the leader answers by
+	// itself, and Relays the hosts that entries are to ask instead.
+	Relaying bool        `cbor:"18,keyasint,omitempty"`
+	Relays   []RelayView `cbor:"19,keyasint,omitempty"`
+	// Age is how old the word on the shelves is, in nanoseconds: zero from the
+	// leader, and from another host the time since it asked the leader.
+	Age time.Duration `cbor:"20,keyasint,omitempty"`
+}
+
+// revisions returns how far the parts of the answer have come that the caller
+// lacked; zero for the others.
+func (a *WatchAnswer) revisions() revisions {
+	var r revisions
+	if a.Document != nil {
+		r.document = a.Document.Version
+	}
+	if a.Weights != nil {
+		r.weights = a.Weights.Revision
+	}
+	if a.Roster != nil {
+		r.roster = a.Roster.Revision
+	}
+	return r
 }
 
 // submission carries an operator's or upstream's message to the leader.
--- /dev/null
+++ b/internal/steward/sharedbook.go
@@ -0,0 +1,212 @@
+package steward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lovagereach/lovagereach/holdings"
+)
+
+// sharedBook is this host's book of shelves: written from the sources while it
+// leads, and from the leader's answers otherwise. A host that comes to lead goes
+// on from what it holds, so that an election makes nobody read listings again.
+type sharedBook struct {
+	mu   sync.Mutex
+	book *holdings.Book
+	// leads tells that this host writes the book from the sources. An answer of
+	// a leader before, or of a source to a leadership that ended, comes too late.
+	leads bool
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+func newSharedBook() *sharedBook {
+	return &sharedBook{book: holdings.NewBook(true), changed: make(chan struct{})}
+}
+
+// notify wakes those who wait for a change. The caller holds the lock.
+func (b *sharedBook) notify() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// news returns a channel that is closed at the next change.
+func (b *sharedBook) news() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+func (b *sharedBook) ask() *holdings.Question {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	question := b.book.Ask()
+	return &question
+}
+
+// take takes in the leader's answer and reports whether the book is complete.
+func (b *sharedBook) take(update *holdings.Update) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.leads {
+		return false
+	}
+	complete := b.book.Take(update)
+	if len(update.Records) > 0 || !complete {
+		b.notify()
+	}
+	return complete
+}
+
+// answer returns what a watcher lacks, whether that is anything, and which of
+// the stores may be used at the moment that the answer stands for.
+func (b *sharedBook) answer(question *holdings.Question, stores []string, now time.Time) (*holdings.Update, bool, []ShelfState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	update := b.book.Answer(question)
+	return &update, len(update.Records) > 0 || update.Unknown, b.states(stores, now)
+}
+
+// lead begins the term of this host. What it held of the stores is not known to
+// hold until each has been asked.
+func (b *sharedBook) lead(term uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leads = true
+	b.book.Lead(term)
+	for _, address := range b.book.Addresses() {
+		b.book.Shelf(address).Close()
+	}
+	b.notify()
+}
+
+// stepDown ends the term of this host.
+func (b *sharedBook) stepDown() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leads = false
+}
+
+// states tells which of the stores may be used. The caller holds the lock.
+func (b *sharedBook) states(stores []string, now time.Time) []ShelfState {
+	states := make([]ShelfState, 0, len(stores))
+	for _, address := range stores {
+		shelf := b.book.Shelf(address)
+		states = append(states, ShelfState{Address: address, Life: shelf.Life(), Open: shelf.Open(now)})
+	}
+	return states
+}
+
+// place is how far a source's events are followed, and in which life; life 0 if
+// they are not.
+func (b *sharedBook) place(address string) (next, life uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next, known := b.book.Next(address)
+	if !known {
+		return 0, 0
+	}
+	return next, b.book.Shelf(address).Life()
+}
+
+// add takes in the latest events of a source.
+func (b *sharedBook) add(address string, events StoreEvents) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.leads {
+		return
+	}
+	b.write(address, events.Changes, events.Next, nil)
+}
+
+// replace takes in a listing of a source. In the same life only the differences
+// are told on.
+func (b *sharedBook) replace(address string, listing StoreEvents) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.leads {
+		return
+	}
+	shelf := b.book.Shelf(address)
+	if listing.Life == 0 || listing.Life != shelf.Life() {
+		b.write(address, listing.Changes, listing.Next, []holdings.Record{{Address: address, Cleared: true, Life: listing.Life}})
+		return
+	}
+	listed := make(map[holdings.Key]bool, len(listing.Changes))
+	var differences []holdings.Change
+	for _, change := range listing.Changes {
+		listed[change.Key] = true
+		if shelf.Whole(change.Key) != change.Tokens {
+			differences = append(differences, change)
+		}
+	}
+	for _, held := range shelf.All() {
+		if !listed[held.Key] {
+			differences = append(differences, holdings.Change{Key: held.Key})
+		}
+	}
+	b.write(address, differences, listing.Next, nil)
+}
+
+// write adds changes to records and writes them all, up to next. The end of a
+// part that is not held is left out. The caller holds the lock.
+func (b *sharedBook) write(address string, changes []holdings.Change, next uint64, records []holdings.Record) {
+	shelf := b.book.Shelf(address)
+	told := make(map[holdings.Key]bool)
+	for _, change := range changes {
+		if change.Tokens == 0 && shelf.Whole(change.Key) == 0 && !told[change.Key] {
+			continue
+		}
+		told[change.Key] = true
+		records = append(records, holdings.Record{Address: address, Change: change})
+	}
+	if len(records) == 0 {
+		b.book.Advance(address, next)
+		return
+	}
+	records[len(records)-1].Next = next
+	b.book.Write(records...)
+	b.notify()
+}
+
+// closed reports whether a store is closed because it could not be asked.
+func (b *sharedBook) closed(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.book.Shelf(address).Closed()
+}
+
+// close closes a store's shelf and reports whether it was not closed before.
+func (b *sharedBook) close(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	shelf := b.book.Shelf(address)
+	if !b.leads || shelf.Closed() {
+		return false
+	}
+	shelf.Close()
+	b.notify()
+	return true
+}
+
+// reopen opens a store's shelf, pause from now.
+func (b *sharedBook) reopen(address string, now time.Time, pause time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.leads {
+		b.book.Shelf(address).Reopen(now, pause)
+		b.notify()
+	}
+}
+
+// keepOnly drops the sources that are not wanted.
+func (b *sharedBook) keepOnly(wanted func(address string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, address := range b.book.Addresses() {
+		if b.leads && !wanted(address) {
+			b.book.Forget(address)
+			b.notify()
+		}
+	}
+}
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -38,9 +39,6 @@
 	// the changes: some 1,700 of 1,900 a second at 340 prompts a second, worked
 	// out from two to three changed parts a prompt.
 	runnerLeast = 1000
-	// journalLength bounds the changes kept for watchers that lag. At 400
-	// changes a second it covers 20 s.
-	journalLength = 8192
 )
 
 // ShelfTrust is how long after asking an entry may rely on what it was told of
@@ -50,31 +48,25 @@
 // FetchPermit is how long after a send a runner may read from a store.
 const FetchPermit = 2500 * time.Millisecond
 
-// shelves follows all stores for the leader.
+// shelves follows all stores, and in a small fleet the runners' caches, for the
+// leader.
 type shelves struct {
 	leadership *leadership
+	book       *sharedBook
 
 	mu sync.Mutex
-	// byStore are the stores in use by address.
-	byStore map[string]*followedStore
-	// byRunner are the runners whose caches are followed, by address.
-	byRunner map[string]*followedStore
-	// journal holds the changes from position base on.
-	journal []ShelfChange
-	base    uint64
-	changed chan struct{}
+	// byStore and byRunner end the following of one address each.
+	byStore, byRunner map[string]context.CancelFunc
 	// clockTold is the upstreams' clock in milliseconds as told at clockAt.
 	clockTold int64
 	clockAt   time.Time
 }
 
-type followedStore struct {
-	shelf  *holdings.Shelf
-	cancel context.CancelFunc
-}
-
 func newShelves(l *leadership) *shelves {
-	return &shelves{leadership: l, byStore: make(map[string]*followedStore), byRunner: make(map[string]*followedStore), changed: make(chan struct{})}
+	return &shelves{
+		leadership: l, book: l.steward.book,
+		byStore: make(map[string]context.CancelFunc), byRunner: make(map[string]context.CancelFunc),
+	}
 }
 
 // run follows the stores of the present configuration.
@@ -83,7 +75,6 @@
 		news := k.leadership.steward.machine.news()
 		d := k.leadership.steward.machine.Document()
 		k.adopt(ctx, d)
-		k.adoptRunners(ctx, d)
 		select {
 		case <-news:
 		case <-time.After(adoptEvery):
@@ -93,132 +84,159 @@
 	}
 }
 
+// adopt follows what the configuration and the roster name, and drops the rest.
 func (k *shelves) adopt(ctx context.Context, d *catalog.Document) {
-	wanted := make(map[string]bool)
-	if d != nil {
-		for i := range d.Services {
-			if store := d.Services[i].Store; store != nil {
-				wanted[store.Address] = true
-			}
-		}
+	if d == nil {
+		return
 	}
-	k.follow(ctx, k.byStore, wanted, k.followStore)
+	stores, runners := k.wanted(d)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.follow(ctx, k.byStore, stores, k.followStore)
+	k.follow(ctx, k.byRunner, runners, k.followRunner)
+	k.book.keepOnly(func(address string) bool { return stores[address] || runners[address] })
 }
 
-// adoptRunners follows the caches of the model runners.
-func (k *shelves) adoptRunners(ctx context.Context, d *catalog.Document) {
+// wanted lists the addresses of the stores, and of the model runners whose
+// caches are worth following.
+func (k *shelves) wanted(d *catalog.Document) (stores, runners map[string]bool) {
+	stores, runners = make(map[string]bool), make(map[string]bool)
 	engines := make(map[string]bool)
-	if d != nil {
-		for i := range d.Services {
-			engines[d.Services[i].Name] = d.Services[i].Engine != nil
+	for i := range d.Services {
+		engines[d.Services[i].Name] = d.Services[i].Engine != nil
+		if store := d.Services[i].Store; store != nil {
+			stores[store.Address] = true
 		}
 	}
-	wanted := make(map[string]bool)
-	follows := k.leadership.entryCount() <= cacheWatchers
+	if k.leadership.watchers.count() > cacheWatchers {
+		return stores, runners
+	}
 	for _, u := range k.leadership.steward.machine.live() {
-		if follows && engines[u.Service] {
-			wanted[u.Address] = true
+		if engines[u.Service] {
+			runners[u.Address] = true
 		}
 	}
-	k.follow(ctx, k.byRunner, wanted, k.followRunner)
+	return stores, runners
 }
 
-// follow starts and ends what follows one address each.
-func (k *shelves) follow(ctx context.Context, followed map[string]*followedStore, wanted map[string]bool, run func(context.Context, string, *followedStore)) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for address, store := range followed {
+// follow starts and ends what follows one address each. The caller holds the
+// lock.
+func (k *shelves) follow(ctx context.Context, followed map[string]context.CancelFunc, wanted map[string]bool, run func(context.Context, string)) {
+	for address, cancel := range followed {
 		if !wanted[address] {
-			store.cancel()
+			cancel()
 			delete(followed, address)
-			k.record(ShelfChange{Address: address, Cleared: true})
 		}
 	}
 	for address := range wanted {
-		if followed[address] != nil {
-			continue
+		if followed[address] == nil {
+			ctx, cancel := context.WithCancel(ctx)
+			followed[address] = cancel
+			go run(ctx, address)
 		}
-		ctx, cancel := context.WithCancel(ctx)
-		store := &followedStore{shelf: holdings.NewShelf(), cancel: cancel}
-		followed[address] = store
-		go run(ctx, address, store)
 	}
 }
 
 // followRunner keeps track of the large parts that a runner has cached, until
 // ctx ends. Nothing depends on it but the choice of the runner: a part that is
 // gone meanwhile is read again.
-func (k *shelves) followRunner(ctx context.Context, address string, runner *followedStore) {
-	var next, life uint64
+func (k *shelves) followRunner(ctx context.Context, address string) {
 	for wait.For(ctx, runnerPause) {
+		next, life := k.book.place(address)
 		events, err := k.ask(ctx, func(ctx context.Context) (StoreEvents, error) {
 			return k.stores().Events(ctx, address, next, storeWait)
 		})
-		if err != nil {
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
 			wait.For(ctx, storeRetry)
 			continue
 		}
-		k.applyRunner(address, runner, events, events.Lost || events.Life != life)
-		next, life = events.Next, events.Life
+		k.noteClock(events.Clock)
+		events.Changes = large(events.Changes)
+		if events.Lost || events.Life != life {
+			k.book.replace(address, events)
+			continue
+		}
+		k.book.add(address, events)
 	}
 }
 
-func (k *shelves) applyRunner(address string, runner *followedStore, events StoreEvents, anew bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.noteClock(events.Clock)
-	if anew {
-		runner.shelf = holdings.NewShelf()
-		k.record(ShelfChange{Address: address, Cleared: true})
-	}
-	for _, change := range events.Changes {
+// large leaves out the parts that are read sooner than they are looked up. What
+// became of them is told as their end, in case they were larger before.
+func large(changes []holdings.Change) []holdings.Change {
+	kept := changes[:0]
+	for _, change := range changes {
 		if change.Tokens < runnerLeast {
-			if runner.shelf.Whole(change.Key) == 0 {
-				continue
-			}
 			change.Tokens = 0
 		}
-		runner.shelf.Apply(change)
-		k.record(ShelfChange{Address: address, Change: change})
+		kept = append(kept, change)
 	}
+	return kept
 }
 
-// followStore keeps one shelf up to date until ctx ends.
-func (k *shelves) followStore(ctx context.Context, address string, store *followedStore) {
-	listed := false
-	var next uint64
+// followStore keeps one shelf up to date until ctx ends. A store that could not
+// be asked for a while is asked for what was missed, and listed only if it
+// knows that no more: a listing is large, and each entry may be told all of it.
+func (k *shelves) followStore(ctx context.Context, address string) {
 	for ctx.Err() == nil {
-		var events StoreEvents
-		var err error
-		if listed {
-			events, err = k.ask(ctx, func(ctx context.Context) (StoreEvents, error) {
-				return k.stores().Events(ctx, address, next, storeWait)
-			})
-		} else {
-			events, err = k.ask(ctx, func(ctx context.Context) (StoreEvents, error) {
-				return k.stores().List(ctx, address)
-			})
-		}
-		switch {
-		case err != nil:
-			k.lose(address, store, err)
-			listed = false
+		if err := k.catchUp(ctx, address); err != nil && ctx.Err() == nil {
+			k.lose(address, err)
 			wait.For(ctx, storeRetry)
-			continue
-		case listed && (events.Lost || events.Life != store.shelf.Life()):
-			// What was missed may be the end of a part; only a listing tells.
-			listed = false
-			continue
-		case listed:
-			k.apply(address, store, events)
-		default:
-			k.begin(ctx, address, store, events)
-			listed = true
 		}
-		next = events.Next
 	}
 }
 
+// catchUp asks a store once for its latest events, or lists it.
+func (k *shelves) catchUp(ctx context.Context, address string) error {
+	next, life := k.book.place(address)
+	if life != 0 {
+		events, err := k.ask(ctx, func(ctx context.Context) (StoreEvents, error) {
+			return k.stores().Events(ctx, address, next, k.patience(address))
+		})
+		if err != nil {
+			return err
+		}
+		if events.Life != life {
+			k.lose(address, errAnotherLife)
+		}
+		// What was missed may be the end of a part; only a listing tells.
+		if !events.Lost && events.Life == life {
+			k.noteClock(events.Clock)
+			k.book.add(address, events)
+			k.reopen(ctx, address, life)
+			return nil
+		}
+	}
+	listing, err := k.ask(ctx, func(ctx context.Context) (StoreEvents, error) {
+		return k.stores().List(ctx, address)
+	})
+	if err != nil {
+		return err
+	}
+	if listing.Life != life {
+		k.lose(address, errAnotherLife)
+	}
+	k.noteClock(listing.Clock)
+	k.book.replace(address, listing)
+	k.leadership.steward.options.Log.Info("store listed", "store", address, "life", listing.Life, "parts", len(listing.Changes))
+	k.reopen(ctx, address, listing.Life)
+	return nil
+}
+
+// errAnotherLife is why a store is closed that has restarted.
+var errAnotherLife = errors.New("the store has restarted")
+
+// patience is how long a store may keep a question open: not at all while it is
+// closed, for the entries wait for its word.
+func (k *shelves) patience(address string) time.Duration {
+	if k.book.closed(address) {
+		return 0
+	}
+	return storeWait
+}
+
 func (k *shelves) stores() Stores { return k.leadership.steward.options.Stores }
 
 func (k *shelves) ask(ctx context.Context, question func(context.Context) (StoreEvents, error)) (StoreEvents, error) {
@@ -227,51 +245,34 @@
 	return question(ctx)
 }
 
-func (k *shelves) lose(address string, store *followedStore, cause error) {
-	k.mu.Lock()
-	wasOpen := store.shelf.Open(time.Now())
-	store.shelf.Close()
-	k.mu.Unlock()
-	if wasOpen {
+func (k *shelves) lose(address string, cause error) {
+	if k.book.close(address) {
 		k.leadership.steward.options.Log.Warn("store lost", "store", address, "cause", cause)
 	}
 }
 
-// begin takes in a listing. A life other than the one that entries may know
-// opens after shelfPause, and is written to the log first.
-func (k *shelves) begin(ctx context.Context, address string, store *followedStore, events StoreEvents) {
+// reopen opens a store's shelf, if it is closed. A life other than the one that
+// entries may know opens after shelfPause, and is written to the log first.
+func (k *shelves) reopen(ctx context.Context, address string, life uint64) {
+	if !k.book.closed(address) {
+		return
+	}
 	s := k.leadership.steward
 	pause := time.Duration(0)
-	if s.machine.lifeOf(address) != events.Life {
+	if s.machine.lifeOf(address) != life {
 		pause = shelfPause
-		if _, err := s.propose(ctx, command{Life: &storeLife{Address: address, Life: events.Life}}); err != nil {
+		if _, err := s.propose(ctx, command{Life: &storeLife{Address: address, Life: life}}); err != nil {
 			s.options.Log.Warn("store's life not recorded", "store", address, "err", err)
 		}
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	store.shelf.Begin(events.Life, events.Changes, time.Now(), pause)
-	k.noteClock(events.Clock)
-	k.record(ShelfChange{Address: address, Cleared: true})
-	for _, change := range events.Changes {
-		k.record(ShelfChange{Address: address, Change: change})
-	}
-	s.options.Log.Info("store listed", "store", address, "life", events.Life, "parts", len(events.Changes), "opens_in", pause)
+	k.book.reopen(address, time.Now(), pause)
+	s.options.Log.Info("store opens", "store", address, "life", life, "opens_in", pause)
 }
 
-func (k *shelves) apply(address string, store *followedStore, events StoreEvents) {
+// noteClock keeps what is known of the upstreams' clock.
+func (k *shelves) noteClock(told int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.noteClock(events.Clock)
-	for _, change := range events.Changes {
-		store.shelf.Apply(change)
-		k.record(ShelfChange{Address: address, Change: change})
-	}
-}
-
-// noteClock keeps what is known of the upstreams' clock. The caller holds the
-// lock.
-func (k *shelves) noteClock(told int64) {
 	if told > 0 {
 		k.clockTold, k.clockAt = told, time.Now()
 	}
@@ -287,58 +288,16 @@
 	return k.clockTold + now.Sub(k.clockAt).Milliseconds()
 }
 
-// record adds to the journal and wakes the watchers. The caller holds the lock.
-func (k *shelves) record(change ShelfChange) {
-	k.journal = append(k.journal, change)
-	if len(k.journal) > 2*journalLength {
-		drop := len(k.journal) - journalLength
-		k.journal = slices.Clone(k.journal[drop:])
-		k.base += uint64(drop)
-	}
-	close(k.changed)
-	k.changed = make(chan struct{})
-}
-
-func (k *shelves) news() <-chan struct{} {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.changed
-}
-
-// fill adds what a watcher lacks and reports whether that is anything.
+// fill adds what a watcher lacks of the shelves and reports whether that is
+// anything.
 func (k *shelves) fill(request *WatchRequest, answer *WatchAnswer) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := time.Now()
-	answer.States = answer.States[:0]
-	for _, address := range slices.Sorted(maps.Keys(k.byStore)) {
-		shelf := k.byStore[address].shelf
-		answer.States = append(answer.States, ShelfState{Address: address, Life: shelf.Life(), Open: shelf.Open(now)})
-	}
-	end := k.base + uint64(len(k.journal))
-	answer.Shelves = Position{Term: k.leadership.term, Next: end}
-	if request.Entry == nil {
+	if request.Shelves == nil {
 		return false
 	}
-	from := request.Shelves
-	if from.Term != k.leadership.term || from.Next < k.base || from.Next > end {
-		answer.Reset = true
-		answer.Changes = k.all()
-		return true
-	}
-	answer.Changes = k.journal[from.Next-k.base:]
-	return len(answer.Changes) > 0
-}
-
-// all lists every part of every shelf. The caller holds the lock.
-func (k *shelves) all() []ShelfChange {
-	var list []ShelfChange
-	for _, followed := range []map[string]*followedStore{k.byStore, k.byRunner} {
-		for address, store := range followed {
-			for _, change := range store.shelf.All() {
-				list = append(list, ShelfChange{Address: address, Change: change})
-			}
-		}
-	}
-	return list
+	k.mu.Lock()
+	stores := slices.Sorted(maps.Keys(k.byStore))
+	k.mu.Unlock()
+	var found bool
+	answer.Shelves, found, answer.States = k.book.answer(request.Shelves, stores, time.Now())
+	return found
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,15 +59,14 @@
 	// opened is set once the group's log is open here.
 	opened atomic.Pointer[port.Replica]
 	// leading is set while this host leads and has caught up.
-	leading atomic.Pointer[leadership]
-	// follower is what a host that doesn't lead knows of the leader's entries.
+	leading  atomic.Pointer[leadership]
 	follower *Follower
 	joining  *joinQueue
 	seeds    atomic.Pointer[[]ident.Host]
-
-	mu sync.Mutex
-	// entries is the latest list of entries that came from a leader.
-	entries []EntryView
+	// book holds the shelves, and branch the rest of what a host that doesn't
+	// lead was told by the leader.
+	book   *sharedBook
+	branch *branch
 }
 
 // New puts a control host together; Run serves.
@@ -76,7 +74,11 @@
 	if err := options.Validate(); err != nil {
 		return nil, err
 	}
-	s := &Steward{options: options, machine: NewMachine(), joining: newJoinQueue()}
+	machine, book := NewMachine(), newSharedBook()
+	s := &Steward{
+		options: options, machine: machine, joining: newJoinQueue(),
+		book: book, branch: newBranch(machine, book, options.Log),
+	}
 	s.seeds.Store(&options.Seeds)
 	if err := s.build(); err != nil {
 		return nil, errors.Join(err, s.closeFolder(), options.Listener.Close())
@@ -125,7 +127,7 @@
 		return err
 	}
 	s.follower = NewFollower(FollowerOptions{
-		Transport: s.transport, Seeds: o.Seeds, PeerPort: o.PeerPort, Log: o.Log, Self: o.Self,
+		Transport: s.transport, Seeds: o.Seeds, PeerPort: o.PeerPort, Log: o.Log, Self: o.Self, LeaderOnly: true,
 	})
 	s.transport.Handle(methodWatch, port.PeerHandlerFunc(s.handleWatch))
 	s.transport.Handle(methodSubmit, port.PeerHandlerFunc(s.handleSubmit))
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -185,8 +185,8 @@
 		if lead == nil {
 			return false
 		}
-		answer = lead.watch(context.Background(), request)
-		return !answer.NotLeader && answer.Roster != nil
+		answer = lead.watch(context.Background(), entryPeer("e1"), request)
+		return !answer.Elsewhere && answer.Roster != nil
 	})
 	states := map[string]roster.State{}
 	for _, u := range answer.Roster.Upstreams {
@@ -212,31 +212,40 @@
 	f.startThree()
 	f.stores.add(holdings.Change{Key: holdings.Key{Salt: "s", Part: "p"}, Tokens: 10})
 	f.put(1, "one")
-	request := &WatchRequest{Entry: &EntryView{Host: "e1"}}
+	request := &WatchRequest{Entry: &EntryView{Host: "e1"}, Shelves: &holdings.Question{Listed: true}}
+	parts := func(a *WatchAnswer) int {
+		n := 0
+		for _, record := range a.Shelves.Records {
+			if record.Change.Tokens > 0 {
+				n++
+			}
+		}
+		return n
+	}
 	watch := func() *WatchAnswer {
 		lead := f.leader()
 		if lead == nil {
-			return &WatchAnswer{NotLeader: true}
+			return &WatchAnswer{Elsewhere: true}
 		}
-		return lead.watch(context.Background(), request)
+		return lead.watch(context.Background(), entryPeer("e1"), request)
 	}
 	open := func(a *WatchAnswer, life uint64) bool {
 		return len(a.States) == 1 && a.States[0].Open && a.States[0].Life == life
 	}
-	f.await("the store is open", func() bool { a := watch(); return open(a, 1) && len(a.Changes) == 1 })
+	f.await("the store is open", func() bool { a := watch(); return open(a, 1) && parts(a) == 1 })
 	f.stores.mu.Lock()
 	f.stores.life, f.stores.events = 2, nil
 	f.stores.mu.Unlock()
 	f.await("the store is closed", func() bool { a := watch(); return len(a.States) == 1 && !a.States[0].Open })
 	lead := f.leader()
 	f.await("the new life is known", func() bool { return lead.machine.lifeOf("store:1") == 2 })
-	lead.leading.Load().shelves.mu.Lock()
-	opens := lead.leading.Load().shelves.byStore["store:1"].shelf.Open(time.Now().Add(ShelfTrust + FetchPermit - time.Second))
-	lead.leading.Load().shelves.mu.Unlock()
+	lead.book.mu.Lock()
+	opens := lead.book.book.Shelf("store:1").Open(time.Now().Add(ShelfTrust + FetchPermit - time.Second))
+	lead.book.mu.Unlock()
 	if opens {
 		t.Fatal("open while an entry may still read by what it knew of the former life")
 	}
-	f.await("the store opens", func() bool { a := watch(); return open(a, 2) && len(a.Changes) == 0 })
+	f.await("the store opens", func() bool { a := watch(); return open(a, 2) && parts(a) == 0 })
 }
 
 // A large fleet's configuration would come into force late: with many entries,
@@ -257,7 +266,7 @@
 			return 0, false
 		}
 		for i := range entries {
-			l.follow(&WatchRequest{Entry: &EntryView{Host: fmt.Sprint("e", i)}}, time.Now())
+			l.follow(entryPeer(fmt.Sprint("e", i)), &WatchRequest{Entry: &EntryView{Host: fmt.Sprint("e", i)}}, time.Now())
 		}
 		l.shelves.mu.Lock()
 		defer l.shelves.mu.Unlock()
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -19,36 +19,79 @@
 	gather = 15 * time.Millisecond
 )
 
-func (s *Steward) handleWatch(ctx context.Context, _ port.Peer, _ port.Method, body []byte) ([]byte, error) {
+func (s *Steward) handleWatch(ctx context.Context, from port.Peer, _ port.Method, body []byte) ([]byte, error) {
 	var request WatchRequest
 	if err := wire.Unmarshal(body, &request); err != nil {
 		return nil, eris.Wrap(err, "steward: watch")
 	}
-	return wire.MustMarshal(s.watch(ctx, &request)), nil
+	return wire.MustMarshal(s.watch(ctx, from, &request)), nil
 }
 
-func (s *Steward) watch(ctx context.Context, request *WatchRequest) *WatchAnswer {
-	l := s.leading.Load()
-	if l == nil {
-		return s.redirect()
+// bulletin is what a host tells those who watch it: the leader what it knows
+// itself, another control host what the leader told it.
+type bulletin interface {
+	// follow takes in what a watch says of its caller.
+	follow(from port.Peer, request *WatchRequest, now time.Time)
+	// fill adds what a watcher lacks of the shelves and reports whether that is
+	// anything.
+	fill(request *WatchRequest, answer *WatchAnswer) bool
+	// complete adds what every answer carries.
+	complete(from port.Peer, answer *WatchAnswer, now time.Time)
+	// serves reports whether the watch may still be answered here.
+	serves(request *WatchRequest, now time.Time) bool
+	term() uint64
+}
+
+// bulletin returns what this host may answer a watch with, nil if nothing.
+func (s *Steward) bulletin(request *WatchRequest) bulletin {
+	now := time.Now()
+	if l := s.leading.Load(); l != nil && l.serves(request, now) {
+		return l
 	}
-	l.follow(request, time.Now())
-	answer := &WatchAnswer{Term: l.term}
-	machineNews, shelfNews := s.machine.news(), l.shelves.news()
+	if request.Entry != nil && s.branch.serves(request, now) {
+		return s.branch
+	}
+	return nil
+}
+
+func (s *Steward) watch(ctx context.Context, from port.Peer, request *WatchRequest) *WatchAnswer {
+	b := s.bulletin(request)
+	if b == nil {
+		return s.redirect(request)
+	}
+	b.follow(from, request, time.Now())
+	answer := &WatchAnswer{}
+	machineNews, shelfNews := s.machine.news(), s.book.news()
 	found := s.machine.fill(request, answer)
-	found = l.shelves.fill(request, answer) || found || request.Term != l.term
+	found = b.fill(request, answer) || found || request.Term != b.term()
 	if !found {
-		awaitNews(ctx, machineNews, shelfNews)
+		awaitNews(ctx, waitFor(request), machineNews, shelfNews)
 		s.machine.fill(request, answer)
-		l.shelves.fill(request, answer)
+		b.fill(request, answer)
+	}
+	now := time.Now()
+	if !b.serves(request, now) {
+		return s.redirect(request)
+	}
+	b.complete(from, answer, now)
+	answer.Members = s.memberNames()
+	if request.Entry != nil {
+		answer.Entries = nil
 	}
-	s.complete(l, request, answer)
 	return answer
 }
 
-// awaitNews waits for one of two channels to be closed, for watchWait at most.
-func awaitNews(ctx context.Context, machine, shelves <-chan struct{}) {
-	timer := time.NewTimer(watchWait)
+// waitFor is the longest that a watch is kept open.
+func waitFor(request *WatchRequest) time.Duration {
+	if request.Relay {
+		return relayWait
+	}
+	return watchWait
+}
+
+// awaitNews waits for one of two channels to be closed, and a little for more.
+func awaitNews(ctx context.Context, longest time.Duration, machine, shelves <-chan struct{}) {
+	timer := time.NewTimer(longest)
 	defer timer.Stop()
 	select {
 	case <-machine:
@@ -63,22 +106,13 @@
 	}
 }
 
-// complete adds what every answer carries.
-func (s *Steward) complete(l *leadership, request *WatchRequest, answer *WatchAnswer) {
-	now := time.Now()
-	answer.Entries = l.list(now)
-	answer.Silent = l.silent(s.machine.live(), now)
-	answer.Loading = l.loader.loading()
-	answer.Clock = l.shelves.clock(now)
-	if request.Entry != nil {
-		answer.Loads = l.loadsBut(request.Entry.Host)
+// redirect tells the caller of a watch whom to ask.
+func (s *Steward) redirect(request *WatchRequest) *WatchAnswer {
+	answer := &WatchAnswer{Elsewhere: true, Leader: s.Leader(), Members: s.memberNames()}
+	if l := s.leading.Load(); l != nil && request.Entry != nil {
+		answer.Relays = l.relays(time.Now())
 	}
-	answer.Leader = string(s.options.Self)
-	answer.Members = s.memberNames()
-}
-
-func (s *Steward) redirect() *WatchAnswer {
-	return &WatchAnswer{NotLeader: true, Leader: s.Leader(), Members: s.memberNames()}
+	return answer
 }
 
 func (s *Steward) memberNames() []string {
@@ -97,34 +131,25 @@
 	return names
 }
 
-// followLeader copies the leader's list of entries while another host leads, so
-// that every control host can tell callers whom to ask.
+// followLeader keeps the branch up to date while another host leads, so that
+// every control host can tell callers whom to ask, and entries the news.
 func (s *Steward) followLeader(ctx context.Context) {
-	request := &WatchRequest{}
 	s.follower.Run(ctx, func() *WatchRequest {
 		if s.leading.Load() != nil {
 			return nil
 		}
-		// The log brings the rest.
-		request.Document, request.Weights, request.Roster = s.machine.held()
-		return request
-	}, func(answer *WatchAnswer, _ time.Time) {
-		request.Term = answer.Term
-		request.Shelves = answer.Shelves
-		s.mu.Lock()
-		s.entries = answer.Entries
-		s.mu.Unlock()
+		return s.branch.request(time.Now())
+	}, func(answer *WatchAnswer, asked time.Time) {
+		s.branch.take(answer, asked, time.Now())
 	})
 }
 
 // entryList returns the entries as this host knows them.
 func (s *Steward) entryList() []EntryView {
 	if l := s.leading.Load(); l != nil {
-		return l.list(time.Now())
+		return l.watchers.entries(time.Now())
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.entries
+	return s.branch.entries()
 }
 
 // Addresses lists the listeners of the entries that take new callers.
--- a/relay/link.go
+++ b/relay/link.go
@@ -35,11 +35,11 @@
 // Each host tries them in an order of its own, so that the children of a lost
 // parent spread over all others. phase delays the first renewal.
 func NewLink(host ident.Host, parents []string, now time.Time, phase time.Duration) *Link {
-	return &Link{parents: order(host, parents), next: now.Add(phase)}
+	return &Link{parents: Order(host, parents), next: now.Add(phase)}
 }
 
-// order sorts parents by a hash of host and address (rendezvous hashing).
-func order(host ident.Host, parents []string) []string {
+// Order sorts parents by a hash of host and address (rendezvous hashing).
+func Order(host ident.Host, parents []string) []string {
 	sorted := slices.Clone(parents)
 	score := func(address string) uint64 {
 		return xxhash.Sum64String(string(host) + "\x00" + address)
