Metrics and state dumps of routed processes

Cause: the routed processes logged decisions but had no counters, so that a failure could be explained for one request and not counted over all.

The number of series is fixed.

--- a/cmd/lovage-fleet/control.go
+++ b/cmd/lovage-fleet/control.go
@@ -7,10 +7,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/adapter/telemetry"
 	"github.com/lovagereach/lovagereach/internal/process"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/internal/wait"
@@ -36,8 +38,14 @@
 	if err != nil {
 		return errors.Join(process.ErrUsage, eris.Wrap(err, "directory: listen"))
 	}
-	env.Log.Info("started", "role", "control", "name", s.Name, "host", s.Host, "bootstrap", s.Bootstrap)
 	c := &controlHost{env: env, settings: s}
+	dump := telemetry.NewRegistry()
+	dump.Register("control", c.dump)
+	observed, err := listenTelemetry(s, dump, c.ready)
+	if err != nil {
+		return err
+	}
+	env.Log.Info("started", "role", "control", "name", s.Name, "host", s.Host, "bootstrap", s.Bootstrap)
 	seeds := s.SeedHosts()
 	c.seeds.Store(&seeds)
 	operatorsServer := platform.NewOperators(c.current.Load, s.Operators, env.Log)
@@ -47,6 +55,7 @@
 	defer stop()
 	tasks.Go(func() error { return serve(operatorsServer, operators) })
 	tasks.Go(func() error { return serve(directoryServer, directory) })
+	tasks.Go(func() error { runTelemetry(ctx, env, observed); return nil })
 	tasks.Go(func() error { watchSettings(ctx, env, c.setSeeds); return nil })
 	tasks.Go(func() error {
 		defer stop()
@@ -69,6 +78,22 @@
 	current  atomic.Pointer[steward.Steward]
 }
 
+// dump is the state for operators, empty while the disk is read again.
+func (c *controlHost) dump() any {
+	if s := c.current.Load(); s != nil {
+		return s.Dump()
+	}
+	return nil
+}
+
+// ready reports why this host can't be asked.
+func (c *controlHost) ready() error {
+	if s := c.current.Load(); s == nil || s.Leader() == "" {
+		return eris.New("no leader is known here")
+	}
+	return nil
+}
+
 func (c *controlHost) setSeeds(seeds []ident.Host) {
 	c.seeds.Store(&seeds)
 	if s := c.current.Load(); s != nil {
@@ -118,5 +143,7 @@
 	}
 	c.current.Store(host)
 	defer c.current.Store(nil)
+	metrics.RegisterSet(host.Metrics())
+	defer metrics.UnregisterSet(host.Metrics(), true)
 	return host.Run(ctx, c.env.Drain)
 }
--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/adapter/telemetry"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/gateway"
 	"github.com/lovagereach/lovagereach/internal/process"
@@ -56,6 +58,13 @@
 	if err != nil {
 		return err
 	}
+	dump := telemetry.NewRegistry()
+	dump.Register("entry", func() any { return g.Dump() })
+	observed, err := listenTelemetry(s, dump, func() error { return readyError(g.Ready()) })
+	if err != nil {
+		return err
+	}
+	metrics.RegisterSet(g.Metrics())
 	env.Log.Info("started", "role", "entry", "name", s.Name, "host", s.Host, "callers", s.Callers)
 	e := &entry{
 		env: env, gateway: g, callers: platform.NewCallers(g, env.Log), readiness: platform.NewReadiness(g.Ready),
@@ -68,6 +77,7 @@
 	tasks.Go(func() error { return serve(e.readiness, readiness) })
 	tasks.Go(func() error { upstreams.Run(ctx); return nil })
 	tasks.Go(func() error { follower.Run(ctx, g.Ask, g.Told); return nil })
+	tasks.Go(func() error { runTelemetry(ctx, env, observed); return nil })
 	tasks.Go(func() error { watchSettings(ctx, env, follower.SetSeeds); return nil })
 	tasks.Go(func() error {
 		defer stop()
@@ -77,6 +87,14 @@
 	return tasks.Wait()
 }
 
+// readyError words why a process takes no callers.
+func readyError(ready bool) error {
+	if ready {
+		return nil
+	}
+	return eris.New("no configuration yet, or leaving")
+}
+
 type entry struct {
 	env        *process.Env
 	gateway    *gateway.Gateway
--- a/cmd/lovage-fleet/main.go
+++ b/cmd/lovage-fleet/main.go
@@ -45,6 +45,7 @@
 // execute runs the process with a log that never blocks it.
 func execute(role string, args []string) int {
 	lines := decision.NewWriter(os.Stderr)
+	countLines(lines)
 	ctx, cancel := context.WithCancel(context.Background())
 	written := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/cmd/lovage-fleet/telemetry.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"errors"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lovagereach/lovagereach/internal/adapter/telemetry"
+	"github.com/lovagereach/lovagereach/internal/decision"
+	"github.com/lovagereach/lovagereach/internal/process"
+	"github.com/lovagereach/lovagereach/platform"
+)
+
+// countLines shows among the metrics how many lines of the log found no room.
+func countLines(lines *decision.Writer) {
+	set := metrics.NewSet()
+	set.NewGauge("lovagereach_log_lines_dropped", func() float64 { return float64(lines.Dropped()) })
+	metrics.RegisterSet(set)
+}
+
+// listenTelemetry opens the listener for metrics and state dumps, nil when the
+// settings name no port.
+func listenTelemetry(s *platform.Settings, dump *telemetry.Registry, ready func() error) (*telemetry.Server, error) {
+	if s.TelemetryPort == 0 {
+		return nil, nil
+	}
+	server, err := telemetry.Listen(telemetry.Options{Address: s.TelemetryAddress(), Dump: dump, Ready: ready})
+	if err != nil {
+		return nil, errors.Join(process.ErrUsage, err)
+	}
+	return server, nil
+}
+
+// runTelemetry serves until ctx ends. A failure is logged, not passed on: a
+// process that nobody can look at still does its work.
+func runTelemetry(ctx context.Context, env *process.Env, server *telemetry.Server) {
+	if server == nil {
+		return
+	}
+	if err := server.Run(ctx); err != nil {
+		env.Log.Warn("no metrics", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/dump.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/internal/steward"
+)
+
+// Dump is the state of an entry for operators.
+type Dump struct {
+	Config    catalog.Version   `json:"config"`
+	Term      uint64            `json:"term"`
+	ViewAge   time.Duration     `json:"view_age_ns"`
+	Complete  bool              `json:"shelves_complete"`
+	Entries   int               `json:"entries"`
+	Waiting   int               `json:"waiting"`
+	Open      int64             `json:"open"`
+	Leaving   bool              `json:"leaving"`
+	Weights   map[string]uint64 `json:"weights"`
+	Upstreams []DumpedUpstream  `json:"upstreams"`
+	Stores    []DumpedStore     `json:"stores"`
+}
+
+// DumpedUpstream is an upstream as an entry sees it.
+type DumpedUpstream struct {
+	ID      string       `json:"id"`
+	Service string       `json:"service"`
+	Address string       `json:"address"`
+	State   string       `json:"state"`
+	Silent  bool         `json:"silent"`
+	Loading bool         `json:"loading"`
+	Own     steward.Load `json:"own"`
+	Others  steward.Load `json:"others"`
+	// Failures is the smoothed share of failed requests and InRow the failures
+	// without an answer between; AvoidedFor is zero while it is trusted.
+	Failures   float64       `json:"failures"`
+	InRow      int           `json:"in_row"`
+	AvoidedFor time.Duration `json:"avoided_for_ns"`
+}
+
+// DumpedStore is a store or a runner's cache as an entry sees it.
+type DumpedStore struct {
+	Address  string  `json:"address"`
+	Open     bool    `json:"open"`
+	Life     uint64  `json:"life"`
+	Parts    int     `json:"parts"`
+	Tokens   int     `json:"tokens"`
+	Queued   int     `json:"queued_tokens"`
+	Slowness float64 `json:"slowness"`
+}
+
+// Dump returns the state for operators. It takes the lock for as long as a copy
+// of the lists needs, which is below a millisecond for hundreds of upstreams.
+func (g *Gateway) Dump() Dump {
+	s, now := g.state, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := Dump{
+		Config: s.version(), Term: s.term, ViewAge: now.Sub(s.shelvesAt), Complete: s.book.Complete(),
+		Entries: s.entries, Waiting: len(s.waiting), Open: g.open.Load(), Leaving: g.leaving.Load(), Weights: maps.Clone(s.weights),
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.members)) {
+		u := s.members[id]
+		d.Upstreams = append(d.Upstreams, DumpedUpstream{
+			ID: id, Service: u.record.Service, Address: u.record.Address, State: u.record.State.String(),
+			Silent: u.silent, Loading: u.loading, Own: u.own, Others: u.others,
+			Failures: u.trust.failures, InRow: u.trust.inRow, AvoidedFor: max(u.trust.avoided.Sub(now), 0),
+		})
+	}
+	for _, address := range slices.Sorted(maps.Keys(s.stores)) {
+		store, shelf := s.stores[address], s.book.Shelf(address)
+		d.Stores = append(d.Stores, DumpedStore{
+			Address: address, Open: store.open, Life: shelf.Life(), Parts: shelf.Len(), Tokens: shelf.Tokens(),
+			Queued: store.own + store.others, Slowness: store.pace.slowness(now),
+		})
+	}
+	return d
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,7 @@
 	open    atomic.Int64
 	// starting counts the requests that wait for the first configuration.
 	starting atomic.Int64
+	meter    *meter
 }
 
 // New returns a gateway without a configuration; Told brings it one.
@@ -79,6 +80,7 @@
 	g := &Gateway{options: options, state: newState()}
 	g.state.budgets.limits = options.Budget
 	g.state.readPerMs = options.Rates.ReadPerMs
+	g.meter = newMeter(g.state, func() float64 { return float64(g.open.Load()) })
 	return g, nil
 }
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -9,17 +9,20 @@
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
-// logRefused logs a request that was refused before it was routed.
+// logRefused logs and counts a request that was refused before it was routed.
 func (g *Gateway) logRefused(request *Request, cause error) {
+	g.meter.request(nil, cause, 0, 0, 0)
 	g.options.Decisions.Emit(&decision.RequestEnded{
 		Request: request.ID, Outcome: outcome.KindOf(cause).String(), Cause: cause,
 		Total: time.Since(request.Arrived), View: g.state.view(time.Now()),
 	})
 }
 
-// logEnd logs how a routed request ended; cause is nil when its answer is whole.
+// logEnd logs and counts how a routed request ended; cause is nil when its answer
+// is whole.
 func (r *run) logEnd(cause error) {
 	g := r.gateway
+	g.meter.request(r.route, cause, r.first, r.waited, r.sends)
 	now := time.Now()
 	g.options.Decisions.Emit(&decision.RequestEnded{
 		Request: r.request.ID, Route: r.route.Name, Team: r.teamName(), Outcome: outcome.KindOf(cause).String(), Cause: cause,
@@ -31,6 +34,9 @@
 
 // logAgain logs that the request is sent once more.
 func (r *run) logAgain(cause error) {
+	if r.begun {
+		r.gateway.meter.resumed.Inc()
+	}
 	r.gateway.options.Decisions.Emit(&decision.RequestAgain{
 		Request: r.request.ID, Route: r.route.Name, Cause: cause, Sends: r.sends, LastEvent: r.lastEvent,
 		Choice: r.choice(), View: r.gateway.state.view(time.Now()),
--- /dev/null
+++ b/internal/gateway/meter.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/outcome"
+)
+
+// meter holds an entry's counters and histograms. Their number is fixed: no
+// label takes its values from requests.
+type meter struct {
+	set *metrics.Set
+	// ended counts requests by the kind of their route and how they ended;
+	// requests without a route stand under kind zero.
+	ended [catalog.Stream + 1][outcome.KindUnknown + 1]*metrics.Counter
+	// first is the time until an answer began and waited the time for room, by
+	// kind of route.
+	first, waited [catalog.Stream + 1]*metrics.Histogram
+	// late counts answers that began after their route's target.
+	late *metrics.Counter
+	// sends counts all sends, again those after the first of a request, resumed
+	// the streams that went on at another upstream.
+	sends, again, resumed *metrics.Counter
+	// budget counts repetitions that the shared budget did not allow.
+	budget *metrics.Counter
+	// notRun counts requests that did not run by reason.
+	notRun map[outcome.Reason]*metrics.Counter
+	other  *metrics.Counter
+}
+
+// countedReasons are the reasons with a counter of their own.
+var countedReasons = []outcome.Reason{
+	ReasonNoConfig, ReasonNoPlace, outcome.ReasonUnauthorized, outcome.ReasonOverloaded, outcome.ReasonNoUpstream,
+	outcome.ReasonDial, outcome.ReasonRefused, outcome.ReasonDeadline,
+}
+
+func newMeter(s *state, open func() float64) *meter {
+	m := &meter{set: metrics.NewSet(), notRun: make(map[outcome.Reason]*metrics.Counter)}
+	for kind := range m.ended {
+		name := "none"
+		if kind > 0 {
+			name = catalog.Kind(kind).String()
+		}
+		for end := range m.ended[kind] {
+			m.ended[kind][end] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_requests_total{kind=%q,outcome=%q}`, name, outcome.Kind(end)))
+		}
+		m.first[kind] = m.set.NewHistogram(fmt.Sprintf(`lovagereach_gateway_first_seconds{kind=%q}`, name))
+		m.waited[kind] = m.set.NewHistogram(fmt.Sprintf(`lovagereach_gateway_waited_seconds{kind=%q}`, name))
+	}
+	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_gateway_" + part + "_total") }
+	m.late, m.sends, m.again = counter("late"), counter("sends"), counter("sent_again")
+	m.resumed, m.budget = counter("resumed"), counter("budget_refusals")
+	for _, reason := range countedReasons {
+		m.notRun[reason] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_not_run_total{reason=%q}`, reason))
+	}
+	m.other = m.set.NewCounter(`lovagereach_gateway_not_run_total{reason="other"}`)
+	gauge := func(part string, read func(*state, time.Time) float64) {
+		m.set.NewGauge("lovagereach_gateway_"+part, func() float64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return read(s, time.Now())
+		})
+	}
+	m.set.NewGauge("lovagereach_gateway_open_requests", open)
+	gauge("waiting_requests", func(s *state, _ time.Time) float64 { return float64(len(s.waiting)) })
+	gauge("config_version", func(s *state, _ time.Time) float64 { return float64(s.version()) })
+	gauge("entries", func(s *state, _ time.Time) float64 { return float64(s.entries) })
+	gauge("upstreams", func(s *state, _ time.Time) float64 { return float64(len(s.members)) })
+	gauge("upstreams_silent", func(s *state, _ time.Time) float64 { return float64(s.silentCount()) })
+	gauge("upstreams_avoided", func(s *state, now time.Time) float64 { return float64(s.avoidedCount(now)) })
+	gauge("view_age_seconds", func(s *state, now time.Time) float64 { return now.Sub(s.shelvesAt).Seconds() })
+	return m
+}
+
+// request counts the end of a request. route is nil for one without a route.
+func (m *meter) request(route *catalog.Route, cause error, first, waited time.Duration, sends int) {
+	kind := catalog.Kind(0)
+	if route != nil {
+		kind = route.Kind
+	}
+	m.ended[kind][outcome.KindOf(cause)].Inc()
+	if first > 0 {
+		m.first[kind].Update(first.Seconds())
+		if route != nil && first > route.Target {
+			m.late.Inc()
+		}
+	}
+	if waited > 0 {
+		m.waited[kind].Update(waited.Seconds())
+	}
+	m.sends.Add(sends)
+	m.again.Add(max(sends-1, 0))
+	var refused *outcome.NotRun
+	if !errors.As(cause, &refused) {
+		return
+	}
+	if counter := m.notRun[refused.Reason]; counter != nil {
+		counter.Inc()
+		return
+	}
+	m.other.Inc()
+}
+
+// Metrics are the entry's counters and histograms.
+func (g *Gateway) Metrics() *metrics.Set { return g.meter.set }
+
+// version is that of the configuration in force, 0 without one. The caller
+// holds the lock, as for what follows.
+func (s *state) version() catalog.Version {
+	if s.index == nil {
+		return 0
+	}
+	return s.index.Version()
+}
+
+func (s *state) silentCount() int {
+	n := 0
+	for _, u := range s.members {
+		if u.silent {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *state) avoidedCount(now time.Time) int {
+	n := 0
+	for _, u := range s.members {
+		if now.Before(u.trust.avoided) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/gateway/meter_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/placement"
+)
+
+func metricsOf(g *Gateway) string {
+	var text bytes.Buffer
+	g.Metrics().WritePrometheus(&text)
+	return text.String()
+}
+
+// An operator finds the kind of a failure in the counters before any log is
+// read: each request counts once, under how it ended and why it did not run.
+func TestCountersTellHowRequestsEnded(t *testing.T) {
+	g, _ := testGateway(t, func(n int, s *Send) (*Answer, error) {
+		switch n {
+		case 1:
+			return nil, lost()
+		case 3:
+			return stream(lost(), "1"), nil
+		}
+		return stream(io.EOF, "1"), nil
+	})
+	serve(g, request("/safe/x"))
+	resumed := request("/resume/x")
+	resumed.Prompt = prompt(placement.Part{ID: "own", Tokens: 10})
+	serve(g, resumed)
+	stranger := request("/safe/x")
+	stranger.Key = "unknown"
+	serve(g, stranger)
+	text := metricsOf(g)
+	for _, want := range []string{
+		`lovagereach_gateway_requests_total{kind="safe",outcome="done"} 1`,
+		`lovagereach_gateway_requests_total{kind="stream",outcome="done"} 1`,
+		`lovagereach_gateway_requests_total{kind="none",outcome="not-run"} 1`,
+		`lovagereach_gateway_not_run_total{reason="unauthorized"} 1`,
+		`lovagereach_gateway_sends_total 4`,
+		`lovagereach_gateway_sent_again_total 2`,
+		`lovagereach_gateway_resumed_total 1`,
+		`lovagereach_gateway_config_version 7`,
+		`lovagereach_gateway_upstreams 5`,
+		`lovagereach_gateway_open_requests 0`,
+	} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("missing: %s", want)
+		}
+	}
+	if t.Failed() {
+		t.Log(text)
+	}
+}
+
+// The dump must show why an upstream or a store gets no requests.
+func TestDumpShowsWhatIsAvoided(t *testing.T) {
+	g, _ := testGateway(t, func(int, *Send) (*Answer, error) { return nil, lost() })
+	unsafe := request("/unsafe/x")
+	serve(g, unsafe)
+	told := testAnswer()
+	told.Document, told.Roster, told.Shelves = nil, nil, nil
+	told.Silent, told.Loads = []string{"l1"}, []steward.Load{{Upstream: "l2", Requests: 3}}
+	g.Told(told, time.Now())
+	d := g.Dump()
+	found := map[string]bool{}
+	for _, u := range d.Upstreams {
+		switch {
+		case u.AvoidedFor > 0 && u.InRow == 1:
+			found["avoided"] = true
+		case u.ID == "l1" && u.Silent:
+			found["silent"] = true
+		case u.ID == "l2" && u.Others.Requests == 3:
+			found["loaded"] = true
+		}
+	}
+	if len(found) != 3 || len(d.Stores) != 1 || !d.Stores[0].Open || d.Stores[0].Parts != 1 || d.Config != 7 {
+		t.Fatalf("found %v in %+v", found, d)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -127,7 +127,11 @@
 	s := r.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budgets.take(r.service, s.entries, now)
+	allowed := s.budgets.take(r.service, s.entries, now)
+	if !allowed {
+		r.gateway.meter.budget.Inc()
+	}
+	return allowed
 }
 
 // attempt makes one send and passes its answer on. A nil error means that the
--- a/internal/steward/branch.go
+++ b/internal/steward/branch.go
@@ -142,3 +142,13 @@
 	defer b.mu.Unlock()
 	return b.told.Entries
 }
+
+// heardAge is the time since the leader was asked with success, 0 if never.
+func (b *branch) heardAge(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.asked.IsZero() {
+		return 0
+	}
+	return now.Sub(b.asked)
+}
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -72,6 +72,7 @@
 	l := newLeadership(s, term, time.Now())
 	s.leading.Store(l)
 	defer s.leading.Store(nil)
+	s.meter.led.Inc()
 	s.options.Log.Info("leading", "term", term)
 	var tasks errgroup.Group
 	tasks.Go(func() error { (&members{steward: s, silent: make(map[ident.Host]time.Time)}).run(ctx); return nil })
--- a/internal/steward/loads.go
+++ b/internal/steward/loads.go
@@ -309,6 +309,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	s.meter.orders.Inc()
 	result, err := s.options.Runners.Order(ctx, LoadOrder{
 		Upstream: u.ID, Address: u.Address, Model: model, Version: version,
 		Holder: string(s.options.Self), Fence: o.leadership.elected, Accepted: accepted,
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -156,6 +156,13 @@
 	return list
 }
 
+// newestWeights lists the newest versions by model.
+func (m *Machine) newestWeights() []roster.Loaded {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.namedWeights()
+}
+
 // Document returns the configuration held, nil before the first. It must not
 // be changed.
 func (m *Machine) Document() *catalog.Document {
--- /dev/null
+++ b/internal/steward/meter.go
@@ -0,0 +1,133 @@
+package steward
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lovagereach/lovagereach/catalog"
+)
+
+// meter holds a control host's counters.
+type meter struct {
+	set *metrics.Set
+	// watches counts those answered here as the leader, or for it, and
+	// redirects those that were sent elsewhere.
+	asLeader, asRelay, redirects *metrics.Counter
+	// told counts the parts of shelves that were sent.
+	told *metrics.Counter
+	// led counts the terms in which this host led.
+	led *metrics.Counter
+	// stores counts the times that a store was lost, and listings those that
+	// were taken.
+	storesLost, listings *metrics.Counter
+	// commits is the time that commands took to be in the log of a quorum, and
+	// failed those that were not.
+	commits *metrics.Histogram
+	failed  *metrics.Counter
+	orders  *metrics.Counter
+}
+
+func newMeter(s *Steward) *meter {
+	m := &meter{set: metrics.NewSet()}
+	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_steward_" + part) }
+	m.asLeader, m.asRelay = counter(`watches_total{as="leader"}`), counter(`watches_total{as="relay"}`)
+	m.redirects, m.told, m.led = counter("redirects_total"), counter("parts_told_total"), counter("terms_led_total")
+	m.storesLost, m.listings = counter("stores_lost_total"), counter("store_listings_total")
+	m.commits, m.failed = m.set.NewHistogram("lovagereach_steward_commit_seconds"), counter("commit_failures_total")
+	m.orders = counter("orders_total")
+	gauge := func(part string, read func(now time.Time) float64) {
+		m.set.NewGauge("lovagereach_steward_"+part, func() float64 { return read(time.Now()) })
+	}
+	gauge("leading", func(time.Time) float64 {
+		if s.leading.Load() != nil {
+			return 1
+		}
+		return 0
+	})
+	gauge("config_version", func(time.Time) float64 {
+		if d := s.machine.Document(); d != nil {
+			return float64(d.Version)
+		}
+		return 0
+	})
+	gauge("entries", func(time.Time) float64 { return float64(len(s.entryList())) })
+	gauge("upstreams", func(time.Time) float64 { return float64(len(s.machine.live())) })
+	gauge("leader_heard_seconds", func(now time.Time) float64 {
+		if s.leading.Load() != nil {
+			return 0
+		}
+		return s.branch.heardAge(now).Seconds()
+	})
+	return m
+}
+
+// watched counts an answer to a watch.
+func (m *meter) watched(b bulletin, answer *WatchAnswer) {
+	if _, leads := b.(*leadership); leads {
+		m.asLeader.Inc()
+	} else {
+		m.asRelay.Inc()
+	}
+	if answer.Shelves == nil {
+		return
+	}
+	for i := range answer.Shelves.Sheets {
+		m.told.Add(len(answer.Shelves.Sheets[i].Parts))
+	}
+}
+
+// Metrics are the control host's counters.
+func (s *Steward) Metrics() *metrics.Set { return s.meter.set }
+
+// Dump is the state of a control host for operators.
+type Dump struct {
+	Leader   string           `json:"leader"`
+	Members  []string         `json:"members"`
+	Leading  bool             `json:"leading"`
+	Document catalog.Version  `json:"config"`
+	Weights  []WeightsOf      `json:"weights"`
+	Entries  []EntryView      `json:"entries"`
+	Relays   []RelayView      `json:"relays"`
+	Silent   []string         `json:"silent_upstreams"`
+	Loading  []string         `json:"loading_upstreams"`
+	Roster   []DumpedUpstream `json:"upstreams"`
+	// Heard is the time since the leader was asked with success.
+	Heard time.Duration `json:"leader_heard_ns"`
+}
+
+// WeightsOf is the newest version named for a model.
+type WeightsOf struct {
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+}
+
+// DumpedUpstream is an upstream as the log has it.
+type DumpedUpstream struct {
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	State    string `json:"state"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// Dump returns the state for operators.
+func (s *Steward) Dump() Dump {
+	now := time.Now()
+	d := Dump{Leader: s.Leader(), Members: s.memberNames(), Entries: s.entryList(), Document: s.machine.held().document}
+	for _, w := range s.machine.newestWeights() {
+		d.Weights = append(d.Weights, WeightsOf(w))
+	}
+	live := s.machine.live()
+	for i := range live {
+		u := &live[i]
+		d.Roster = append(d.Roster, DumpedUpstream{ID: u.ID, Service: u.Service, Address: u.Address, State: u.State.String(), Sequence: u.Sequence})
+	}
+	if l := s.leading.Load(); l != nil {
+		d.Leading = true
+		d.Relays, d.Silent, d.Loading = l.relays(now), l.silent(live, now), l.loader.loading()
+	} else {
+		d.Heard = s.branch.heardAge(now)
+	}
+	return d
+}
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -220,6 +220,7 @@
 	}
 	k.noteClock(listing.Clock)
 	k.book.replace(address, listing)
+	k.leadership.steward.meter.listings.Inc()
 	k.leadership.steward.options.Log.Info("store listed", "store", address, "life", listing.Life, "parts", len(listing.Changes))
 	k.reopen(ctx, address, listing.Life)
 	return nil
@@ -247,6 +248,7 @@
 
 func (k *shelves) lose(address string, cause error) {
 	if k.book.close(address) {
+		k.leadership.steward.meter.storesLost.Inc()
 		k.leadership.steward.options.Log.Warn("store lost", "store", address, "cause", cause)
 	}
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -67,6 +67,7 @@
 	// lead was told by the leader.
 	book   *sharedBook
 	branch *branch
+	meter  *meter
 }
 
 // New puts a control host together; Run serves.
@@ -80,6 +81,7 @@
 		book: book, branch: newBranch(machine, book, options.Log),
 	}
 	s.seeds.Store(&options.Seeds)
+	s.meter = newMeter(s)
 	if err := s.build(); err != nil {
 		return nil, errors.Join(err, s.closeFolder(), options.Listener.Close())
 	}
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -166,10 +166,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	began := time.Now()
 	raw, err := s.replica().Propose(ctx, wire.MustMarshal(c))
 	if err != nil {
+		s.meter.failed.Inc()
 		return verdict{}, errors.Join(ErrUnavailable, err)
 	}
+	s.meter.commits.UpdateDuration(began)
 	var v verdict
 	if err := wire.Unmarshal(raw, &v); err != nil {
 		return verdict{}, eris.Wrap(err, "steward: decode verdict")
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -89,6 +89,7 @@
 	if request.Entry != nil {
 		answer.Entries = nil
 	}
+	s.meter.watched(b, answer)
 	return answer
 }
 
@@ -119,6 +120,7 @@
 
 // redirect tells the caller of a watch whom to ask.
 func (s *Steward) redirect(request *WatchRequest) *WatchAnswer {
+	s.meter.redirects.Inc()
 	answer := &WatchAnswer{Elsewhere: true, Leader: s.Leader(), Members: s.memberNames()}
 	if l := s.leading.Load(); l != nil && request.Entry != nil {
 		answer.Relays = l.relays(time.Now())
