Steward: parts of former weights are retired and freed

Cause: a managed store drops nothing by itself.

Change: the leader retires parts of former versions, of each version the share of runners that has gone on to later weights, from 0.4 of a store's room on. Retired parts are told to all entries, which neither fetch nor keep them, and freed 3.9 s later, when every fetch that any entry may have permitted has ended. A commit proves the leadership before each order; an order takes effect within 0.25 s or never, which is before a successor can be elected, and names the store's life. The wait counts from this leadership's own retiring.

--- a/holdings/book.go
+++ b/holdings/book.go
@@ -128,6 +128,12 @@
 	return 0
 }
 
+// Retired reports whether a part is about to be freed at a source.
+func (b *Book) Retired(address string, key Key) bool {
+	p := b.shelves[address]
+	return p != nil && p.shelf.Retired(key)
+}
+
 // Next returns how far a source's events are followed, and whether they are.
 func (b *Book) Next(address string) (uint64, bool) {
 	p := b.shelves[address]
@@ -325,7 +331,7 @@
 		case holds && h.Life == p.shelf.Life() && h.Next > p.next:
 			return Update{Sheets: fold(records), More: true}
 		case holds && h.Life == p.shelf.Life() && h.Next >= b.floors[address] && h.Next > 0:
-			records = append(records, recent[address]...)
+			records = append(append(records, recent[address]...), b.retired(address)...)
 		default:
 			records = append(records, b.whole(address)...)
 		}
@@ -333,6 +339,22 @@
 	return Update{At: b.at, Sheets: fold(records)}
 }
 
+// retired lists the retired parts of a source. Retiring is no event of the
+// source, so that its numbers don't tell whether a reader knows of it.
+func (b *Book) retired(address string) []Record {
+	p := b.shelves[address]
+	var records []Record
+	for _, change := range p.shelf.All() {
+		if change.Tokens < 0 {
+			records = append(records, Record{Address: address, Change: change})
+		}
+	}
+	if len(records) > 0 {
+		records[len(records)-1].Next = p.next
+	}
+	return records
+}
+
 // recent lists by source the journal's records beyond what a reader holds.
 func (b *Book) recent(known map[string]Held) map[string][]Record {
 	batches := make(map[string][]Record)
--- a/holdings/holdings.go
+++ b/holdings/holdings.go
@@ -16,7 +16,9 @@
 	Part string `cbor:"2,keyasint"`
 }
 
-// Change is one part that became whole, or ended with zero tokens.
+// Change is one part that became whole, or ended with zero tokens. With as many
+// tokens below zero it is retired: it stands whole and takes its room, but is
+// about to be freed, and nobody may read it or keep it there again.
 type Change struct {
 	Key    Key `cbor:"1,keyasint"`
 	Tokens int `cbor:"2,keyasint"`
@@ -43,7 +45,7 @@
 // Life returns the life of the store that the shelf describes.
 func (s *Shelf) Life() uint64 { return s.life }
 
-// Tokens returns the tokens of the parts known to be whole.
+// Tokens returns the tokens of the parts that take room in the store.
 func (s *Shelf) Tokens() int { return s.tokens }
 
 // Len returns the number of parts known to be whole.
@@ -76,18 +78,23 @@
 
 // Apply takes in one change.
 func (s *Shelf) Apply(change Change) {
-	if change.Tokens <= 0 {
-		s.tokens -= s.parts[change.Key]
+	held, known := s.parts[change.Key]
+	switch {
+	case change.Tokens == 0:
+		s.tokens -= size(held)
 		delete(s.parts, change.Key)
-		return
+	case !known && len(s.parts) >= MaxParts:
+	case change.Tokens > 0 && held < 0:
+		// A late event does not bring a retired part back.
+	default:
+		s.tokens += size(change.Tokens) - size(held)
+		s.parts[change.Key] = change.Tokens
 	}
-	if _, known := s.parts[change.Key]; !known && len(s.parts) >= MaxParts {
-		return
-	}
-	s.tokens += change.Tokens - s.parts[change.Key]
-	s.parts[change.Key] = change.Tokens
 }
 
+// size is the room that a part takes.
+func size(tokens int) int { return max(tokens, -tokens) }
+
 // Close marks a store that can't be asked. A later Begin opens it again.
 func (s *Shelf) Close() { s.closed = true }
 
@@ -99,10 +106,18 @@
 // Closed reports whether the store can't be asked.
 func (s *Shelf) Closed() bool { return s.closed }
 
-// Whole returns the tokens of a part that stands whole, 0 when it does not.
-func (s *Shelf) Whole(key Key) int { return s.parts[key] }
+// Whole returns the tokens of a part that stands whole and may be read, 0 when
+// it does not.
+func (s *Shelf) Whole(key Key) int { return max(s.parts[key], 0) }
+
+// Holds reports whether a part stands in the store, retired or not.
+func (s *Shelf) Holds(key Key) bool { return s.parts[key] != 0 }
+
+// Retired reports whether a part is about to be freed.
+func (s *Shelf) Retired(key Key) bool { return s.parts[key] < 0 }
 
-// All lists the parts, in no order.
+// All lists the parts, in no order; those that are retired with their tokens
+// below zero.
 func (s *Shelf) All() []Change {
 	all := make([]Change, 0, len(s.parts))
 	for key, tokens := range s.parts {
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/lovagereach/lovagereach/catalog"
@@ -14,9 +13,9 @@
 // and, for an isolated team, of that team alone.
 func salt(model string, version uint64, team *catalog.Team) string {
 	if team != nil && team.Isolated {
-		return fmt.Sprintf("%s.%d/%s", model, version, team.Name)
+		return holdings.Salt(model, version, team.Name)
 	}
-	return fmt.Sprintf("%s.%d", model, version)
+	return holdings.Salt(model, version, "")
 }
 
 // described is a prompt under one salt.
@@ -115,7 +114,7 @@
 			fetches = true
 			continue
 		}
-		if len(asked.prompt.Whole[i]) > 0 || s.isPending(asked.keys[i], now) {
+		if len(asked.prompt.Whole[i]) > 0 || s.isPending(asked.keys[i], now) || s.isRetired(asked.keys[i], addresses) {
 			continue
 		}
 		if at := placement.KeepAt(asked.salt, parts[i], stores); at >= 0 {
@@ -154,6 +153,17 @@
 	}
 }
 
+// isRetired reports whether a part is about to be freed somewhere: kept again
+// there, it would be freed while it is written.
+func (s *state) isRetired(key holdings.Key, addresses []string) bool {
+	for _, address := range addresses {
+		if s.book.Retired(address, key) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *state) isPending(key holdings.Key, now time.Time) bool {
 	for _, store := range s.stores {
 		if save, known := store.pending[key]; known && now.Before(save.until) {
--- a/internal/steward/fleet_test.go
+++ b/internal/steward/fleet_test.go
@@ -27,6 +27,7 @@
 	life   uint64
 	events []holdings.Change
 	down   bool
+	freed  []freedPart
 }
 
 func (f *fakeStores) List(ctx context.Context, _ string) (StoreEvents, error) {
@@ -48,6 +49,26 @@
 	return StoreEvents{Life: f.life, Next: uint64(len(f.events)), Changes: f.events[since:], Clock: 5000}, nil
 }
 
+func (f *fakeStores) Free(_ context.Context, address string, life uint64, parts []holdings.Key, until int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down || life != f.life {
+		return errors.New("another life")
+	}
+	for _, part := range parts {
+		f.events = append(f.events, holdings.Change{Key: part})
+		f.freed = append(f.freed, freedPart{key: part, at: time.Now(), until: until})
+	}
+	return nil
+}
+
+// freedPart is a part that was freed, with the bound of the order.
+type freedPart struct {
+	key   holdings.Key
+	at    time.Time
+	until int64
+}
+
 func (f *fakeStores) add(c holdings.Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -79,6 +79,7 @@
 	tasks.Go(func() error { l.shelves.run(ctx); return nil })
 	tasks.Go(func() error { l.housekeep(ctx); return nil })
 	tasks.Go(func() error { l.loader.run(ctx); return nil })
+	tasks.Go(func() error { newRetirer(l).run(ctx); return nil })
 	for wait.For(ctx, leaderPoll) {
 		status := s.replica().Status()
 		if !status.IsLeader || status.Term != term {
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -30,6 +30,9 @@
 type Stores interface {
 	// List returns everything that a store holds whole.
 	List(ctx context.Context, address string) (StoreEvents, error)
+	// Free frees parts of a store in one life of it. It changes nothing once the
+	// upstreams' clock shows more than until, in milliseconds.
+	Free(ctx context.Context, address string, life uint64, parts []holdings.Key, until int64) error
 	// Events returns what changed since, waiting up to wait for something.
 	Events(ctx context.Context, address string, since uint64, wait time.Duration) (StoreEvents, error)
 }
--- a/internal/steward/sharedbook.go
+++ b/internal/steward/sharedbook.go
@@ -136,7 +136,7 @@
 	var differences []holdings.Change
 	for _, change := range listing.Changes {
 		listed[change.Key] = true
-		if shelf.Whole(change.Key) != change.Tokens {
+		if shelf.Whole(change.Key) != change.Tokens && !shelf.Retired(change.Key) {
 			differences = append(differences, change)
 		}
 	}
@@ -154,7 +154,7 @@
 	shelf := b.book.Shelf(address)
 	told := make(map[holdings.Key]bool)
 	for _, change := range changes {
-		if change.Tokens == 0 && shelf.Whole(change.Key) == 0 && !told[change.Key] {
+		if change.Tokens == 0 && !shelf.Holds(change.Key) && !told[change.Key] {
 			continue
 		}
 		told[change.Key] = true
@@ -210,3 +210,33 @@
 		}
 	}
 }
+
+// list returns the parts of a store with their tokens, and its life; nothing
+// while this host does not lead or the store can't be asked.
+func (b *sharedBook) list(address string) (parts []holdings.Change, life uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	shelf := b.book.Shelf(address)
+	if !b.leads || shelf.Closed() {
+		return nil, 0
+	}
+	return shelf.All(), shelf.Life()
+}
+
+// retire marks parts of a store that are about to be freed.
+func (b *sharedBook) retire(address string, parts []holdings.Change) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next, known := b.book.Next(address)
+	if !b.leads || !known || len(parts) == 0 {
+		return
+	}
+	records := make([]holdings.Record, len(parts))
+	for i, part := range parts {
+		part.Tokens = -part.Tokens
+		records[i] = holdings.Record{Address: address, Change: part}
+	}
+	records[len(records)-1].Next = next
+	b.book.Write(records...)
+	b.notify()
+}
