--- a/holdings/holdings_test.go
+++ b/holdings/holdings_test.go
@@ -63,3 +63,27 @@
 		t.Fatalf("%d parts are kept", s.Len())
 	}
 }
+
+// A part that is about to be freed must not be read again, whatever late word
+// of it comes: an entry would send a runner to fetch it while it is freed.
+func TestRetiredPartsStayRetired(t *testing.T) {
+	key := Key{Salt: "m.1", Part: "p"}
+	s := NewShelf()
+	for _, step := range []struct {
+		what           string
+		tokens         int
+		whole, room    int
+		holds, retired bool
+	}{
+		{"whole", 10, 10, 10, true, false},
+		{"retired", -10, 0, 10, true, true},
+		{"a late event that it is whole", 10, 0, 10, true, true},
+		{"freed", 0, 0, 0, false, false},
+		{"kept again", 7, 7, 7, true, false},
+	} {
+		s.Apply(Change{Key: key, Tokens: step.tokens})
+		if s.Whole(key) != step.whole || s.Tokens() != step.room || s.Holds(key) != step.holds || s.Retired(key) != step.retired {
+			t.Errorf("%s: whole %d, room %d, holds %v, retired %v", step.what, s.Whole(key), s.Tokens(), s.Holds(key), s.Retired(key))
+		}
+	}
+}
