--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -26,6 +26,10 @@
 	// silentFor is how long a host is not asked again that did not answer. A
 	// control host is back within about 1 s of its end.
 	silentFor = 2 * time.Second
+	// silentMost is after how many silent hosts the leader is asked to answer
+	// itself. Each costs watchTimeout, and a configuration must be in force
+	// within 2 s.
+	silentMost = 2
 	// elsewhereFor is the same for a host that had nothing to pass on. After an
 	// election it has within 0.1 s.
 	elsewhereFor = 200 * time.Millisecond
@@ -110,7 +114,7 @@
 	}
 	bound, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	request.Direct = f.unreached()
+	request.Direct = host == f.leader && f.unreached()
 	sent := time.Now()
 	address := net.JoinHostPort(string(host), strconv.Itoa(f.options.PeerPort))
 	raw, err := f.options.Transport.Call(bound, address, methodWatch, wire.MustMarshal(request))
@@ -143,16 +147,17 @@
 	return true
 }
 
-// unreached reports whether none of the hosts answers that pass on what the
-// leader tells. Hosts that answer, but have nothing yet, do not count: after an
-// election the leader would have to answer all entries.
+// unreached reports whether the hosts that pass on what the leader tells are
+// silent. Hosts that answer, but have nothing yet, do not count: after an election
+// the leader would have to answer all entries.
 func (f *Follower) unreached() bool {
+	silent := 0
 	for _, host := range f.relays {
-		if !f.avoided[host].silent {
-			return false
+		if f.avoided[host].silent {
+			silent++
 		}
 	}
-	return len(f.relays) > 0
+	return silent > 0 && silent >= min(len(f.relays), silentMost)
 }
 
 // redirected turns to the host that an answer names. One that should have
@@ -209,7 +214,7 @@
 		_, avoided := f.avoided[host]
 		return host != f.options.Self && !avoided
 	}
-	if i := slices.IndexFunc(f.relays, usable); i >= 0 {
+	if i := slices.IndexFunc(f.relays, usable); i >= 0 && (f.leader == "" || !f.unreached()) {
 		return f.relays[i]
 	}
 	if f.leader != "" && f.leader != f.options.Self {
--- a/internal/steward/follower_test.go
+++ b/internal/steward/follower_test.go
@@ -81,6 +81,22 @@
 	step("c1", true, true) // no relay answers: the leader must serve
 }
 
+// Requests go by an old configuration for as long as an entry tries one lost host
+// after the other. After two it has the leader answer.
+func TestFollowerTriesFewSilentHosts(t *testing.T) {
+	relays := []RelayView{{Host: "c2"}, {Host: "c3"}, {Host: "c4"}, {Host: "c5"}}
+	hosts := &scriptedHosts{answers: map[string]*WatchAnswer{"c1": {Term: 1, Leader: "c1", Relays: relays}}}
+	f := testFollower(hosts)
+	asked := make(map[string]int)
+	for range 4 {
+		f.once(context.Background(), &WatchRequest{Entry: &EntryView{Host: "e1"}}, func(*WatchAnswer, time.Time) {})
+		asked[hosts.asked]++
+	}
+	if len(asked) != 3 || asked["c1"] != 2 || !hosts.request.Direct {
+		t.Fatalf("asked %v, the last time directly: %v", asked, hosts.request.Direct)
+	}
+}
+
 // A host that was cut off wakes with an old belief. What it tells must not take
 // the place of what a later leader told.
 func TestFollowerKeepsToTheLatestTerm(t *testing.T) {
