Steward: an answer's age is that of the word it carries

Cause, found in reading: a host that passes the leader's word on took the shelves under its lock and the age of the word a moment later; if the next word came in between, the older one was told as the younger. An entry could so rely on what it was told for up to one more round between control hosts (about 60 ms, within the 0.4 s that the pauses before freeing and opening keep in hand).

Change: the age is taken with the shelves. The test failed before (told as 10 ms old after 70 ms).

--- a/internal/steward/branch.go
+++ b/internal/steward/branch.go
@@ -116,6 +116,9 @@
 	var found bool
 	answer.Shelves, found, _ = b.book.answer(request.Shelves, nil, b.asked)
 	answer.States = b.states
+	// Told with the shelves, under one lock: taken later it could be that of the
+	// next word, and make this one look younger than it is.
+	answer.Age = time.Since(b.shelvesAsked)
 	return found
 }
 
@@ -123,7 +126,6 @@
 func (b *branch) complete(from port.Peer, answer *WatchAnswer, now time.Time) {
 	b.mu.Lock()
 	told, came := b.told, b.came
-	answer.Age = now.Sub(b.shelvesAsked)
 	b.mu.Unlock()
 	answer.Term = told.Term
 	answer.Leader = told.Leader
--- a/internal/steward/branch_test.go
+++ b/internal/steward/branch_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -62,29 +63,42 @@
 // An entry relies on what it was told of the stores for a time after the leader
 // was asked, not after the relay was: the word must not look younger on its way.
 func TestBranchTellsTheAgeOfItsWord(t *testing.T) {
+	synctest.Test(t, testAges)
+}
+
+func testAges(t *testing.T) {
 	asked := time.Now()
 	b := newBranch(NewMachine(), newSharedBook(), log.New(io.Discard))
 	first := relayingAnswer(3)
 	b.take(first, asked, asked.Add(10*time.Millisecond))
-	ask := func(at time.Duration) *WatchAnswer {
+	ask := func(at time.Duration, meanwhile func()) *WatchAnswer {
+		time.Sleep(time.Until(asked.Add(at)))
 		request := entryRequest("e1", true)
 		request.Shelves = &holdings.Question{Listed: true}
 		answer := &WatchAnswer{}
 		b.fill(request, answer)
-		b.complete(entryPeer("e1"), answer, asked.Add(at))
+		meanwhile()
+		b.complete(entryPeer("e1"), answer, time.Now())
 		return answer
 	}
-	if a := ask(50 * time.Millisecond); a.Age != 50*time.Millisecond || a.Shelves.More || len(a.Shelves.Sheets) != 1 || !a.States[0].Open {
+	none := func() {}
+	if a := ask(50*time.Millisecond, none); a.Age != 50*time.Millisecond || a.Shelves.More || len(a.Shelves.Sheets) != 1 || !a.States[0].Open {
 		t.Fatalf("told %+v, shelves %+v", a, a.Shelves)
 	}
+	// The next word comes while this one is put together.
+	same := relayingAnswer(3)
+	same.Shelves.Sheets = nil
+	if a := ask(70*time.Millisecond, func() { b.take(same, asked.Add(60*time.Millisecond), time.Now()) }); a.Age != 70*time.Millisecond {
+		t.Fatalf("the word of the start is told as %v old after 70 ms", a.Age)
+	}
 	// A part of the next records has come, and with it no moment to stand for.
 	part := relayingAnswer(3)
 	part.States[0].Open = false
 	part.Shelves = &holdings.Update{At: holdings.Position{Term: 3, Next: 3}, More: true, Sheets: []holdings.Sheet{
 		{Address: "store:1", Parts: []string{"q"}, Tokens: []int{9}, Next: 2},
 	}}
-	b.take(part, asked.Add(60*time.Millisecond), asked.Add(70*time.Millisecond))
-	if a := ask(100 * time.Millisecond); !a.Shelves.More || len(a.Shelves.Sheets) != 0 {
+	b.take(part, asked.Add(80*time.Millisecond), asked.Add(90*time.Millisecond))
+	if a := ask(100*time.Millisecond, none); !a.Shelves.More || len(a.Shelves.Sheets) != 0 {
 		t.Fatalf("an incomplete book is passed on: %+v", a.Shelves)
 	}
 }
