--- a/internal/steward/retire.go
+++ b/internal/steward/retire.go
@@ -153,6 +153,10 @@
 		s.options.Log.Info("parts not freed", "store", address, "cause", "leadership not certain", "err", err)
 		return
 	}
-	err = s.options.Stores.Free(ctx, address, life, parts, clock+freeWithin.Milliseconds())
-	s.options.Log.Info("parts freed", "store", address, "life", life, "parts", len(parts), "err", err)
+	if err := s.options.Stores.Free(ctx, address, life, parts, clock+freeWithin.Milliseconds()); err != nil {
+		// They are ordered again at the next look, if they still stand there.
+		s.options.Log.Info("parts not freed", "store", address, "parts", len(parts), "cause", err)
+		return
+	}
+	s.options.Log.Info("parts freed", "store", address, "life", life, "parts", len(parts))
 }
