--- a/holdings/holdings.go
+++ b/holdings/holdings.go
@@ -6,6 +6,21 @@
 // asked or has begun another life, and opens after a pause that is longer than
 // any reader may go on with what it knew before: between the two lives a part
 // may stand half written under a name that readers remember as whole.
+//
+// A Book holds the shelves of all stores. The leader's is written by the stores'
+// events; control hosts and entries keep theirs alike by asking for what they
+// lack (Question, Update). What can happen, and what keeps a reader's book right:
+//
+//	event                              the reader's book
+//	it lags by a few records           is told them by place in the journal
+//	another host answers, same leader  the same: places are passed on unchanged
+//	another leader                     is told, by source, what follows the last
+//	                                   event that it holds (Held)
+//	a source began another life        is told that shelf whole, after Cleared
+//	it lacks more than a page          relies on nothing until it has the rest
+//	it knows more than who answers     is told nothing, and keeps what it has
+//	parts are retired                  is told at each change of hosts, for that
+//	                                   is no event of the source
 package holdings
 
 import "time"
