Steward: runners' caches are told once they are caught up with

In the log of one run an entry had no complete answer on any shelf from 21.6 to 24.1 s, after the leader had frozen (view_age up to 2.9 s, 1.0 s before). A runner tells 500 events at a time: the new leader began with its oldest, stood at 2,360 while entries knew 5,698, and a host that knows less than its reader answers "more" and nothing else.

Ruled out: the rate of answers (every 21 ms before and after), processor time (13.7 and 14.1 thousandths of a core), memory.

Change: a leader gathers a runner's events aside and tells the cache whole once an answer brings less than 300 changes. A store that was not listed opens again only then too: until that, a part that was freed and is written anew would have stood as whole. A test that failed before (500 of 1800 parts told).

--- a/internal/steward/fleet_test.go
+++ b/internal/steward/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -28,10 +29,12 @@
 	events []holdings.Change
 	down   bool
 	freed  []freedPart
+	// page bounds the events of one answer, 0 for no bound.
+	page int
 }
 
-func (f *fakeStores) List(ctx context.Context, _ string) (StoreEvents, error) {
-	return f.Events(ctx, "", 0, 0)
+func (f *fakeStores) List(context.Context, string) (StoreEvents, error) {
+	return f.read(0, 0)
 }
 
 func (f *fakeStores) Events(ctx context.Context, _ string, since uint64, wait time.Duration) (StoreEvents, error) {
@@ -40,13 +43,25 @@
 	case <-ctx.Done():
 		return StoreEvents{}, ctx.Err()
 	}
+	f.mu.Lock()
+	page := f.page
+	f.mu.Unlock()
+	return f.read(since, page)
+}
+
+// read returns the events since one, at most a page of them.
+func (f *fakeStores) read(since uint64, page int) (StoreEvents, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
 		return StoreEvents{}, errors.New("down")
 	}
 	since = min(since, uint64(len(f.events)))
-	return StoreEvents{Life: f.life, Next: uint64(len(f.events)), Changes: f.events[since:], Clock: 5000}, nil
+	end := uint64(len(f.events))
+	if page > 0 {
+		end = min(end, since+uint64(page))
+	}
+	return StoreEvents{Life: f.life, Next: end, Changes: slices.Clone(f.events[since:end]), Clock: 5000}, nil
 }
 
 func (f *fakeStores) Free(_ context.Context, address string, life uint64, parts []holdings.Key, until int64) error {
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -26,6 +26,14 @@
 	Clock int64
 }
 
+// caughtUpBelow is the number of changes below which an answer has brought the
+// latest events: stores and runners tell 500 at a time, and change less between
+// two questions.
+const caughtUpBelow = 300
+
+// caughtUp reports whether nothing that has happened is still to be told.
+func (e *StoreEvents) caughtUp() bool { return len(e.Changes) < caughtUpBelow }
+
 // Stores asks stores what they hold.
 type Stores interface {
 	// List returns everything that a store holds whole.
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -139,10 +139,17 @@
 
 // followRunner keeps track of the large parts that a runner has cached, until
 // ctx ends. Nothing depends on it but the choice of the runner: a part that is
-// gone meanwhile is read again.
+// gone meanwhile is read again. A runner is told to entries once it is caught up
+// with: a new leader begins with its oldest events, and an entry that knows later
+// ones would get no answer on any shelf before the leader knows them too.
 func (k *shelves) followRunner(ctx context.Context, address string) {
+	var behind *holdings.Shelf
+	var from uint64
 	for wait.For(ctx, runnerPause) {
 		next, life := k.book.place(address)
+		if behind != nil {
+			next, life = from, behind.Life()
+		}
 		events, err := k.ask(ctx, func(ctx context.Context) (StoreEvents, error) {
 			return k.stores().Events(ctx, address, next, storeWait)
 		})
@@ -154,12 +161,25 @@
 			continue
 		}
 		k.noteClock(events.Clock)
+		caughtUp := events.caughtUp()
 		events.Changes = large(events.Changes)
 		if events.Lost || events.Life != life {
-			k.book.replace(address, events)
+			behind = holdings.NewShelf()
+			behind.Clear(events.Life)
+		}
+		if behind == nil {
+			k.book.add(address, events)
 			continue
 		}
-		k.book.add(address, events)
+		for _, change := range events.Changes {
+			behind.Apply(change)
+		}
+		from = events.Next
+		if caughtUp {
+			events.Changes = behind.All()
+			k.book.replace(address, events)
+			behind = nil
+		}
 	}
 }
 
@@ -205,7 +225,9 @@
 		if !events.Lost && events.Life == life {
 			k.noteClock(events.Clock)
 			k.book.add(address, events)
-			k.reopen(ctx, address, life)
+			if events.caughtUp() {
+				k.reopen(ctx, address, life)
+			}
 			return nil
 		}
 	}
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -274,6 +274,38 @@
 	f.await("it is not, with many entries", func() bool { n, ok := followed(cacheWatchers + 1); return ok && n == 0 })
 }
 
+// Callers wait for their prompts to be read from the start if their entry hears
+// nothing of the stores for seconds after an election: an entry that knows later
+// events of a runner's cache than the new leader got no answer on any shelf until
+// the leader had caught up. A cache is told whole or not at all.
+func TestRunnersAreToldOnceCaughtUpWith(t *testing.T) {
+	f := newFleet(t)
+	f.startThree()
+	const parts = 1800
+	for i := range parts {
+		f.stores.events = append(f.stores.events, holdings.Change{Key: holdings.Key{Salt: "s", Part: fmt.Sprint(i)}, Tokens: runnerLeast})
+	}
+	f.put(1, "one")
+	f.stores.mu.Lock()
+	f.stores.page = 500
+	f.stores.mu.Unlock()
+	u := roster.Upstream{ID: "r0", Service: "llm", Address: "r0:1", State: roster.Serving, Sequence: 1}
+	f.await("an acknowledgement", func() bool { return f.any().Announce(context.Background(), u) == nil })
+	f.await("the runner's parts are told", func() bool {
+		lead := f.leader()
+		if lead == nil {
+			return false
+		}
+		lead.book.mu.Lock()
+		held := lead.book.book.Shelf("r0:1").Len()
+		lead.book.mu.Unlock()
+		if held != 0 && held != parts {
+			t.Fatalf("%d of %d parts are told", held, parts)
+		}
+		return held == parts
+	})
+}
+
 // Two runners' orders may never come from two holders in turn: each order names
 // the leader's term, which no other host ever has.
 func TestRunnersAreBroughtToNamedWeights(t *testing.T) {
