--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -28,8 +28,9 @@
 	// changes with every request, so that each question is answered at once.
 	runnerPause = 150 * time.Millisecond
 	// cacheWatchers is up to how many entries the runners' caches are followed.
-	// Each change of a cache goes to every entry, so that the leader's work
-	// grows with entries times changes, and configurations come into force late.
+	// Each change of a cache goes to every entry. With 64 entries that gained
+	// 0.02 to 0.03 of the credit on calm days and lost 0.13 to 0.27 on days with
+	// losses of hosts, one run of each.
 	cacheWatchers = 16
 	// adoptEvery is how often it is looked at whom to follow, besides at each
 	// change of the configuration or the roster.
