steward: one constant for how long beliefs last; answers without states of nobody

Cause, found in reading the change: the pause before a store opens in another life and that before a part is freed stood as the same sum twice, with two accounts of its reason; a host that passes the leader's word on built a list of store states to throw it away.

Change: beliefLasts with its reason once; answer and answerWithStates. Behaviour is unchanged.

--- a/internal/steward/branch.go
+++ b/internal/steward/branch.go
@@ -114,7 +114,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var found bool
-	answer.Shelves, found, _ = b.book.answer(request.Shelves, nil, b.asked)
+	answer.Shelves, found = b.book.answer(request.Shelves)
 	answer.States = b.states
 	// Told with the shelves, under one lock: taken later it could be that of the
 	// next word, and make this one look younger than it is.
--- a/internal/steward/retire.go
+++ b/internal/steward/retire.go
@@ -17,10 +17,9 @@
 	// retireFrom is the filled share of a store from which they are freed. What
 	// lies below it is in nobody's way.
 	retireFrom = 0.4
-	// retirePause is the time between the retiring of a part and its freeing. An
-	// entry may go by what it knew before for ShelfTrust, and what it sent then
-	// may read for FetchPermit; the rest is for the difference of clocks.
-	retirePause = ShelfTrust + FetchPermit + 400*time.Millisecond
+	// retirePause is the time between the retiring of a part and its freeing: an
+	// entry may go by what it knew before for as long as beliefLasts.
+	retirePause = beliefLasts
 	// freeWithin bounds the time in which an order to free takes effect. It is
 	// shorter than electionMin: a host that led until the order was given has no
 	// successor before that time is over, and entries are told nothing else.
--- a/internal/steward/sharedbook.go
+++ b/internal/steward/sharedbook.go
@@ -58,13 +58,26 @@
 	return complete
 }
 
-// answer returns what a watcher lacks, whether that is anything, and which of
-// the stores may be used at the moment that the answer stands for.
-func (b *sharedBook) answer(question *holdings.Question, stores []string, now time.Time) (*holdings.Update, bool, []ShelfState) {
+// answer returns what a watcher lacks, and whether that is anything.
+func (b *sharedBook) answer(question *holdings.Question) (*holdings.Update, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.lacking(question)
+}
+
+// answerWithStates also tells which of the stores may be used at the moment that
+// the answer stands for.
+func (b *sharedBook) answerWithStates(question *holdings.Question, stores []string, now time.Time) (*holdings.Update, bool, []ShelfState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	update, found := b.lacking(question)
+	return update, found, b.states(stores, now)
+}
+
+// lacking is answer for a caller that holds the lock.
+func (b *sharedBook) lacking(question *holdings.Question) (*holdings.Update, bool) {
 	update := b.book.Answer(question)
-	return &update, len(update.Sheets) > 0 || update.Unknown, b.states(stores, now)
+	return &update, len(update.Sheets) > 0 || update.Unknown
 }
 
 // lead begins the term of this host. What it held of the stores is not known to
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -20,10 +20,14 @@
 	storeSilence = storeWait + 500*time.Millisecond
 	// storeRetry is the pause after a failed question.
 	storeRetry = 100 * time.Millisecond
-	// shelfPause keeps a store closed at the start of another life of it. Until
-	// then an entry may read what it knew of the life before: its knowledge
-	// lasts ShelfTrust, and a fetch that it permitted ends FetchPermit later.
-	shelfPause = ShelfTrust + FetchPermit + 400*time.Millisecond
+	// beliefLasts is how long after a change of a store somebody may still act on
+	// what was told before it: an entry relies on that for ShelfTrust, what it
+	// sends then may fetch for FetchPermit, and the rest is for the difference of
+	// clocks and for answers on their way.
+	beliefLasts = ShelfTrust + FetchPermit + 400*time.Millisecond
+	// shelfPause keeps a store closed at the start of another life of it, while
+	// an entry may still read what it knew of the life before.
+	shelfPause = beliefLasts
 	// runnerPause is the time between two questions to a runner. Its cache
 	// changes with every request, so that each question is answered at once.
 	runnerPause = 150 * time.Millisecond
@@ -323,6 +327,6 @@
 	stores := slices.Sorted(maps.Keys(k.byStore))
 	k.mu.Unlock()
 	var found bool
-	answer.Shelves, found, answer.States = k.book.answer(request.Shelves, stores, time.Now())
+	answer.Shelves, found, answer.States = k.book.answerWithStates(request.Shelves, stores, time.Now())
 	return found
 }
