Steward: tell which runners lack named weights, and since when

Change: hosts note when each version was named; the leader logs one line a second while runners lack weights, and two gauges tell the same.

--- a/internal/steward/loads.go
+++ b/internal/steward/loads.go
@@ -52,6 +52,9 @@
 	// askedInVain is after how many questions without an answer in a row a
 	// loading runner loses its turn.
 	askedInVain = 3
+	// accountEvery is the least time between two lines about runners that lack
+	// named weights.
+	accountEvery = time.Second
 	// holderSlack is added to the time that a new leader waits before its first
 	// order, for the difference of the hosts' clocks and an order on its way.
 	holderSlack = 500 * time.Millisecond
@@ -80,6 +83,28 @@
 	// when all should have it.
 	newest uint64
 	due    time.Time
+	// lacking is the account of runners that lack weights, and accounted when it
+	// was last logged.
+	lacking   lacking
+	accounted time.Time
+}
+
+// lacking is an account of the runners that lack named weights.
+type lacking struct {
+	// count of the runners lack weights, and loading take none meanwhile; atOnce
+	// may load at a time.
+	count, runners, loading, atOnce int
+	// longest is the runner that has lacked a version for longest, at since.
+	longest roster.Upstream
+	since   time.Time
+}
+
+// age is how long the runner that is furthest behind has lacked weights.
+func (l *lacking) age(now time.Time) time.Duration {
+	if l.count == 0 {
+		return 0
+	}
+	return now.Sub(l.since)
 }
 
 type avoidance struct {
@@ -101,7 +126,10 @@
 	defer tasks.Wait()
 	for wait.For(ctx, loadEvery) {
 		now := time.Now()
-		for _, u := range o.next(o.leadership.heard(s.machine.live(), now), now) {
+		live := o.leadership.heard(s.machine.live(), now)
+		turn := o.next(live, now)
+		o.account(live, now)
+		for _, u := range turn {
 			tasks.Go(func() {
 				done := o.load(ctx, u)
 				o.release(u.ID, done, time.Now())
@@ -178,6 +206,39 @@
 	return wanting, runners
 }
 
+// account notes how many runners lack weights, and logs it while there are any.
+func (o *loader) account(live []roster.Upstream, now time.Time) {
+	named := o.leadership.steward.machine.namedAt()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	next := lacking{loading: len(o.busy) + len(o.named)}
+	wanting := 0
+	wanting, next.runners = o.census(live, now)
+	next.count, next.atOnce = wanting, o.atOnce(wanting, next.runners, now)
+	for i := range live {
+		for _, loaded := range live[i].Loaded {
+			at, lacks := named.FirstLacked(loaded.Model, loaded.Version)
+			if lacks && live[i].State == roster.Serving && (next.since.IsZero() || at.Before(next.since)) {
+				next.longest, next.since = live[i], at
+			}
+		}
+	}
+	if next.count > 0 && now.Sub(o.accounted) >= accountEvery {
+		o.accounted = now
+		o.leadership.steward.options.Log.Info("weights lacking", "runners", next.count, "of", next.runners,
+			"loading", next.loading, "at_once", next.atOnce, "longest", next.longest.ID,
+			"has", next.longest.Loaded, "for", next.age(now))
+	}
+	o.lacking = next
+}
+
+// lackingNow returns the latest account.
+func (o *loader) lackingNow() lacking {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lacking
+}
+
 // wanted returns the model and version that a runner lacks, version 0 if none.
 func (o *loader) wanted(u *roster.Upstream) (string, uint64) {
 	if u.State != roster.Serving {
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -4,11 +4,13 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/wire"
+	"github.com/lovagereach/lovagereach/rollout"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -42,15 +44,22 @@
 	// weights is the newest version named for each model.
 	weights         map[string]uint64
 	weightsRevision uint64
-	roster          *roster.Roster
-	lives           map[string]uint64
+	// namings are when this host learnt of each version. They are not replicated:
+	// hosts have no common steady clock, and a host that starts again knows of
+	// each since its start.
+	namings *rollout.Namings
+	roster  *roster.Roster
+	lives   map[string]uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
 
 // NewMachine returns the state before the first command.
 func NewMachine() *Machine {
-	return &Machine{weights: make(map[string]uint64), lives: make(map[string]uint64), roster: roster.New(), changed: make(chan struct{})}
+	return &Machine{
+		weights: make(map[string]uint64), namings: rollout.NewNamings(), lives: make(map[string]uint64),
+		roster: roster.New(), changed: make(chan struct{}),
+	}
 }
 
 // Apply implements port.StateMachine.
@@ -91,6 +100,7 @@
 		return
 	}
 	m.weights[w.Model] = w.Version
+	m.namings.Note(w.Model, w.Version, time.Now())
 	m.weightsRevision++
 	m.notify()
 }
@@ -136,6 +146,7 @@
 	m.weights = make(map[string]uint64, len(saved.Weights))
 	for _, w := range saved.Weights {
 		m.weights[w.Model] = w.Version
+		m.namings.Note(w.Model, w.Version, time.Now())
 	}
 	m.weightsRevision = saved.WeightsRevision
 	m.roster.Restore(saved.Roster)
@@ -178,6 +189,13 @@
 	return m.weights[model]
 }
 
+// namedAt returns when each version was named, as far as this host knows.
+func (m *Machine) namedAt() *rollout.Namings {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.namings.Clone()
+}
+
 // wouldChange reports whether an announcement would change the roster.
 func (m *Machine) wouldChange(u roster.Upstream) bool {
 	m.mu.Lock()
--- a/internal/steward/meter.go
+++ b/internal/steward/meter.go
@@ -53,6 +53,19 @@
 	})
 	gauge("entries", func(time.Time) float64 { return float64(len(s.entryList())) })
 	gauge("upstreams", func(time.Time) float64 { return float64(len(s.machine.live())) })
+	gauge("lacking_weights_upstreams", func(time.Time) float64 {
+		if l := s.leading.Load(); l != nil {
+			return float64(l.loader.lackingNow().count)
+		}
+		return 0
+	})
+	gauge("lacking_weights_seconds", func(now time.Time) float64 {
+		if l := s.leading.Load(); l != nil {
+			behind := l.loader.lackingNow()
+			return behind.age(now).Seconds()
+		}
+		return 0
+	})
 	gauge("leader_heard_seconds", func(now time.Time) float64 {
 		if s.leading.Load() != nil {
 			return 0
