Runners load named weights in the order of their bounds; no prompt begins past one

Cause: loads went by the runners' names. Each newer version began the round again at the first name, and moved the one time at which all should be ready, also of runners that lacked an older version; a new leader counted from its own first look. The last names had no turn for 26 s, and entries went on to send them prompts. The account of 'weights lacking' tells it apart from failed orders. Ruled out: orders refused or unanswered (each taken), a belief in newer weights. Change: rollout.Schedule gives turns by the end of each runner's own bound and lets as many load at a time as that needs; hosts note when they learnt of each version. rollout.Floor: past nine tenths of a bound entries send no prompt to a runner that lacks the version, also when orders fail or a runner comes back with old weights. The harness of two tests takes the present time as its beginning, since namings carry it; what they check is unchanged.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -357,3 +357,41 @@
 		}
 	}
 }
+
+// Callers were answered on weights that the operator had replaced 22 s before. The
+// loader had not reached the runner, and the entry went on to send it prompts. Past
+// the bound it must send it none, whatever the loader does, and say so with a time
+// to come back when no runner is left; calls without a prompt are not concerned.
+func TestPromptsDoNotBeginOnWeightsPastTheirBound(t *testing.T) {
+	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return stream(io.EOF, "1"), nil })
+	word := testAnswer()
+	word.Document, word.Shelves = nil, nil
+	word.Roster.Upstreams[3].Loaded = []roster.Loaded{{Model: "m", Version: 2}}
+	word.Floor = []roster.Loaded{{Model: "m", Version: 2}}
+	g.Told(word, time.Now())
+	ask := func() *recorder {
+		r := request("/stream/x")
+		r.Prompt = prompt(placement.Part{ID: "p", Tokens: 100})
+		return serve(g, r)
+	}
+	for range 20 {
+		ask()
+	}
+	for _, send := range sender.sends {
+		if send.Upstream != "l1" || send.Prompt.Version != 2 {
+			t.Fatalf("a prompt was sent to %s for version %d", send.Upstream, send.Prompt.Version)
+		}
+	}
+	// An answer of a host that has not heard of the bound takes nothing back.
+	older := *word
+	older.Floor, older.Roster = nil, nil
+	g.Told(&older, time.Now())
+	sent := sender.count()
+	word.Floor = []roster.Loaded{{Model: "m", Version: 3}}
+	g.Told(word, time.Now())
+	g.Told(&older, time.Now())
+	var unsent *outcome.NotRun
+	if got := ask(); sender.count() != sent || got.ends != "refused" || !errors.As(got.cause, &unsent) || unsent.RetryAfter == 0 {
+		t.Fatalf("%d sends, answered %q: %v", sender.count()-sent, got.ends, got.cause)
+	}
+}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -75,7 +75,7 @@
 	service := s.index.Service(r.service)
 	candidates := r.candidates(s)
 	if len(candidates) == 0 {
-		return nil, notRun(outcome.ReasonNoUpstream, comeBack, "no upstream of the service is known")
+		return nil, notRun(outcome.ReasonNoUpstream, comeBack, r.noCandidate(s))
 	}
 	p := &plan{candidates: len(candidates)}
 	p.send = &Send{
@@ -109,17 +109,34 @@
 }
 
 // candidates lists the upstreams that may take the request: those not tried
-// yet, or all when every one has been tried.
+// yet, and for a prompt those whose weights are not past their bound. The loader
+// may fail to bring a runner to newer ones; a prompt would then begin on weights
+// that the operator has replaced for good.
 func (r *run) candidates(s *state) []*upstreamState {
 	var fresh []*upstreamState
 	for _, u := range s.serving[r.service] {
-		if !u.trust.gone && !r.tried[u.record.ID] {
+		if !u.trust.gone && !r.tried[u.record.ID] && !r.below(s, u) {
 			fresh = append(fresh, u)
 		}
 	}
 	return fresh
 }
 
+// below reports whether an upstream's weights are too old for the request's prompt.
+func (r *run) below(s *state, u *upstreamState) bool {
+	return r.request.Prompt != nil && u.versionOf(r.request.Prompt.Model) < s.floor[r.request.Prompt.Model]
+}
+
+// noCandidate tells why no upstream may take the request.
+func (r *run) noCandidate(s *state) string {
+	for _, u := range s.serving[r.service] {
+		if r.below(s, u) {
+			return "the upstreams left have weights that are past their bound"
+		}
+	}
+	return "no upstream of the service is known"
+}
+
 // connections is this entry's share of an upstream's connections.
 func (s *state) connections(service *catalog.Service) int {
 	if service == nil || service.MaxConnections <= 0 {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -53,8 +53,10 @@
 
 	weights  map[string]uint64
 	weightsR uint64
-	rosterR  uint64
-	members  map[string]*upstreamState
+	// floor is the oldest version of each model on which a prompt may begin.
+	floor   map[string]uint64
+	rosterR uint64
+	members map[string]*upstreamState
 	// serving lists the upstreams that take work by service.
 	serving map[string][]*upstreamState
 	stores  map[string]*storeState
@@ -97,6 +99,7 @@
 		started: make(chan struct{}),
 		stocked: make(chan struct{}),
 		weights: make(map[string]uint64),
+		floor:   make(map[string]uint64),
 		members: make(map[string]*upstreamState),
 		serving: make(map[string][]*upstreamState),
 		stores:  make(map[string]*storeState),
@@ -151,6 +154,9 @@
 			s.weights[w.Model] = max(s.weights[w.Model], w.Version)
 		}
 	}
+	for _, f := range answer.Floor {
+		s.floor[f.Model] = max(s.floor[f.Model], f.Version)
+	}
 	if answer.Roster != nil && answer.Roster.Revision >= s.rosterR {
 		s.enrol(answer.Roster)
 	}
--- a/internal/steward/branch.go
+++ b/internal/steward/branch.go
@@ -131,7 +131,7 @@
 	answer.Leader = told.Leader
 	answer.Relaying, answer.Relays = told.Relaying, told.Relays
 	answer.EntryCount = told.EntryCount
-	answer.Silent, answer.Loading = told.Silent, told.Loading
+	answer.Silent, answer.Loading, answer.Floor = told.Silent, told.Loading, told.Floor
 	if told.Clock > 0 {
 		answer.Clock = told.Clock + now.Sub(came).Milliseconds()
 	}
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -233,6 +233,7 @@
 	answer.Relays = l.relays(now)
 	answer.Silent = l.silent(l.steward.machine.live(), now)
 	answer.Loading = l.loader.loading()
+	answer.Floor = l.steward.machine.floor(l.since, l.steward.options.VersionTime, now)
 	answer.Clock = l.shelves.clock(now)
 	answer.Loads = l.watchers.loadsBut(from.Host, nil)
 }
--- a/internal/steward/loads.go
+++ b/internal/steward/loads.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"maps"
-	"math"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/quorum"
+	"github.com/lovagereach/lovagereach/rollout"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -25,30 +23,12 @@
 	// loadCheck is how often a runner is asked whether it is done, once the
 	// usual time of a load is nearly over. Each question costs the runner work.
 	loadCheck = 120 * time.Millisecond
-	// loadNearly is the part of the usual time after which it is asked, and
-	// loadFirst the time assumed before any load has been seen.
-	loadNearly = 0.85
-	loadFirst  = 2 * time.Second
 	// loadGivenUp is how long a load may take before another runner gets its
 	// turn and the runner is looked at again.
 	loadGivenUp = 8 * time.Second
 	// loadNotice is how long before its order a runner is at least named to the
 	// entries, so that they send it nothing that it would refuse.
 	loadNotice = watchWait + 80*time.Millisecond
-	// drainLead is how long before a load is expected to end the next runner is
-	// named. Most runs end within it; longer, and capacity is idle.
-	drainLead = 500 * time.Millisecond
-	// inTime is the part of the time for a new version within which all runners
-	// are to have it. Fewer loads at a time leave more runners to serve.
-	inTime = 0.8
-	// loadsShare bounds the loads at a time to one runner in so many, where that
-	// is more than the setting.
-	loadsShare = 5
-	// unreachableFor is how long a runner is left alone that could not be asked
-	// or refused its order, and unreachableMost the longest; each time in a row
-	// doubles it. A crashed runner would else hold one of the few turns.
-	unreachableFor  = 500 * time.Millisecond
-	unreachableMost = 4 * time.Second
 	// askedInVain is after how many questions without an answer in a row a
 	// loading runner loses its turn.
 	askedInVain = 3
@@ -60,61 +40,23 @@
 	holderSlack = 500 * time.Millisecond
 )
 
-// loader brings the runners to the weights that were named. The host that leads
-// is the only one to give orders, under the term as its number; it begins when
-// the leader before can have given none for HolderLease.
-//
-// No more runners load at a time than must for all to have the version in time.
-// A runner is named to the entries a little before its order, so that it has
-// finished its runs when its turn comes and the turn is not spent waiting.
+// loader brings the runners to the weights that were named, in the turns that a
+// rollout.Schedule gives. The host that leads is the only one to give orders, under
+// the term as its number; it begins when the leader before can have given none for
+// HolderLease.
 type loader struct {
 	leadership *leadership
 	mu         sync.Mutex
-	// named are the runners whose turn is next, with the time of their naming;
-	// busy are those that were ordered.
-	named map[string]time.Time
-	busy  map[string]time.Time
-	// avoided are the runners that are left alone for a while.
-	avoided map[string]avoidance
-	// usual is how long a load takes from the order on.
-	usual  time.Duration
-	learnt bool
-	// newest is the newest version that a runner was found to lack, and due is
-	// when all should have it.
-	newest uint64
-	due    time.Time
-	// lacking is the account of runners that lack weights, and accounted when it
-	// was last logged.
-	lacking   lacking
+	schedule   *rollout.Schedule
+	// accounted is when the account of runners that lack weights was last logged.
 	accounted time.Time
 }
 
-// lacking is an account of the runners that lack named weights.
-type lacking struct {
-	// count of the runners lack weights, and loading take none meanwhile; atOnce
-	// may load at a time.
-	count, runners, loading, atOnce int
-	// longest is the runner that has lacked a version for longest, at since.
-	longest roster.Upstream
-	since   time.Time
-}
-
-// age is how long the runner that is furthest behind has lacked weights.
-func (l *lacking) age(now time.Time) time.Duration {
-	if l.count == 0 {
-		return 0
-	}
-	return now.Sub(l.since)
-}
-
-type avoidance struct {
-	until time.Time
-	inRow int
-}
-
 func newLoader(l *leadership) *loader {
-	return &loader{leadership: l, named: make(map[string]time.Time), busy: make(map[string]time.Time),
-		avoided: make(map[string]avoidance), usual: loadFirst}
+	options := &l.steward.options
+	return &loader{leadership: l, schedule: rollout.NewSchedule(rollout.Options{
+		AtOnce: options.LoadsAtOnce, Bound: options.VersionTime, Notice: loadNotice,
+	})}
 }
 
 func (o *loader) run(ctx context.Context) {
@@ -126,160 +68,55 @@
 	defer tasks.Wait()
 	for wait.For(ctx, loadEvery) {
 		now := time.Now()
-		live := o.leadership.heard(s.machine.live(), now)
-		turn := o.next(live, now)
-		o.account(live, now)
-		for _, u := range turn {
+		for _, turn := range o.next(o.leadership.heard(s.machine.live(), now), now) {
 			tasks.Go(func() {
-				done := o.load(ctx, u)
-				o.release(u.ID, done, time.Now())
+				done := o.load(ctx, turn)
+				o.release(turn.Upstream.ID, done, time.Now())
 			})
 		}
 	}
 }
 
-// next names the runners whose turn comes, and returns those whose turn it is.
-func (o *loader) next(live []roster.Upstream, now time.Time) []roster.Upstream {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	lacking, runners := o.census(live, now)
-	most := o.atOnce(lacking, runners, now)
-	free := most - len(o.busy)
-	for _, since := range o.busy {
-		if now.Sub(since) > o.usual-drainLead {
-			free++
-		}
-	}
-	var turn []roster.Upstream
-	wanting := make(map[string]bool)
-	for i := range live {
-		u := &live[i]
-		_, loads := o.busy[u.ID]
-		if _, version := o.wanted(u); version == 0 || loads || now.Before(o.avoided[u.ID].until) {
-			continue
-		}
-		wanting[u.ID] = true
-		at, named := o.named[u.ID]
-		switch {
-		case named && len(o.busy) < most && now.Sub(at) >= loadNotice:
-			delete(o.named, u.ID)
-			o.busy[u.ID] = now
-			free--
-			turn = append(turn, *u)
-		case !named && len(o.named) < free:
-			o.named[u.ID] = now
-		}
-	}
-	maps.DeleteFunc(o.named, func(id string, _ time.Time) bool { return !wanting[id] })
-	return turn
-}
-
-// atOnce is how many runners may load at a time for so many to have the version
-// in the time left. The caller holds the lock.
-func (o *loader) atOnce(wanting, runners int, now time.Time) int {
-	options := &o.leadership.steward.options
-	left := max(o.due.Sub(now), o.usual)
-	needed := int(math.Ceil(float64(wanting) * float64(o.usual+loadNotice) / float64(left)))
-	limit := max(options.LoadsAtOnce, runners/loadsShare)
-	// Behind time, half as many more: runners that don't answer their orders
-	// hold turns without loading.
-	return min(max(needed, 1), limit+limit/2)
-}
-
-// census counts the model runners and those that lack the newest version, and
-// notes when all are due to have it. The caller holds the lock.
-func (o *loader) census(live []roster.Upstream, now time.Time) (wanting, runners int) {
-	for i := range live {
-		u := &live[i]
-		if len(u.Loaded) == 0 || u.State != roster.Serving {
-			continue
-		}
-		runners++
-		if _, version := o.wanted(u); version != 0 {
-			wanting++
-			if version > o.newest {
-				o.newest = version
-				o.due = now.Add(time.Duration(inTime * float64(o.leadership.steward.options.VersionTime)))
-			}
-		}
-	}
-	return wanting, runners
-}
-
-// account notes how many runners lack weights, and logs it while there are any.
-func (o *loader) account(live []roster.Upstream, now time.Time) {
-	named := o.leadership.steward.machine.namedAt()
+// next returns the loads whose time has come.
+func (o *loader) next(live []roster.Upstream, now time.Time) []rollout.Turn {
+	namings := o.leadership.steward.machine.namedAt()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	next := lacking{loading: len(o.busy) + len(o.named)}
-	wanting := 0
-	wanting, next.runners = o.census(live, now)
-	next.count, next.atOnce = wanting, o.atOnce(wanting, next.runners, now)
-	for i := range live {
-		for _, loaded := range live[i].Loaded {
-			at, lacks := named.FirstLacked(loaded.Model, loaded.Version)
-			if lacks && live[i].State == roster.Serving && (next.since.IsZero() || at.Before(next.since)) {
-				next.longest, next.since = live[i], at
-			}
-		}
-	}
-	if next.count > 0 && now.Sub(o.accounted) >= accountEvery {
+	turns := o.schedule.Next(live, namings, now)
+	account := o.schedule.Account()
+	if account.Lacking > 0 && now.Sub(o.accounted) >= accountEvery {
 		o.accounted = now
-		o.leadership.steward.options.Log.Info("weights lacking", "runners", next.count, "of", next.runners,
-			"loading", next.loading, "at_once", next.atOnce, "longest", next.longest.ID,
-			"has", next.longest.Loaded, "for", next.age(now))
+		o.leadership.steward.options.Log.Info("weights lacking", "runners", account.Lacking, "of", account.Runners,
+			"loading", account.Loading, "at_once", account.AtOnce, "longest", account.Longest, "for", account.Age(now))
 	}
-	o.lacking = next
+	return turns
 }
 
-// lackingNow returns the latest account.
-func (o *loader) lackingNow() lacking {
+func (o *loader) release(id string, done bool, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.lacking
+	o.schedule.Release(id, done, now)
 }
 
-// wanted returns the model and version that a runner lacks, version 0 if none.
-func (o *loader) wanted(u *roster.Upstream) (string, uint64) {
-	if u.State != roster.Serving {
-		return "", 0
-	}
-	for _, loaded := range u.Loaded {
-		if newest := o.leadership.steward.machine.weightsOf(loaded.Model); newest > loaded.Version {
-			return loaded.Model, newest
-		}
-	}
-	return "", 0
-}
-
-// release ends a runner's turn. One that it did not bring to the version is
-// left alone for a while.
-func (o *loader) release(id string, done bool, now time.Time) {
+// account tells how many runners lack named weights.
+func (o *loader) account() rollout.Account {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.busy, id)
-	if done {
-		delete(o.avoided, id)
-		return
-	}
-	known := o.avoided[id]
-	known.until = now.Add(min(unreachableFor<<min(known.inRow, 8), unreachableMost))
-	known.inRow++
-	o.avoided[id] = known
+	return o.schedule.Account()
 }
 
 // loading lists the runners that take no requests for the sake of a load.
 func (o *loader) loading() []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return append(slices.Sorted(maps.Keys(o.busy)), slices.Sorted(maps.Keys(o.named))...)
+	return o.schedule.Loading()
 }
 
 // load orders one runner, waits until it has the version and reports whether
 // it came to have it.
-func (o *loader) load(ctx context.Context, u roster.Upstream) bool {
+func (o *loader) load(ctx context.Context, turn rollout.Turn) bool {
 	s := o.leadership.steward
-	model, version := o.wanted(&u)
+	u, model, version := turn.Upstream, turn.Model, turn.Version
 	ctx, cancel := context.WithTimeout(ctx, loadGivenUp)
 	defer cancel()
 	if !o.give(ctx, u, model, version) {
@@ -337,20 +174,13 @@
 func (o *loader) firstCheck() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.learnt {
-		return loadFirst / 2
-	}
-	return time.Duration(loadNearly * float64(o.usual))
+	return o.schedule.FirstCheck()
 }
 
-// noteUsual learns the time of a load: the shortest seen, so that one that had
-// to wait for its runs does not delay the questions to all later ones.
 func (o *loader) noteUsual(took time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.learnt || took < o.usual {
-		o.usual, o.learnt = took, true
-	}
+	o.schedule.NoteUsual(took)
 }
 
 func (o *loader) report(ctx context.Context, u roster.Upstream) (RunnerReport, error) {
--- a/internal/steward/loads_test.go
+++ b/internal/steward/loads_test.go
@@ -35,7 +35,7 @@
 func TestLoadsAreInTimeWithFewAtOnce(t *testing.T) {
 	for _, c := range []struct{ runners, most int }{{18, 4}, {9, 2}, {3, 1}, {57, 13}} {
 		o, live := testLoader(c.runners)
-		now := time.Unix(1000, 0)
+		now := time.Now()
 		began, ends, most, left := now, map[string]time.Time{}, 0, c.runners
 		for left > 0 && now.Sub(began) < time.Minute {
 			for id, end := range ends {
@@ -47,8 +47,8 @@
 					left--
 				}
 			}
-			for _, u := range o.next(live, now) {
-				ends[u.ID] = now.Add(1800 * time.Millisecond)
+			for _, turn := range o.next(live, now) {
+				ends[turn.Upstream.ID] = now.Add(1800 * time.Millisecond)
 			}
 			most = max(most, len(ends))
 			now = now.Add(loadEvery)
@@ -66,11 +66,12 @@
 	now := time.Now()
 	turns := map[string]int{}
 	for range 400 {
-		for _, u := range o.next(live, now) {
-			turns[u.ID]++
-			o.release(u.ID, u.ID != "r00", now)
-			if u.ID != "r00" {
-				loaded(live, u.ID)
+		for _, turn := range o.next(live, now) {
+			id := turn.Upstream.ID
+			turns[id]++
+			o.release(id, id != "r00", now)
+			if id != "r00" {
+				loaded(live, id)
 			}
 		}
 		now = now.Add(5 * time.Millisecond)
@@ -110,8 +111,8 @@
 					worst = max(worst, time.Since(since))
 				}
 			}
-			for _, u := range o.next(live, time.Now()) {
-				ends[u.ID], target[u.ID] = time.Now().Add(load), newest
+			for _, turn := range o.next(live, time.Now()) {
+				ends[turn.Upstream.ID], target[turn.Upstream.ID] = time.Now().Add(load), newest
 			}
 			time.Sleep(loadEvery)
 		}
@@ -120,3 +121,18 @@
 		}
 	})
 }
+
+// An entry of a large fleet hears only from hosts that pass the leader's word on. If
+// they left out the oldest weights on which a prompt may begin, it would go on with
+// runners that are past their bound.
+func TestTheFloorIsPassedOn(t *testing.T) {
+	b := newBranch(NewMachine(), newSharedBook(), log.New(io.Discard))
+	told := relayingAnswer(3)
+	told.Floor = []roster.Loaded{{Model: "m", Version: 2}}
+	b.take(told, time.Now(), time.Now())
+	answer := &WatchAnswer{}
+	b.complete(entryPeer("e1"), answer, time.Now())
+	if !slices.Equal(answer.Floor, told.Floor) {
+		t.Fatalf("passed on %v", answer.Floor)
+	}
+}
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -182,18 +182,19 @@
 	return m.document
 }
 
-// weightsOf returns the newest version named for a model, 0 for none.
-func (m *Machine) weightsOf(model string) uint64 {
+// namedAt returns when each version was named, as far as this host knows.
+func (m *Machine) namedAt() *rollout.Namings {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.weights[model]
+	return m.namings.Clone()
 }
 
-// namedAt returns when each version was named, as far as this host knows.
-func (m *Machine) namedAt() *rollout.Namings {
+// floor lists the oldest weights on which a prompt may begin, as told by a leader
+// that leads since led.
+func (m *Machine) floor(led time.Time, bound time.Duration, now time.Time) []roster.Loaded {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.namings.Clone()
+	return rollout.Floor(m.namings, led, bound, now)
 }
 
 // wouldChange reports whether an announcement would change the roster.
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -122,6 +122,9 @@
 	// Age is how old the word on the shelves is, in nanoseconds: zero from the
 	// leader, and from another host the time since it asked the leader.
 	Age time.Duration `cbor:"20,keyasint,omitempty"`
+	// Floor lists the oldest weights on which a prompt may begin, for the models
+	// where older ones are past their bound.
+	Floor []roster.Loaded `cbor:"21,keyasint,omitempty"`
 }
 
 // revisions returns how far the parts of the answer have come that the caller
--- a/internal/steward/meter.go
+++ b/internal/steward/meter.go
@@ -55,14 +55,14 @@
 	gauge("upstreams", func(time.Time) float64 { return float64(len(s.machine.live())) })
 	gauge("lacking_weights_upstreams", func(time.Time) float64 {
 		if l := s.leading.Load(); l != nil {
-			return float64(l.loader.lackingNow().count)
+			return float64(l.loader.account().Lacking)
 		}
 		return 0
 	})
 	gauge("lacking_weights_seconds", func(now time.Time) float64 {
 		if l := s.leading.Load(); l != nil {
-			behind := l.loader.lackingNow()
-			return behind.age(now).Seconds()
+			behind := l.loader.account()
+			return behind.Age(now).Seconds()
 		}
 		return 0
 	})
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,106 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/lovagereach/lovagereach/roster"
+)
+
+const bound = 15 * time.Second
+
+var start = time.Unix(1000, 0)
+
+func runner(id string, version uint64) roster.Upstream {
+	return roster.Upstream{ID: id, State: roster.Serving, Loaded: []roster.Loaded{{Model: "m", Version: version}}}
+}
+
+func testSchedule() *Schedule {
+	return NewSchedule(Options{AtOnce: 1, Bound: bound, Notice: 200 * time.Millisecond})
+}
+
+// first returns the first turn that a schedule gives, and when.
+func first(s *Schedule, live []roster.Upstream, n *Namings, now time.Time) (Turn, time.Time) {
+	for range 100 {
+		if turns := s.Next(live, n, now); len(turns) > 0 {
+			return turns[0], now
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+	return Turn{}, now
+}
+
+// A runner comes back with the weights that it had three versions ago, while others
+// only lack the newest. Its bound has ended: any other order would leave it out of
+// service, or worse in service, for the whole round.
+func TestTheRunnerThatLacksWeightsLongestComesFirst(t *testing.T) {
+	n := NewNamings()
+	for version := uint64(2); version <= 4; version++ {
+		n.Note("m", version, start.Add(time.Duration(version)*8*time.Second))
+	}
+	live := []roster.Upstream{runner("a", 3), runner("b", 3), runner("z", 1)}
+	turn, _ := first(testSchedule(), live, n, start.Add(33*time.Second))
+	if turn.Upstream.ID != "z" || turn.Version != 4 {
+		t.Fatalf("the first turn is %+v", turn)
+	}
+}
+
+// Ten runners lack a version with 3 s left of its bound. A newer one is named. The
+// time of all must not count from the newer one: one load at a time would bring the
+// last runner to the older version after 20 s.
+func TestANewerVersionTakesNothingFromTheBoundOfAnOlderOne(t *testing.T) {
+	n := NewNamings()
+	n.Note("m", 2, start)
+	n.Note("m", 3, start.Add(9*time.Second))
+	var live []roster.Upstream
+	for i := range 10 {
+		live = append(live, runner(fmt.Sprint(i), 1))
+	}
+	s := NewSchedule(Options{AtOnce: 10, Bound: bound, Notice: 200 * time.Millisecond})
+	s.Next(live, n, start.Add(9*time.Second))
+	if got := s.Account(); got.AtOnce < 7 || got.Lacking != 10 || got.Age(start.Add(9*time.Second)) != 9*time.Second {
+		t.Fatalf("account %+v", got)
+	}
+}
+
+func TestFloor(t *testing.T) {
+	n := NewNamings()
+	n.Note("m", 2, start)
+	n.Note("m", 3, start.Add(8*time.Second))
+	n.Note("other", 1, start.Add(time.Hour))
+	cases := []struct {
+		name    string
+		led, at time.Duration
+		floor   []roster.Loaded
+	}{
+		{"within the bound", 0, 13 * time.Second, nil},
+		{"a little before its end", 0, 13500 * time.Millisecond, []roster.Loaded{{Model: "m", Version: 2}}},
+		{"of the next version", 0, 21500 * time.Millisecond, []roster.Loaded{{Model: "m", Version: 3}}},
+		{"a leader that has just come", 13 * time.Second, 21 * time.Second, nil},
+		{"a leader that had its time", 13 * time.Second, 22 * time.Second, []roster.Loaded{{Model: "m", Version: 3}}},
+	}
+	for _, c := range cases {
+		if got := Floor(n, start.Add(c.led), bound, start.Add(c.at)); !slices.Equal(got, c.floor) {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+func TestNamingsAreBoundedAndKeepTheOldest(t *testing.T) {
+	n := NewNamings()
+	for version := uint64(2); version < 500; version++ {
+		n.Note("m", version, start.Add(time.Duration(version)*time.Second))
+	}
+	n.Note("m", 7, start)
+	if len(n.byModel["m"]) != maxNamings || n.Newest("m") != 499 {
+		t.Fatalf("%d namings, newest %d", len(n.byModel["m"]), n.Newest("m"))
+	}
+	if at, lacks := n.FirstLacked("m", 1); !lacks || at != start.Add(2*time.Second) {
+		t.Fatalf("version 1 is lacked since %v", at)
+	}
+	if _, lacks := n.FirstLacked("m", 499); lacks {
+		t.Fatal("the newest version lacks one")
+	}
+}
