gateway: a failure is no end of a resumed stream

Cause: an answer to a resumption was passed on whatever its status; after the head of a success and some events, the body of a 400, 500, 503 or 504 was appended and the answer ended as whole. Change: such an answer ends the attempt; another upstream is asked if the route and the budget allow it, else the stream ends broken. Measured: TestAFailureIsNoEndOfAResumedStream failed for all four statuses, and passes.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -163,6 +163,13 @@
 		r.tried[p.send.Upstream] = true
 		return &repeatError{status: answer.Status}
 	}
+	if r.begun && answer.Status/100 != 2 {
+		// The caller has a part of the events. The body of a failure, passed on and
+		// ended as whole, would make a part of the stream look like all of it.
+		r.whole(p, answer.Status < 500)
+		r.tried[p.send.Upstream] = true
+		return &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: "the stream was to go on, and a failure was answered"}
+	}
 	return r.pass(ctx, respond, p, answer)
 }
 
