roster: lives of upstreams told apart by their birth

Cause: announcements were merged by name alone: the largest count, the last state and the newest weights ever told. A runner that started again under its name with old weights was believed to have the new ones, its words were dropped for their low count, and one that had left could not come back.

Change: Upstream holds Born. A farewell without a birth ends the life that is known, since its answer promises no new work; of a runner nobody knew, the first life heard of. A record without a birth, from an older log, goes on under the first one told.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -4,8 +4,13 @@
 // Announcements may be late and out of order, also after their sender's death
 // and after its address was given to another upstream. Each announcement has a
 // number that grows with every one of its sender; an older one changes nothing.
-// Leaving is for good: no announcement of the same upstream undoes it, for the
+// Leaving is for good: no announcement of the same life undoes it, for the
 // answer to the first one promised that it gets no new work.
+//
+// An upstream may start again under its name. Its birth tells its lives apart: a
+// later life replaces all that is known of the former one, also that it left,
+// and a word of a former life changes nothing. A farewell that names no birth
+// ends the life that is known.
 package roster
 
 import (
@@ -98,7 +103,7 @@
 	if held == nil {
 		return true
 	}
-	if a.State <= held.State && a.Sequence < held.Sequence {
+	if r.Outdated(a) || !later(held, a) && a.State <= held.State && a.Sequence < held.Sequence {
 		return false
 	}
 	merged := merge(held, a)
@@ -106,7 +111,10 @@
 }
 
 // Outdated reports whether a is a word of a former life of its upstream.
-func (r *Roster) Outdated(Upstream) bool { return false }
+func (r *Roster) Outdated(a Upstream) bool {
+	held := r.upstreams[a.ID]
+	return held != nil && a.Born != 0 && a.Born < held.Born
+}
 
 // Announce takes in what an upstream says and reports whether that changed
 // anything.
@@ -122,15 +130,27 @@
 	merged := merge(held, a)
 	r.upstreams[a.ID] = &merged
 	r.revision++
-	if merged.State == Gone && !wasGone {
+	switch isGone := merged.State == Gone; {
+	case isGone && !wasGone:
 		r.bury(a.ID)
+	case wasGone && !isGone:
+		r.gone = slices.DeleteFunc(r.gone, func(id string) bool { return id == a.ID })
 	}
 	return true
 }
 
-// merge returns held with what a adds. States only move on.
+// later reports whether a is of a later life than held. A record without a birth
+// goes on under the first that is told.
+func later(held *Upstream, a Upstream) bool { return held.Born != 0 && a.Born > held.Born }
+
+// merge returns held with what a adds. Within one life states only move on; a
+// later life owes nothing to the former.
 func merge(held *Upstream, a Upstream) Upstream {
+	if later(held, a) {
+		held = &Upstream{}
+	}
 	merged := a
+	merged.Born = max(held.Born, a.Born)
 	merged.State = max(held.State, a.State)
 	merged.Sequence = max(held.Sequence, a.Sequence)
 	if a.Service == "" {
@@ -160,7 +180,7 @@
 
 func same(a, b *Upstream) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.DataCentre == b.DataCentre &&
-		a.State == b.State && a.Slots == b.Slots && slices.Equal(a.Loaded, b.Loaded)
+		a.State == b.State && a.Slots == b.Slots && a.Born == b.Born && slices.Equal(a.Loaded, b.Loaded)
 }
 
 func (r *Roster) bury(id string) {
