--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -31,6 +31,10 @@
 // ErrConflict reports a document whose number is taken by other content.
 var ErrConflict = errors.New("steward: another configuration has this version; read it and send a higher version")
 
+// ErrForeign reports an announcement that can't be its upstream's own. Nothing
+// was changed by it.
+var ErrForeign = errors.New("steward: not a word of this upstream's own")
+
 // PutDocument commits a configuration. Without an error it is in the log of a
 // quorum, or the log holds it, or a newer one, already.
 func (s *Steward) PutDocument(ctx context.Context, d *catalog.Document) (catalog.Verdict, error) {
