steward: lives of runners and words of other writers are told apart

Change: the leader judges each announcement (Machine.hear). A word of a former life is acknowledged and changes nothing, nor is it a sign of life. A service that isn't named yet displaces nothing and is kept; where two words of one name differ in their service, nothing of the record remains, so that another writer's count, birth or leave does not hold the runner's own word off. The follower of a runner's cache is bound to the runner's birth, and what the cache held is forgotten at the next one.

--- a/internal/steward/lives_test.go
+++ b/internal/steward/lives_test.go
@@ -69,9 +69,16 @@
 	lead.leading.Load().mu.Unlock()
 	early := unnamed
 	early.ID, early.Address = "i-2", "10.0.0.2:80"
+	early.Born = 9000
 	if f.announce(other, early) {
 		t.Error("a runner whose configuration is on its way was refused")
 	}
+	own := runner(2000, 1, 1)
+	own.ID, own.Address = early.ID, early.Address
+	if f.announce(other, own) {
+		t.Error("a runner's own word was refused after another writer's")
+	}
+	f.await("its own word", func() bool { u, _ := lead.machine.upstream("i-2"); return u.Service == "llm" && u.Born == 2000 })
 }
 
 // A runner crashes behind a cut and starts again under its name with old weights.
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -154,6 +154,8 @@
 	Uncertain bool              `cbor:"2,keyasint,omitempty"`
 	Verdict   verdict           `cbor:"3,keyasint"`
 	Document  *catalog.Document `cbor:"4,keyasint,omitempty"`
+	// Foreign tells that an announcement is not its upstream's own.
+	Foreign bool `cbor:"5,keyasint,omitempty"`
 }
 
 // joinRequest asks the leader to take a control host in.
--- a/internal/steward/sharedbook.go
+++ b/internal/steward/sharedbook.go
@@ -212,6 +212,11 @@
 	}
 }
 
+// forget drops a source that has begun another life.
+func (b *sharedBook) forget(address string) {
+	b.keepOnly(func(other string) bool { return other != address })
+}
+
 // keepOnly drops the sources that are not wanted.
 func (b *sharedBook) keepOnly(wanted func(address string) bool) {
 	b.mu.Lock()
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -61,16 +61,22 @@
 
 	mu sync.Mutex
 	// byStore and byRunner end the following of one address each.
-	byStore, byRunner map[string]context.CancelFunc
+	byStore, byRunner map[string]following
 	// clockTold is the upstreams' clock in milliseconds as told at clockAt.
 	clockTold int64
 	clockAt   time.Time
 }
 
+// following is what follows one address, in one life of a runner.
+type following struct {
+	born uint64
+	end  context.CancelFunc
+}
+
 func newShelves(l *leadership) *shelves {
 	return &shelves{
 		leadership: l, book: l.steward.book,
-		byStore: make(map[string]context.CancelFunc), byRunner: make(map[string]context.CancelFunc),
+		byStore: make(map[string]following), byRunner: make(map[string]following),
 	}
 }
 
@@ -99,18 +105,22 @@
 	defer k.mu.Unlock()
 	k.follow(ctx, k.byStore, stores, k.followStore)
 	k.follow(ctx, k.byRunner, runners, k.followRunner)
-	k.book.keepOnly(func(address string) bool { return stores[address] || runners[address] })
+	k.book.keepOnly(func(address string) bool {
+		_, store := stores[address]
+		_, runner := runners[address]
+		return store || runner
+	})
 }
 
 // wanted lists the addresses of the stores, and of the model runners whose
-// caches are worth following.
-func (k *shelves) wanted(d *catalog.Document) (stores, runners map[string]bool) {
-	stores, runners = make(map[string]bool), make(map[string]bool)
+// caches are worth following, with the runners' births.
+func (k *shelves) wanted(d *catalog.Document) (stores, runners map[string]uint64) {
+	stores, runners = make(map[string]uint64), make(map[string]uint64)
 	engines := make(map[string]bool)
 	for i := range d.Services {
 		engines[d.Services[i].Name] = d.Services[i].Engine != nil
 		if store := d.Services[i].Store; store != nil {
-			stores[store.Address] = true
+			stores[store.Address] = 0
 		}
 	}
 	if k.leadership.watchers.count() > cacheWatchers {
@@ -118,25 +128,31 @@
 	}
 	for _, u := range k.leadership.steward.machine.live() {
 		if engines[u.Service] {
-			runners[u.Address] = true
+			runners[u.Address] = max(runners[u.Address], u.Born)
 		}
 	}
 	return stores, runners
 }
 
-// follow starts and ends what follows one address each. The caller holds the
-// lock.
-func (k *shelves) follow(ctx context.Context, followed map[string]context.CancelFunc, wanted map[string]bool, run func(context.Context, string)) {
-	for address, cancel := range followed {
-		if !wanted[address] {
-			cancel()
-			delete(followed, address)
+// follow starts and ends what follows one address each. What a runner's former
+// life held is forgotten at once: a cache that can't be asked would else draw
+// prompts to a runner that holds nothing. The caller holds the lock.
+func (k *shelves) follow(ctx context.Context, followed map[string]following, wanted map[string]uint64, run func(context.Context, string)) {
+	for address, f := range followed {
+		born, still := wanted[address]
+		if still && born == f.born {
+			continue
+		}
+		f.end()
+		delete(followed, address)
+		if still {
+			k.book.forget(address)
 		}
 	}
-	for address := range wanted {
-		if followed[address] == nil {
+	for address, born := range wanted {
+		if _, known := followed[address]; !known {
 			ctx, cancel := context.WithCancel(ctx)
-			followed[address] = cancel
+			followed[address] = following{born: born, end: cancel}
 			go run(ctx, address)
 		}
 	}
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -66,7 +66,8 @@
 }
 
 // Announce takes in what an upstream says of itself. Without an error it is
-// known to the leader; that an upstream leaves is in the log of a quorum.
+// known to the leader; that an upstream leaves is in the log of a quorum. A word
+// of a former life is acknowledged and changes nothing.
 func (s *Steward) Announce(ctx context.Context, u roster.Upstream) error {
 	_, err := s.submit(ctx, submission{Beat: &u})
 	return err
@@ -100,6 +101,9 @@
 	if err := wire.Unmarshal(raw, &answer); err != nil {
 		return submitted{}, eris.Wrap(err, "steward: decode the leader's answer")
 	}
+	if answer.Foreign {
+		return submitted{}, ErrForeign
+	}
 	if answer.NotLeader || answer.Uncertain {
 		return submitted{}, ErrUnavailable
 	}
@@ -116,7 +120,7 @@
 	}
 	answer, err := s.carryOut(ctx, message)
 	if err != nil {
-		return wire.MustMarshal(submitted{Uncertain: true}), nil
+		return wire.MustMarshal(submitted{Uncertain: true, Foreign: errors.Is(err, ErrForeign)}), nil
 	}
 	return wire.MustMarshal(answer), nil
 }
@@ -145,6 +149,12 @@
 	if l == nil {
 		return ErrUnavailable
 	}
+	switch s.machine.hear(*u) {
+	case lateWord:
+		return nil
+	case foreignWord:
+		return ErrForeign
+	}
 	if u.State == roster.Serving {
 		l.beat(u.ID, time.Now())
 	}
@@ -152,7 +162,7 @@
 		return nil
 	}
 	s.options.Log.Info("upstream", "upstream", u.ID, "service", u.Service, "address", u.Address,
-		"state", u.State, "sequence", u.Sequence)
+		"state", u.State, "sequence", u.Sequence, "born", u.Born)
 	_, err := s.propose(ctx, command{Upstream: u})
 	return err
 }
--- a/roster/lives_test.go
+++ b/roster/lives_test.go
@@ -119,7 +119,14 @@
 	}
 	r := New()
 	r.Restore(Saved{Upstreams: []Upstream{read}, Revision: 1})
+	if r.TellsBirths() {
+		t.Fatal("births are told where none was")
+	}
 	r.Announce(born(1000, beat("a", 10, Serving)))
+	again := New()
+	if again.Restore(r.Save()); !r.TellsBirths() || !again.TellsBirths() {
+		t.Fatal("a birth that was told is not known")
+	}
 	if u, _ := r.Get("a"); u.State != Leaving || u.Born != 1000 {
 		t.Fatalf("known is %+v", u)
 	}
@@ -128,3 +135,27 @@
 		t.Fatalf("a word without a birth took it away: %+v", u)
 	}
 }
+
+// Another writer was first to announce a runner, for a service that nobody named,
+// with a later birth, a higher count and a leave. The runner's own word, which
+// whoever takes it in holds for the true one, must bring it in all the same; one
+// that has said farewell stays away.
+func TestAnotherServiceReplacesTheRecord(t *testing.T) {
+	r := New()
+	foreign := born(3000, beat("a", 900, Leaving))
+	foreign.Service = "nobody"
+	r.Announce(foreign)
+	own := born(2000, beat("a", 1, Serving))
+	if r.Outdated(own) || !r.Announce(own) {
+		t.Fatal("the runner's own word is a late one")
+	}
+	if u, _ := r.Get("a"); !same(&u, &own) || u.Sequence != 1 {
+		t.Fatalf("known is %+v", u)
+	}
+	r.Announce(Upstream{ID: "a", State: Gone})
+	foreign.Born = 2000
+	r.Announce(foreign)
+	if len(r.Live()) != 0 {
+		t.Fatal("another service brought a runner back from its farewell")
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -87,6 +87,8 @@
 	gone []string
 	// revision grows with each change that matters to those who send work.
 	revision uint64
+	// births tells that an upstream has told its birth.
+	births bool
 }
 
 // New returns an empty roster.
@@ -103,7 +105,7 @@
 	if held == nil {
 		return true
 	}
-	if r.Outdated(a) || !later(held, a) && a.State <= held.State && a.Sequence < held.Sequence {
+	if r.Outdated(a) || !replaces(held, a) && a.State <= held.State && a.Sequence < held.Sequence {
 		return false
 	}
 	merged := merge(held, a)
@@ -113,9 +115,13 @@
 // Outdated reports whether a is a word of a former life of its upstream.
 func (r *Roster) Outdated(a Upstream) bool {
 	held := r.upstreams[a.ID]
-	return held != nil && a.Born != 0 && a.Born < held.Born
+	return held != nil && a.Born != 0 && a.Born < held.Born && !replaces(held, a)
 }
 
+// TellsBirths reports whether upstreams tell their births here. A word without
+// one is then no upstream's own, but for a farewell.
+func (r *Roster) TellsBirths() bool { return r.births }
+
 // Announce takes in what an upstream says and reports whether that changed
 // anything.
 func (r *Roster) Announce(a Upstream) bool {
@@ -130,6 +136,7 @@
 	merged := merge(held, a)
 	r.upstreams[a.ID] = &merged
 	r.revision++
+	r.births = r.births || merged.Born != 0
 	switch isGone := merged.State == Gone; {
 	case isGone && !wasGone:
 		r.bury(a.ID)
@@ -139,14 +146,21 @@
 	return true
 }
 
-// later reports whether a is of a later life than held. A record without a birth
-// goes on under the first that is told.
-func later(held *Upstream, a Upstream) bool { return held.Born != 0 && a.Born > held.Born }
+// replaces reports whether nothing of held remains beside a: a is of a later life,
+// or names another service. An upstream never changes its service, so that one of
+// the two is not its own word; whoever takes in a has judged which. A record
+// without a birth goes on under the first that is told.
+func replaces(held *Upstream, a Upstream) bool {
+	if held.Born != 0 && a.Born > held.Born {
+		return true
+	}
+	return held.State != Gone && a.State != Gone && held.Service != "" && a.Service != "" && held.Service != a.Service
+}
 
 // merge returns held with what a adds. Within one life states only move on; a
 // later life owes nothing to the former.
 func merge(held *Upstream, a Upstream) Upstream {
-	if later(held, a) {
+	if replaces(held, a) {
 		held = &Upstream{}
 	}
 	merged := a
@@ -230,9 +244,11 @@
 // Restore replaces the state.
 func (r *Roster) Restore(s Saved) {
 	r.upstreams = make(map[string]*Upstream, len(s.Upstreams))
+	r.births = false
 	for i := range s.Upstreams {
 		u := s.Upstreams[i]
 		r.upstreams[u.ID] = &u
+		r.births = r.births || u.Born != 0
 	}
 	r.gone = slices.Clone(s.Gone)
 	r.revision = s.Revision
