--- a/internal/gateway/recent.go
+++ b/internal/gateway/recent.go
@@ -19,8 +19,14 @@
 	last map[holdings.Key]recentPart
 }
 
+// life is one life of an upstream.
+type life struct {
+	id   string
+	born uint64
+}
+
 type recentPart struct {
-	runner string
+	runner life
 	at     time.Time
 }
 
@@ -28,7 +34,7 @@
 	return &recentParts{last: make(map[holdings.Key]recentPart)}
 }
 
-func (r *recentParts) note(key holdings.Key, runner string, now time.Time) {
+func (r *recentParts) note(key holdings.Key, runner life, now time.Time) {
 	if len(r.last) >= maxRecent {
 		r.prune(now)
 	}
@@ -45,7 +51,7 @@
 	}
 }
 
-func (r *recentParts) at(key holdings.Key, runner string, now time.Time) bool {
+func (r *recentParts) at(key holdings.Key, runner life, now time.Time) bool {
 	part, known := r.last[key]
 	return known && part.runner == runner && now.Sub(part.at) <= recentFor
 }
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -41,7 +41,7 @@
 		if s.book.Whole(record.Address, d.keys[part]) >= prompt.Parts[part].Tokens {
 			return true
 		}
-		return s.recent.at(d.keys[part], record.ID, now)
+		return s.recent.at(d.keys[part], candidates[runner].life(), now)
 	}
 	return d
 }
@@ -139,7 +139,7 @@
 	}
 	parts := p.send.Request.Prompt.Parts
 	for i := range max(len(parts)-1, 0) {
-		s.recent.note(p.keys[i], p.upstream.record.ID, now)
+		s.recent.note(p.keys[i], p.upstream.life(), now)
 	}
 	for _, from := range p.send.Prompt.Fetch {
 		if from.Address != "" {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -29,6 +29,9 @@
 	version map[string]uint64
 }
 
+// life names what is believed of the upstream: another life knows nothing of it.
+func (u *upstreamState) life() life { return life{id: u.record.ID} }
+
 func (u *upstreamState) versionOf(model string) uint64 {
 	return max(u.record.VersionOf(model), u.version[model])
 }
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -77,6 +77,8 @@
 	Request  *Request
 	Upstream string
 	Address  string
+	// Born tells the upstream's life.
+	Born uint64
 	// Wait is the time left for the answer.
 	Wait time.Duration
 	// Team is the team that holds the caller's key, empty when none was asked.
