--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -36,9 +36,9 @@
 	if p.send.Prompt == nil {
 		return
 	}
-	for _, from := range p.send.Prompt.Fetch {
-		if store := s.stores[from.Address]; store != nil {
-			store.own -= from.Tokens
+	for i, source := range p.sources {
+		if source != nil {
+			source.own -= p.send.Prompt.Fetch[i].Tokens
 		}
 	}
 }
@@ -88,7 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settle(p)
-	r.tried[p.upstream.record.ID] = true
+	r.tried[p.upstream] = true
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,8 +147,8 @@
 	deadline time.Time
 	// sends counts what reached an upstream, unsent what did not.
 	sends, unsent int
-	// tried are the upstreams that failed this request.
-	tried map[string]bool
+	// tried are the upstreams that failed this request, each in one life.
+	tried map[*upstreamState]bool
 	// mayHaveRun tells that a send may have been run.
 	mayHaveRun bool
 	// last is the latest send.
@@ -219,7 +219,7 @@
 	if waited {
 		spread(ctx, request, route)
 	}
-	r := &run{gateway: g, request: request, route: route, tried: make(map[string]bool), lastEvent: request.ResumeAfter}
+	r := &run{gateway: g, request: request, route: route, tried: make(map[*upstreamState]bool), lastEvent: request.ResumeAfter}
 	if index.Document().Keyed && !route.Public {
 		if r.team = index.Team(request.Key); r.team == nil {
 			return nil, notRun(outcome.ReasonUnauthorized, 0, "the key is not known")
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -56,16 +56,15 @@
 	}
 	rest := firstEventMs + float64(p.reads+p.logged.Unread)/s.readPerMs
 	took := milliseconds(now.Sub(p.sent)) - rest
-	for _, from := range p.send.Prompt.Fetch {
-		store := s.stores[from.Address]
-		if from.Address == "" || store == nil {
+	for i, store := range p.sources {
+		if store == nil {
 			continue
 		}
 		before := store.pace.slowness(now) > 1
 		store.pace.note(took/p.fetchMs, now)
 		if slow := store.pace.slowness(now) > 1; slow != before {
 			g.options.Decisions.Emit(&decision.StorePace{
-				Store: from.Address, Slow: slow, Pace: math.Round(store.pace.factor*10) / 10,
+				Store: p.send.Prompt.Fetch[i].Address, Slow: slow, Pace: math.Round(store.pace.factor*10) / 10,
 				Took: time.Duration(took) * time.Millisecond, Predicted: time.Duration(p.fetchMs) * time.Millisecond,
 			})
 		}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -61,6 +61,8 @@
 	// candidates is the number of upstreams that the choice was made among.
 	candidates int
 	keys       []holdings.Key
+	// sources are the accounts that the fetches are entered in, part by part.
+	sources []*storeState
 	// fetchMs is the predicted time of the fetches, at the pace that the links
 	// should have; sent is when the request left.
 	fetchMs float64
@@ -91,7 +93,7 @@
 	if service != nil && service.Engine != nil {
 		memory = service.Engine.MemoryTokens
 	}
-	p.send.Upstream, p.send.Address = p.upstream.record.ID, p.upstream.record.Address
+	p.send.Upstream, p.send.Address, p.send.Born = p.upstream.record.ID, p.upstream.record.Address, p.upstream.record.Born
 	s.describePlan(p, now)
 	r.last = p
 	if !p.upstream.hasRoom(r.light(), p.tokens, p.reads, memory) {
@@ -108,15 +110,23 @@
 	return p, nil
 }
 
-// candidates lists the upstreams that may take the request: those not tried
-// yet, or all when every one has been tried.
+// candidates lists the upstreams that may take the request: those not tried yet
+// and, for a prompt, with its model if any tells that it has it. One that tells
+// of no model answers nothing but refusals.
 func (r *run) candidates(s *state) []*upstreamState {
-	var fresh []*upstreamState
+	var fresh, without []*upstreamState
 	for _, u := range s.serving[r.service] {
-		if !u.trust.gone && !r.tried[u.record.ID] {
+		switch {
+		case u.trust.gone || r.tried[u]:
+		case r.request.Prompt != nil && u.versionOf(r.request.Prompt.Model) == 0:
+			without = append(without, u)
+		default:
 			fresh = append(fresh, u)
 		}
 	}
+	if len(fresh) == 0 {
+		return without
+	}
 	return fresh
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -160,7 +160,7 @@
 	r.mayHaveRun = true
 	if r.repeats(answer) {
 		r.whole(p, false)
-		r.tried[p.send.Upstream] = true
+		r.tried[p.upstream] = true
 		return &repeatError{status: answer.Status}
 	}
 	return r.pass(ctx, respond, p, answer)
@@ -195,7 +195,7 @@
 	case Full:
 		p.upstream.fullUntil = time.Now().Add(fullFor)
 	}
-	r.tried[p.send.Upstream] = true
+	r.tried[p.upstream] = true
 	return refused
 }
 
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -37,11 +37,11 @@
 		}
 	}
 	d.prompt.Cached = func(runner, part int) bool {
-		record := &candidates[runner].record
-		if s.book.Whole(record.Address, d.keys[part]) >= prompt.Parts[part].Tokens {
+		u := candidates[runner]
+		if now.After(u.unlisted) && s.book.Whole(u.record.Address, d.keys[part]) >= prompt.Parts[part].Tokens {
 			return true
 		}
-		return s.recent.at(d.keys[part], candidates[runner].life(), now)
+		return s.recent.at(d.keys[part], u.life(), now)
 	}
 	return d
 }
@@ -67,7 +67,7 @@
 	}
 	for _, u := range runners {
 		known := s.stores[u.record.Address]
-		if known == nil || s.book.Shelf(u.record.Address).Len() == 0 {
+		if known == nil || now.Before(u.unlisted) || s.book.Shelf(u.record.Address).Len() == 0 {
 			continue
 		}
 		stores = append(stores, placement.Store{
@@ -141,9 +141,11 @@
 	for i := range max(len(parts)-1, 0) {
 		s.recent.note(p.keys[i], p.upstream.life(), now)
 	}
-	for _, from := range p.send.Prompt.Fetch {
+	p.sources = make([]*storeState, len(p.send.Prompt.Fetch))
+	for i, from := range p.send.Prompt.Fetch {
 		if from.Address != "" {
-			s.stores[from.Address].own += from.Tokens
+			p.sources[i] = s.stores[from.Address]
+			p.sources[i].own += from.Tokens
 		}
 	}
 	for i, address := range p.send.Prompt.Save {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -24,13 +24,16 @@
 	loading bool
 	// fullUntil is how long the upstream is avoided after it said it is full.
 	fullUntil time.Time
+	// unlisted is until when what the book holds of its cache counts as of a
+	// former life, if the hosts don't clear it before.
+	unlisted time.Time
 	// version is a weight version learnt from the runner itself, when newer
 	// than the roster's.
 	version map[string]uint64
 }
 
 // life names what is believed of the upstream: another life knows nothing of it.
-func (u *upstreamState) life() life { return life{id: u.record.ID} }
+func (u *upstreamState) life() life { return life{id: u.record.ID, born: u.record.Born} }
 
 func (u *upstreamState) versionOf(model string) uint64 {
 	return max(u.record.VersionOf(model), u.version[model])
@@ -184,11 +187,21 @@
 	present := make(map[string]bool, len(view.Upstreams))
 	for _, record := range view.Upstreams {
 		present[record.ID] = true
-		if known := s.members[record.ID]; known != nil {
+		known := s.members[record.ID]
+		if known != nil && known.record.Born == record.Born {
 			known.record = record
 			continue
 		}
-		s.members[record.ID] = &upstreamState{record: record}
+		// Sends to the former life end in its own account.
+		u := &upstreamState{record: record}
+		s.members[record.ID] = u
+		if known == nil {
+			continue
+		}
+		u.unlisted = time.Now().Add(recentFor)
+		if s.index != nil && !s.isStore(record.Address) {
+			delete(s.stores, record.Address)
+		}
 	}
 	maps.DeleteFunc(s.members, func(id string, _ *upstreamState) bool { return !present[id] })
 	s.serving = make(map[string][]*upstreamState)
@@ -200,6 +213,11 @@
 	}
 }
 
+// isStore reports whether an address is that of a store and not of a runner.
+func (s *state) isStore(address string) bool {
+	return slices.ContainsFunc(s.index.Stores(), func(service *catalog.Service) bool { return service.Store.Address == address })
+}
+
 func (s *state) noteLoads(answer *steward.WatchAnswer) {
 	for _, u := range s.members {
 		u.silent, u.loading = false, false
@@ -236,6 +254,9 @@
 	}
 	for i := range answer.Shelves.Sheets {
 		sheet := &answer.Shelves.Sheets[i]
+		if sheet.Cleared {
+			s.list(sheet.Address)
+		}
 		pending := s.store(sheet.Address).pending
 		for _, part := range sheet.Parts {
 			delete(pending, holdings.Key{Salt: sheet.Salt, Part: part})
@@ -253,6 +274,16 @@
 	}
 }
 
+// list notes that the book holds a cache as it is in the present life: the hosts
+// clear a runner's shelf when they learn of its birth.
+func (s *state) list(address string) {
+	for _, u := range s.members {
+		if u.record.Address == address {
+			u.unlisted = time.Time{}
+		}
+	}
+}
+
 // noteStocked ends the wait for the first word on what the stores hold. Stores
 // that are down for long must not hold up requests for ever.
 func (s *state) noteStocked(now time.Time) {
