--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -61,6 +61,8 @@
 	// candidates is the number of upstreams that the choice was made among.
 	candidates int
 	keys       []holdings.Key
+	// sources are the accounts that the fetches are entered in, part by part.
+	sources []*storeState
 	// fetchMs is the predicted time of the fetches, at the pace that the links
 	// should have; sent is when the request left.
 	fetchMs float64
@@ -91,7 +93,7 @@
 	if service != nil && service.Engine != nil {
 		memory = service.Engine.MemoryTokens
 	}
-	p.send.Upstream, p.send.Address = p.upstream.record.ID, p.upstream.record.Address
+	p.send.Upstream, p.send.Address, p.send.Born = p.upstream.record.ID, p.upstream.record.Address, p.upstream.record.Born
 	s.describePlan(p, now)
 	r.last = p
 	if !p.upstream.hasRoom(r.light(), p.tokens, p.reads, memory) {
@@ -108,23 +110,35 @@
 	return p, nil
 }
 
-// candidates lists the upstreams that may take the request: those not tried
-// yet, and for a prompt those whose weights are not past their bound. The loader
-// may fail to bring a runner to newer ones; a prompt would then begin on weights
-// that the operator has replaced for good.
+// candidates lists the upstreams that may take the request: those not tried yet
+// and, for a prompt, with its model if any tells that it has it, for one that tells
+// of no model answers nothing but refusals. Runners whose weights are past their
+// bound are left out: the loader may fail to bring a runner to newer ones, and a
+// prompt would begin on weights that the operator has replaced for good.
 func (r *run) candidates(s *state) []*upstreamState {
-	var fresh []*upstreamState
+	var fresh, without []*upstreamState
 	for _, u := range s.serving[r.service] {
-		if !u.trust.gone && !r.tried[u.record.ID] && !r.below(s, u) {
+		switch {
+		case u.trust.gone || r.tried[u] || r.below(s, u):
+		case r.request.Prompt != nil && u.versionOf(r.request.Prompt.Model) == 0:
+			without = append(without, u)
+		default:
 			fresh = append(fresh, u)
 		}
 	}
+	if len(fresh) == 0 {
+		return without
+	}
 	return fresh
 }
 
 // below reports whether an upstream's weights are too old for the request's prompt.
 func (r *run) below(s *state, u *upstreamState) bool {
-	return r.request.Prompt != nil && u.versionOf(r.request.Prompt.Model) < s.floor[r.request.Prompt.Model]
+	if r.request.Prompt == nil {
+		return false
+	}
+	has := u.versionOf(r.request.Prompt.Model)
+	return has != 0 && has < s.floor[r.request.Prompt.Model]
 }
 
 // noCandidate tells why no upstream may take the request.
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -31,6 +31,10 @@
 // ErrConflict reports a document whose number is taken by other content.
 var ErrConflict = errors.New("steward: another configuration has this version; read it and send a higher version")
 
+// ErrForeign reports an announcement that can't be its upstream's own. Nothing
+// was changed by it.
+var ErrForeign = errors.New("steward: not a word of this upstream's own")
+
 // PutDocument commits a configuration. Without an error it is in the log of a
 // quorum, or the log holds it, or a newer one, already.
 func (s *Steward) PutDocument(ctx context.Context, d *catalog.Document) (catalog.Verdict, error) {
@@ -62,7 +66,8 @@
 }
 
 // Announce takes in what an upstream says of itself. Without an error it is
-// known to the leader; that an upstream leaves is in the log of a quorum.
+// known to the leader; that an upstream leaves is in the log of a quorum. A word
+// of a former life is acknowledged and changes nothing.
 func (s *Steward) Announce(ctx context.Context, u roster.Upstream) error {
 	_, err := s.submit(ctx, submission{Beat: &u})
 	return err
@@ -96,6 +101,9 @@
 	if err := wire.Unmarshal(raw, &answer); err != nil {
 		return submitted{}, eris.Wrap(err, "steward: decode the leader's answer")
 	}
+	if answer.Foreign {
+		return submitted{}, ErrForeign
+	}
 	if answer.NotLeader || answer.Uncertain {
 		return submitted{}, ErrUnavailable
 	}
@@ -112,7 +120,7 @@
 	}
 	answer, err := s.carryOut(ctx, message)
 	if err != nil {
-		return wire.MustMarshal(submitted{Uncertain: true}), nil
+		return wire.MustMarshal(submitted{Uncertain: true, Foreign: errors.Is(err, ErrForeign)}), nil
 	}
 	return wire.MustMarshal(answer), nil
 }
@@ -141,6 +149,12 @@
 	if l == nil {
 		return ErrUnavailable
 	}
+	switch s.machine.hear(*u) {
+	case lateWord:
+		return nil
+	case foreignWord:
+		return ErrForeign
+	}
 	if u.State == roster.Serving {
 		l.beat(u.ID, time.Now())
 	}
@@ -148,7 +162,7 @@
 		return nil
 	}
 	s.options.Log.Info("upstream", "upstream", u.ID, "service", u.Service, "address", u.Address,
-		"state", u.State, "sequence", u.Sequence)
+		"state", u.State, "sequence", u.Sequence, "born", u.Born)
 	_, err := s.propose(ctx, command{Upstream: u})
 	return err
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -4,8 +4,13 @@
 // Announcements may be late and out of order, also after their sender's death
 // and after its address was given to another upstream. Each announcement has a
 // number that grows with every one of its sender; an older one changes nothing.
-// Leaving is for good: no announcement of the same upstream undoes it, for the
+// Leaving is for good: no announcement of the same life undoes it, for the
 // answer to the first one promised that it gets no new work.
+//
+// An upstream may start again under its name. Its birth tells its lives apart: a
+// later life replaces all that is known of the former one, also that it left,
+// and a word of a former life changes nothing. A farewell that names no birth
+// ends the life that is known.
 package roster
 
 import (
@@ -56,6 +61,8 @@
 	// Sequence is the number of the latest announcement taken in.
 	Sequence uint64   `cbor:"7,keyasint"`
 	Loaded   []Loaded `cbor:"8,keyasint,omitempty"`
+	// Born is the Unix millisecond of the start of this life, 0 if not told.
+	Born uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // VersionOf returns the loaded version of a model, 0 when it is not loaded.
@@ -80,6 +87,8 @@
 	gone []string
 	// revision grows with each change that matters to those who send work.
 	revision uint64
+	// births tells that an upstream has told its birth.
+	births bool
 }
 
 // New returns an empty roster.
@@ -96,13 +105,23 @@
 	if held == nil {
 		return true
 	}
-	if a.State <= held.State && a.Sequence < held.Sequence {
+	if r.Outdated(a) || !replaces(held, a) && a.State <= held.State && a.Sequence < held.Sequence {
 		return false
 	}
 	merged := merge(held, a)
 	return !same(held, &merged)
 }
 
+// Outdated reports whether a is a word of a former life of its upstream.
+func (r *Roster) Outdated(a Upstream) bool {
+	held := r.upstreams[a.ID]
+	return held != nil && a.Born != 0 && a.Born < held.Born && !replaces(held, a)
+}
+
+// TellsBirths reports whether upstreams tell their births here. A word without
+// one is then no upstream's own, but for a farewell.
+func (r *Roster) TellsBirths() bool { return r.births }
+
 // Announce takes in what an upstream says and reports whether that changed
 // anything.
 func (r *Roster) Announce(a Upstream) bool {
@@ -117,15 +136,35 @@
 	merged := merge(held, a)
 	r.upstreams[a.ID] = &merged
 	r.revision++
-	if merged.State == Gone && !wasGone {
+	r.births = r.births || merged.Born != 0
+	switch isGone := merged.State == Gone; {
+	case isGone && !wasGone:
 		r.bury(a.ID)
+	case wasGone && !isGone:
+		r.gone = slices.DeleteFunc(r.gone, func(id string) bool { return id == a.ID })
 	}
 	return true
 }
 
-// merge returns held with what a adds. States only move on.
+// replaces reports whether nothing of held remains beside a: a is of a later life,
+// or names another service. An upstream never changes its service, so that one of
+// the two is not its own word; whoever takes in a has judged which. A record
+// without a birth goes on under the first that is told.
+func replaces(held *Upstream, a Upstream) bool {
+	if held.Born != 0 && a.Born > held.Born {
+		return true
+	}
+	return held.State != Gone && a.State != Gone && held.Service != "" && a.Service != "" && held.Service != a.Service
+}
+
+// merge returns held with what a adds. Within one life states only move on; a
+// later life owes nothing to the former.
 func merge(held *Upstream, a Upstream) Upstream {
+	if replaces(held, a) {
+		held = &Upstream{}
+	}
 	merged := a
+	merged.Born = max(held.Born, a.Born)
 	merged.State = max(held.State, a.State)
 	merged.Sequence = max(held.Sequence, a.Sequence)
 	if a.Service == "" {
@@ -155,7 +194,7 @@
 
 func same(a, b *Upstream) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.DataCentre == b.DataCentre &&
-		a.State == b.State && a.Slots == b.Slots && slices.Equal(a.Loaded, b.Loaded)
+		a.State == b.State && a.Slots == b.Slots && a.Born == b.Born && slices.Equal(a.Loaded, b.Loaded)
 }
 
 func (r *Roster) bury(id string) {
@@ -205,9 +244,11 @@
 // Restore replaces the state.
 func (r *Roster) Restore(s Saved) {
 	r.upstreams = make(map[string]*Upstream, len(s.Upstreams))
+	r.births = false
 	for i := range s.Upstreams {
 		u := s.Upstreams[i]
 		r.upstreams[u.ID] = &u
+		r.births = r.births || u.Born != 0
 	}
 	r.gone = slices.Clone(s.Gone)
 	r.revision = s.Revision
