Runners that never end their loads leave turns to the others

Cause: the runner that lacked weights longest came first, also when its turns were all in vain, so that a few that take their orders and never end them held every turn: with 3 of 18 the others lacked weights for up to 18.95 s, with 4 for 31.35 s, with 7 for as long as was played (bound 15 s). Change: a turn in vain puts a runner behind those that waited before it ended; loads that take twice their usual time let others begin, two at most beyond the number (half of AtOnce).

--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -104,3 +104,103 @@
 		t.Fatal("the newest version lacks one")
 	}
 }
+
+// fleet plays runners that are given turns. stuck ones take their order and are
+// still at it when their load is given up.
+type fleet struct {
+	schedule *Schedule
+	namings  *Namings
+	live     []roster.Upstream
+	stuck    map[string]bool
+	load     time.Duration
+}
+
+const givenUp = 8 * time.Second
+
+// play runs for so long and returns how long some runner that isn't stuck lacked a
+// version at most.
+func (f *fleet) play(now time.Time, length time.Duration) (worst time.Duration) {
+	type order struct {
+		end     time.Time
+		version uint64
+	}
+	under := map[string]order{}
+	for end := now.Add(length); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		for i := range f.live {
+			id := f.live[i].ID
+			if o, loads := under[id]; loads && !now.Before(o.end) {
+				delete(under, id)
+				if !f.stuck[id] {
+					f.live[i].Loaded = []roster.Loaded{{Model: "m", Version: o.version}}
+				}
+				f.schedule.Release(id, !f.stuck[id], now)
+			}
+			if since, lacks := f.namings.FirstLacked("m", f.live[i].VersionOf("m")); lacks && !f.stuck[id] {
+				worst = max(worst, now.Sub(since))
+			}
+		}
+		for _, turn := range f.schedule.Next(f.live, f.namings, now) {
+			takes := f.load
+			if f.stuck[turn.Upstream.ID] {
+				takes = givenUp
+			}
+			under[turn.Upstream.ID] = order{end: now.Add(takes), version: turn.Version}
+		}
+	}
+	return worst
+}
+
+func newFleet(runners int, stuck ...string) *fleet {
+	f := &fleet{
+		schedule: NewSchedule(Options{AtOnce: 3, Bound: bound, Notice: 200 * time.Millisecond}),
+		namings:  NewNamings(), stuck: map[string]bool{}, load: 1800 * time.Millisecond,
+	}
+	f.namings.Note("m", 2, start)
+	for i := range runners {
+		f.live = append(f.live, runner(fmt.Sprintf("r%02d", i), 1))
+	}
+	for _, id := range stuck {
+		f.stuck[id] = true
+	}
+	return f
+}
+
+// Callers are refused, or answered on weights past their bound, by runners that
+// would load at once. A few others take their orders and never end them; each holds
+// a turn until it is given up, and has lacked the weights for longest, so that it
+// comes first again. Nearly half of the runners may do so without harm to the rest.
+func TestRunnersThatNeverEndTheirLoadsLeaveTurnsToTheOthers(t *testing.T) {
+	for stuck := range 9 {
+		var ids []string
+		for i := range stuck {
+			ids = append(ids, fmt.Sprintf("r%02d", 2*i))
+		}
+		if worst := newFleet(18, ids...).play(start, time.Minute); worst > bound {
+			t.Errorf("%d stuck: another runner lacked weights for %v, the bound is %v", stuck, worst, bound)
+		}
+	}
+}
+
+// A runner's order was lost once. Others fail always. It must have its second turn
+// before each of them has had one turn after the other: callers are else refused by a
+// runner that would have loaded long ago.
+func TestOneFailedTurnDoesNotPutARunnerBehindThoseThatAlwaysFail(t *testing.T) {
+	n := NewNamings()
+	n.Note("m", 2, start)
+	live := []roster.Upstream{runner("a", 1), runner("b", 1), runner("c", 1), runner("z", 1)}
+	s := testSchedule()
+	turns := map[string]int{}
+	now := start
+	for ; turns["z"] < 2 && now.Sub(start) < time.Minute; now = now.Add(50 * time.Millisecond) {
+		for _, turn := range s.Next(live, n, now) {
+			turns[turn.Upstream.ID]++
+			s.Release(turn.Upstream.ID, false, now.Add(3*time.Second))
+			now = now.Add(3 * time.Second)
+		}
+	}
+	for id, had := range turns {
+		if had > 3 || turns["z"] < 2 {
+			t.Fatalf("%s had %d turns, all: %v", id, had, turns)
+		}
+	}
+}
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -91,8 +91,8 @@
 }
 
 type avoidance struct {
-	until time.Time
-	inRow int
+	ended, until time.Time
+	inRow        int
 }
 
 // NewSchedule returns a schedule without any load under way.
@@ -106,15 +106,17 @@
 // late is a runner that lacks weights.
 type late struct {
 	Turn
-	// since is when the first version that it lacks was named.
-	since time.Time
+	// since is when the first version that it lacks was named, and waits the later
+	// of that and the end of its latest turn, if that was in vain. By since alone,
+	// runners that always fail would come first again each time.
+	since, waits time.Time
 }
 
 // Next takes in the runners that are heard, lists those whose turn comes, and
 // returns those whose turn it is; each is to be ended by Release.
 func (s *Schedule) Next(live []roster.Upstream, namings *Namings, now time.Time) []Turn {
 	queue, runners := s.queue(live, namings)
-	most := s.atOnce(queue, runners, now)
+	most := s.atOnce(queue, runners, now) + s.overdue(now)
 	free := most - len(s.busy)
 	for _, since := range s.busy {
 		if now.Sub(since) > s.usual-drainLead {
@@ -145,8 +147,21 @@
 	return turns
 }
 
-// queue lists the runners that lack weights, the one that has lacked some for
-// longest first, and counts all that have a model.
+// overdue counts the loads that take twice their usual time and more, up to half of
+// AtOnce: they may never end, and the others must not wait until they are given up.
+// They may also be slow because too many load, so that it can't be all of them.
+func (s *Schedule) overdue(now time.Time) int {
+	n := 0
+	for _, since := range s.busy {
+		if now.Sub(since) > 2*s.usual {
+			n++
+		}
+	}
+	return min(n, (s.options.AtOnce+1)/2)
+}
+
+// queue lists the runners that lack weights, the one that has waited for longest
+// first, and counts all that have a model.
 func (s *Schedule) queue(live []roster.Upstream, namings *Namings) (queue []late, runners int) {
 	for i := range live {
 		u := &live[i]
@@ -163,11 +178,15 @@
 			}
 		}
 		if first.Version != 0 {
+			first.waits = first.since
+			if ended := s.avoided[u.ID].ended; ended.After(first.since) {
+				first.waits = ended
+			}
 			queue = append(queue, first)
 		}
 	}
 	slices.SortFunc(queue, func(a, b late) int {
-		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.Upstream.ID, b.Upstream.ID))
+		return cmp.Or(a.waits.Compare(b.waits), cmp.Compare(a.Upstream.ID, b.Upstream.ID))
 	})
 	return queue, runners
 }
@@ -180,7 +199,7 @@
 	turn := float64(s.usual + s.options.Notice)
 	within := part(inTime, s.options.Bound)
 	for i := range queue {
-		left := max(queue[i].since.Add(within).Sub(now), s.usual)
+		left := max(queue[i].waits.Add(within).Sub(now), s.usual)
 		needed = max(needed, int(math.Ceil(float64(i+1)*turn/float64(left))))
 	}
 	limit := max(s.options.AtOnce, runners/loadsShare)
@@ -191,8 +210,10 @@
 
 func (s *Schedule) note(queue []late, runners, most int) {
 	s.account = Account{Lacking: len(queue), Runners: runners, Loading: len(s.busy) + len(s.named), AtOnce: most}
-	if len(queue) > 0 {
-		s.account.Longest, s.account.Since = queue[0].Upstream.ID, queue[0].since
+	for i := range queue {
+		if i == 0 || queue[i].since.Before(s.account.Since) {
+			s.account.Longest, s.account.Since = queue[i].Upstream.ID, queue[i].since
+		}
 	}
 }
 
@@ -208,6 +229,7 @@
 		return
 	}
 	known := s.avoided[id]
+	known.ended = now
 	known.until = now.Add(min(unreachableFor<<min(known.inRow, 8), unreachableMost))
 	known.inRow++
 	s.avoided[id] = known
