order: versions in series reach the engines with the most work

Cause: engines with the least work load first, and each newer version began the round again with them. With a version every 25 s and loads of 10 s, three of six engines loaded nothing in ten minutes. Change: engines that saw a preferred version replaced before they had a turn come first, those passed over most often before the others.

--- a/order/model.go
+++ b/order/model.go
@@ -28,6 +28,7 @@
 		return
 	}
 	m.measure()
+	m.notePassedOver()
 	for _, engine := range m.byWork() {
 		m.decideEngine(engine)
 	}
@@ -124,12 +125,35 @@
 	return pending && last.order.Kind == LoadVersion && !m.settledBy(last, engine.State)
 }
 
+// notePassedOver counts, once another version is preferred, the engines that had no
+// turn for the one before.
+func (m *modelPlan) notePassedOver() {
+	p, preferred := m.planner, m.wanted.Versions[0].Version
+	former, known := p.preferred[m.wanted.Model]
+	p.preferred[m.wanted.Model] = preferred
+	if !known || former == preferred {
+		return
+	}
+	for _, engine := range m.engines {
+		if engine.State != nil && find(engine.State.Loaded, m.wanted.Model, former) == nil && !m.isLoading(engine) {
+			p.passedOver[engineModel{engine.ID, m.wanted.Model}]++
+		}
+	}
+}
+
+func (m *modelPlan) passedOver(e *Engine) int {
+	return m.planner.passedOver[engineModel{e.ID, m.wanted.Model}]
+}
+
 // byWork puts the engines first whose loss costs least: those that serve
-// nothing yet, then those with the least work.
+// nothing yet, then those with the least work. Between the two come those that
+// had no turn for former versions: versions that follow one another shortly would
+// else never reach the engines with the most work.
 func (m *modelPlan) byWork() []*Engine {
 	list := slices.Clone(m.engines)
 	slices.SortStableFunc(list, func(a, b *Engine) int {
-		return cmp.Or(cmp.Compare(loadedCount(a), loadedCount(b)), cmp.Compare(a.work(), b.work()))
+		return cmp.Or(cmp.Compare(loadedCount(a), loadedCount(b)),
+			cmp.Compare(m.passedOver(b), m.passedOver(a)), cmp.Compare(a.work(), b.work()))
 	})
 	return list
 }
@@ -283,6 +307,9 @@
 	if next.Kind != UnloadVersion {
 		m.loading++
 	}
+	if next.Kind == LoadVersion {
+		delete(m.planner.passedOver, engineModel{engine.ID, m.wanted.Model})
+	}
 	if m.takesOut(engine, next) {
 		m.slots -= engine.slots()
 	}
--- a/order/planner.go
+++ b/order/planner.go
@@ -54,6 +54,15 @@
 	// preferredSince is when each engine was first seen with its model's
 	// preferred version.
 	preferredSince map[ident.Upstream]sighting
+	// preferred is each model's preferred version at the last plan, and passedOver
+	// how many of them an engine saw replaced before it had a turn.
+	preferred  map[ident.Model]ident.Version
+	passedOver map[engineModel]int
+}
+
+type engineModel struct {
+	engine ident.Upstream
+	model  ident.Model
 }
 
 type issuedOrder struct {
@@ -74,6 +83,8 @@
 		gate:           gate,
 		issued:         make(map[ident.Upstream]issuedOrder),
 		preferredSince: make(map[ident.Upstream]sighting),
+		preferred:      make(map[ident.Model]ident.Version),
+		passedOver:     make(map[engineModel]int),
 	}
 }
 
@@ -141,4 +152,9 @@
 			delete(p.preferredSince, id)
 		}
 	}
+	for key := range p.passedOver {
+		if _, found := known[key.engine]; !found {
+			delete(p.passedOver, key)
+		}
+	}
 }
