gateway: failing tests of a false belief in newer weights, and of a floor for plain services

The floor also turns callers away from services whose upstreams hold no models. Change: tests only; both fail.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -395,3 +395,55 @@
 		t.Fatalf("%d sends, answered %q: %v", sender.count()-sent, got.ends, got.cause)
 	}
 }
+
+// A runner refuses a prompt because it has other weights than the entry asked for. It
+// has loaded the version before the newest. If the entry takes it for one that has the
+// newest, all prompts go there before any other runner, and the runner refuses each of
+// them, for as long as it takes to load once more; callers are turned away though
+// another runner would answer them.
+func TestARunnerBetweenTwoVersionsDrawsNoPromptsThatItRefuses(t *testing.T) {
+	has := map[string]uint64{"l1": 2, "l2": 1}
+	g, _ := testGateway(t, func(_ int, s *Send) (*Answer, error) {
+		if s.Prompt.Version != has[s.Upstream] {
+			return refusal(OtherVersion), nil
+		}
+		return stream(io.EOF, "1"), nil
+	})
+	named := testAnswer()
+	named.Document, named.Roster = nil, nil
+	named.Weights = &steward.WeightsView{Revision: 3, Newest: []roster.Loaded{{Model: "m", Version: 3}}}
+	g.Told(named, time.Now())
+	const callers = 30
+	refused := 0
+	for range callers {
+		r := request("/stream/x")
+		r.Prompt = prompt(placement.Part{ID: "p", Tokens: 100})
+		if serve(g, r).ends != "done" {
+			refused++
+		}
+	}
+	if refused > 3 {
+		t.Errorf("%d of %d callers were turned away", refused, callers)
+	}
+}
+
+// A route leads to a service whose upstreams hold no models, and its callers send
+// prompts there all the same. Weights of the model are past their bound elsewhere.
+// That concerns runners of the model only: callers of this service are to be answered.
+func TestTheFloorConcernsNoUpstreamsWithoutModels(t *testing.T) {
+	g, _ := testGateway(t, func(int, *Send) (*Answer, error) { return status(200), nil })
+	word := testAnswer()
+	word.Document, word.Shelves = nil, nil
+	for i := range word.Roster.Upstreams {
+		if word.Roster.Upstreams[i].Service == "app" {
+			word.Roster.Upstreams[i].Loaded = nil
+		}
+	}
+	word.Floor = []roster.Loaded{{Model: "m", Version: 2}}
+	g.Told(word, time.Now())
+	r := request("/safe/x")
+	r.Prompt = prompt(placement.Part{ID: "p", Tokens: 100})
+	if got := serve(g, r); got.ends != "done" {
+		t.Fatalf("ends %q: %v", got.ends, got.cause)
+	}
+}
