--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,6 +149,9 @@
 	sends, unsent int
 	// tried are the upstreams that failed this request, each in one life.
 	tried map[*upstreamState]bool
+	// guessed are versions that this request is to try with runners that have other
+	// weights than was known. They are believed once an answer came.
+	guessed map[*upstreamState]uint64
 	// mayHaveRun tells that a send may have been run.
 	mayHaveRun bool
 	// last is the latest send.
@@ -219,7 +222,7 @@
 	if waited {
 		spread(ctx, request, route)
 	}
-	r := &run{gateway: g, request: request, route: route, tried: make(map[*upstreamState]bool), lastEvent: request.ResumeAfter}
+	r := &run{gateway: g, request: request, route: route, tried: make(map[*upstreamState]bool), guessed: make(map[*upstreamState]uint64), lastEvent: request.ResumeAfter}
 	if index.Document().Keyed && !route.Public {
 		if r.team = index.Team(request.Key); r.team == nil {
 			return nil, notRun(outcome.ReasonUnauthorized, 0, "the key is not known")
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -17,6 +17,11 @@
 	// loadingCost is added for a runner that is being ordered to load: it takes
 	// no request until it is done.
 	loadingCost = 2 * time.Second
+	// doubtFor is how long a runner is avoided that refused both the version it was
+	// known for and the newest. Its own word or the loader's comes within 1.2 s, the
+	// usual time between two announcements.
+	doubtFor  = 1500 * time.Millisecond
+	doubtCost = 2 * time.Second
 	// noRoomCost is added for a runner without room. For light prompts one with
 	// room comes first whatever it has to read; for the others a part that is
 	// read again may cost more than a wait.
@@ -132,12 +137,17 @@
 	return fresh
 }
 
+// versionOf is the version that the request's prompt would ask an upstream for.
+func (r *run) versionOf(u *upstreamState) uint64 {
+	return max(u.versionOf(r.request.Prompt.Model), r.guessed[u])
+}
+
 // below reports whether an upstream's weights are too old for the request's prompt.
 func (r *run) below(s *state, u *upstreamState) bool {
 	if r.request.Prompt == nil {
 		return false
 	}
-	has := u.versionOf(r.request.Prompt.Model)
+	has := r.versionOf(u)
 	return has != 0 && has < s.floor[r.request.Prompt.Model]
 }
 
@@ -166,6 +176,9 @@
 	if now.Before(u.fullUntil) {
 		cost += fullCost
 	}
+	if now.Before(u.doubtUntil) {
+		cost += doubtCost
+	}
 	if u.loading {
 		cost += loadingCost
 	}
@@ -212,9 +225,9 @@
 	runners := make([]placement.Runner, len(candidates))
 	version := uint64(0)
 	for i, u := range candidates {
-		version = max(version, u.versionOf(prompt.Model))
+		version = max(version, r.versionOf(u))
 		extra := r.extra(u, now)
-		if u.versionOf(prompt.Model) < newest {
+		if r.versionOf(u) < newest {
 			extra += oldWeightsCost
 		}
 		if !u.hasRoom(light, tokens, own, service.Engine.MemoryTokens) {
@@ -232,7 +245,7 @@
 	asked := s.describe(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates, addresses, now)
 	choice, _ := placement.Choose(&r.gateway.options.Rates, asked.salt, &asked.prompt, runners, stores)
 	p.upstream = candidates[choice.Runner]
-	if has := p.upstream.versionOf(prompt.Model); has != version {
+	if has := r.versionOf(p.upstream); has != version {
 		version = has
 		asked = s.describe(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates, addresses, now)
 		choice, _ = placement.Choose(&r.gateway.options.Rates, asked.salt, &asked.prompt, runners[choice.Runner:choice.Runner+1], stores)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -158,6 +158,7 @@
 		return r.refused(p, answer)
 	}
 	r.mayHaveRun = true
+	r.confirm(p)
 	if r.repeats(answer) {
 		r.whole(p, false)
 		r.tried[p.upstream] = true
@@ -193,12 +194,12 @@
 	case OtherUpstream:
 		p.upstream.trust.gone = true
 	case OtherVersion:
-		model := r.request.Prompt.Model
-		if newest := s.weights[model]; p.send.Prompt.Version < newest {
-			p.upstream.learn(model, newest)
+		if newest := s.weights[r.request.Prompt.Model]; p.send.Prompt.Version < newest {
+			r.guessed[p.upstream] = newest
 			refused.sameUpstream = true
 			return refused
 		}
+		p.upstream.doubtUntil = time.Now().Add(doubtFor)
 	case Full:
 		p.upstream.fullUntil = time.Now().Add(fullFor)
 	}
@@ -206,6 +207,18 @@
 	return refused
 }
 
+// confirm believes a version that was guessed, now that the runner has taken it.
+// Believed before, a runner between two versions would draw prompts and refuse all.
+func (r *run) confirm(p *plan) {
+	if r.guessed[p.upstream] == 0 {
+		return
+	}
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.upstream.learn(r.request.Prompt.Model, p.send.Prompt.Version)
+}
+
 // pass passes an answer on to its end.
 func (r *run) pass(ctx context.Context, respond Responder, p *plan, answer *Answer) error {
 	relay := &relay{run: r, respond: respond, answer: answer, holds: r.route.Kind == catalog.Safe}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -27,6 +27,8 @@
 	// unlisted is until when what the book holds of its cache counts as of a
 	// former life, if the hosts don't clear it before.
 	unlisted time.Time
+	// doubtUntil is how long the upstream is avoided after it refused two versions.
+	doubtUntil time.Time
 	// version is a weight version learnt from the runner itself, when newer
 	// than the roster's.
 	version map[string]uint64
--- a/internal/steward/loads.go
+++ b/internal/steward/loads.go
@@ -119,7 +119,8 @@
 	u, model, version := turn.Upstream, turn.Model, turn.Version
 	ctx, cancel := context.WithTimeout(ctx, loadGivenUp)
 	defer cancel()
-	if !o.give(ctx, u, model, version) {
+	given := o.give(ctx, u, model, version)
+	if given == notGiven {
 		return false
 	}
 	began := time.Now()
@@ -133,8 +134,13 @@
 			continue
 		}
 		failed = 0
+		if otherLife(&u, &report) {
+			break
+		}
 		if report.Versions[model] >= version {
-			o.noteUsual(time.Since(began))
+			if given == givenNow {
+				o.noteUsual(time.Since(began))
+			}
 			o.record(ctx, u, model, report.Versions[model])
 			return true
 		}
@@ -146,28 +152,53 @@
 	return false
 }
 
-// give gives the order until the runner carries it out, and reports whether it
-// does. An order without an answer may come later or never; the next one names
-// the same count of accepted orders, so that only one of them takes effect.
-func (o *loader) give(ctx context.Context, u roster.Upstream, model string, version uint64) bool {
+// given is what came of giving an order.
+type given uint8
+
+const (
+	notGiven given = iota
+	// givenNow: the load began with the order.
+	givenNow
+	// givenBefore: the runner loads, or has the weights, by an earlier order. The
+	// time until it is found done says nothing of the time of a load.
+	givenBefore
+)
+
+// give gives the order until the runner carries it out. An order without an answer
+// may come later or never; the next one names the same count of accepted orders, so
+// that only one of them takes effect.
+func (o *loader) give(ctx context.Context, u roster.Upstream, model string, version uint64) given {
+	logger := o.leadership.steward.options.Log
 	for range orderTries {
 		report, err := o.report(ctx, u)
 		if err != nil {
-			o.leadership.steward.options.Log.Info("runner not asked", "upstream", u.ID, "cause", err)
-			return false
+			logger.Info("runner not asked", "upstream", u.ID, "cause", err)
+			return notGiven
+		}
+		if otherLife(&u, &report) {
+			logger.Info("runner not ordered", "upstream", u.ID, "cause", "it has started again", "born", report.Born)
+			return notGiven
 		}
 		if report.Busy || report.Versions[model] >= version {
-			return true
+			return givenBefore
 		}
 		switch o.order(ctx, u, model, version, report.Accepted) {
-		case OrderTaken, OrderHolds:
-			return true
+		case OrderTaken:
+			return givenNow
+		case OrderHolds:
+			return givenBefore
 		case OrderRefused, OrderMisdirected:
-			return false
+			return notGiven
 		}
 		wait.For(ctx, reportLag)
 	}
-	return false
+	return notGiven
+}
+
+// otherLife reports whether a report is of another life of a runner than the one
+// that was to load. What that one has must not be recorded for the other.
+func otherLife(u *roster.Upstream, report *RunnerReport) bool {
+	return u.Born != 0 && report.Born != 0 && u.Born != report.Born
 }
 
 // firstCheck is how long after its order a runner is first asked.
@@ -221,7 +252,7 @@
 func (o *loader) record(ctx context.Context, u roster.Upstream, model string, version uint64) {
 	s := o.leadership.steward
 	held, known := s.machine.upstream(u.ID)
-	if !known {
+	if !known || held.Born != u.Born {
 		return
 	}
 	held.Loaded = append([]roster.Loaded(nil), held.Loaded...)
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -194,7 +194,7 @@
 func (m *Machine) floor(led time.Time, bound time.Duration, now time.Time) []roster.Loaded {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return rollout.Floor(m.namings, led, bound, now)
+	return rollout.Floor(m.namings, m.roster.Live, led, bound, now)
 }
 
 // wouldChange reports whether an announcement would change the roster.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -70,19 +70,23 @@
 	n.Note("m", 2, start)
 	n.Note("m", 3, start.Add(8*time.Second))
 	n.Note("other", 1, start.Add(time.Hour))
+	behind := []roster.Upstream{runner("a", 1), runner("b", 2)}
+	most := []roster.Upstream{runner("a", 1), runner("b", 3), runner("c", 3)}
 	cases := []struct {
 		name    string
 		led, at time.Duration
 		floor   []roster.Loaded
+		live    []roster.Upstream
 	}{
-		{"within the bound", 0, 13 * time.Second, nil},
-		{"a little before its end", 0, 13500 * time.Millisecond, []roster.Loaded{{Model: "m", Version: 2}}},
-		{"of the next version", 0, 21500 * time.Millisecond, []roster.Loaded{{Model: "m", Version: 3}}},
-		{"a leader that has just come", 13 * time.Second, 21 * time.Second, nil},
-		{"a leader that had its time", 13 * time.Second, 22 * time.Second, []roster.Loaded{{Model: "m", Version: 3}}},
+		{"within the bound", 0, 13 * time.Second, nil, most},
+		{"a little before its end", 0, 13500 * time.Millisecond, []roster.Loaded{{Model: "m", Version: 2}}, behind},
+		{"of the next version", 0, 21500 * time.Millisecond, []roster.Loaded{{Model: "m", Version: 3}}, behind},
+		{"a leader that has just come", 13 * time.Second, 21 * time.Second, nil, behind},
+		{"the same, and most runners have the version", 13 * time.Second, 21500 * time.Millisecond, []roster.Loaded{{Model: "m", Version: 3}}, most},
+		{"a leader that had its time", 13 * time.Second, 22 * time.Second, []roster.Loaded{{Model: "m", Version: 3}}, behind},
 	}
 	for _, c := range cases {
-		if got := Floor(n, start.Add(c.led), bound, start.Add(c.at)); !slices.Equal(got, c.floor) {
+		if got := Floor(n, func() []roster.Upstream { return c.live }, start.Add(c.led), bound, start.Add(c.at)); !slices.Equal(got, c.floor) {
 			t.Errorf("%s: %v", c.name, got)
 		}
 	}
