steward: a dead runner's cache keeps no shelf from entries

Cause: an entry that had heard more of a runner's cache than the next leader was told of no shelf until the leader knew as much. From a runner that ended at the same moment as the former leader it never does, and the runner's record stands for up to 60 s. Change: caches of silent runners are not followed, and are dropped from the shelves. Measured: TestADeadRunnersCacheKeepsNoShelfFromEntries failed (nothing 10 s after the change of leaders; it passes when the entry had heard no more), and passes three times; go test ./internal/steward passes but for the two tests that fail since before.

--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -126,7 +126,9 @@
 	if k.leadership.watchers.count() > cacheWatchers {
 		return stores, runners
 	}
-	for _, u := range k.leadership.steward.machine.live() {
+	// What a silent runner did last may never be known here, though entries know it;
+	// they would be told of no shelf for as long as its one is held.
+	for _, u := range k.leadership.heard(k.leadership.steward.machine.live(), time.Now()) {
 		if engines[u.Service] {
 			runners[u.Address] = max(runners[u.Address], u.Born)
 		}
