gateway: room of one service is given past the queue of another

Cause: sixteen waiting requests were looked at when room came free, of whatever service; those of a full service at the head of the queue kept all behind them from the room of other services until their wait was over. Change: sixteen of each service are looked at. Measured: TestRoomOfOneServiceIsGivenPastTheQueueOfAnother failed, and passes; the other tests of the package pass but for the two that fail since before.

--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -32,8 +32,8 @@
 	roomWaiting = 4
 	// maxWaiting bounds the requests that wait at one entry.
 	maxWaiting = 2048
-	// dispatchDepth bounds the waiting requests that are looked at for one
-	// that fits.
+	// dispatchDepth bounds the waiting requests of a service that are looked at
+	// for one that fits.
 	dispatchDepth = 16
 	// waitShare is the part of its time that a request may wait for room, and
 	// waitMost the longest: callers leave a stream after 2 s without an event,
@@ -179,9 +179,14 @@
 // dispatch gives room that has come free to those who wait. The caller holds
 // the lock.
 func (s *state) dispatch(now time.Time) {
-	looked := 0
-	for at := 0; at < len(s.waiting) && looked < dispatchDepth; looked++ {
+	looked := make(map[string]int, 4)
+	for at := 0; at < len(s.waiting); {
 		w := s.waiting[at]
+		if looked[w.run.service] >= dispatchDepth {
+			at++
+			continue
+		}
+		looked[w.run.service]++
 		p, err := w.run.tryPlan(now)
 		if p == nil && err == nil {
 			at++
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -195,3 +195,42 @@
 		t.Fatalf("%d of 30 requests went to replicas that said they were full", others)
 	}
 }
+
+// Sixteen short prompts wait at an entry because their runners are full. A call of
+// another service waits behind them, and an upstream of that service has room again.
+// The call has to be sent there; looked for among the first of the queue only, it
+// would be refused for lack of room although there is some.
+func TestRoomOfOneServiceIsGivenPastTheQueueOfAnother(t *testing.T) {
+	g, _ := testGateway(t, nil)
+	s, index := g.state, g.Index()
+	for _, service := range []string{"app", "llm"} {
+		for _, u := range s.serving[service] {
+			u.own.Requests = 100
+		}
+	}
+	add := func(path, service string, p *Prompt) *waiter {
+		r := request(path)
+		r.Prompt = p
+		w := &waiter{granted: make(chan *plan, 1), run: &run{
+			gateway: g, request: r, route: index.Route("h", path), service: service, tried: make(map[string]bool),
+			deadline: time.Now().Add(time.Second),
+		}}
+		s.enqueue(w)
+		return w
+	}
+	for range dispatchDepth {
+		add("/stream/x", "llm", prompt(placement.Part{ID: "p", Tokens: 100}))
+	}
+	call := add("/safe/x", "app", nil)
+	s.mu.Lock()
+	for _, u := range s.serving["app"] {
+		u.own.Requests = 0
+	}
+	s.dispatch(time.Now())
+	s.mu.Unlock()
+	select {
+	case <-call.granted:
+	default:
+		t.Errorf("the call still waits, with %d others", len(s.waiting)-1)
+	}
+}
