--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -212,7 +212,7 @@
 		r := request(path)
 		r.Prompt = p
 		w := &waiter{granted: make(chan *plan, 1), run: &run{
-			gateway: g, request: r, route: index.Route("h", path), service: service, tried: make(map[string]bool),
+			gateway: g, request: r, route: index.Route("h", path), service: service, tried: make(map[*upstreamState]bool),
 			deadline: time.Now().Add(time.Second),
 		}}
 		s.enqueue(w)
