steward: a dead store keeps no other shelf from entries

Cause: entries that had heard more of a store than the next leader were told of no shelf for as long as the store was gone.

--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -223,9 +223,17 @@
 // be asked for a while is asked for what was missed, and listed only if it
 // knows that no more: a listing is large, and each entry may be told all of it.
 func (k *shelves) followStore(ctx context.Context, address string) {
+	began, reached := time.Now(), false
 	for ctx.Err() == nil {
-		if err := k.catchUp(ctx, address); err != nil && ctx.Err() == nil {
+		err := k.catchUp(ctx, address)
+		reached = reached || err == nil
+		if err != nil && ctx.Err() == nil {
 			k.lose(address, err)
+			if !reached && time.Since(began) > silentAfter {
+				// Entries may know more of it than this leader, and would be told of
+				// no other store meanwhile.
+				k.book.forget(address)
+			}
 			wait.For(ctx, storeRetry)
 		}
 	}
