--- a/internal/steward/propagation_test.go
+++ b/internal/steward/propagation_test.go
@@ -27,8 +27,9 @@
 	inForce = 2 * time.Second
 	// oneWay is the time between two hosts.
 	oneWay = 1400 * time.Microsecond
-	// testEntries is a number that the leader does not answer alone.
-	testEntries = 20
+	// testEntries are played in full. So many more, which the leader only hears
+	// of, are too many for it to answer alone.
+	testEntries, otherEntries = 4, entriesAlone + 4
 )
 
 // virtualHost is a control host or an entry of a virtualNet.
@@ -189,19 +190,46 @@
 	for i := 1; i <= 6; i++ {
 		n.addControl(ident.Host(fmt.Sprint("c", i)))
 	}
-	for _, h := range n.hosts {
+	for _, h := range n.controlHosts() {
 		go n.apply(h)
 		go h.steward.followLeader(ctx)
 	}
 	n.elect("c1")
 	n.commit(1)
+	go n.hearOfOthers()
 	for i := range testEntries {
 		n.startEntry(fmt.Sprint("e", i))
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(time.Second)
 	return n
 }
 
+// hearOfOthers tells the leader of entries that are not played.
+func (n *virtualNet) hearOfOthers() {
+	for wait.For(n.ctx, watcherKept/4) {
+		for _, h := range n.controlHosts() {
+			l := h.steward.leading.Load()
+			for i := range otherEntries {
+				if l != nil {
+					l.watchers.expect(EntryView{Host: fmt.Sprint("other", i), Ready: true}, time.Now())
+				}
+			}
+		}
+	}
+}
+
+func (n *virtualNet) controlHosts() []*virtualHost {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []*virtualHost
+	for _, h := range n.hosts {
+		if h.steward != nil {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
 func (n *virtualNet) addControl(name ident.Host) {
 	h := &virtualHost{name: name, thawed: make(chan struct{})}
 	machine, book := NewMachine(), newSharedBook()
@@ -422,6 +450,10 @@
 			}
 		}},
 		{"the log of one relay is far behind", time.Second, func(n *virtualNet) { n.lags("c3", 20*time.Second) }},
+		{"the leader and one entry are late", time.Second, func(n *virtualNet) {
+			n.slow("c1", 450*time.Millisecond)
+			n.slow("e0", 450*time.Millisecond)
+		}},
 		{"one relay is cut off from the leader", time.Second, func(n *virtualNet) { n.part("c1", "c2") }},
 		{"all relays are cut off from the leader", time.Second, func(n *virtualNet) {
 			for _, relay := range relays {
