steward: late answers are taken in; an entry with an old word has the leader answer

Cause: an entry counted a host as in order that answered in time, whatever it answered. Relays that were behind the leader, or whose questions it answered too late, told to ask elsewhere; the leader, which lists relays by their questions, sent the entry back to them. With five relays the first was tried again before the last had been asked, so that the leader was not even asked. And an answer that came after 600 ms was thrown away: where the leader, a relay or the entry itself was always later than that, no news ever came in.

Change: - Answers tell how old they are as word on the configuration (Heard), counted from the leader, noted before the state is looked at. An entry whose word is older than 0.8 s asks the leader, also while a relay owes it an answer, and the leader answers such a question (Overdue) itself. - Answers are taken in until 2 s after they were asked for. One that was asked for before another was taken in tells only what has revisions (Partial): configuration, weights, roster. - lovagereach_follower_config_age_seconds, _overdue_total, _late_answers_total, and a line when the word is older than 1.5 s and when it is fresh again.

The load on the leader is bounded: one question an entry each 0.8 s at most, where no relay has a younger word (8 to 10 in 8 s in the test).

--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -65,6 +65,7 @@
 		return err
 	}
 	metrics.RegisterSet(g.Metrics())
+	metrics.RegisterSet(follower.Metrics())
 	env.Log.Info("started", "role", "entry", "name", s.Name, "host", s.Host, "callers", s.Callers)
 	e := &entry{
 		env: env, gateway: g, callers: platform.NewCallers(g, env.Log), readiness: platform.NewReadiness(g.Ready),
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -143,7 +143,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.term = answer.Term
 	adopted := s.adopt(index)
 	if answer.Weights != nil && answer.Weights.Revision >= s.weightsR {
 		s.weightsR = answer.Weights.Revision
@@ -154,6 +153,11 @@
 	if answer.Roster != nil && answer.Roster.Revision >= s.rosterR {
 		s.enrol(answer.Roster)
 	}
+	if answer.Partial {
+		s.dispatch(time.Now())
+		return adopted
+	}
+	s.term = answer.Term
 	s.noteLoads(answer)
 	s.noteShelves(answer, sent)
 	s.noteStocked(time.Now())
--- a/internal/steward/branch.go
+++ b/internal/steward/branch.go
@@ -99,6 +99,14 @@
 		request.Term <= b.told.Term && b.machine.held().cover(b.lacked)
 }
 
+// asOf implements bulletin. Where this host serves, its log has come as far as
+// the leader's had when it was asked.
+func (b *branch) asOf(time.Time) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.asked
+}
+
 // term implements bulletin.
 func (b *branch) term() uint64 {
 	b.mu.Lock()
--- a/internal/steward/branch_test.go
+++ b/internal/steward/branch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/holdings"
+	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/wire"
 )
 
@@ -102,3 +103,34 @@
 		t.Fatalf("an incomplete book is passed on: %+v", a.Shelves)
 	}
 }
+
+// An entry turns to the leader when its word on the configuration is old. A relay
+// that heard from the leader long ago, or that hears again just while it answers,
+// must not make its word look young: the entry would stay with it.
+func TestRelayTellsTheAgeOfItsWordOnTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &virtualNet{t: t, ctx: t.Context(), hosts: make(map[ident.Host]*virtualHost)}
+		n.addControl("c2")
+		s := n.hosts["c2"].steward
+		asked := time.Now()
+		s.branch.take(relayingAnswer(3), asked, asked)
+		time.Sleep(100 * time.Millisecond)
+		watch := func(term uint64) *WatchAnswer {
+			return s.watch(t.Context(), entryPeer("e1"), &WatchRequest{Entry: &EntryView{Host: "e1"}, Term: term})
+		}
+		if a := watch(2); a.Elsewhere || a.Heard != 100*time.Millisecond {
+			t.Fatalf("told %+v 100 ms after the leader was asked", a)
+		}
+		// Kept open for 120 ms; the leader is asked anew after 30 of them.
+		again := relayingAnswer(3)
+		again.Shelves = nil
+		time.AfterFunc(50*time.Millisecond, func() { s.branch.take(again, asked.Add(130*time.Millisecond), time.Now()) })
+		if a := watch(3); a.Elsewhere || a.Heard != 90*time.Millisecond {
+			t.Fatalf("told %+v 90 ms after the leader was asked", a)
+		}
+		time.Sleep(branchFresh)
+		if a := watch(2); !a.Elsewhere {
+			t.Fatalf("told %+v without a fresh word", a)
+		}
+	})
+}
--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
 	"github.com/lovagereach/lovagereach/ident"
@@ -19,8 +20,19 @@
 )
 
 const (
-	// watchTimeout bounds one watch: the wait, two ways and a busy leader.
+	// watchTimeout is how long a host is waited for: the wait, two ways and a busy
+	// leader. After it another is asked.
 	watchTimeout = 600 * time.Millisecond
+	// lateMost is until when an answer is taken in that comes after watchTimeout.
+	// Where hosts, or this one, are always later than that, no other ever comes.
+	lateMost = 2 * time.Second
+	// overdueAfter is how old the word on the configuration may be before the
+	// leader is asked for it. Usual is up to 0.25 s, and a configuration must be
+	// in force within 2 s.
+	overdueAfter = 800 * time.Millisecond
+	// staleAfter is how old it may be before the log tells. An election may take
+	// 1 s.
+	staleAfter = 1500 * time.Millisecond
 	// followPause is the least time between two watches.
 	followPause = 20 * time.Millisecond
 	// silentFor is how long a host is not asked again that did not answer. A
@@ -70,6 +82,27 @@
 	term uint64
 	next int
 	lost bool
+	// word is the time as of which everything is known that the leader knew, in
+	// microseconds since epoch.
+	word  atomic.Int64
+	epoch time.Time
+	// stale tells that the log was told of an old word, and oldest how old it was.
+	stale  bool
+	oldest time.Duration
+	// results brings the answers, also late ones. taken counts those taken in.
+	results chan *watched
+	taken   uint64
+	meter   *followMeter
+}
+
+// watched is one call and what became of it.
+type watched struct {
+	host ident.Host
+	sent time.Time
+	// after is the number of answers taken in before it was sent.
+	after  uint64
+	answer WatchAnswer
+	err    error
 }
 
 // failure is why a host is not asked for a while.
@@ -81,7 +114,10 @@
 
 // NewFollower returns a follower; Run starts it.
 func NewFollower(options FollowerOptions) *Follower {
-	f := &Follower{options: options, avoided: make(map[ident.Host]failure)}
+	f := &Follower{
+		options: options, avoided: make(map[ident.Host]failure), results: make(chan *watched), epoch: time.Now(),
+	}
+	f.meter = newFollowMeter(f)
 	f.SetSeeds(options.Seeds)
 	return f
 }
@@ -96,9 +132,13 @@
 	for ctx.Err() == nil {
 		request := ask()
 		if request == nil {
+			// What was asked for before the pause no longer fits what is held.
+			f.taken++
+			f.setWord(time.Now())
 			wait.For(ctx, idlePause)
 			continue
 		}
+		f.noteAge(time.Now())
 		if !f.once(ctx, request, told) {
 			wait.For(ctx, followPause)
 		}
@@ -106,24 +146,71 @@
 	}
 }
 
-// once makes one call and reports whether it was answered by a leader.
+// once makes one call and reports whether it was answered by a leader. Meanwhile
+// it takes in late answers to earlier ones.
 func (f *Follower) once(ctx context.Context, request *WatchRequest, told func(*WatchAnswer, time.Time)) bool {
-	host := f.target(time.Now())
+	now := time.Now()
+	host := f.target(now)
 	if host == "" {
 		return false
 	}
-	bound, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
 	request.Direct = host == f.leader && f.unreached()
-	sent := time.Now()
-	address := net.JoinHostPort(string(host), strconv.Itoa(f.options.PeerPort))
-	raw, err := f.options.Transport.Call(bound, address, methodWatch, wire.MustMarshal(request))
-	var answer WatchAnswer
-	if err == nil {
-		err = wire.Unmarshal(raw, &answer)
+	request.Overdue = host == f.leader && f.overdue(now)
+	if request.Overdue {
+		f.meter.overdue.Inc()
+	}
+	call := f.send(ctx, host, request)
+	patience := time.NewTimer(watchTimeout)
+	defer patience.Stop()
+	turn := time.NewTimer(f.wordTime().Add(overdueAfter).Sub(now))
+	defer turn.Stop()
+	for {
+		select {
+		case result := <-f.results:
+			if result == call {
+				return f.settle(call, told)
+			}
+			f.takeLate(result, told)
+		case <-turn.C:
+			// The call stays open; its answer is taken in when it comes.
+			if !request.Overdue && host != f.leader && f.mustAskLeader(time.Now()) {
+				return false
+			}
+		case <-patience.C:
+			f.failed(host, context.DeadlineExceeded)
+			return false
+		case <-ctx.Done():
+			return false
+		}
 	}
-	if err != nil {
-		f.failed(host, err)
+}
+
+// send makes a call, whose end comes as one of the results.
+func (f *Follower) send(ctx context.Context, host ident.Host, request *WatchRequest) *watched {
+	call := &watched{host: host, sent: time.Now(), after: f.taken}
+	address := net.JoinHostPort(string(host), strconv.Itoa(f.options.PeerPort))
+	body := wire.MustMarshal(request)
+	go func() {
+		bound, cancel := context.WithTimeout(ctx, lateMost)
+		defer cancel()
+		raw, err := f.options.Transport.Call(bound, address, methodWatch, body)
+		if err == nil {
+			err = wire.Unmarshal(raw, &call.answer)
+		}
+		call.err = err
+		select {
+		case f.results <- call:
+		case <-bound.Done():
+		}
+	}()
+	return call
+}
+
+// settle takes in the result of a call that was waited for.
+func (f *Follower) settle(call *watched, told func(*WatchAnswer, time.Time)) bool {
+	answer := &call.answer
+	if call.err != nil {
+		f.failed(call.host, call.err)
 		return false
 	}
 	if len(answer.Members) > 0 {
@@ -133,20 +220,90 @@
 		}
 	}
 	if answer.Elsewhere || answer.Term < f.term {
-		f.redirected(host, &answer)
+		f.redirected(call.host, answer)
 		return false
 	}
-	if f.lost || f.asked != host {
+	if f.lost || f.asked != call.host {
 		f.lost = false
-		f.options.Log.Info("leader followed", "leader", answer.Leader, "through", host, "term", answer.Term)
+		f.options.Log.Info("leader followed", "leader", answer.Leader, "through", call.host, "term", answer.Term)
 	}
-	f.asked, f.term = host, answer.Term
+	f.asked = call.host
 	f.leader = ident.Host(answer.Leader)
 	f.relays = f.order(answer.Relays)
-	told(&answer, sent.Add(-answer.Age))
+	f.take(call, told)
 	return true
 }
 
+// takeLate takes in an answer that was no longer waited for. A relay stays
+// avoided, for another may answer in time; the leader is the last to be asked, and
+// a late answer of it better than none.
+func (f *Follower) takeLate(call *watched, told func(*WatchAnswer, time.Time)) {
+	if call.err != nil || call.answer.Elsewhere || call.answer.Term < f.term {
+		return
+	}
+	f.meter.late.Inc()
+	if leader := ident.Host(call.answer.Leader); leader == call.host {
+		delete(f.avoided, leader)
+		f.leader = leader
+	}
+	f.take(call, told)
+}
+
+// take passes an answer on. One that was asked for before another was taken in
+// tells a part only: the rest builds on what was held then.
+func (f *Follower) take(call *watched, told func(*WatchAnswer, time.Time)) {
+	answer := &call.answer
+	f.term = answer.Term
+	answer.Partial = call.after != f.taken
+	if word := call.sent.Add(-answer.Heard); word.After(f.wordTime()) {
+		f.setWord(word)
+	}
+	if !answer.Partial {
+		f.taken++
+	} else if f.options.LeaderOnly {
+		return
+	}
+	told(answer, call.sent.Add(-answer.Age))
+}
+
+// wordTime is the time as of which everything is known that the leader knew; at
+// the earliest that of the start.
+func (f *Follower) wordTime() time.Time {
+	return f.epoch.Add(time.Duration(f.word.Load()) * time.Microsecond)
+}
+
+func (f *Follower) setWord(as time.Time) { f.word.Store(as.Sub(f.epoch).Microseconds()) }
+
+// overdue reports whether the word on the configuration is so old that the leader
+// should be asked. Hosts that answer too late, or only tell to ask elsewhere, are
+// not silent, and yet bring no news.
+func (f *Follower) overdue(now time.Time) bool {
+	return !f.options.LeaderOnly && now.Sub(f.wordTime()) >= overdueAfter
+}
+
+// mustAskLeader reports whether the leader is asked for want of a younger word.
+func (f *Follower) mustAskLeader(now time.Time) bool {
+	_, avoided := f.avoided[f.leader]
+	return f.overdue(now) && f.leader != "" && f.leader != f.options.Self && !avoided
+}
+
+// noteAge tells the log when the word on the configuration has become old, and
+// when it no longer is.
+func (f *Follower) noteAge(now time.Time) {
+	age := now.Sub(f.wordTime())
+	switch {
+	case age >= staleAfter:
+		f.oldest = max(f.oldest, age)
+		if !f.stale {
+			f.stale = true
+			f.options.Log.Warn("word on the configuration is old", "age", age, "leader", f.leader, "asked", f.asked, "term", f.term)
+		}
+	case f.stale:
+		f.options.Log.Info("word on the configuration is fresh again", "age", age, "was", f.oldest, "asked", f.asked, "term", f.term)
+		f.stale, f.oldest = false, 0
+	}
+}
+
 // unreached reports whether the hosts that pass on what the leader tells are
 // silent. Hosts that answer, but have nothing yet, do not count: after an election
 // the leader would have to answer all entries.
@@ -206,14 +363,18 @@
 	}
 }
 
-// target is the host to ask: one that passes on what the leader tells, else the
-// leader, else the next of the known control hosts.
+// target is the host to ask: one that passes on what the leader tells, or the
+// leader where there is none or the word is overdue, else the next of the known
+// control hosts.
 func (f *Follower) target(now time.Time) ident.Host {
 	maps.DeleteFunc(f.avoided, func(_ ident.Host, why failure) bool { return !now.Before(why.until) })
 	usable := func(host ident.Host) bool {
 		_, avoided := f.avoided[host]
 		return host != f.options.Self && !avoided
 	}
+	if f.mustAskLeader(now) {
+		return f.leader
+	}
 	if i := slices.IndexFunc(f.relays, usable); i >= 0 && (f.leader == "" || !f.unreached()) {
 		return f.relays[i]
 	}
@@ -236,3 +397,22 @@
 	f.next++
 	return hosts[f.next%len(hosts)]
 }
+
+// followMeter holds a follower's counters.
+type followMeter struct {
+	set *metrics.Set
+	// overdue counts the questions to the leader for want of a younger word, and
+	// late the answers taken in that were no longer waited for.
+	overdue, late *metrics.Counter
+}
+
+func newFollowMeter(f *Follower) *followMeter {
+	set := metrics.NewSet()
+	set.NewGauge("lovagereach_follower_config_age_seconds", func() float64 { return time.Since(f.wordTime()).Seconds() })
+	return &followMeter{
+		set: set, overdue: set.NewCounter("lovagereach_follower_overdue_total"), late: set.NewCounter("lovagereach_follower_late_answers_total"),
+	}
+}
+
+// Metrics are the follower's metrics.
+func (f *Follower) Metrics() *metrics.Set { return f.meter.set }
--- a/internal/steward/follower_test.go
+++ b/internal/steward/follower_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -115,3 +117,103 @@
 		t.Fatalf("took the terms %v", terms)
 	}
 }
+
+// slowHosts answer watches after a time of their own.
+type slowHosts struct {
+	mu     sync.Mutex
+	after  map[string]time.Duration
+	answer func(host string, request *WatchRequest) WatchAnswer
+}
+
+func (s *slowHosts) Call(ctx context.Context, address string, _ port.Method, body []byte) ([]byte, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	var request WatchRequest
+	if err := wire.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	after, answer := s.after[host], s.answer(host, &request)
+	s.mu.Unlock()
+	select {
+	case <-time.After(after):
+		return wire.MustMarshal(answer), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s *slowHosts) Send(string, port.Method, []byte) bool { return false }
+
+func slowFollower(hosts *slowHosts) *Follower {
+	return NewFollower(FollowerOptions{
+		Transport: hosts, Seeds: []ident.Host{"c1"}, PeerPort: 1, Self: "e1", DataCentre: "north", Log: log.New(io.Discard),
+	})
+}
+
+// An entry whose calls all last longer than it waits for one hears nothing, ever,
+// if it drops what comes late. But a late answer builds on what the entry held
+// when it asked: beside a younger one it may tell no more than what has revisions.
+func TestFollowerTakesLateAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := &slowHosts{
+			after: map[string]time.Duration{"c1": 700 * time.Millisecond, "c3": 50 * time.Millisecond},
+			answer: func(host string, _ *WatchRequest) WatchAnswer {
+				heard := map[string]time.Duration{"c3": 30 * time.Millisecond}[host]
+				return WatchAnswer{Term: 1, Leader: "c1", Relays: twoRelays(), Heard: heard}
+			},
+		}
+		f := slowFollower(hosts)
+		type taken struct {
+			partial bool
+			word    time.Duration
+		}
+		var got []taken
+		start := time.Now()
+		step := func() {
+			f.once(t.Context(), &WatchRequest{Entry: &EntryView{Host: "e1"}}, func(a *WatchAnswer, _ time.Time) {
+				got = append(got, taken{a.Partial, f.wordTime().Sub(start)})
+			})
+			time.Sleep(followPause)
+		}
+		step() // c1, given up after 600 ms
+		step() // c1 once more, and the late answer of before
+		if want := (taken{false, 0}); len(got) != 1 || got[0] != want {
+			t.Fatalf("took %+v, want %+v", got, want)
+		}
+		f.relays = f.order(twoRelays())
+		step() // c3 answers first, at 1290 ms of what the leader had at 1210
+		if want := (taken{false, 1210 * time.Millisecond}); len(got) != 2 || got[1] != want {
+			t.Fatalf("took %+v, want %+v last", got, want)
+		}
+		hosts.after["c3"] = 200 * time.Millisecond
+		step() // the second answer of c1 comes first, at 1320 ms
+		if want := (taken{true, 1210 * time.Millisecond}); len(got) != 4 || got[2] != want || got[3].partial {
+			t.Fatalf("took %+v, want %+v and a whole one", got, want)
+		}
+	})
+}
+
+// The relays answer at once, but only to ask elsewhere: their logs are behind, or
+// the leader's answers come to them too late. The leader lists them all the same
+// and sends entries there. Callers are served by an old configuration for as long
+// as an entry goes round in this circle; it must have the leader answer before
+// that, and no oftener than that takes, for all other entries ask it, too.
+func TestFollowerWithAnOldWordAsksTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := &slowHosts{answer: func(host string, request *WatchRequest) WatchAnswer {
+			return WatchAnswer{Elsewhere: !request.Overdue, Term: 1, Leader: "c1", Relays: twoRelays()}
+		}}
+		f := slowFollower(hosts)
+		oldest, answered := time.Duration(0), 0
+		for start := time.Now(); time.Since(start) < 8*time.Second; time.Sleep(followPause) {
+			f.once(t.Context(), &WatchRequest{Entry: &EntryView{Host: "e1"}}, func(*WatchAnswer, time.Time) { answered++ })
+			oldest = max(oldest, time.Since(f.wordTime()))
+		}
+		if oldest > overdueAfter+2*followPause || answered < 8 || answered > 10 {
+			t.Fatalf("the word was %v old; the leader answered %d times in 8 s", oldest, answered)
+		}
+	})
+}
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -206,11 +206,15 @@
 // serves reports whether the leader answers a watch by itself: not an entry's,
 // where there are others to ask. After an election all entries come to the new
 // leader at once, each without anything of its term; answers to all of them
-// would take it seconds.
+// would take it seconds. One whose word is overdue is answered all the same: the
+// others may be listed here for their questions, and yet have no answers.
 func (l *leadership) serves(request *WatchRequest, now time.Time) bool {
-	return request.Entry == nil || request.Direct || len(l.relays(now)) == 0
+	return request.Entry == nil || request.Direct || request.Overdue || len(l.relays(now)) == 0
 }
 
+// asOf implements bulletin.
+func (l *leadership) asOf(now time.Time) time.Time { return now }
+
 // relays lists the hosts that entries are to ask instead of the leader, none
 // while there are few entries.
 func (l *leadership) relays(now time.Time) []RelayView {
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -59,6 +59,9 @@
 	// Direct tells that the caller, an entry, reaches none of the hosts that it
 	// was told to ask instead of the leader.
 	Direct bool `cbor:"10,keyasint,omitempty"`
+	// Overdue tells that what the caller was last told of the configuration is
+	// so old that the leader must answer, whoever else could.
+	Overdue bool `cbor:"11,keyasint,omitempty"`
 }
 
 // RelayView is a control host that answers the watches of entries.
@@ -122,6 +125,12 @@
 	// Age is how old the word on the shelves is, in nanoseconds: zero from the
 	// leader, and from another host the time since it asked the leader.
 	Age time.Duration `cbor:"20,keyasint,omitempty"`
+	// Heard is the same for Document, Weights and Roster.
+	Heard time.Duration `cbor:"21,keyasint,omitempty"`
+	// Partial answers came after another one was taken in that was asked for
+	// later, or about as late: only Document, Weights and Roster, which have
+	// revisions, still hold.
+	Partial bool `cbor:"-"`
 }
 
 // revisions returns how far the parts of the answer have come that the caller
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -44,6 +44,8 @@
 	complete(from port.Peer, answer *WatchAnswer, now time.Time)
 	// serves reports whether the watch may still be answered here.
 	serves(request *WatchRequest, now time.Time) bool
+	// asOf is the time as of which this host has everything that the leader had.
+	asOf(now time.Time) time.Time
 	term() uint64
 }
 
@@ -73,18 +75,17 @@
 	b.follow(from, request, time.Now())
 	answer := &WatchAnswer{}
 	machineNews, shelfNews := s.machine.news(), s.book.news()
-	found := s.machine.fill(request, answer)
-	found = b.fill(request, answer) || found || request.Term != b.term()
-	if !found {
+	heard, found := s.fill(b, request, answer)
+	if !found && request.Term == b.term() {
 		awaitNews(ctx, waitFor(request), machineNews, shelfNews)
-		s.machine.fill(request, answer)
-		b.fill(request, answer)
+		heard, _ = s.fill(b, request, answer)
 	}
 	now := time.Now()
-	if !b.serves(request, now) {
+	if heard.IsZero() || !b.serves(request, now) {
 		return s.redirect(request)
 	}
 	b.complete(from, answer, now)
+	answer.Heard = now.Sub(heard)
 	answer.Members = s.memberNames()
 	if request.Entry != nil {
 		answer.Entries = nil
@@ -93,6 +94,21 @@
 	return answer
 }
 
+// fill adds what a watcher lacks and reports whether that is anything, and the
+// time as of which it is all, zero if this host does not know.
+func (s *Steward) fill(b bulletin, request *WatchRequest, answer *WatchAnswer) (time.Time, bool) {
+	// Noted before the look: the leader's next word may come in between, and what
+	// was filled in without it would look younger than it is.
+	now := time.Now()
+	heard := b.asOf(now)
+	if !b.serves(request, now) {
+		return time.Time{}, false
+	}
+	found := s.machine.fill(request, answer)
+	found = b.fill(request, answer) || found
+	return heard, found
+}
+
 // waitFor is the longest that a watch is kept open.
 func waitFor(request *WatchRequest) time.Duration {
 	if request.Relay {
