--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/placement"
@@ -196,6 +197,29 @@
 	}
 }
 
+// An answer that comes late, after a younger one, still brings a configuration
+// that the younger one had not. Of upstreams that are silent, of loads and of the
+// leader's term it tells what was, and callers would be sent to those that are
+// lost.
+func TestPartialAnswersBringOnlyWhatHasRevisions(t *testing.T) {
+	g, _ := testGateway(t, nil)
+	now := testAnswer()
+	now.Term, now.Document, now.Silent = 2, nil, []string{"a1"}
+	now.Loads = []steward.Load{{Upstream: "a2", Requests: 3}}
+	now.Shelves = nil
+	g.Told(now, time.Now())
+	late := testAnswer()
+	late.Partial, late.Document.Version, late.Shelves = true, 8, nil
+	g.Told(late, time.Now())
+	old := testAnswer()
+	old.Partial, old.Document.Version, old.Shelves = true, 7, nil
+	g.Told(old, time.Now())
+	s := g.state
+	if v := g.Index().Version(); v != 8 || s.term != 2 || !s.members["a1"].silent || s.members["a2"].others.Requests != 3 {
+		t.Fatalf("version %d, term %d, a1 %+v, a2 %+v", v, s.term, s.members["a1"], s.members["a2"])
+	}
+}
+
 // An answer of a control host that lags brings an older configuration.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	g, _ := testGateway(t, nil)
@@ -357,3 +381,36 @@
 		}
 	}
 }
+
+// A stream breaks off and goes on at another runner; meanwhile a new
+// configuration has dropped the runners' service. Sent on by the new one, the
+// prompt would go without the names that keep versions and isolated teams apart in
+// a runner's memory, and the caller could be told what another team's prompt left
+// there. A request goes by the configuration that it was admitted under.
+func TestRequestsGoByOneConfiguration(t *testing.T) {
+	var g *Gateway
+	g, sender := testGateway(t, func(n int, _ *Send) (*Answer, error) {
+		if n > 1 {
+			return stream(io.EOF, "2"), nil
+		}
+		dropped := testDocument()
+		dropped.Version++
+		dropped.Routes = dropped.Routes[:3]
+		dropped.Services = []catalog.Service{{Name: "app"}}
+		g.Told(&steward.WatchAnswer{Term: 1, Document: dropped, EntryCount: 1}, time.Now())
+		return stream(lost(), "1"), nil
+	})
+	r := request("/resume/x")
+	r.Prompt = prompt(placement.Part{ID: "own", Tokens: 100})
+	rec := serve(g, r)
+	if g.Index().Version() != 8 || sender.count() != 2 || rec.ends != "done" {
+		t.Fatalf("version %d, %d sends, ends %q: %v", g.Index().Version(), sender.count(), rec.ends, rec.cause)
+	}
+	first, second := sender.sends[0].Prompt, sender.sends[1].Prompt
+	if second == nil || second.Salt != first.Salt || second.Version != first.Version {
+		t.Fatalf("sent as %+v, and again as %+v", first, second)
+	}
+	if rec := serve(g, request("/resume/x")); rec.ends != "refused" {
+		t.Fatalf("a request that came later ends %q", rec.ends)
+	}
+}
