gateway: a request goes by the configuration that it was admitted under

Cause: each send looked its service up in the configuration of the moment, by the name drawn at admission. Where a newer one has no such service, a prompt was sent as a plain call, without salt and without the version of its weights; a runner keeps what has no salt for all.

Change: the request holds the configuration of its admission and looks there. A request that comes later goes by the newer one; none goes by an older one than was in force when it was sent.

Measured: TestRequestsGoByOneConfiguration fails before and holds after.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,8 +139,11 @@
 
 // run is one request on its way.
 type run struct {
-	gateway  *Gateway
-	request  *Request
+	gateway *Gateway
+	request *Request
+	// index is the configuration that the request was admitted under, and goes by
+	// to its end.
+	index    *catalog.Index
 	route    *catalog.Route
 	service  string
 	team     *catalog.Team
@@ -219,7 +222,7 @@
 	if waited {
 		spread(ctx, request, route)
 	}
-	r := &run{gateway: g, request: request, route: route, tried: make(map[string]bool), lastEvent: request.ResumeAfter}
+	r := &run{gateway: g, request: request, index: index, route: route, tried: make(map[string]bool), lastEvent: request.ResumeAfter}
 	if index.Document().Keyed && !route.Public {
 		if r.team = index.Team(request.Key); r.team == nil {
 			return nil, notRun(outcome.ReasonUnauthorized, 0, "the key is not known")
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -72,7 +72,9 @@
 // when no upstream has room. The caller holds the lock.
 func (r *run) tryPlan(now time.Time) (*plan, error) {
 	s := r.gateway.state
-	service := s.index.Service(r.service)
+	// The service as it was at admission: without it a prompt whose service was
+	// dropped meanwhile would be sent without the salt that keeps teams apart.
+	service := r.index.Service(r.service)
 	candidates := r.candidates(s)
 	if len(candidates) == 0 {
 		return nil, notRun(outcome.ReasonNoUpstream, comeBack, "no upstream of the service is known")
