--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"slices"
@@ -49,6 +50,9 @@
 	idlePause = 100 * time.Millisecond
 )
 
+// errNoAnswer reports a host that another one is asked instead of.
+var errNoAnswer = errors.New("no answer in time")
+
 // FollowerOptions configure a Follower.
 type FollowerOptions struct {
 	Transport port.PeerClient
@@ -177,7 +181,7 @@
 				return false
 			}
 		case <-patience.C:
-			f.failed(host, context.DeadlineExceeded)
+			f.failed(host, errNoAnswer)
 			return false
 		case <-ctx.Done():
 			return false
