Steward: a failing test of a dead runner that holds a turn; turns go by life

Change: turns go by name and birth; the failing test of the first, not yet mended. Measured: TestADeadRunnerHoldsNoTurnByTheReportOfAnother fails (three heard, two expected); TestTheNextLifeOfARunnerOwesNothingToTheFormer passes.

--- a/internal/steward/floor_test.go
+++ b/internal/steward/floor_test.go
@@ -71,7 +71,7 @@
 		before := o.firstCheck()
 		for range 10 {
 			for _, turn := range o.next(live, time.Now()) {
-				o.release(turn.Upstream.ID, o.load(t.Context(), turn), time.Now())
+				o.release(turn.Upstream, o.load(t.Context(), turn), time.Now())
 			}
 			time.Sleep(loadNotice)
 		}
--- a/internal/steward/loads.go
+++ b/internal/steward/loads.go
@@ -71,7 +71,7 @@
 		for _, turn := range o.next(o.leadership.heard(s.machine.live(), now), now) {
 			tasks.Go(func() {
 				done := o.load(ctx, turn)
-				o.release(turn.Upstream.ID, done, time.Now())
+				o.release(turn.Upstream, done, time.Now())
 			})
 		}
 	}
@@ -92,10 +92,10 @@
 	return turns
 }
 
-func (o *loader) release(id string, done bool, now time.Time) {
+func (o *loader) release(u roster.Upstream, done bool, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.schedule.Release(id, done, now)
+	o.schedule.Release(u, done, now)
 }
 
 // account tells how many runners lack named weights.
--- a/internal/steward/loads_test.go
+++ b/internal/steward/loads_test.go
@@ -41,7 +41,7 @@
 			for id, end := range ends {
 				if !now.Before(end) {
 					delete(ends, id)
-					o.release(id, true, now)
+					o.release(roster.Upstream{ID: id}, true, now)
 					o.noteUsual(1800 * time.Millisecond)
 					loaded(live, id)
 					left--
@@ -69,7 +69,7 @@
 		for _, turn := range o.next(live, now) {
 			id := turn.Upstream.ID
 			turns[id]++
-			o.release(id, id != "r00", now)
+			o.release(turn.Upstream, id != "r00", now)
 			if id != "r00" {
 				loaded(live, id)
 			}
@@ -105,7 +105,7 @@
 					delete(ends, id)
 					live[i].Loaded = []roster.Loaded{{Model: "m", Version: target[id]}}
 					o.noteUsual(load)
-					o.release(id, true, time.Now())
+					o.release(roster.Upstream{ID: id}, true, time.Now())
 				}
 				if since, lacks := machine.namedAt().FirstLacked("m", live[i].VersionOf("m")); lacks {
 					worst = max(worst, time.Since(since))
@@ -136,3 +136,16 @@
 		t.Fatalf("passed on %v", answer.Floor)
 	}
 }
+
+// A runner dies, and another starts at its address. Asked for its report, the dead one
+// seems to be busy, for the other answers. It must not hold a turn for the 2 to 8 s
+// until that is found out: callers wait meanwhile for runners that would load.
+func TestADeadRunnerHoldsNoTurnByTheReportOfAnother(t *testing.T) {
+	now := time.Now()
+	l := &leadership{since: now, beats: map[string]time.Time{"dead": now, "successor": now.Add(time.Second), "other": now}}
+	at := func(id, address string) roster.Upstream { return roster.Upstream{ID: id, Address: address, State: roster.Serving} }
+	heard := l.heard([]roster.Upstream{at("dead", "h:1"), at("other", "h:2"), at("successor", "h:1")}, now.Add(2*time.Second))
+	if len(heard) != 2 || heard[0].ID != "other" || heard[1].ID != "successor" {
+		t.Fatalf("heard are %+v", heard)
+	}
+}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -137,7 +137,7 @@
 				if !f.stuck[id] {
 					f.live[i].Loaded = []roster.Loaded{{Model: "m", Version: o.version}}
 				}
-				f.schedule.Release(id, !f.stuck[id], now)
+				f.schedule.Release(f.live[i], !f.stuck[id], now)
 			}
 			if since, lacks := f.namings.FirstLacked("m", f.live[i].VersionOf("m")); lacks && !f.stuck[id] {
 				worst = max(worst, now.Sub(since))
@@ -198,7 +198,7 @@
 	for ; turns["z"] < 2 && now.Sub(start) < time.Minute; now = now.Add(50 * time.Millisecond) {
 		for _, turn := range s.Next(live, n, now) {
 			turns[turn.Upstream.ID]++
-			s.Release(turn.Upstream.ID, false, now.Add(3*time.Second))
+			s.Release(turn.Upstream, false, now.Add(3*time.Second))
 			now = now.Add(3 * time.Second)
 		}
 	}
@@ -208,3 +208,23 @@
 		}
 	}
 }
+
+// A runner crashes while it loads and starts again under its name, with the weights of
+// before. Its former life holds its turn until that load is given up, and had failed
+// before; the new life must have its turn at once, for callers are refused by it.
+func TestTheNextLifeOfARunnerOwesNothingToTheFormer(t *testing.T) {
+	n := NewNamings()
+	n.Note("m", 2, start)
+	former, next := runner("a", 1), runner("a", 1)
+	former.Born, next.Born = 1000, 2000
+	s := testSchedule()
+	turn, at := first(s, []roster.Upstream{former}, n, start)
+	for range 5 {
+		s.Release(turn.Upstream, false, at)
+		turn, at = first(s, []roster.Upstream{former}, n, at)
+	}
+	s.options.AtOnce = 2
+	if turn, began := first(s, []roster.Upstream{next, runner("b", 1)}, n, at); turn.Upstream.Born != 2000 || began.Sub(at) > time.Second {
+		t.Fatalf("%v after its start the first turn is %+v", began.Sub(at), turn)
+	}
+}
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -81,15 +81,24 @@
 type Schedule struct {
 	options Options
 	// named are the runners whose turn is next, with the time of their listing;
-	// busy are those that load.
-	named, busy map[string]time.Time
-	avoided     map[string]avoidance
+	// busy are those that load. What is known of one life of a runner says nothing
+	// of the next.
+	named, busy map[life]time.Time
+	avoided     map[life]avoidance
 	// usual is how long a load takes from its order on.
 	usual   time.Duration
 	learnt  bool
 	account Account
 }
 
+// life is one life of a runner.
+type life struct {
+	id   string
+	born uint64
+}
+
+func lifeOf(u *roster.Upstream) life { return life{id: u.ID, born: u.Born} }
+
 type avoidance struct {
 	ended, until time.Time
 	inRow        int
@@ -98,8 +107,8 @@
 // NewSchedule returns a schedule without any load under way.
 func NewSchedule(options Options) *Schedule {
 	return &Schedule{
-		options: options, named: make(map[string]time.Time), busy: make(map[string]time.Time),
-		avoided: make(map[string]avoidance), usual: loadFirst,
+		options: options, named: make(map[life]time.Time), busy: make(map[life]time.Time),
+		avoided: make(map[life]avoidance), usual: loadFirst,
 	}
 }
 
@@ -124,9 +133,9 @@
 		}
 	}
 	var turns []Turn
-	wanting := make(map[string]bool, len(queue))
+	wanting := make(map[life]bool, len(queue))
 	for i := range queue {
-		id := queue[i].Upstream.ID
+		id := lifeOf(&queue[i].Upstream)
 		if _, loads := s.busy[id]; loads || now.Before(s.avoided[id].until) {
 			continue
 		}
@@ -142,11 +151,24 @@
 			s.named[id] = now
 		}
 	}
-	maps.DeleteFunc(s.named, func(id string, _ time.Time) bool { return !wanting[id] })
+	maps.DeleteFunc(s.named, func(id life, _ time.Time) bool { return !wanting[id] })
+	s.forget(live)
 	s.note(queue, runners, most)
 	return turns
 }
 
+// forget drops what is known of lives that have ended.
+func (s *Schedule) forget(live []roster.Upstream) {
+	if len(s.avoided) <= len(live) {
+		return
+	}
+	lives := make(map[life]bool, len(live))
+	for i := range live {
+		lives[lifeOf(&live[i])] = true
+	}
+	maps.DeleteFunc(s.avoided, func(id life, _ avoidance) bool { return !lives[id] })
+}
+
 // overdue counts the loads that take twice their usual time and more, up to half of
 // AtOnce: they may never end, and the others must not wait until they are given up.
 // They may also be slow because too many load, so that it can't be all of them.
@@ -179,7 +201,7 @@
 		}
 		if first.Version != 0 {
 			first.waits = first.since
-			if ended := s.avoided[u.ID].ended; ended.After(first.since) {
+			if ended := s.avoided[lifeOf(u)].ended; ended.After(first.since) {
 				first.waits = ended
 			}
 			queue = append(queue, first)
@@ -222,7 +244,8 @@
 
 // Release ends a runner's turn. One that was not brought to its version is left
 // alone for a while.
-func (s *Schedule) Release(id string, done bool, now time.Time) {
+func (s *Schedule) Release(u roster.Upstream, done bool, now time.Time) {
+	id := lifeOf(&u)
 	delete(s.busy, id)
 	if done {
 		delete(s.avoided, id)
@@ -237,7 +260,15 @@
 
 // Loading lists the runners that take no requests for the sake of a load.
 func (s *Schedule) Loading() []string {
-	return append(slices.Sorted(maps.Keys(s.busy)), slices.Sorted(maps.Keys(s.named))...)
+	var ids []string
+	for id := range s.busy {
+		ids = append(ids, id.id)
+	}
+	for id := range s.named {
+		ids = append(ids, id.id)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
 }
 
 // FirstCheck is how long after its order a runner is first to be asked whether it
