Steward: a dead runner holds no turn by the report of its successor

Cause: see the test before: a report is answered by whoever has the address. Change: of the upstreams with one address only the one heard last is ordered, and a load ends once another was heard at its runner's address. Measured: TestADeadRunnerHoldsNoTurnByTheReportOfAnother failed and passes; go test -race ./internal/steward ./rollout passes (104 s on a busy machine).

--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -152,10 +152,31 @@
 	return silent
 }
 
-// heard lists the upstreams that are not silent.
+// heard lists the upstreams that are not silent, and of those with one address the
+// one heard last. The others have ended: whoever asked them would be answered by it.
 func (l *leadership) heard(live []roster.Upstream, now time.Time) []roster.Upstream {
-	silent := l.silent(live, now)
-	return slices.DeleteFunc(live, func(u roster.Upstream) bool { return slices.Contains(silent, u.ID) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := make(map[string]time.Time, len(live))
+	for i := range live {
+		if at := l.lastHeard(live[i].ID); at.After(last[live[i].Address]) {
+			last[live[i].Address] = at
+		}
+	}
+	return slices.DeleteFunc(live, func(u roster.Upstream) bool {
+		at := l.lastHeard(u.ID)
+		return now.Sub(at) > silentAfter || at.Before(last[u.Address])
+	})
+}
+
+// succeeded reports whether another upstream was heard at an upstream's address
+// after it.
+func (l *leadership) succeeded(u *roster.Upstream, live []roster.Upstream) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(live, func(other roster.Upstream) bool {
+		return other.ID != u.ID && other.Address == u.Address && l.lastHeard(other.ID).After(l.lastHeard(u.ID))
+	})
 }
 
 // lost lists the upstreams to give up: those that have been silent for long,
--- a/internal/steward/loads.go
+++ b/internal/steward/loads.go
@@ -134,7 +134,9 @@
 			continue
 		}
 		failed = 0
-		if otherLife(&u, &report) {
+		if otherLife(&u, &report) || o.leadership.succeeded(&u, s.machine.live()) {
+			// What answers is not the runner that was ordered; its turn would last
+			// until the load is given up.
 			break
 		}
 		if report.Versions[model] >= version {
--- a/internal/steward/loads_test.go
+++ b/internal/steward/loads_test.go
@@ -143,7 +143,9 @@
 func TestADeadRunnerHoldsNoTurnByTheReportOfAnother(t *testing.T) {
 	now := time.Now()
 	l := &leadership{since: now, beats: map[string]time.Time{"dead": now, "successor": now.Add(time.Second), "other": now}}
-	at := func(id, address string) roster.Upstream { return roster.Upstream{ID: id, Address: address, State: roster.Serving} }
+	at := func(id, address string) roster.Upstream {
+		return roster.Upstream{ID: id, Address: address, State: roster.Serving}
+	}
 	heard := l.heard([]roster.Upstream{at("dead", "h:1"), at("other", "h:2"), at("successor", "h:1")}, now.Add(2*time.Second))
 	if len(heard) != 2 || heard[0].ID != "other" || heard[1].ID != "successor" {
 		t.Fatalf("heard are %+v", heard)
