The floor of weights is not raised by a leader that hears few runners

Cause: a leader behind a cut from the runners can order none; past six tenths of the bound it told entries, which reach them, to send no prompt to any. Change: rollout.Floor keeps what was raised, never sinks, and is raised to a version only if most runners have it, or the leader has led for long and hears most. Measured: TestFloor with a case for it, TestTheFloorNeverSinks; go test -race ./internal/steward (loads, floor, branch) passes.

--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -11,6 +11,7 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wait"
+	"github.com/lovagereach/lovagereach/rollout"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -40,6 +41,9 @@
 	shelves  *shelves
 	loader   *loader
 
+	floorMu sync.Mutex
+	floor   *rollout.Floor
+
 	mu    sync.Mutex
 	beats map[string]time.Time
 	// small is since when the group has been below its size, zero when it is
@@ -98,6 +102,7 @@
 func newLeadership(s *Steward, term uint64, now time.Time) *leadership {
 	l := &leadership{
 		steward: s, elected: term, since: now, watchers: newWatchers(s.options.Log), beats: make(map[string]time.Time),
+		floor: rollout.NewFloor(),
 	}
 	l.shelves = newShelves(l)
 	l.loader = newLoader(l)
@@ -169,6 +174,23 @@
 	})
 }
 
+// raiseFloor lists the oldest weights on which a prompt may begin.
+func (l *leadership) raiseFloor(now time.Time) []roster.Loaded {
+	s := l.steward
+	namings := s.machine.namedAt()
+	l.floorMu.Lock()
+	defer l.floorMu.Unlock()
+	return l.floor.Raise(namings, func() []rollout.Runner {
+		live := s.machine.live()
+		silent := l.silent(live, now)
+		runners := make([]rollout.Runner, len(live))
+		for i := range live {
+			runners[i] = rollout.Runner{Upstream: live[i], Heard: !slices.Contains(silent, live[i].ID)}
+		}
+		return runners
+	}, l.since, s.options.VersionTime, now)
+}
+
 // succeeded reports whether another upstream was heard at an upstream's address
 // after it.
 func (l *leadership) succeeded(u *roster.Upstream, live []roster.Upstream) bool {
@@ -258,7 +280,7 @@
 	answer.Relays = l.relays(now)
 	answer.Silent = l.silent(l.steward.machine.live(), now)
 	answer.Loading = l.loader.loading()
-	answer.Floor = l.steward.machine.floor(l.since, l.steward.options.VersionTime, now)
+	answer.Floor = l.raiseFloor(now)
 	answer.Clock = l.shelves.clock(now)
 	answer.Loads = l.watchers.loadsBut(from.Host, nil)
 }
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -189,14 +189,6 @@
 	return m.namings.Clone()
 }
 
-// floor lists the oldest weights on which a prompt may begin, as told by a leader
-// that leads since led.
-func (m *Machine) floor(led time.Time, bound time.Duration, now time.Time) []roster.Loaded {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return rollout.Floor(m.namings, m.roster.Live, led, bound, now)
-}
-
 // wouldChange reports whether an announcement would change the roster.
 func (m *Machine) wouldChange(u roster.Upstream) bool {
 	m.mu.Lock()
--- a/rollout/floor.go
+++ b/rollout/floor.go
@@ -19,44 +19,67 @@
 	floorLed = 0.6
 )
 
-// Floor lists the oldest version of each model on which a prompt may still begin,
-// for a leader that leads since led. Models without one are left out. live lists the
-// runners; it is asked only when that matters.
+// Runner is a model runner as the leader sees it.
+type Runner struct {
+	roster.Upstream
+	// Heard tells that it has announced itself lately.
+	Heard bool
+}
+
+// Floor keeps the oldest version of each model on which a prompt may still begin,
+// for one leader. It is not safe for concurrent use.
 //
 // Turns alone can't hold the bound: a runner may refuse its orders, be out of the
-// leader's reach, or start again with weights whose bound has long ended.
-func Floor(namings *Namings, live func() []roster.Upstream, led time.Time, bound time.Duration, now time.Time) []roster.Loaded {
-	late := now.Sub(led) >= part(floorLed, bound)
-	var floor []roster.Loaded
-	for _, model := range slices.Sorted(maps.Keys(namings.byModel)) {
-		oldest := uint64(0)
-		for _, known := range namings.byModel[model] {
-			if now.Sub(known.at) >= part(floorAt, bound) && (late || mostHave(live(), model, known.version)) {
-				oldest = known.version
+// leader's reach, or start again with weights whose bound has long ended. A leader
+// that hears less than half of the runners raises no floor that they are below: it
+// may be behind a cut, and entries would refuse all prompts for want of its orders.
+type Floor struct{ oldest map[string]uint64 }
+
+// NewFloor returns a floor below all versions.
+func NewFloor() *Floor { return &Floor{oldest: make(map[string]uint64)} }
+
+// Raise raises the floor to the versions whose bound ends, for a leader that leads
+// since led, and lists it by model. fleet is asked only when a version is due.
+func (f *Floor) Raise(namings *Namings, fleet func() []Runner, led time.Time, bound time.Duration, now time.Time) []roster.Loaded {
+	var runners []Runner
+	for model, list := range namings.byModel {
+		for _, known := range list {
+			if known.version <= f.oldest[model] || now.Sub(known.at) < part(floorAt, bound) {
+				continue
+			}
+			if runners == nil {
+				runners = fleet()
+			}
+			have, heard, of := census(runners, model, known.version)
+			if 2*have > of || now.Sub(led) >= part(floorLed, bound) && 2*heard > of {
+				f.oldest[model] = known.version
 			}
-		}
-		if oldest > 0 {
-			floor = append(floor, roster.Loaded{Model: model, Version: oldest})
 		}
 	}
+	var floor []roster.Loaded
+	for _, model := range slices.Sorted(maps.Keys(f.oldest)) {
+		floor = append(floor, roster.Loaded{Model: model, Version: f.oldest[model]})
+	}
 	return floor
 }
 
-// mostHave reports whether more than half of a model's runners have a version or a
-// newer one.
-func mostHave(live []roster.Upstream, model string, version uint64) bool {
-	have, of := 0, 0
-	for i := range live {
-		has := live[i].VersionOf(model)
-		if has == 0 || live[i].State != roster.Serving {
+// census counts a model's runners: those that have a version or a newer one, those
+// that are heard, and all.
+func census(runners []Runner, model string, version uint64) (have, heard, of int) {
+	for i := range runners {
+		has := runners[i].VersionOf(model)
+		if has == 0 || runners[i].State != roster.Serving {
 			continue
 		}
 		of++
 		if has >= version {
 			have++
 		}
+		if runners[i].Heard {
+			heard++
+		}
 	}
-	return 2*have > of
+	return have, heard, of
 }
 
 func part(share float64, of time.Duration) time.Duration {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -70,28 +70,48 @@
 	n.Note("m", 2, start)
 	n.Note("m", 3, start.Add(8*time.Second))
 	n.Note("other", 1, start.Add(time.Hour))
-	behind := []roster.Upstream{runner("a", 1), runner("b", 2)}
-	most := []roster.Upstream{runner("a", 1), runner("b", 3), runner("c", 3)}
+	heard := func(u roster.Upstream) Runner { return Runner{Upstream: u, Heard: true} }
+	silent := func(u roster.Upstream) Runner { return Runner{Upstream: u} }
+	behind := []Runner{heard(runner("a", 1)), heard(runner("b", 2))}
+	most := []Runner{silent(runner("a", 1)), silent(runner("b", 3)), silent(runner("c", 3))}
+	unheard := []Runner{silent(runner("a", 1)), heard(runner("b", 2))}
+	at := func(version uint64) []roster.Loaded { return []roster.Loaded{{Model: "m", Version: version}} }
 	cases := []struct {
 		name    string
 		led, at time.Duration
 		floor   []roster.Loaded
-		live    []roster.Upstream
+		fleet   []Runner
 	}{
 		{"within the bound", 0, 13 * time.Second, nil, most},
-		{"a little before its end", 0, 13500 * time.Millisecond, []roster.Loaded{{Model: "m", Version: 2}}, behind},
-		{"of the next version", 0, 21500 * time.Millisecond, []roster.Loaded{{Model: "m", Version: 3}}, behind},
+		{"a little before its end", 0, 13500 * time.Millisecond, at(2), behind},
+		{"of the next version", 0, 21500 * time.Millisecond, at(3), behind},
 		{"a leader that has just come", 13 * time.Second, 21 * time.Second, nil, behind},
-		{"the same, and most runners have the version", 13 * time.Second, 21500 * time.Millisecond, []roster.Loaded{{Model: "m", Version: 3}}, most},
-		{"a leader that had its time", 13 * time.Second, 22 * time.Second, []roster.Loaded{{Model: "m", Version: 3}}, behind},
+		{"the same, and most runners have the version", 13 * time.Second, 21500 * time.Millisecond, at(3), most},
+		{"a leader that had its time", 13 * time.Second, 22 * time.Second, at(3), behind},
+		{"a leader that hears too few", 0, 22 * time.Second, nil, unheard},
 	}
 	for _, c := range cases {
-		if got := Floor(n, func() []roster.Upstream { return c.live }, start.Add(c.led), bound, start.Add(c.at)); !slices.Equal(got, c.floor) {
+		got := NewFloor().Raise(n, func() []Runner { return c.fleet }, start.Add(c.led), bound, start.Add(c.at))
+		if !slices.Equal(got, c.floor) {
 			t.Errorf("%s: %v", c.name, got)
 		}
 	}
 }
 
+// Runners start again with old weights after the bound, so that most are below the
+// floor again. It must not sink: callers would be answered on weights past the bound.
+func TestTheFloorNeverSinks(t *testing.T) {
+	n, f := NewNamings(), NewFloor()
+	n.Note("m", 2, start)
+	fleet := []Runner{{Upstream: runner("a", 2)}, {Upstream: runner("b", 2)}}
+	told := func() []Runner { return fleet }
+	want := f.Raise(n, told, start, bound, start.Add(14*time.Second))
+	fleet = []Runner{{Upstream: runner("a", 1)}, {Upstream: runner("b", 1)}}
+	if got := f.Raise(n, told, start, bound, start.Add(15*time.Second)); len(want) != 1 || !slices.Equal(got, want) {
+		t.Fatalf("the floor is %v, then %v", want, got)
+	}
+}
+
 func TestNamingsAreBoundedAndKeepTheOldest(t *testing.T) {
 	n := NewNamings()
 	for version := uint64(2); version < 500; version++ {
