--- a/internal/steward/propagation_test.go
+++ b/internal/steward/propagation_test.go
@@ -311,7 +311,7 @@
 	for _, h := range n.hosts {
 		if h.steward != nil && h.name == n.leader {
 			h.log.machine.Apply(1, data)
-		} else if h.steward != nil {
+		} else if h.steward != nil && !n.cut[[2]ident.Host{n.leader, h.name}] && !n.cut[[2]ident.Host{h.name, n.leader}] {
 			h.log.queue <- appended{at: now.Add(2 * oneWay), data: data}
 		}
 	}
@@ -378,6 +378,26 @@
 	n.elect(next)
 }
 
+// depose cuts the host that leads off from the others, and has another elected a
+// while before it knows.
+func (n *virtualNet) depose(next ident.Host) {
+	deposed := n.hosts[n.leader]
+	for _, h := range n.controlHosts() {
+		if h != deposed {
+			n.part(deposed.name, h.name)
+		}
+	}
+	time.Sleep(electionMin)
+	n.mu.Lock()
+	n.leader = next
+	n.term++
+	term, h := n.term, n.hosts[next]
+	n.mu.Unlock()
+	h.steward.leading.Store(newLeadership(h.steward, term, time.Now()))
+	time.Sleep(electionMax + leaderPoll - electionMin)
+	deposed.steward.leading.Store(nil)
+}
+
 // play acknowledges a configuration each every, for so long, and returns the
 // longest time until one was in force at an entry, and at which.
 func (n *virtualNet) play(every, length time.Duration) (time.Duration, ident.Host) {
@@ -480,6 +500,7 @@
 			n.entries[0].began = time.Now()
 		}},
 		{"the leader is lost", 300 * time.Millisecond, func(n *virtualNet) { go n.lose("c4") }},
+		{"a leader is deposed and does not know", 50 * time.Millisecond, func(n *virtualNet) { go n.depose("c4") }},
 		{"two leaders are lost in a row", 300 * time.Millisecond, func(n *virtualNet) {
 			go func() {
 				n.lose("c4")
@@ -490,6 +511,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				n := newVirtualNet(t)
 				c.after(n)
