steward: relays behind a cut are left alone longer, and make no leader forgotten

Change: each answer in a row that only tells to ask elsewhere doubles the time for which a host is left alone, up to 2 s; such an answer that names no leader leaves the known one in place, which an entry with an old word then asks.

--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -44,7 +44,9 @@
 	// within 2 s.
 	silentMost = 2
 	// elsewhereFor is the same for a host that had nothing to pass on. After an
-	// election it has within 0.1 s.
+	// election it has within 0.1 s. Each such answer in a row doubles it, up to
+	// silentFor: hosts behind a cut answer so until it heals, each after a wait, and
+	// would be asked by turns with none left for the others.
 	elsewhereFor = 200 * time.Millisecond
 	// idlePause is how often a host that need not follow looks again.
 	idlePause = 100 * time.Millisecond
@@ -80,6 +82,8 @@
 	// avoided are hosts that failed lately. A leader is asked all the same, once
 	// another host names it again.
 	avoided map[ident.Host]failure
+	// elsewhere counts, by host, the answers in a row that only told to ask others.
+	elsewhere map[ident.Host]int
 	// asked is the host of the latest answer.
 	asked ident.Host
 	// term is the highest of all answers.
@@ -119,7 +123,7 @@
 // NewFollower returns a follower; Run starts it.
 func NewFollower(options FollowerOptions) *Follower {
 	f := &Follower{
-		options: options, avoided: make(map[ident.Host]failure), results: make(chan *watched), epoch: time.Now(),
+		options: options, avoided: make(map[ident.Host]failure), elsewhere: make(map[ident.Host]int), results: make(chan *watched), epoch: time.Now(),
 	}
 	f.meter = newFollowMeter(f)
 	f.SetSeeds(options.Seeds)
@@ -232,6 +236,7 @@
 		f.options.Log.Info("leader followed", "leader", answer.Leader, "through", call.host, "term", answer.Term)
 	}
 	f.asked = call.host
+	delete(f.elsewhere, call.host)
 	f.leader = ident.Host(answer.Leader)
 	f.relays = f.order(answer.Relays)
 	f.take(call, told)
@@ -322,12 +327,17 @@
 }
 
 // redirected turns to the host that an answer names. One that should have
-// passed on what the leader tells, but can't, is left alone for a while.
+// passed on what the leader tells, but can't, is left alone for a while. One that
+// knows of no leader, as behind a cut, does not make the one known forgotten.
 func (f *Follower) redirected(host ident.Host, answer *WatchAnswer) {
 	if slices.Contains(f.relays, host) {
-		f.avoided[host] = failure{until: time.Now().Add(elsewhereFor)}
+		wait := min(elsewhereFor<<min(f.elsewhere[host], 8), silentFor)
+		f.avoided[host] = failure{until: time.Now().Add(wait)}
+		f.elsewhere[host]++
+	}
+	if answer.Leader != "" {
+		f.leader = ident.Host(answer.Leader)
 	}
-	f.leader = ident.Host(answer.Leader)
 	if len(answer.Relays) > 0 {
 		f.relays = f.order(answer.Relays)
 	} else if f.leader == host {
