--- /dev/null
+++ b/internal/steward/virtualnet_test.go
@@ -0,0 +1,459 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/holdings"
+	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/port"
+	"github.com/lovagereach/lovagereach/internal/wait"
+	"github.com/lovagereach/lovagereach/internal/wire"
+)
+
+const (
+	// inForce is within what time after its acknowledgement a configuration must
+	// be in force at every entry that is in touch.
+	inForce = 2 * time.Second
+	// oneSilent is the same where relays don't answer at all: no second one is
+	// waited for once the word is overdue.
+	oneSilent = time.Second
+	// oneWay is the time between two hosts.
+	oneWay = 1400 * time.Microsecond
+	// testEntries are played in full. So many more, which the leader only hears
+	// of, are too many for it to answer alone.
+	testEntries, otherEntries = 4, entriesAlone + 4
+)
+
+// virtualHost is a control host or an entry of a virtualNet.
+type virtualHost struct {
+	name ident.Host
+	// busy is how much later than at once the host gets to what it received, and
+	// lag how much later than the leader it applies what was committed.
+	busy, lag time.Duration
+	// frozen hosts take in and send nothing until thawed is closed.
+	frozen bool
+	thawed chan struct{}
+	// steward is nil at entries.
+	steward *Steward
+	log     *virtualLog
+}
+
+// virtualNet is a control group and its entries in virtual time. Hosts answer
+// watches with the code of the product; the log is only simulated.
+type virtualNet struct {
+	t   *testing.T
+	ctx context.Context
+
+	mu    sync.Mutex
+	hosts map[ident.Host]*virtualHost
+	// cut are pairs that don't reach each other.
+	cut     map[[2]ident.Host]bool
+	leader  ident.Host
+	term    uint64
+	acked   map[catalog.Version]time.Time
+	newest  catalog.Version
+	entries []*virtualEntry
+}
+
+// virtualEntry is one entry and when it took what into force.
+type virtualEntry struct {
+	host     *virtualHost
+	follower *Follower
+	began    time.Time
+
+	mu      sync.Mutex
+	version catalog.Version
+	at      map[catalog.Version]time.Time
+}
+
+// virtualLog applies what was committed in order.
+type virtualLog struct {
+	machine *Machine
+	queue   chan appended
+}
+
+type appended struct {
+	at   time.Time
+	data []byte
+}
+
+// virtualReplica is what a host knows of the group.
+type virtualReplica struct {
+	net  *virtualNet
+	host *virtualHost
+}
+
+func (r *virtualReplica) Propose(context.Context, []byte) ([]byte, error) {
+	return nil, errors.New("not in this test")
+}
+func (r *virtualReplica) ReadBarrier(context.Context) error { return nil }
+func (r *virtualReplica) View(func(port.StateMachine))      {}
+func (r *virtualReplica) Status() port.ReplicaStatus {
+	r.net.mu.Lock()
+	defer r.net.mu.Unlock()
+	status := port.ReplicaStatus{Self: r.host.name, Term: r.net.term, Leader: r.net.leader, IsLeader: r.net.leader == r.host.name}
+	if r.net.parted(r.host.name, r.net.leader) {
+		// Behind a cut nobody is known to lead.
+		status.Leader = ""
+	}
+	for _, h := range r.net.hosts {
+		if h.steward != nil {
+			status.Voters = append(status.Voters, h.name)
+		}
+	}
+	return status
+}
+
+// virtualLink is one host's side of the network.
+type virtualLink struct {
+	net  *virtualNet
+	from *virtualHost
+}
+
+func (l *virtualLink) Send(string, port.Method, []byte) bool { return false }
+
+// Call carries a watch there and its answer back. What is under way when a host
+// freezes or the pair is cut is lost.
+func (l *virtualLink) Call(ctx context.Context, address string, _ port.Method, body []byte) ([]byte, error) {
+	name, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	l.net.mu.Lock()
+	to := l.net.hosts[ident.Host(name)]
+	l.net.mu.Unlock()
+	done := make(chan []byte, 1)
+	go func() {
+		if !l.net.carry(ctx, l.from, to) {
+			return
+		}
+		raw, err := to.steward.handleWatch(l.net.ctx, port.Peer{Host: l.from.name, DataCentre: dataCentreOf(l.from.name)}, methodWatch, body)
+		if err == nil && l.net.carry(ctx, to, l.from) {
+			done <- raw
+		}
+	}()
+	select {
+	case raw := <-done:
+		return raw, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// carry takes the time of one way and reports whether the message arrives.
+func (n *virtualNet) carry(ctx context.Context, from, to *virtualHost) bool {
+	if !n.open(from, to) {
+		return false
+	}
+	n.mu.Lock()
+	way := oneWay + to.busy
+	n.mu.Unlock()
+	select {
+	case <-time.After(way):
+	case <-n.ctx.Done():
+		return false
+	}
+	for {
+		n.mu.Lock()
+		thawed := to.thawed
+		frozen := to.frozen
+		n.mu.Unlock()
+		if !frozen {
+			return n.open(from, to)
+		}
+		select {
+		case <-thawed:
+		case <-n.ctx.Done():
+			return false
+		}
+	}
+}
+
+func (n *virtualNet) open(from, to *virtualHost) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.parted(from.name, to.name)
+}
+
+// newVirtualNet starts control hosts c1 to c6, of which c1 leads, and entries.
+func newVirtualNet(t *testing.T) *virtualNet {
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	n := &virtualNet{
+		t: t, ctx: ctx, hosts: make(map[ident.Host]*virtualHost), cut: make(map[[2]ident.Host]bool),
+		acked: make(map[catalog.Version]time.Time),
+	}
+	for i := 1; i <= 6; i++ {
+		n.addControl(ident.Host(fmt.Sprint("c", i)))
+	}
+	for _, h := range n.controlHosts() {
+		go n.apply(h)
+		go h.steward.followLeader(ctx)
+	}
+	n.elect("c1")
+	n.commit(1)
+	go n.hearOfOthers()
+	for i := range testEntries {
+		n.startEntry(fmt.Sprint("e", i))
+	}
+	time.Sleep(time.Second)
+	return n
+}
+
+// hearOfOthers tells the leader of entries that are not played.
+func (n *virtualNet) hearOfOthers() {
+	for wait.For(n.ctx, watcherKept/4) {
+		for _, h := range n.controlHosts() {
+			l := h.steward.leading.Load()
+			for i := range otherEntries {
+				if l != nil {
+					l.watchers.expect(EntryView{Host: fmt.Sprint("other", i), Ready: true}, time.Now())
+				}
+			}
+		}
+	}
+}
+
+func (n *virtualNet) controlHosts() []*virtualHost {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []*virtualHost
+	for _, h := range n.hosts {
+		if h.steward != nil {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// dataCentreOf puts the hosts c2 and c3 beside the entries, and the others elsewhere.
+func dataCentreOf(host ident.Host) ident.DataCentre {
+	if host == "c2" || host == "c3" || strings.HasPrefix(string(host), "e") {
+		return "north"
+	}
+	return "south"
+}
+
+func (n *virtualNet) addControl(name ident.Host) {
+	h := &virtualHost{name: name, thawed: make(chan struct{})}
+	machine, book := NewMachine(), newSharedBook()
+	s := &Steward{
+		options: Options{Self: name, DataCentre: dataCentreOf(name), PeerPort: 1, Log: log.New(io.Discard)},
+		machine: machine, book: book, branch: newBranch(machine, book, log.New(io.Discard)),
+	}
+	s.meter = newMeter(s)
+	var replica port.Replica = &virtualReplica{net: n, host: h}
+	s.opened.Store(&replica)
+	s.follower = NewFollower(FollowerOptions{
+		Transport: &virtualLink{net: n, from: h}, Seeds: []ident.Host{"c1", "c2", "c3"}, PeerPort: 1, Self: name,
+		LeaderOnly: true, Log: log.New(io.Discard),
+	})
+	h.steward, h.log = s, &virtualLog{machine: machine, queue: make(chan appended, 1000)}
+	n.hosts[name] = h
+}
+
+func (n *virtualNet) apply(h *virtualHost) {
+	for {
+		select {
+		case next := <-h.log.queue:
+			n.mu.Lock()
+			due := next.at.Add(h.lag)
+			n.mu.Unlock()
+			if !wait.For(n.ctx, time.Until(due)) {
+				return
+			}
+			h.log.machine.Apply(1, next.data)
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *virtualNet) startEntry(name string) *virtualEntry {
+	h := &virtualHost{name: ident.Host(name), thawed: make(chan struct{})}
+	e := &virtualEntry{host: h, at: make(map[catalog.Version]time.Time), began: time.Now()}
+	e.follower = NewFollower(FollowerOptions{
+		Transport: &virtualLink{net: n, from: h}, Seeds: []ident.Host{"c1", "c2", "c3"}, PeerPort: 1, Self: h.name,
+		DataCentre: "north", Log: log.New(io.Discard),
+	})
+	n.mu.Lock()
+	n.hosts[h.name] = h
+	n.entries = append(n.entries, e)
+	n.mu.Unlock()
+	go e.follower.Run(n.ctx, e.ask, e.take)
+	return e
+}
+
+func (e *virtualEntry) ask() *WatchRequest {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &WatchRequest{
+		Entry: &EntryView{Host: string(e.host.name), Ready: true}, Document: e.version,
+		Shelves: &holdings.Question{}, Term: e.follower.term,
+	}
+}
+
+func (e *virtualEntry) take(answer *WatchAnswer, _ time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if answer.Document != nil && answer.Document.Version > e.version {
+		e.version = answer.Document.Version
+		e.at[e.version] = time.Now()
+	}
+}
+
+// commit acknowledges a configuration, if a host leads that can.
+func (n *virtualNet) commit(version catalog.Version) {
+	data := wire.MustMarshal(command{Document: testDocument(version, fmt.Sprint(version))})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leader == "" || n.hosts[n.leader].frozen {
+		return
+	}
+	now := time.Now()
+	n.acked[version], n.newest = now, version
+	for _, h := range n.hosts {
+		if h.steward != nil && h.name == n.leader {
+			h.log.machine.Apply(1, data)
+		} else if h.steward != nil && !n.parted(n.leader, h.name) {
+			h.log.queue <- appended{at: now.Add(2 * oneWay), data: data}
+		}
+	}
+}
+
+// elect makes a host lead, or none.
+func (n *virtualNet) elect(name ident.Host) {
+	n.mu.Lock()
+	before := n.hosts[n.leader]
+	n.leader = name
+	if name != "" {
+		n.term++
+	}
+	term, h := n.term, n.hosts[name]
+	n.mu.Unlock()
+	if before != nil {
+		before.steward.leading.Store(nil)
+	}
+	if h != nil {
+		h.steward.leading.Store(newLeadership(h.steward, term, time.Now()))
+	}
+}
+
+func (n *virtualNet) slow(name ident.Host, busy time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts[name].busy = busy
+}
+
+func (n *virtualNet) lags(name ident.Host, lag time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts[name].lag = lag
+}
+
+func (n *virtualNet) freeze(name ident.Host) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts[name].frozen = true
+}
+
+func (n *virtualNet) thaw(name ident.Host) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := n.hosts[name]
+	h.frozen = false
+	close(h.thawed)
+	h.thawed = make(chan struct{})
+}
+
+// parted reports whether two hosts are cut off from one another. The caller holds
+// the lock.
+func (n *virtualNet) parted(a, b ident.Host) bool {
+	return n.cut[[2]ident.Host{a, b}] || n.cut[[2]ident.Host{b, a}]
+}
+
+func (n *virtualNet) part(a, b ident.Host) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]ident.Host{a, b}] = true
+}
+
+// lose freezes the host that leads, for good, and has another elected.
+func (n *virtualNet) lose(next ident.Host) {
+	lost := n.leader
+	n.freeze(lost)
+	time.Sleep(400 * time.Millisecond)
+	n.elect("")
+	time.Sleep(500 * time.Millisecond)
+	n.elect(next)
+}
+
+// depose cuts the host that leads off from the others, and has another elected a
+// while before it knows.
+func (n *virtualNet) depose(next ident.Host) {
+	deposed := n.hosts[n.leader]
+	for _, h := range n.controlHosts() {
+		if h != deposed {
+			n.part(deposed.name, h.name)
+		}
+	}
+	time.Sleep(electionMin)
+	n.mu.Lock()
+	n.leader = next
+	n.term++
+	term, h := n.term, n.hosts[next]
+	n.mu.Unlock()
+	h.steward.leading.Store(newLeadership(h.steward, term, time.Now()))
+	time.Sleep(electionMax + leaderPoll - electionMin)
+	deposed.steward.leading.Store(nil)
+}
+
+// play acknowledges a configuration each every, for so long, and returns the
+// longest time until one was in force at an entry, and at which.
+func (n *virtualNet) play(every, length time.Duration) (time.Duration, ident.Host) {
+	first := n.newest + 1
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(every) {
+		n.commit(n.newest + 1)
+	}
+	time.Sleep(inForce)
+	worst, at := time.Duration(0), ident.Host("")
+	for _, e := range n.entries {
+		for version := first; version <= n.newest; version++ {
+			if took := e.took(version, n.acked[version], n.newest); took > worst {
+				worst, at = took, e.host.name
+			}
+		}
+	}
+	return worst, at
+}
+
+// took is how long after its acknowledgement a version, or one after it, was in
+// force at the entry.
+func (e *virtualEntry) took(version catalog.Version, acked time.Time, newest catalog.Version) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for ; version <= newest; version++ {
+		if at, known := e.at[version]; known {
+			return at.Sub(later(acked, e.began))
+		}
+	}
+	return time.Since(later(acked, e.began))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
