--- a/internal/capacity/bounds_test.go
+++ b/internal/capacity/bounds_test.go
@@ -8,6 +8,7 @@
 	"github.com/lovagereach/lovagereach/config"
 	"github.com/lovagereach/lovagereach/internal/adapter/announce"
 	"github.com/lovagereach/lovagereach/internal/wire"
+	"github.com/lovagereach/lovagereach/rollout"
 	"github.com/lovagereach/lovagereach/upstream"
 )
 
@@ -99,6 +100,10 @@
 	if n := testing.AllocsPerRun(100, report); n > 2 {
 		t.Errorf("a load report allocates %.0f times", n)
 	}
+	few, many := looksForLoads(100), looksForLoads(10_000)
+	if many > few+64 { // lists and maps that double
+		t.Errorf("a look for runners to load allocates %.0f times among 100, %.0f among 10,000", few, many)
+	}
 }
 
 // The leader dies, and its successor knows no daemon: all attach anew, through
@@ -142,3 +147,11 @@
 		t.Errorf("healing after a minute %+v, after five %+v", short, long)
 	}
 }
+
+// looksForLoads is how often one look for runners whose turn it is to load allocates.
+func looksForLoads(runners int) float64 {
+	live, namings := lackingFleet(runners)
+	schedule := rollout.NewSchedule(rollout.Options{AtOnce: 3, Bound: 15 * time.Second, Notice: 200 * time.Millisecond})
+	now := probeStart.Add(9 * time.Second)
+	return testing.AllocsPerRun(10, func() { schedule.Next(live, namings, now) })
+}
--- a/internal/capacity/probes_control.go
+++ b/internal/capacity/probes_control.go
@@ -7,6 +7,8 @@
 	"github.com/lovagereach/lovagereach/config"
 	"github.com/lovagereach/lovagereach/member"
 	"github.com/lovagereach/lovagereach/relay"
+	"github.com/lovagereach/lovagereach/rollout"
+	"github.com/lovagereach/lovagereach/roster"
 )
 
 // childSizes are numbers of children of one parent.
@@ -27,9 +29,51 @@
 	}, {
 		Role: "operator tool", Name: "time to find the change between two documents", SizeName: "teams", Unit: UnitNanoseconds,
 		Sizes: teamSizes, Target: TargetTeams, Measure: diffTime,
+	}, {
+		Role: "leader", Name: "time of one look for runners whose turn it is to load", SizeName: "runners", Unit: UnitNanoseconds,
+		Sizes: runnerSizes, Target: TargetRunners, Measure: scheduleTime,
+	}, {
+		Role: "leader", Name: "time of one look at the oldest weights allowed", SizeName: "models", Unit: UnitNanoseconds,
+		Sizes: []int{1, 4, 17}, Target: TargetModels, Measure: floorTime,
 	}}
 }
 
+// runnerSizes are numbers of model runners that one leader orders.
+var runnerSizes = []int{18, 57, 1_000, 12_000}
+
+// lackingFleet are runners of one model that lack one of two versions named 8 s apart.
+func lackingFleet(runners int) ([]roster.Upstream, *rollout.Namings) {
+	namings := rollout.NewNamings()
+	namings.Note("m", 2, probeStart)
+	namings.Note("m", 3, probeStart.Add(8*time.Second))
+	live := make([]roster.Upstream, runners)
+	for i := range live {
+		live[i] = roster.Upstream{
+			ID: fmt.Sprintf("runner-%05d", i), State: roster.Serving,
+			Loaded: []roster.Loaded{{Model: "m", Version: uint64(1 + i%2)}},
+		}
+	}
+	return live, namings
+}
+
+func scheduleTime(runners int) (float64, error) {
+	live, namings := lackingFleet(runners)
+	schedule := rollout.NewSchedule(rollout.Options{AtOnce: 3, Bound: 15 * time.Second, Notice: 200 * time.Millisecond})
+	return NanosecondsPerOp(func() { schedule.Next(live, namings, probeStart.Add(9*time.Second)) }), nil
+}
+
+func floorTime(models int) (float64, error) {
+	namings, floor := rollout.NewNamings(), rollout.NewFloor()
+	for model := range models {
+		for version := uint64(2); version < 66; version++ {
+			namings.Note(fmt.Sprint("model-", model), version, probeStart)
+		}
+	}
+	now := probeStart.Add(time.Minute)
+	none := func() []rollout.Runner { return nil }
+	return NanosecondsPerOp(func() { floor.Raise(namings.Clone(), none, probeStart, 15*time.Second, now) }), nil
+}
+
 func stateOf(teams int) (*config.State, error) {
 	state, doc := config.NewState(), SampleDocument(teams)
 	first := config.Command{RequestID: "first", Author: "capacity", Delta: config.Diff(state.Current(), &doc)}
