--- a/holdings/book_test.go
+++ b/holdings/book_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 )
@@ -255,3 +257,69 @@
 		}
 	}
 }
+
+// restarted is the book of a leader that has listed its stores since its start,
+// while a reader from before knows their lives and not their last events.
+func restarted(stores, parts, salts int) (*Book, Question) {
+	book := NewBook(true)
+	book.Lead(2)
+	question := Question{Listed: true}
+	for s := range stores {
+		address := fmt.Sprint("store", s)
+		records := []Record{{Address: address, Cleared: true, Life: 7}}
+		for i := range parts {
+			key := Key{Salt: fmt.Sprint("salt", i%salts), Part: fmt.Sprint(i)}
+			records = append(records, Record{Address: address, Change: Change{Key: key, Tokens: 1}})
+		}
+		records[parts].Next = 5000
+		book.Write(records...)
+		question.Held = append(question.Held, Held{Address: address, Life: 7, Next: 5000})
+	}
+	return book, question
+}
+
+// allocated is how many bytes one call of f allocates, at the least of several.
+func allocated(f func()) uint64 {
+	least := uint64(math.MaxUint64)
+	for range 5 {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		f()
+		runtime.ReadMemStats(&after)
+		least = min(least, after.TotalAlloc-before.TotalAlloc)
+	}
+	return least
+}
+
+// Callers wait for seconds after an election: all entries ask the new leader by
+// source, nearly up to date, and each question has it copy the whole journal. Its
+// heartbeats come after that, too late, and the next host is elected for the same.
+// A question must cost what it is answered, not what the book has seen.
+func TestAQuestionCostsWhatItIsAnswered(t *testing.T) {
+	book, question := restarted(10, 800, 3)
+	if got := allocated(func() { book.Answer(&question) }); got > 32<<10 {
+		t.Errorf("telling a reader that nothing is missing takes %d bytes", got)
+	}
+	book.Write(Record{Address: "store0", Change: Change{Key: Key{Salt: "salt0", Part: "new"}, Tokens: 1}, Next: 5001})
+	if got := allocated(func() { book.Answer(&question) }); got > 32<<10 {
+		t.Errorf("telling one part takes %d bytes", got)
+	}
+	if update := book.Answer(&question); len(unfold(update.Sheets)) != 1 || update.More {
+		t.Errorf("told %d records", len(unfold(update.Sheets)))
+	}
+}
+
+// After a restart of all control hosts each reader must be told each store whole.
+// Where parts of several salts stand in a store, each part came as a sheet of its
+// own, with the names of store and salt: the leader and the entries' links were
+// busy with these until the leader was lost.
+func TestAShelfIsToldWithOneSheetForEachSalt(t *testing.T) {
+	book, question := restarted(2, 900, 3)
+	for _, held := range [][]Held{nil, {{Address: "store0", Life: 7, Next: 4990}, {Address: "store1", Life: 7, Next: 4990}}} {
+		question.Held = held
+		update := book.Answer(&question)
+		if len(unfold(update.Sheets)) != 2*901 || len(update.Sheets) > 2*3 {
+			t.Errorf("%d records in %d sheets to a reader with %v", len(unfold(update.Sheets)), len(update.Sheets), held)
+		}
+	}
+}
