holdings: a question by source costs what it is answered

Cause: after an election each reader asks by source.

Change: Book.since looks back from the latest record of one source and stops at the first that the reader holds; a life that is missing from its start is told as it stands; whole tells parts by salt; a shelf counts its retired parts.

--- a/holdings/book.go
+++ b/holdings/book.go
@@ -94,6 +94,8 @@
 type page struct {
 	shelf *Shelf
 	next  uint64
+	// logged is how far the source's events are followed with its latest record.
+	logged uint64
 }
 
 // NewBook returns an empty book. One that is read by others keeps a journal.
@@ -182,13 +184,13 @@
 	}
 	if record.Cleared {
 		p.shelf.Clear(record.Life)
-		p.next = 0
+		p.next, p.logged = 0, 0
 	}
 	if record.Change.Key != (Key{}) {
 		p.shelf.Apply(record.Change)
 	}
 	if record.Next != 0 {
-		p.next = record.Next
+		p.next, p.logged = record.Next, record.Next
 	}
 }
 
@@ -321,7 +323,6 @@
 			records = append(records, Record{Address: h.Address, Cleared: true})
 		}
 	}
-	recent := b.recent(known)
 	for _, address := range b.Addresses() {
 		if len(records) >= b.paged {
 			return Update{Sheets: fold(records), More: true}
@@ -331,7 +332,7 @@
 		case holds && h.Life == p.shelf.Life() && h.Next > p.next:
 			return Update{Sheets: fold(records), More: true}
 		case holds && h.Life == p.shelf.Life() && h.Next >= b.floors[address] && h.Next > 0:
-			records = append(append(records, recent[address]...), b.retired(address)...)
+			records = append(append(records, b.since(address, h.Next)...), b.retired(address)...)
 		default:
 			records = append(records, b.whole(address)...)
 		}
@@ -343,10 +344,13 @@
 // source, so that its numbers don't tell whether a reader knows of it.
 func (b *Book) retired(address string) []Record {
 	p := b.shelves[address]
+	if p.shelf.retired == 0 {
+		return nil
+	}
 	var records []Record
-	for _, change := range p.shelf.All() {
-		if change.Tokens < 0 {
-			records = append(records, Record{Address: address, Change: change})
+	for key, tokens := range p.shelf.parts {
+		if tokens < 0 {
+			records = append(records, Record{Address: address, Change: Change{Key: key, Tokens: tokens}})
 		}
 	}
 	if len(records) > 0 {
@@ -355,34 +359,59 @@
 	return records
 }
 
-// recent lists by source the journal's records beyond what a reader holds.
-func (b *Book) recent(known map[string]Held) map[string][]Record {
-	batches := make(map[string][]Record)
-	missing := make(map[string][]Record)
-	for _, record := range b.journal {
-		address := record.Address
-		if record.Cleared {
-			// Numbers of a former life mean nothing in this one.
-			missing[address], batches[address] = nil, nil
+// since lists the journal's records of a source beyond next. After an election
+// every reader asks by source and most lack little; a look through the whole
+// journal for each would keep the leader busy beyond its heartbeats.
+func (b *Book) since(address string, next uint64) []Record {
+	if b.shelves[address].logged <= next {
+		return nil
+	}
+	first, end, count := 0, 0, 0
+	for i := len(b.journal) - 1; i >= 0; i-- {
+		record := &b.journal[i]
+		if record.Address != address {
+			continue
+		}
+		if record.Next != 0 && record.Next <= next {
+			break
 		}
-		batches[address] = append(batches[address], record)
-		if record.Next == 0 {
+		if end == 0 && record.Next != 0 {
+			end = i + 1
+		}
+		if end == 0 {
 			continue
 		}
-		if record.Next > known[address].Next {
-			missing[address] = append(missing[address], batches[address]...)
+		if record.Cleared {
+			// All of this life is missing, and what stands now is no more than
+			// what came and went.
+			return b.whole(address)
+		}
+		first = i
+		count++
+	}
+	missing := make([]Record, 0, count)
+	for i := first; i < end; i++ {
+		if b.journal[i].Address == address {
+			missing = append(missing, b.journal[i])
 		}
-		batches[address] = nil
 	}
 	return missing
 }
 
-// whole lists everything that a shelf holds.
+// whole lists everything that a shelf holds, by salt: those of one salt make one
+// sheet.
 func (b *Book) whole(address string) []Record {
 	p := b.shelves[address]
-	records := []Record{{Address: address, Cleared: true, Life: p.shelf.Life()}}
-	for _, change := range p.shelf.All() {
-		records = append(records, Record{Address: address, Change: change})
+	bySalt := make(map[string][]Change)
+	for key, tokens := range p.shelf.parts {
+		bySalt[key.Salt] = append(bySalt[key.Salt], Change{Key: key, Tokens: tokens})
+	}
+	records := make([]Record, 0, 1+p.shelf.Len())
+	records = append(records, Record{Address: address, Cleared: true, Life: p.shelf.Life()})
+	for _, salt := range slices.Sorted(maps.Keys(bySalt)) {
+		for _, change := range bySalt[salt] {
+			records = append(records, Record{Address: address, Change: change})
+		}
 	}
 	records[len(records)-1].Next = p.next
 	return records
--- a/holdings/holdings.go
+++ b/holdings/holdings.go
@@ -48,8 +48,10 @@
 	life   uint64
 	parts  map[Key]int
 	tokens int
-	opens  time.Time
-	closed bool
+	// retired is the number of parts that are retired.
+	retired int
+	opens   time.Time
+	closed  bool
 }
 
 // NewShelf returns a closed shelf of a store that was not asked yet.
@@ -71,7 +73,7 @@
 func (s *Shelf) Begin(life uint64, held []Change, now time.Time, pause time.Duration) {
 	s.life = life
 	s.parts = make(map[Key]int, len(held))
-	s.tokens = 0
+	s.tokens, s.retired = 0, 0
 	s.closed = false
 	s.opens = now.Add(pause)
 	for _, change := range held {
@@ -97,12 +99,14 @@
 	switch {
 	case change.Tokens == 0:
 		s.tokens -= size(held)
+		s.retired -= retired(held)
 		delete(s.parts, change.Key)
 	case !known && len(s.parts) >= MaxParts:
 	case change.Tokens > 0 && held < 0:
 		// A late event does not bring a retired part back.
 	default:
 		s.tokens += size(change.Tokens) - size(held)
+		s.retired += retired(change.Tokens) - retired(held)
 		s.parts[change.Key] = change.Tokens
 	}
 }
@@ -110,6 +114,14 @@
 // size is the room that a part takes.
 func size(tokens int) int { return max(tokens, -tokens) }
 
+// retired counts a part that is retired.
+func retired(tokens int) int {
+	if tokens < 0 {
+		return 1
+	}
+	return 0
+}
+
 // Close marks a store that can't be asked. A later Begin opens it again.
 func (s *Shelf) Close() { s.closed = true }
 
