steward: failing tests of the first leader after a restart of all

A leader that no entry has called yet takes a fleet of 64 for one of few: it tells each of the first entries the listings of all stores, reads the caches of all runners, and answers every watch at each listing. Entries and control hosts tell how many entries they were told of; no leader heeds it yet.

--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -82,10 +82,12 @@
 	avoided map[ident.Host]failure
 	// asked is the host of the latest answer.
 	asked ident.Host
-	// term is the highest of all answers.
-	term uint64
-	next int
-	lost bool
+	// term is the highest of all answers, and entries the number of entries that
+	// the latest told.
+	term    uint64
+	entries int
+	next    int
+	lost    bool
 	// word is the time as of which everything is known that the leader knew, in
 	// microseconds since epoch.
 	word  atomic.Int64
@@ -158,11 +160,7 @@
 	if host == "" {
 		return false
 	}
-	request.Direct = host == f.leader && f.unreached()
-	request.Overdue = host == f.leader && f.overdue(now)
-	if request.Overdue {
-		f.meter.overdue.Inc()
-	}
+	f.describe(request, host, now)
 	call := f.send(ctx, host, request)
 	patience := time.NewTimer(watchTimeout)
 	defer patience.Stop()
@@ -189,6 +187,16 @@
 	}
 }
 
+// describe adds to a request what the host that is asked needs to know of the caller.
+func (f *Follower) describe(request *WatchRequest, host ident.Host, now time.Time) {
+	request.Entries = f.entries
+	request.Direct = host == f.leader && f.unreached()
+	request.Overdue = host == f.leader && f.overdue(now)
+	if request.Overdue {
+		f.meter.overdue.Inc()
+	}
+}
+
 // send makes a call, whose end comes as one of the results.
 func (f *Follower) send(ctx context.Context, host ident.Host, request *WatchRequest) *watched {
 	call := &watched{host: host, sent: time.Now(), after: f.taken}
@@ -257,7 +265,7 @@
 // tells a part only: the rest builds on what was held then.
 func (f *Follower) take(call *watched, told func(*WatchAnswer, time.Time)) {
 	answer := &call.answer
-	f.term = answer.Term
+	f.term, f.entries = answer.Term, answer.EntryCount
 	answer.Partial = call.after != f.taken
 	if word := call.sent.Add(-answer.Heard); word.After(f.wordTime()) {
 		f.setWord(word)
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -62,6 +62,9 @@
 	// Overdue tells that what the caller was last told of the configuration is
 	// so old that the leader must answer, whoever else could.
 	Overdue bool `cbor:"11,keyasint,omitempty"`
+	// Entries is the number of entries that the caller was last told, zero for
+	// none. A leader that has just started knows by it how many will call.
+	Entries int `cbor:"12,keyasint,omitempty"`
 }
 
 // RelayView is a control host that answers the watches of entries.
