steward: a leader knows the size of the fleet from the first call

Cause: after a restart of all control hosts no leader has heard of an entry. It took the first of 64 for a small fleet: told each the listings of all stores, asked all runners for their caches, ended every open watch at each listing, and lost the lead. Change: a watch tells how many entries its caller was told of; a leader goes by the highest of these for its first 2 s (relays, shelves, caches, the number it tells). Before any entry has called, no cache is read. Who isn't told the shelves isn't woken by them.

--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -46,6 +46,8 @@
 
 	mu    sync.Mutex
 	beats map[string]time.Time
+	// told is the most entries that callers had been told of before.
+	told int
 	// small is since when the group has been below its size, zero when it is
 	// not.
 	small time.Time
@@ -234,13 +236,39 @@
 
 // follow implements bulletin.
 func (l *leadership) follow(from port.Peer, request *WatchRequest, now time.Time) {
+	l.mu.Lock()
+	l.told = max(l.told, request.Entries)
+	l.mu.Unlock()
 	l.watchers.follow(from, request, now)
 }
 
+// expected is the number of entries that are to call, 0 once all have had the time.
+// After a restart of all control hosts none has called: a leader that took the first
+// ones for all would tell each the shelves, and lose the lead over it.
+func (l *leadership) expected(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.since) >= relaysWithin {
+		return 0
+	}
+	return l.told
+}
+
+// knowsSize reports whether an entry has called, or none will.
+func (l *leadership) knowsSize(now time.Time) bool {
+	return l.watchers.count() > 0 || now.Sub(l.since) >= relaysWithin
+}
+
+// entryCount is the number of entries, those that are to call among them.
+func (l *leadership) entryCount(now time.Time) int {
+	return max(l.watchers.count(), l.expected(now))
+}
+
 // fill implements bulletin. A new leader of many entries does not tell them the
 // shelves before others can: after a restart of all, each lacks all of them.
 func (l *leadership) fill(request *WatchRequest, answer *WatchAnswer) bool {
-	if request.Entry != nil && !request.Direct && l.watchers.count() > entriesAlone && time.Since(l.since) < relaysWithin {
+	now := time.Now()
+	if request.Entry != nil && !request.Direct && l.entryCount(now) > entriesAlone && now.Sub(l.since) < relaysWithin {
 		return false
 	}
 	return l.shelves.fill(request, answer)
@@ -261,7 +289,7 @@
 // relays lists the hosts that entries are to ask instead of the leader, none
 // while there are few entries.
 func (l *leadership) relays(now time.Time) []RelayView {
-	if l.watchers.count() <= entriesAlone {
+	if l.entryCount(now) <= entriesAlone {
 		return nil
 	}
 	return l.watchers.relays(now)
@@ -275,7 +303,7 @@
 	answer.Term = l.elected
 	answer.Leader = string(l.steward.options.Self)
 	answer.Entries = l.watchers.entries(now)
-	answer.EntryCount = len(answer.Entries)
+	answer.EntryCount = max(len(answer.Entries), l.expected(now))
 	answer.Relaying = answer.EntryCount > entriesAlone
 	answer.Relays = l.relays(now)
 	answer.Silent = l.silent(l.steward.machine.live(), now)
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -86,9 +86,13 @@
 		news := k.leadership.steward.machine.news()
 		d := k.leadership.steward.machine.Document()
 		k.adopt(ctx, d)
+		again := adoptEvery
+		if !k.leadership.knowsSize(time.Now()) {
+			again = watchWait
+		}
 		select {
 		case <-news:
-		case <-time.After(adoptEvery):
+		case <-time.After(again):
 		case <-ctx.Done():
 		}
 		wait.For(ctx, gather)
@@ -123,7 +127,10 @@
 			stores[store.Address] = 0
 		}
 	}
-	if k.leadership.watchers.count() > cacheWatchers {
+	// A leader that read all caches of a large fleet before it knows that it is one
+	// would lose the lead over it.
+	now := time.Now()
+	if !k.leadership.knowsSize(now) || k.leadership.entryCount(now) > cacheWatchers {
 		return stores, runners
 	}
 	// What a silent runner did last may never be known here, though entries know it;
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -76,6 +76,11 @@
 	answer := &WatchAnswer{}
 	machineNews, shelfNews := s.machine.news(), s.book.news()
 	heard, found := s.fill(b, request, answer)
+	if answer.Shelves == nil {
+		// Who is not told the shelves is not woken by them: a leader that lists all
+		// stores would answer every watch at each listing.
+		shelfNews = nil
+	}
 	if !found && request.Term == b.term() {
 		awaitNews(ctx, waitFor(request), machineNews, shelfNews)
 		heard, _ = s.fill(b, request, answer)
