--- a/internal/steward/restarted_test.go
+++ b/internal/steward/restarted_test.go
@@ -57,6 +57,24 @@
 	})
 }
 
+// The same where the entries ask the leader itself: they found all other control hosts
+// silent while these were down, and leave them alone for 2 s. The leader must answer
+// all of them, and can, without the listings; these take it 5 ms for each.
+func TestEntriesThatFoundAllRelaysSilentAreNotToldTheShelvesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := restartedLeader()
+		request := askOf("e1", 64, holdings.Question{Listed: true})
+		request.Direct = true
+		if answer := l.steward.watch(t.Context(), entryPeer("e1"), request); answer.Elsewhere || answer.Shelves != nil || answer.Document == nil {
+			t.Fatalf("told %+v", answer)
+		}
+		time.Sleep(relaysWithin)
+		if answer := l.steward.watch(t.Context(), entryPeer("e1"), request); answer.Elsewhere || answer.Shelves == nil {
+			t.Fatalf("told %+v later", answer)
+		}
+	})
+}
+
 // The same in a small fleet, or where nobody was told of others yet: nothing is held
 // back, for each prompt would be read from the first token meanwhile.
 func TestFewEntriesAreToldTheShelvesAtOnce(t *testing.T) {
