steward: a new leader of many entries tells none of them the shelves for 2 s

Cause: entries that found all relays silent ask the leader itself; these were exempt from the rule that a new leader leaves the shelves to others. After a restart of all control hosts that's every entry. Change: no exemption in the first 2 s. Everything else is answered.

--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -268,7 +268,7 @@
 // shelves before others can: after a restart of all, each lacks all of them.
 func (l *leadership) fill(request *WatchRequest, answer *WatchAnswer) bool {
 	now := time.Now()
-	if request.Entry != nil && !request.Direct && l.entryCount(now) > entriesAlone && now.Sub(l.since) < relaysWithin {
+	if request.Entry != nil && l.entryCount(now) > entriesAlone && now.Sub(l.since) < relaysWithin {
 		return false
 	}
 	return l.shelves.fill(request, answer)
