steward: a failing test of an entry that keeps away from hosts that are back

Relays that were silent under the leader before are left alone for 2 s, though the new leader names them; every entry has that leader answer it meanwhile.

--- a/internal/steward/follower_test.go
+++ b/internal/steward/follower_test.go
@@ -99,6 +99,36 @@
 	}
 }
 
+// Callers get no answer after a restart of all control hosts: each entry has found all
+// of them silent, has the first that leads answer it, and does so for 2 s, though the
+// others are back and that leader names them. It is busy with all entries until it
+// loses the lead. Those that a new leader names are asked again, and each is left
+// alone once more if it is silent still.
+func TestFollowerAsksAgainWhomANewLeaderNames(t *testing.T) {
+	ok := func(term uint64) *WatchAnswer { return &WatchAnswer{Term: term, Leader: "c1", Relays: twoRelays()} }
+	hosts := &scriptedHosts{answers: map[string]*WatchAnswer{"c1": ok(1)}}
+	f := testFollower(hosts)
+	step := func(want string, direct bool) {
+		t.Helper()
+		f.once(context.Background(), &WatchRequest{Entry: &EntryView{Host: "e1"}}, func(*WatchAnswer, time.Time) {})
+		if hosts.asked != want || hosts.request.Direct != direct {
+			t.Fatalf("asked %s (direct %v), want %s (direct %v)", hosts.asked, hosts.request.Direct, want, direct)
+		}
+	}
+	step("c1", false)
+	step("c3", false)
+	step("c2", false)
+	step("c1", true) // both are silent
+	hosts.answers["c1"], hosts.answers["c3"] = ok(2), ok(2)
+	step("c1", true) // which tells of its election
+	step("c3", false)
+	hosts.answers["c3"] = nil
+	step("c3", false)
+	step("c2", false)
+	step("c1", true) // both are silent in this term too
+	step("c1", true)
+}
+
 // A host that was cut off wakes with an old belief. What it tells must not take
 // the place of what a later leader told.
 func TestFollowerKeepsToTheLatestTerm(t *testing.T) {
