steward: an entry asks again whom a new leader names

Cause: hosts that were silent under the leader before are left alone for 2 s, also those that the new leader hears and names; after a restart of all control hosts every entry has the leader answer it meanwhile. Change: the first answer of a higher term ends what was held against hosts. Measured: TestFollowerAsksAgainWhomANewLeaderNames fails without it.

--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -265,6 +265,11 @@
 // tells a part only: the rest builds on what was held then.
 func (f *Follower) take(call *watched, told func(*WatchAnswer, time.Time)) {
 	answer := &call.answer
+	if answer.Term > f.term {
+		// Whom a new leader names, it hears. After a restart of all, entries that
+		// kept away from those would all have the leader answer them.
+		clear(f.avoided)
+	}
 	f.term, f.entries = answer.Term, answer.EntryCount
 	answer.Partial = call.after != f.taken
 	if word := call.sent.Add(-answer.Heard); word.After(f.wordTime()) {
