steward: a birth of no named service makes nobody's words foreign

Cause: one announcement with a birth made all words without one those of another writer. Where runners tell no births, one stranger's word for a service that nobody named would have had every runner refused. Change: only births of upstreams whose service is named count. Measured: TestABirthOfNoNamedServiceMakesNobodyForeign failed (a runner's own word refused), and passes.

--- a/internal/steward/lives_test.go
+++ b/internal/steward/lives_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/holdings"
+	"github.com/lovagereach/lovagereach/internal/wire"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -132,3 +133,26 @@
 	f.announce(lead, runner(2000, 1, 1))
 	f.await("the cache is forgotten", func() bool { return !holds() })
 }
+
+// Runners tell no births here. Another writer announces one, with a birth, for a
+// service that no configuration names. Taken for the custom of the place, all
+// runners' own words would be refused from then on, and callers have none left.
+func TestABirthOfNoNamedServiceMakesNobodyForeign(t *testing.T) {
+	m := NewMachine()
+	m.Apply(1, wire.MustMarshal(command{Document: testDocument(1, "one")}))
+	service := m.Document().Services[0].Name
+	announce := func(id, service string, born uint64) word {
+		u := roster.Upstream{ID: id, Service: service, Address: id + ":80", State: roster.Serving, Sequence: 1, Born: born}
+		got := m.hear(u)
+		if got == ownWord {
+			m.Apply(2, wire.MustMarshal(command{Upstream: &u}))
+		}
+		return got
+	}
+	if announce("a", service, 0) != ownWord || announce("stranger", "nobody", 2000) != ownWord || announce("b", service, 0) != ownWord {
+		t.Fatal("a runner's own word is refused")
+	}
+	if announce("c", service, 3000) != ownWord || announce("d", service, 0) != foreignWord {
+		t.Fatal("where a runner tells its birth, a word without one is another writer's")
+	}
+}
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -219,7 +219,7 @@
 		return lateWord
 	case u.State == roster.Gone:
 		return ownWord
-	case u.Born == 0 && m.roster.TellsBirths():
+	case u.Born == 0 && m.tellsBirths():
 		return foreignWord
 	case displaces && (u.Born <= held.Born || !m.names(u.Service)):
 		return foreignWord
@@ -227,6 +227,15 @@
 	return ownWord
 }
 
+// tellsBirths reports whether runners tell their births here. A birth told for a
+// service that nobody named doesn't count: one such word of another writer would
+// have all runners refused where none tells a birth. The caller holds the lock.
+func (m *Machine) tellsBirths() bool {
+	return m.roster.TellsBirths() && slices.ContainsFunc(m.roster.Live(), func(u roster.Upstream) bool {
+		return u.Born != 0 && m.names(u.Service)
+	})
+}
+
 // names reports whether the configuration names a service. The caller holds the
 // lock.
 func (m *Machine) names(service string) bool {
