gateway: a failing test of a 421 that names no instance

Cause: found while reading the change: such an answer is taken for that of a runner with other weights, and the prompt is looked at, also where there is none. Change: the test, listed as known red. Measured: it fails by a panic (nil pointer).

--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -125,3 +125,13 @@
 		}
 	}
 }
+
+// An upstream of a plain service answers 421 and names no instance, so that the answer
+// looks like that of a runner with other weights. There is no prompt to send again with
+// another version; the caller gets an answer, and no connection that breaks off.
+func TestOtherWeightsThanNoneAreARefusal(t *testing.T) {
+	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return refusal(OtherVersion), nil })
+	if got := serve(g, request("/unsafe/x")); got.ends != "refused" || sender.count() != 1 {
+		t.Fatalf("%d sends, ends %q: %v", sender.count(), got.ends, got.cause)
+	}
+}
