--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -194,6 +194,10 @@
 	case OtherUpstream:
 		p.upstream.trust.gone = true
 	case OtherVersion:
+		if p.send.Prompt == nil {
+			// It named no instance, and no version was asked for: another upstream.
+			break
+		}
 		if newest := s.weights[r.request.Prompt.Model]; p.send.Prompt.Version < newest {
 			r.guessed[p.upstream] = newest
 			refused.sameUpstream = true
