placement: parts are kept by the time that reading them takes

Change: small is what a runner reads within 6 ms; small parts that find no room in a quick store go to a slow one if the fetch costs less than reading again.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -257,5 +257,5 @@
 	p.tokens = asked.prompt.Tokens() + prompt.Output
 	p.reads = choice.Reads
 	p.send.Prompt = &PromptSend{Salt: asked.salt, Version: version}
-	s.fetchAndSave(p, &asked, choice, stores, addresses, now)
+	s.fetchAndSave(&r.gateway.options.Rates, p, &asked, choice, stores, addresses, now)
 }
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -104,7 +104,7 @@
 }
 
 // fetchAndSave fills in where parts come from and where they are to be kept.
-func (s *state) fetchAndSave(p *plan, asked *described, choice placement.Choice, stores []placement.Store, addresses []string, now time.Time) {
+func (s *state) fetchAndSave(rates *placement.Rates, p *plan, asked *described, choice placement.Choice, stores []placement.Store, addresses []string, now time.Time) {
 	parts := asked.prompt.Parts
 	fetch, fetches := make([]FetchFrom, len(parts)), false
 	save, saves := make([]string, len(parts)), false
@@ -117,7 +117,7 @@
 		if len(asked.prompt.Whole[i]) > 0 || s.isPending(asked.keys[i], now) || s.isRetired(asked.keys[i], addresses) {
 			continue
 		}
-		if at := placement.KeepAt(asked.salt, parts[i], stores); at >= 0 {
+		if at := placement.KeepAt(rates, asked.salt, parts[i], asked.prompt.TokenBytes, stores); at >= 0 {
 			save[i] = addresses[at]
 			saves = true
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -190,8 +190,7 @@
 		case home:
 			absent = 1 - rates.FirstPull
 		}
-		again := float64(part.Tokens) * (rates.RereadMsPerToken + 1/rates.ReadPerMs)
-		if store >= 0 && chain && fetchMs < again {
+		if store >= 0 && chain && fetchMs < rates.againMs(part) {
 			c.Fetch[i] = store
 			ms += absent * (fetchMs + rates.MoveMsPerToken*float64(part.Tokens))
 			continue
@@ -205,7 +204,7 @@
 	c.Reads = int(read)
 	ms += (read + float64(r.Unread)) / rates.ReadPerMs
 	ms += pressure(rates, p, r)
-	c.CostMs = ms + float64(r.Distrust)/float64(time.Millisecond)
+	c.CostMs = ms + milliseconds(r.Distrust)
 	return c
 }
 
@@ -235,7 +234,7 @@
 		if !store.Open {
 			continue
 		}
-		ms := float64(store.FirstByte)/float64(time.Millisecond) + transferMs(rates, p, part, store, r)
+		ms := milliseconds(store.FirstByte) + transferMs(rates, p, part, store, r)
 		ms += store.Risk * rates.RereadMsPerToken * float64(p.Parts[part].Tokens)
 		if best < 0 || ms < bestMs {
 			best, bestMs = index, ms
@@ -251,7 +250,7 @@
 		return 0
 	}
 	bits := float64(p.Parts[part].Tokens+store.Queued) * float64(p.TokenBytes) * 8
-	return bits/(store.LinkMbps*1000) + float64(store.FirstByte)/float64(time.Millisecond)
+	return bits/(store.LinkMbps*1000) + milliseconds(store.FirstByte)
 }
 
 func transferMs(rates *Rates, p *Prompt, part int, store *Store, r *Runner) float64 {
