lovagectl losses: where requests were lost or late, from the entries' logs

Change: the command counts by route, reason and two-second moment; lines left out within the budget are a row, so that the rows add up. A final answer of 500 and above is logged in the class of failures: counted with successes, nine in ten stood in no log. Causes are told by one function for both commands.

--- a/cmd/lovagectl/run.go
+++ b/cmd/lovagectl/run.go
@@ -48,6 +48,8 @@
                                                                 ask what answered requests
   explain  -request ID LOG...                                   why a request ended as it did, from the
                                                                 logs of entries and control hosts
+  losses   LOG...                                               which requests were lost or late, when and
+                                                                why, counted from the logs of entries
   version                                                       print the version
 
 common flags:
@@ -174,6 +176,7 @@
 		"dump":    {run: dump},
 		"audit":   newAudit(),
 		"explain": newExplain(),
+		"losses":  newLosses(),
 	}
 }
 
--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -62,7 +62,7 @@
 // Class implements Event.
 func (e *RequestEnded) Class() Class {
 	switch {
-	case e.Cause != nil:
+	case e.Cause != nil, e.Status >= 500:
 		return Failure
 	case e.First > e.Target && e.Target > 0:
 		return Late
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -17,34 +17,20 @@
 	longRead = 30000
 )
 
+// reason is why a request ended as it did: a few words that are the same for all
+// of its kind, and a sentence on this one.
+type reason struct{ short, tells string }
+
 // Cause tells in a sentence why the request ended as it did.
 func (s *Story) Cause() string {
 	last := s.Steps[len(s.Steps)-1].Line
-	cause := last.Fields["cause"]
-	for _, known := range []struct{ has, tells string }{
-		{"(no-route)", "no route led from its host and path in configuration " + last.Fields["config"]},
-		{"(no-configuration-yet)", "the entry had no configuration yet"},
-		{"(unauthorized)", "its key was not known in configuration " + last.Fields["config"]},
-		{"(no-upstream)", "no upstream of the service was known, or all had been tried"},
-		{"too many requests wait", "no upstream had room, and as many requests as may waited at the entry already"},
-		{"(overloaded)", fmt.Sprintf("no upstream had room within %s ms", last.Fields["waited_ms"])},
-		{"(refused-by-upstream)", fmt.Sprintf("upstream %s refused it without running it (%s)", last.Fields["upstream"], after(cause, "upstream: "))},
-		{"(dial-failed)", "no upstream could be reached; no byte was sent"},
-		{"(connection-lost)", fmt.Sprintf("upstream %s ended the connection; it may have run", last.Fields["upstream"])},
-		{"(bad-answer)", fmt.Sprintf("upstream %s sent what is not its answer, or broke off; it may have run", last.Fields["upstream"])},
-	} {
-		if strings.Contains(cause, known.has) {
-			return known.tells
-		}
+	if last.Fields["cause"] != "" {
+		return reasonOf(last).tells
 	}
-	if slow := delay(last); slow != "" {
-		return slow
+	if slow := delayOf(last); slow.tells != "" {
+		return slow.tells
 	}
 	switch {
-	case strings.Contains(cause, "(caller-gone)"):
-		return fmt.Sprintf("the caller left after %s ms; upstream %s had not answered", last.Fields["total_ms"], last.Fields["upstream"])
-	case cause != "":
-		return fmt.Sprintf("upstream %s did not answer within the time left; it may have run", last.Fields["upstream"])
 	case strings.HasPrefix(last.Fields["status"], "5"):
 		return fmt.Sprintf("upstream %s ran it and answered %s", last.Fields["upstream"], last.Fields["status"])
 	case number(last, "first_ms") > number(last, "target_ms") && number(last, "target_ms") > 0:
@@ -53,22 +39,53 @@
 	return "it was answered in time"
 }
 
-// delay tells what an answer waited for, when the choice knew it.
-func delay(line Line) string {
+// reasonOf tells why a request has no whole answer, from its last line.
+func reasonOf(last Line) reason {
+	cause, upstream := last.Fields["cause"], last.Fields["upstream"]
+	for _, known := range []struct {
+		has string
+		reason
+	}{
+		{"(no-route)", reason{"no route", "no route led from its host and path in configuration " + last.Fields["config"]}},
+		{"(no-configuration-yet)", reason{"no configuration yet", "the entry had no configuration yet"}},
+		{"(unauthorized)", reason{"key not known", "its key was not known in configuration " + last.Fields["config"]}},
+		{"(no-upstream)", reason{"no upstream", "no upstream of the service was known, or all had been tried"}},
+		{"too many requests wait", reason{"too many wait", "no upstream had room, and as many requests as may waited at the entry already"}},
+		{"(overloaded)", reason{"no room in time", fmt.Sprintf("no upstream had room within %s ms", last.Fields["waited_ms"])}},
+		{"(refused-by-upstream)", reason{"refused by the upstream", fmt.Sprintf("upstream %s refused it without running it (%s)", upstream, after(cause, "upstream: "))}},
+		{"(dial-failed)", reason{"no upstream reached", "no upstream could be reached; no byte was sent"}},
+		{"(connection-lost)", reason{"the upstream broke off", fmt.Sprintf("upstream %s ended the connection; it may have run", upstream)}},
+		{"(bad-answer)", reason{"bad answer", fmt.Sprintf("upstream %s sent what is not its answer, or broke off; it may have run", upstream)}},
+	} {
+		if strings.Contains(cause, known.has) {
+			return known.reason
+		}
+	}
+	if slow := delayOf(last); slow.tells != "" {
+		return slow
+	}
+	if strings.Contains(cause, "(caller-gone)") {
+		return reason{"the caller left", fmt.Sprintf("the caller left after %s ms; upstream %s had not answered", last.Fields["total_ms"], upstream)}
+	}
+	return reason{"no answer in the time left", fmt.Sprintf("upstream %s did not answer within the time left; it may have run", upstream)}
+}
+
+// delayOf tells what an answer waited for, when the choice knew it.
+func delayOf(line Line) reason {
 	late := line.Fields["cause"] != "" || number(line, "first_ms") > number(line, "target_ms")
 	switch {
 	case !late || line.Fields["target_ms"] == "":
-		return ""
+		return reason{}
 	case number(line, "pace") >= slowPace:
-		return fmt.Sprintf("it waited for a fetch from %s, whose transfers took %s times as long as usual", line.Fields["sources"], line.Fields["pace"])
+		return reason{"behind a slow fetch", fmt.Sprintf("it waited for a fetch from %s, whose transfers took %s times as long as usual", line.Fields["sources"], line.Fields["pace"])}
 	case number(line, "waited_ms") >= longWait:
-		return fmt.Sprintf("it waited %s ms for an upstream with room", line.Fields["waited_ms"])
+		return reason{"waited for room", fmt.Sprintf("it waited %s ms for an upstream with room", line.Fields["waited_ms"])}
 	case number(line, "unread") >= longUnread:
-		return fmt.Sprintf("it stood behind %s tokens that upstream %s had still to read", line.Fields["unread"], line.Fields["upstream"])
+		return reason{"behind unread tokens", fmt.Sprintf("it stood behind %s tokens that upstream %s had still to read", line.Fields["unread"], line.Fields["upstream"])}
 	case number(line, "reads") >= longRead:
-		return fmt.Sprintf("upstream %s had %s tokens of it to read", line.Fields["upstream"], line.Fields["reads"])
+		return reason{"much to read", fmt.Sprintf("upstream %s had %s tokens of it to read", line.Fields["upstream"], line.Fields["reads"])}
 	}
-	return ""
+	return reason{}
 }
 
 func number(line Line, field string) float64 {
