gateway: waiting, returning and starting by what is observed

All refused were told the same 250 ms. An entry that had just started refused after 0.6 s, while the first word comes 0.6 to 0.9 s after its start. Unread tokens, light prompts and reading times went by constants of two customers' engines. In the start test the wait of a caller with 300 ms is 150 ms in place of 99: half of its time in place of a third, the reason stands at the constant.

--- /dev/null
+++ b/estimate/estimate_test.go
@@ -0,0 +1,120 @@
+package estimate
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Engines that read at paces a hundred times apart serve prompts of any size, with
+// noise and with answers that are held up now and then. An estimate that stays at
+// its start value takes slow reading for a slow store, or lets a runner have seconds
+// of work unread.
+func TestReadingFindsThePaceOfAnyEngine(t *testing.T) {
+	for _, perMs := range []float64{4, 22, 66, 120, 157, 500} {
+		for _, size := range []int{400, 2400, 17000} {
+			random := rand.New(rand.NewPCG(1, uint64(size)))
+			r := NewReading(120, 50*time.Millisecond)
+			for i := range 400 {
+				tokens := size/4 + random.IntN(2*size)
+				ms := 20 + float64(tokens)/perMs*(0.95+0.1*random.Float64()) + 3*random.Float64()
+				if i%20 == 7 {
+					ms += 800
+				}
+				r.Observe(tokens, time.Duration(ms*float64(time.Millisecond)))
+			}
+			// What counts is the predicted time, within a fifth and what noise adds.
+			got, want := r.BaseMs()+float64(size)/r.PerMs(), 20+float64(size)/perMs
+			if got < 0.8*want-5 || got > 1.35*want+45 {
+				t.Errorf("%v tokens a ms, prompts of %d: predicted %.0f ms, takes %.0f", perMs, size, got, want)
+			}
+		}
+	}
+}
+
+func TestReadingBeginsWithItsStartAndForgets(t *testing.T) {
+	r := NewReading(120, 50*time.Millisecond)
+	for range 7 {
+		r.Observe(6000, time.Second)
+	}
+	if r.PerMs() != 120 || r.BaseMs() != 50 {
+		t.Errorf("%.0f tokens a ms after 7 observations", r.PerMs())
+	}
+	feed := func(perMs float64) {
+		for i := range 300 {
+			tokens := 1000 + 50*(i%100)
+			r.Observe(tokens, time.Duration((20+float64(tokens)/perMs)*float64(time.Millisecond)))
+		}
+	}
+	feed(40)
+	if got := r.PerMs(); got < 36 || got > 44 {
+		t.Errorf("%.0f tokens a ms, are 40", got)
+	}
+	feed(160)
+	if got := r.PerMs(); got < 144 || got > 176 {
+		t.Errorf("%.0f tokens a ms after a change to 160", got)
+	}
+}
+
+// Prompts of one size only: the slope can't be told from the rest.
+func TestReadingOfOneSize(t *testing.T) {
+	r := NewReading(120, 50*time.Millisecond)
+	for range 100 {
+		r.Observe(6000, 200*time.Millisecond)
+	}
+	if took := r.BaseMs() + 6000/r.PerMs(); took < 190 || took > 210 {
+		t.Errorf("predicted %.0f ms, takes 200", took)
+	}
+	r.Observe(0, time.Second)
+	r.Observe(100, 0)
+	if got := r.PerMs(); got < 30 || got > 50 {
+		t.Errorf("%.0f tokens a ms", got)
+	}
+}
+
+// Many quick checks stand beside a few long reviews. Whatever their sizes are, the
+// checks have to count as light and the reviews not.
+func TestLightLiesBetweenSmallAndLarge(t *testing.T) {
+	for _, scale := range []float64{0.25, 1, 4, 16} {
+		s := NewSize(2000)
+		for i := range 2000 {
+			tokens := 600.0
+			if i%6 == 0 {
+				tokens = 12000
+			}
+			s.Observe(int(tokens * scale))
+		}
+		if light := float64(s.Light()); light < 700*scale || light > 8000*scale {
+			t.Errorf("sizes of 600 and 12000 times %v: light up to %.0f", scale, light)
+		}
+	}
+	s := NewSize(2000)
+	for range 10 {
+		s.Observe(90000)
+	}
+	if s.Light() != 2000 {
+		t.Errorf("light up to %d after ten prompts", s.Light())
+	}
+}
+
+// Callers wait 15 s at most, and some come back with a part of it. A change of the
+// operator's has them wait 5 s from then on. Taken by the old figure, all would count
+// as callers that come back.
+func TestLongestFollowsWhatCallersWait(t *testing.T) {
+	var l Longest
+	if l.Value() != 0 {
+		t.Errorf("%v before anything was seen", l.Value())
+	}
+	for i := range 1000 {
+		l.Observe(time.Duration(3+12*((i+1)%2)) * time.Second)
+	}
+	if got := l.Value(); got < 14900*time.Millisecond || got > 15*time.Second {
+		t.Errorf("%v, callers wait 15 s", got)
+	}
+	for range 2000 {
+		l.Observe(5 * time.Second)
+	}
+	if got := l.Value(); got != 5*time.Second {
+		t.Errorf("%v after a change to 5 s", got)
+	}
+}
--- /dev/null
+++ b/estimate/size.go
@@ -0,0 +1,40 @@
+package estimate
+
+const (
+	// sizeWeight is the weight of the newest prompt: the last 200 make up two
+	// thirds of an estimate.
+	sizeWeight = 1.0 / 200
+	// sizeLeast is the number of prompts from which the estimate counts.
+	sizeLeast = 50
+	// lightShare is the share of the mean size up to which a prompt is light: where
+	// a few large prompts stand beside many small ones, it lies between the two.
+	lightShare = 0.7
+)
+
+// Size estimates up to which size a prompt is light beside the others that come.
+type Size struct {
+	start int
+	seen  int
+	mean  float64
+}
+
+// NewSize returns an estimate that begins with start tokens.
+func NewSize(start int) *Size { return &Size{start: start} }
+
+// Observe takes in the size of one prompt in tokens.
+func (s *Size) Observe(tokens int) {
+	s.seen = min(s.seen+1, sizeLeast+1)
+	weight := sizeWeight
+	if s.seen <= sizeLeast {
+		weight = 1 / float64(s.seen)
+	}
+	s.mean += weight * (float64(max(tokens, 0)) - s.mean)
+}
+
+// Light is the largest size in tokens that counts as light.
+func (s *Size) Light() int {
+	if s.seen < sizeLeast {
+		return s.start
+	}
+	return int(lightShare * s.mean)
+}
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -76,7 +76,9 @@
 	if !p.begun && !p.done {
 		p.begun = true
 		s.read(p)
-		r.gateway.notePace(p, time.Now())
+		now := time.Now()
+		s.noteReading(p, now)
+		r.gateway.notePace(p, now)
 		s.dispatch(time.Now())
 	}
 }
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -22,6 +22,18 @@
 	Weights   map[string]uint64 `json:"weights"`
 	Upstreams []DumpedUpstream  `json:"upstreams"`
 	Stores    []DumpedStore     `json:"stores"`
+	Estimates []DumpedEstimate  `json:"estimates"`
+}
+
+// DumpedEstimate is what an entry has learnt of one service's engines and prompts.
+type DumpedEstimate struct {
+	Service string `json:"service"`
+	// ReadPerMs are the tokens that a runner reads in a millisecond, BaseMs what a
+	// prompt takes besides.
+	ReadPerMs float64 `json:"read_tokens_per_ms"`
+	BaseMs    float64 `json:"base_ms"`
+	// LightTokens is the largest size of a prompt that counts as light.
+	LightTokens int `json:"light_tokens"`
 }
 
 // DumpedUpstream is an upstream as an entry sees it.
@@ -77,5 +89,11 @@
 			Queued: store.own + store.others, Slowness: store.pace.slowness(now),
 		})
 	}
+	for _, service := range slices.Sorted(maps.Keys(s.learned)) {
+		l := s.learned[service]
+		d.Estimates = append(d.Estimates, DumpedEstimate{
+			Service: service, ReadPerMs: l.reading.PerMs(), BaseMs: l.reading.BaseMs(), LightTokens: l.size.Light(),
+		})
+	}
 	return d
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,11 +29,19 @@
 	comeBackFull = 80 * time.Millisecond
 	// startWait is how long a request waits for the first word of the control
 	// hosts to an entry that has just started, and startShare the part of its own time that
-	// it may wait. Elections after a restart of all processes end within it.
-	// Callers come back once or twice only: of those that were refused during
-	// an election, each that came back during the same election was lost.
-	startWait  = 600 * time.Millisecond
-	startShare = 0.33
+	// it may wait. After a restart of all processes the word comes 0.6 to 0.9 s
+	// after an entry has started: hosts start up to 0.4 s apart, and an election
+	// takes 0.4 s. Callers come back once or twice only, and most of those that ask
+	// then were cut off before: refused, they are lost. No other entry serves
+	// them meanwhile; half of their time is left for the answer.
+	startWait  = 1500 * time.Millisecond
+	startShare = 0.5
+	// stockedWait is how long large prompts wait after it for the first word on the
+	// stores. Stores that are down for long must not hold up requests for ever.
+	stockedWait = 600 * time.Millisecond
+	// stockedWaitLight is the same for short prompts with shared parts: the word comes
+	// 30 to 60 ms after the configuration, and reading them again costs little.
+	stockedWaitLight = 100 * time.Millisecond
 	// startSpread is over how long requests are let go that are late by then.
 	// The next word of the control hosts brings the other entries' loads in
 	// 0.15 s.
@@ -81,9 +89,8 @@
 	if options.Sender == nil || options.Log == nil || options.Decisions == nil {
 		return nil, eris.New("gateway: Sender, Log and Decisions are required")
 	}
-	g := &Gateway{options: options, state: newState()}
+	g := &Gateway{options: options, state: newState(options.Rates.ReadPerMs)}
 	g.state.budgets.limits = options.Budget
-	g.state.readPerMs = options.Rates.ReadPerMs
 	g.meter = newMeter(g.state, func() float64 { return float64(g.open.Load()) })
 	return g, nil
 }
@@ -147,11 +154,16 @@
 	request *Request
 	// index is the configuration that the request was admitted under, and goes by
 	// to its end.
-	index    *catalog.Index
-	route    *catalog.Route
-	service  string
-	team     *catalog.Team
-	deadline time.Time
+	index   *catalog.Index
+	route   *catalog.Route
+	service string
+	// lightUpTo is the largest size in tokens that counts as light, 0 where nothing
+	// was learnt of the service.
+	lightUpTo int
+	team      *catalog.Team
+	deadline  time.Time
+	// usual is the longest time that requests on the route come with.
+	usual time.Duration
 	// sends counts what reached an upstream, unsent what did not.
 	sends, unsent int
 	// tried are the upstreams that failed this request, each in one life.
@@ -175,9 +187,9 @@
 }
 
 // awaitStart returns the configuration in force. An entry that has just started
-// lets requests wait for it a little, and large prompts also for the word on
-// what the stores hold: without it each would be read from its first token, all
-// at once.
+// lets requests wait for it a little, and prompts with shared parts also for the
+// word on what the stores hold: without it each would be read from its first
+// token, all at once.
 func (g *Gateway) awaitStart(ctx context.Context, request *Request) (index *catalog.Index, waited bool) {
 	index = g.Index()
 	if index != nil && (request.Prompt == nil || g.state.isStocked()) {
@@ -191,14 +203,25 @@
 		ctx, cancel := context.WithTimeout(ctx, longest)
 		defer cancel()
 		awaitClosed(ctx, g.state.started)
-		if request.Prompt != nil && !request.Prompt.light() {
-			awaitClosed(ctx, g.state.stocked)
+		if request.Prompt != nil && len(request.Prompt.Parts) > 1 {
+			g.awaitStocked(ctx, request.Prompt)
 		}
 	}
 	g.starting.Add(-1)
 	return g.Index(), true
 }
 
+// awaitStocked waits for the first word on the stores, for a short prompt only as
+// long as such a word takes that has been asked for.
+func (g *Gateway) awaitStocked(ctx context.Context, prompt *Prompt) {
+	if prompt.size() <= lightTokens {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, stockedWaitLight)
+		defer cancel()
+	}
+	awaitClosed(ctx, g.state.stocked)
+}
+
 // spread delays a request that waited for the start of this entry and is late
 // already. All entries start at once and know nothing of each other's requests
 // yet: let go together, those that waited would make the ones late that come
@@ -246,8 +269,13 @@
 	if patience <= 0 {
 		patience = defaultWait
 	}
-	r.deadline = request.Arrived.Add(min(patience, route.Timeout))
+	patience = min(patience, route.Timeout)
+	r.deadline = request.Arrived.Add(patience)
+	r.usual = g.state.noteTime(route.Name, patience)
 	r.service = pickTarget(route.Targets)
+	if request.Prompt != nil {
+		r.lightUpTo = g.state.noteSize(r.service, request.Prompt.size())
+	}
 	return r, nil
 }
 
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -73,6 +73,8 @@
 	gauge("upstreams", func(s *state, _ time.Time) float64 { return float64(len(s.members)) })
 	gauge("upstreams_silent", func(s *state, _ time.Time) float64 { return float64(s.silentCount()) })
 	gauge("upstreams_avoided", func(s *state, now time.Time) float64 { return float64(s.avoidedCount(now)) })
+	gauge("slowest_reading_tokens_per_ms", func(s *state, _ time.Time) float64 { return s.slowestReading() })
+	gauge("largest_light_tokens", func(s *state, _ time.Time) float64 { return s.largestLight() })
 	gauge("view_age_seconds", func(s *state, now time.Time) float64 { return now.Sub(s.shelvesAt).Seconds() })
 	return m
 }
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -18,9 +18,9 @@
 	paceLeast = 8.0
 	// paceMost bounds one observation.
 	paceMost = 40.0
-	// firstEventMs is what a runner takes to a first event besides fetching
-	// and reading.
-	firstEventMs = 50.0
+	// firstEvent is what a runner takes to a first event besides fetching and
+	// reading, until an entry has observed it.
+	firstEvent = 50 * time.Millisecond
 	// paceNormal is the slowness up to which a store counts as sound.
 	paceNormal = 2.0
 )
@@ -54,7 +54,8 @@
 	if p.send.Prompt == nil || p.fetchMs < paceLeast {
 		return
 	}
-	rest := firstEventMs + float64(p.reads+p.logged.Unread)/s.readPerMs
+	reading := s.readingOf(p.upstream.record.Service)
+	rest := reading.BaseMs() + float64(p.reads+p.logged.Unread)/reading.PerMs()
 	took := milliseconds(now.Sub(p.sent)) - rest
 	for i, store := range p.sources {
 		if store == nil {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -96,14 +96,10 @@
 	} else {
 		p.upstream = r.leastLoaded(candidates, now)
 	}
-	memory := 0
-	if service != nil && service.Engine != nil {
-		memory = service.Engine.MemoryTokens
-	}
 	p.send.Upstream, p.send.Address, p.send.Born = p.upstream.record.ID, p.upstream.record.Address, p.upstream.record.Born
 	s.describePlan(p, now)
 	r.last = p
-	if !p.upstream.hasRoom(r.light(), p.tokens, p.reads, memory) {
+	if !p.upstream.hasRoom(r.need(s, service, p.tokens, p.reads)) {
 		return nil, nil
 	}
 	p.sent = now
@@ -111,6 +107,7 @@
 	p.upstream.own.Requests++
 	p.upstream.own.Tokens += p.tokens
 	p.upstream.own.Unread += p.reads
+	s.returnsOf(r).Sent(now)
 	if r.sends == 0 && r.unsent == 0 {
 		s.budgets.first(r.service, now)
 	}
@@ -215,15 +212,16 @@
 func (r *run) placePrompt(s *state, p *plan, service *catalog.Service, candidates []*upstreamState, now time.Time) {
 	prompt := r.request.Prompt
 	newest := s.weights[prompt.Model]
-	light, noRoom := r.light(), noRoomCost
-	if light {
+	noRoom := noRoomCost
+	if r.light() {
 		noRoom = noRoomCostLight
 	}
-	tokens, own := prompt.Output, 0
-	for _, part := range prompt.Parts {
-		tokens += part.Tokens
-		own = part.Tokens
+	own := 0
+	if len(prompt.Parts) > 0 {
+		own = prompt.Parts[len(prompt.Parts)-1].Tokens
 	}
+	needed := r.need(s, service, prompt.size(), own)
+	rates := s.ratesOf(service.Name, r.gateway.options.Rates)
 	runners := make([]placement.Runner, len(candidates))
 	version := uint64(0)
 	for i, u := range candidates {
@@ -232,7 +230,7 @@
 		if r.versionOf(u) < newest {
 			extra += oldWeightsCost
 		}
-		full := !u.hasRoom(light, tokens, own, service.Engine.MemoryTokens)
+		full := !u.hasRoom(needed)
 		if full {
 			extra += noRoom
 		}
@@ -246,17 +244,17 @@
 	// The choice is made as for the newest version; the runner's own decides
 	// what may be fetched.
 	asked := s.describe(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates, addresses, now)
-	choice, _ := placement.Choose(&r.gateway.options.Rates, asked.salt, &asked.prompt, runners, stores)
+	choice, _ := placement.Choose(&rates, asked.salt, &asked.prompt, runners, stores)
 	p.upstream = candidates[choice.Runner]
 	if has := r.versionOf(p.upstream); has != version {
 		version = has
 		asked = s.describe(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates, addresses, now)
-		choice, _ = placement.Choose(&r.gateway.options.Rates, asked.salt, &asked.prompt, runners[choice.Runner:choice.Runner+1], stores)
+		choice, _ = placement.Choose(&rates, asked.salt, &asked.prompt, runners[choice.Runner:choice.Runner+1], stores)
 	}
 	p.choice = choice
 	p.fetchMs = fetchMs(&asked.prompt, choice, stores)
 	p.tokens = asked.prompt.Tokens() + prompt.Output
 	p.reads = choice.Reads
 	p.send.Prompt = &PromptSend{Salt: asked.salt, Version: version}
-	s.fetchAndSave(&r.gateway.options.Rates, p, &asked, choice, stores, addresses, now)
+	s.fetchAndSave(&rates, p, &asked, choice, stores, addresses, now)
 }
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
@@ -14,18 +17,19 @@
 // recover while requests keep coming. Requests therefore wait at the entry,
 // light ones first, until a runner has room.
 const (
-	// lightTokens is the size in tokens up to which a prompt is light. Light
-	// prompts are worth several times as much for each token of memory and
-	// reading as the others: of the overload they feel as little as possible.
+	// lightTokens is the size in tokens up to which a prompt is light, until an entry
+	// knows the sizes that come. Light prompts are worth several times as much for
+	// each token of memory and reading as the others: of the overload they feel as
+	// little as possible.
 	lightTokens = 2000
 	// roomTokens is the part of a runner's memory that prompts under way may
 	// fill; the rest keeps cached parts. Light ones may fill more.
 	roomTokens      = 0.85
 	roomTokensLight = 1.0
-	// roomUnread bounds the tokens that a runner has still to read, about
-	// 120 ms of its work: light prompts are read behind them. A prompt longer
-	// than that is sent where nothing else is to be read.
-	roomUnread = 15000
+	// roomUnread bounds what a runner has still to read, in milliseconds of its
+	// reading: light prompts are read behind it. A prompt longer than that is sent
+	// where nothing else is to be read.
+	roomUnread = 125.0
 	// roomSlots are the slots that only light prompts may take, and roomWaiting
 	// how many of them a runner is given beyond its slots.
 	roomSlots   = 2
@@ -36,19 +40,35 @@
 	// for one that fits.
 	dispatchDepth = 16
 	// waitShare is the part of its time that a request may wait for room, and
-	// waitMost the longest: callers leave a stream after 2 s without an event,
-	// and one that is refused sooner may come back in time.
-	waitShare = 0.3
-	waitMost  = 150 * time.Millisecond
-	// waitingMost bounds the prompts that are not light and wait at one entry.
-	waitingMost = 3
+	// waitTarget the part of its route's target. Where room comes free seldom, all
+	// that wait longer are answered late, those that come after them too; one that
+	// is refused sooner may come back when the burst is over.
+	waitShare  = 0.3
+	waitTarget = 0.3
+	// returnedShare is the part of its route's usual time from which on a request counts
+	// as one that comes for the first time. Those that come with less have been
+	// refused or cut off before: they are late whenever they are served, and come
+	// back no more. They wait up to waitReturned, behind those still in time; callers
+	// leave a stream after 2 s without an event.
+	returnedShare = 0.9
+	waitReturned  = 1500 * time.Millisecond
+	// comeBackShare is the part of its time after which a refused caller comes back
+	// at the latest, with enough left to be served, and comeBackMost the longest.
+	comeBackShare = 0.33
+	comeBackMost  = 5 * time.Second
+	// waitingMost bounds the prompts that are not light, come for the first time and
+	// wait at one entry, returnedMost those that have come back.
+	waitingMost  = 3
+	returnedMost = 8
 )
 
 // patience bounds the waiting for room.
 type patience struct {
+	// longest is the longest wait, 0 for one by the route's target.
 	longest time.Duration
-	// heavy is how many prompts that are not light may wait.
-	heavy int
+	// heavy is how many prompts that are not light may wait and come for the first
+	// time, returned how many that come again.
+	heavy, returned int
 }
 
 // waiter is a request that waits for room.
@@ -61,40 +81,59 @@
 // light reports whether the request takes little of an upstream, as calls of
 // plain services and short prompts do.
 func (r *run) light() bool {
-	return r.request.Prompt == nil || r.request.Prompt.light()
+	return r.request.Prompt == nil || r.request.Prompt.size() <= cmp.Or(r.lightUpTo, lightTokens)
 }
 
-func (p *Prompt) light() bool {
+// size is the most memory that a prompt and its answer take, in tokens.
+func (p *Prompt) size() int {
 	tokens := p.Output
 	for _, part := range p.Parts {
 		tokens += part.Tokens
 	}
-	return tokens <= lightTokens
+	return tokens
 }
 
-// hasRoom reports whether an upstream has room for a request with so many
-// tokens, of which reads are to be read. memory is that of a runner, 0 for a
-// plain service.
-func (u *upstreamState) hasRoom(light bool, tokens, reads, memory int) bool {
+// need is what a request takes of an upstream.
+type need struct {
+	light bool
+	// tokens it takes of a runner's memory, of which reads are to be read.
+	tokens, reads int
+	// memory is the runner's, 0 for a plain service, and unread the most tokens that
+	// it should have to read.
+	memory, unread int
+}
+
+// need describes what the request takes of an upstream of a service.
+func (r *run) need(s *state, service *catalog.Service, tokens, reads int) need {
+	n := need{light: r.light(), tokens: tokens, reads: reads}
+	if service != nil && service.Engine != nil {
+		n.memory = service.Engine.MemoryTokens
+		n.unread = int(roomUnread * s.readingOf(service.Name).PerMs())
+	}
+	return n
+}
+
+// hasRoom reports whether an upstream has room for a request.
+func (u *upstreamState) hasRoom(n need) bool {
 	requests := u.own.Requests + u.others.Requests
 	if requests == 0 {
 		return true
 	}
 	slots, share := u.record.Slots-roomSlots, roomTokens
-	if light {
+	if n.light {
 		slots, share = u.record.Slots+roomWaiting, roomTokensLight
 	}
 	if u.record.Slots > 0 && requests >= max(slots, 1) {
 		return false
 	}
-	if memory == 0 {
+	if n.memory == 0 {
 		return true
 	}
 	unread := u.own.Unread + u.others.Unread
-	if !light && unread > 0 && unread+reads > roomUnread {
+	if !n.light && unread > 0 && unread+n.reads > n.unread {
 		return false
 	}
-	return float64(u.own.Tokens+u.others.Tokens+tokens) <= share*float64(memory)
+	return float64(u.own.Tokens+u.others.Tokens+n.tokens) <= share*float64(n.memory)
 }
 
 // await returns a plan, at once or when an upstream has room.
@@ -107,23 +146,22 @@
 		s.mu.Unlock()
 		return p, err
 	}
-	if len(s.waiting) >= maxWaiting || (!r.light() && s.heavyWaiting() >= s.patience.heavy) {
+	if len(s.waiting) >= maxWaiting || !s.mayWait(r) {
+		after := r.comeBackAfter(s, now)
 		s.mu.Unlock()
-		return nil, r.refusal(outcome.ReasonOverloaded, comeBack, "too many requests wait for an upstream with room")
+		return nil, r.refusal(outcome.ReasonOverloaded, after, "too many requests wait for an upstream with room")
 	}
 	w := &waiter{run: r, granted: make(chan *plan, 1)}
 	s.enqueue(w)
 	s.mu.Unlock()
 
-	left := r.deadline.Sub(now)
-	timer := time.NewTimer(min(time.Duration(waitShare*float64(left)), s.patience.longest))
+	timer := time.NewTimer(r.longestWait(s.patience, now))
 	defer timer.Stop()
 	select {
 	case p := <-w.granted:
 		r.waited += time.Since(now)
 		return p, nil
 	case <-timer.C:
-		err = r.refusal(outcome.ReasonOverloaded, comeBack, "no upstream had room in time")
 	case <-ctx.Done():
 		err = &outcome.NotRun{Reason: outcome.ReasonCallerGone, Detail: "the caller left while the request waited"}
 	}
@@ -131,6 +169,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dequeue(w)
+	if err == nil {
+		err = r.refusal(outcome.ReasonOverloaded, r.comeBackAfter(s, time.Now()), "no upstream had room in time")
+	}
 	select {
 	case p := <-w.granted:
 		// Room was found at the same moment; nothing was sent yet.
@@ -141,13 +182,39 @@
 	return nil, err
 }
 
+// comeBackAfter is when the caller of a request that found no room should come back.
+// The caller holds the lock.
+func (r *run) comeBackAfter(s *state, now time.Time) time.Duration {
+	most := time.Duration(comeBackShare * float64(r.deadline.Sub(now)))
+	return s.returnsOf(r).Return(now, comeBack, min(most, comeBackMost), rand.Float64())
+}
+
+// longestWait is how long the request may wait for room from now on.
+func (r *run) longestWait(p patience, now time.Time) time.Duration {
+	longest := time.Duration(waitTarget * float64(r.route.Target))
+	if r.returned() {
+		longest = waitReturned
+	}
+	longest = cmp.Or(p.longest, longest)
+	return min(time.Duration(waitShare*float64(r.deadline.Sub(now))), longest)
+}
+
 // before reports whether a request is to be served before another: light ones
-// first, then by rank.
+// first, then by rank, then those that come for the first time.
 func (r *run) before(other *run) bool {
 	if r.light() != other.light() {
 		return r.light()
 	}
-	return r.rank() < other.rank()
+	if r.rank() != other.rank() {
+		return r.rank() < other.rank()
+	}
+	return !r.returned() && other.returned()
+}
+
+// returned reports whether the request has been refused or cut off before, as far
+// as the time tells that it came with.
+func (r *run) returned() bool {
+	return float64(r.deadline.Sub(r.request.Arrived)) < returnedShare*float64(r.usual)
 }
 
 // enqueue puts a request behind those that are as urgent.
@@ -159,11 +226,24 @@
 	s.waiting = slices.Insert(s.waiting, at, w)
 }
 
-// heavyWaiting counts the waiting prompts that are not light.
-func (s *state) heavyWaiting() int {
+// mayWait reports whether one more request like r may wait.
+func (s *state) mayWait(r *run) bool {
+	if r.light() {
+		return true
+	}
+	most := s.patience.heavy
+	if r.returned() {
+		most = s.patience.returned
+	}
+	return s.heavyWaiting(r.returned()) < most
+}
+
+// heavyWaiting counts the waiting prompts that are not light, of those that have
+// come back or of the others.
+func (s *state) heavyWaiting(returned bool) int {
 	n := 0
 	for _, w := range s.waiting {
-		if !w.run.light() {
+		if !w.run.light() && w.run.returned() == returned {
 			n++
 		}
 	}
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -28,6 +28,7 @@
 func (s *state) describe(prompt *Prompt, salt string, engine *catalog.Engine, candidates []*upstreamState, addresses []string, now time.Time) described {
 	d := described{salt: salt, keys: make([]holdings.Key, len(prompt.Parts))}
 	d.prompt = placement.Prompt{Parts: prompt.Parts, Output: prompt.Output, TokenBytes: engine.TokenBytes, Whole: make([][]int, len(prompt.Parts))}
+	d.prompt.Told = s.cachesTold(candidates)
 	for i, part := range prompt.Parts {
 		d.keys[i] = holdings.Key{Salt: salt, Part: part.ID}
 		for index, address := range addresses {
@@ -46,6 +47,17 @@
 	return d
 }
 
+// cachesTold reports whether this entry is told what most of the runners have cached.
+func (s *state) cachesTold(candidates []*upstreamState) bool {
+	told := 0
+	for _, u := range candidates {
+		if s.book.Shelf(u.record.Address).Len() > 0 {
+			told++
+		}
+	}
+	return 2*told > len(candidates)
+}
+
 // storeList describes the stores of the configuration that are followed, and
 // the runners, whose caches others may fetch from.
 func (s *state) storeList(runners []*upstreamState, engine *catalog.Engine, now time.Time) ([]placement.Store, []string) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/estimate"
 	"github.com/lovagereach/lovagereach/holdings"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/roster"
@@ -82,8 +83,12 @@
 	waiting  []*waiter
 	patience patience
 	budgets  *budgets
-	// readPerMs is how many tokens a runner reads in a millisecond.
-	readPerMs float64
+	// learned is what was observed of each service's engines and prompts; startPerMs
+	// is the reading pace in tokens a millisecond that they begin with.
+	learned    map[string]*learned
+	startPerMs float64
+	// times are the longest times that requests come with, by route.
+	times map[string]*estimate.Longest
 }
 
 // storeState is what this entry knows of a store, or of a runner's cache.
@@ -102,8 +107,12 @@
 	until  time.Time
 }
 
-func newState() *state {
+func newState(startPerMs float64) *state {
 	return &state{
+		learned:    make(map[string]*learned),
+		startPerMs: startPerMs,
+		times:      make(map[string]*estimate.Longest),
+
 		started: make(chan struct{}),
 		stocked: make(chan struct{}),
 		weights: make(map[string]uint64),
@@ -115,10 +124,17 @@
 		recent:  newRecentParts(),
 		budgets: newBudgets(),
 
-		patience: patience{longest: waitMost, heavy: waitingMost},
+		patience: patience{heavy: waitingMost, returned: returnedMost},
 	}
 }
 
+// shelvesUrgent is how old the word on the stores may be before it is asked for at
+// once, without waiting for news. An entry that starts beside its control hosts asks
+// one that is not up yet, and is answered 1 s later, when its connection is tried
+// again: by an answer too old to rely on. The next one came 0.2 s later, and up to
+// 0.7 M shared tokens were read again meanwhile.
+const shelvesUrgent = steward.ShelfTrust / 2
+
 // request returns what this entry holds, for the next watch.
 func (s *state) request(view steward.EntryView) *steward.WatchRequest {
 	s.mu.Lock()
@@ -126,6 +142,10 @@
 	request := &steward.WatchRequest{
 		Entry: &view, Weights: s.weightsR, Roster: s.rosterR, Term: s.term,
 	}
+	if time.Since(s.shelvesAt) > shelvesUrgent {
+		// A host that does not know the term as its own answers at once.
+		request.Term = 0
+	}
 	question := s.book.Ask()
 	request.Shelves = &question
 	if s.index != nil {
@@ -297,13 +317,14 @@
 }
 
 // noteStocked ends the wait for the first word on what the stores hold, and for the
-// upstreams' clock, without which nothing can be fetched from them. Stores
+// upstreams' clock, without which nothing can be fetched from them. A word that is
+// too old to rely on when it comes is none. Stores
 // that are down for long must not hold up requests for ever.
 func (s *state) noteStocked(now time.Time) {
 	if s.index == nil || s.isStocked() {
 		return
 	}
-	if len(s.index.Stores()) == 0 || (s.anyOpen() && s.clock > 0) || now.Sub(s.startedAt) >= startWait {
+	if len(s.index.Stores()) == 0 || (s.anyOpen() && s.clock > 0 && s.shelvesTrusted(now)) || now.Sub(s.startedAt) >= stockedWait {
 		close(s.stocked)
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -108,6 +108,9 @@
 	Whole [][]int
 	// Cached tells whether a runner has very likely still got a part.
 	Cached func(runner, part int) bool
+	// Told reports that the runners' caches are known: what Cached denies is in none
+	// of them but for what was read in the last moments.
+	Told bool
 	// TokenBytes is the size of a token's memory.
 	TokenBytes int
 }
@@ -132,6 +135,9 @@
 	Fetch []int
 	// Reads are the tokens that the runner is expected to read.
 	Reads int
+	// Certain tells that the runner reads the whole prompt: nothing of it is known
+	// or guessed to be there, and nothing is fetched.
+	Certain bool
 	// CostMs is the weighed prediction in milliseconds.
 	CostMs float64
 	// Home tells that the runner is the first by hash.
@@ -195,7 +201,7 @@
 }
 
 func evaluate(rates *Rates, p *Prompt, index int, r *Runner, stores []Store, home bool, known []bool) Choice {
-	c := Choice{Runner: index, Home: home, Fetch: make([]int, len(p.Parts))}
+	c := Choice{Runner: index, Home: home, Fetch: make([]int, len(p.Parts)), Certain: true}
 	ms := 0.0
 	read := 0.0
 	chain := true // the parts so far need no reading
@@ -211,6 +217,7 @@
 		switch {
 		case p.Cached != nil && p.Cached(index, i):
 			absent = 0.1
+			c.Certain = false
 		case home && store >= 0:
 			absent = 1 - rates.HomePull
 		case home && !known[i]:
@@ -220,11 +227,14 @@
 		}
 		if store >= 0 && chain && fetchMs < rates.againMs(part) {
 			c.Fetch[i] = store
+			c.Certain = false
 			ms += absent * (fetchMs + rates.MoveMsPerToken*float64(part.Tokens))
 			continue
 		}
 		if absent == 1 {
 			chain = false
+		} else if !p.Told {
+			c.Certain = false
 		}
 		read += absent * float64(part.Tokens)
 		ms += absent * rates.RereadMsPerToken * float64(part.Tokens)
