--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,7 +13,6 @@
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/steward"
-	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/placement"
 )
@@ -27,27 +26,6 @@
 	comeBackLoaded = time.Second
 	// comeBackFull is the same after an upstream said that it is full.
 	comeBackFull = 80 * time.Millisecond
-	// startWait is how long a request waits for the first word of the control
-	// hosts to an entry that has just started, and startShare the part of its own time that
-	// it may wait. After a restart of all processes the word comes 0.6 to 0.9 s
-	// after an entry has started: hosts start up to 0.4 s apart, and an election
-	// takes 0.4 s. Callers come back once or twice only, and most of those that ask
-	// then were cut off before: refused, they are lost. No other entry serves
-	// them meanwhile; half of their time is left for the answer.
-	startWait  = 1500 * time.Millisecond
-	startShare = 0.5
-	// stockedWait is how long large prompts wait after it for the first word on the
-	// stores. Stores that are down for long must not hold up requests for ever.
-	stockedWait = 600 * time.Millisecond
-	// stockedWaitLight is the same for short prompts with shared parts: the word comes
-	// 30 to 60 ms after the configuration, and reading them again costs little.
-	stockedWaitLight = 100 * time.Millisecond
-	// startSpread is over how long requests are let go that are late by then.
-	// The next word of the control hosts brings the other entries' loads in
-	// 0.15 s.
-	startSpread = 400 * time.Millisecond
-	// startingMost bounds the requests that wait so. Each takes a few KB.
-	startingMost = 1024
 	// leastWait is the least time left that makes a send worth while.
 	leastWait = 10 * time.Millisecond
 	// defaultWait bounds requests whose caller does not say how long it waits.
@@ -186,59 +164,6 @@
 	waited time.Duration
 }
 
-// awaitStart returns the configuration in force. An entry that has just started
-// lets requests wait for it a little, and prompts with shared parts also for the
-// word on what the stores hold: without it each would be read from its first
-// token, all at once.
-func (g *Gateway) awaitStart(ctx context.Context, request *Request) (index *catalog.Index, waited bool) {
-	index = g.Index()
-	if index != nil && (request.Prompt == nil || g.state.isStocked()) {
-		return index, false
-	}
-	if g.starting.Add(1) <= startingMost {
-		longest := startWait
-		if request.Wait > 0 {
-			longest = min(longest, time.Duration(startShare*float64(request.Wait)))
-		}
-		ctx, cancel := context.WithTimeout(ctx, longest)
-		defer cancel()
-		awaitClosed(ctx, g.state.started)
-		if request.Prompt != nil && len(request.Prompt.Parts) > 1 {
-			g.awaitStocked(ctx, request.Prompt)
-		}
-	}
-	g.starting.Add(-1)
-	return g.Index(), true
-}
-
-// awaitStocked waits for the first word on the stores, for a short prompt only as
-// long as such a word takes that has been asked for.
-func (g *Gateway) awaitStocked(ctx context.Context, prompt *Prompt) {
-	if prompt.size() <= lightTokens {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, stockedWaitLight)
-		defer cancel()
-	}
-	awaitClosed(ctx, g.state.stocked)
-}
-
-// spread delays a request that waited for the start of this entry and is late
-// already. All entries start at once and know nothing of each other's requests
-// yet: let go together, those that waited would make the ones late that come
-// after them.
-func spread(ctx context.Context, request *Request, route *catalog.Route) {
-	if time.Since(request.Arrived) > route.Target {
-		wait.For(ctx, rand.N(startSpread))
-	}
-}
-
-func awaitClosed(ctx context.Context, closed <-chan struct{}) {
-	select {
-	case <-closed:
-	case <-ctx.Done():
-	}
-}
-
 // admit finds the route, the team and the time left.
 func (g *Gateway) admit(ctx context.Context, request *Request) (*run, error) {
 	index, waited := g.awaitStart(ctx, request)
