--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lovagereach/lovagereach/estimate"
@@ -92,11 +93,13 @@
 
 // slowestReading is the reading pace in tokens a millisecond of the slowest service.
 func (s *state) slowestReading() float64 {
-	slowest := s.startPerMs
+	slowest := 0.0
 	for _, l := range s.learned {
-		slowest = min(slowest, l.reading.PerMs())
+		if perMs := l.reading.PerMs(); slowest == 0 || perMs < slowest {
+			slowest = perMs
+		}
 	}
-	return slowest
+	return cmp.Or(slowest, s.startPerMs)
 }
 
 // largestLight is the largest size in tokens that counts as light at any service.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -151,11 +151,14 @@
 	if len(runners) == 0 {
 		return best, false
 	}
-	home, known := p.home(salt, runners), p.known(len(runners))
+	home := p.home(salt, runners)
+	// Two lists by turns: one of its own for each candidate was most of the time.
+	spare := make([]int, len(p.Parts))
+	best.Fetch = make([]int, len(p.Parts))
 	for i := range runners {
-		choice := evaluate(rates, p, i, &runners[i], stores, i == home, known)
+		choice := evaluate(rates, p, i, runners, stores, i == home, spare)
 		if best.Runner < 0 || choice.CostMs < best.CostMs {
-			best = choice
+			best, spare = choice, best.Fetch
 		}
 	}
 	return best, true
@@ -184,24 +187,23 @@
 	return home
 }
 
-// known tells for each part whether any runner has very likely still got it.
-func (p *Prompt) known(runners int) []bool {
-	known := make([]bool, len(p.Parts))
+// knownAnywhere reports whether any of the runners has very likely still got a part.
+func (p *Prompt) knownAnywhere(runners, part int) bool {
 	if p.Cached == nil {
-		return known
+		return false
 	}
-	for part := range max(len(p.Parts)-1, 0) {
-		for runner := range runners {
-			if known[part] = p.Cached(runner, part); known[part] {
-				break
-			}
+	for runner := range runners {
+		if p.Cached(runner, part) {
+			return true
 		}
 	}
-	return known
+	return false
 }
 
-func evaluate(rates *Rates, p *Prompt, index int, r *Runner, stores []Store, home bool, known []bool) Choice {
-	c := Choice{Runner: index, Home: home, Fetch: make([]int, len(p.Parts)), Certain: true}
+// evaluate weighs one runner. It writes what to fetch into fetch.
+func evaluate(rates *Rates, p *Prompt, index int, runners []Runner, stores []Store, home bool, fetch []int) Choice {
+	r := &runners[index]
+	c := Choice{Runner: index, Home: home, Fetch: fetch, Certain: true}
 	ms := 0.0
 	read := 0.0
 	chain := true // the parts so far need no reading
@@ -220,7 +222,7 @@
 			c.Certain = false
 		case home && store >= 0:
 			absent = 1 - rates.HomePull
-		case home && !known[i]:
+		case home && !p.knownAnywhere(len(runners), i):
 			// Where it is known to be elsewhere, the guess that it is here draws the
 			// prompt away from it.
 			absent = 1 - rates.FirstPull
