--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -73,7 +73,7 @@
 			Address: service.Store.Address, DataCentre: service.Store.DataCentre, LinkMbps: service.Store.LinkMbps,
 			FirstByte: service.Store.FirstByte, Capacity: service.Store.CapacityTokens,
 			Used: s.book.Shelf(service.Store.Address).Tokens() + known.pendingTokens(now), Open: trusted && known.open,
-			Queued: known.own + known.others, Slowness: known.pace.slowness(now),
+			Queued: known.own + known.others,
 		})
 		addresses = append(addresses, service.Store.Address)
 	}
@@ -85,7 +85,7 @@
 		stores = append(stores, placement.Store{
 			Address: u.record.Address, DataCentre: u.record.DataCentre, LinkMbps: engine.LinkMbps,
 			Open: trusted && !now.Before(u.trust.avoided) && !u.silent, Risk: cacheRisk,
-			Queued: known.own + known.others, Slowness: known.pace.slowness(now),
+			Queued: known.own + known.others,
 		})
 		addresses = append(addresses, u.record.Address)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -74,9 +74,6 @@
 	Open bool
 	// Queued are the tokens that others are already waiting for.
 	Queued int
-	// Slowness is how many times longer its transfers take than its link says;
-	// zero counts as one.
-	Slowness float64
 	// Risk is the probability that a part is gone by the time of the fetch, as
 	// it may be from a runner's cache.
 	Risk float64
@@ -302,7 +299,7 @@
 	if store.DataCentre != r.DataCentre {
 		own *= rates.CrossFactor
 	}
-	return (own + perToken*float64(store.Queued)) * max(store.Slowness, 1)
+	return own + perToken*float64(store.Queued)
 }
 
 func hash(a, b string) uint64 {
