estimate: light is also twice the usual size, within a twentieth of the memory

Cause: 0.7 of the mean size tells small from large where both come. Where all prompts are of one size, it holds back half of them as large ones. Change: light is up to 0.7 of the mean or twice the median, whichever is more, and never more than a twentieth of a runner's memory. The test of sizes has the case of one size.

--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -73,7 +73,8 @@
 }
 
 // Many quick checks stand beside a few long reviews. Whatever their sizes are, the
-// checks have to count as light and the reviews not.
+// checks have to count as light and the reviews not. Where all are of much the same
+// size, none may be held back for being large.
 func TestLightLiesBetweenSmallAndLarge(t *testing.T) {
 	for _, scale := range []float64{0.25, 1, 4, 16} {
 		s := NewSize(2000)
@@ -88,6 +89,15 @@
 			t.Errorf("sizes of 600 and 12000 times %v: light up to %.0f", scale, light)
 		}
 	}
+	for _, size := range []int{40, 400, 9000} {
+		same := NewSize(2000)
+		for i := range 500 {
+			same.Observe(size + (i%5-2)*size/10)
+		}
+		if light := same.Light(); light < size*13/10 || light > 3*size {
+			t.Errorf("all prompts are of about %d tokens: light up to %d", size, light)
+		}
+	}
 	s := NewSize(2000)
 	for range 10 {
 		s.Observe(90000)
--- a/estimate/size.go
+++ b/estimate/size.go
@@ -9,13 +9,18 @@
 	// lightShare is the share of the mean size up to which a prompt is light: where
 	// a few large prompts stand beside many small ones, it lies between the two.
 	lightShare = 0.7
+	// usualTimes is how many times the median size is light at the least: where all
+	// prompts are of much the same size, none is larger than the others.
+	usualTimes = 2
+	// medianStep is the share by which the median follows each prompt.
+	medianStep = 0.02
 )
 
 // Size estimates up to which size a prompt is light beside the others that come.
 type Size struct {
-	start int
-	seen  int
-	mean  float64
+	start        int
+	seen         int
+	mean, median float64
 }
 
 // NewSize returns an estimate that begins with start tokens.
@@ -28,7 +33,16 @@
 	if s.seen <= sizeLeast {
 		weight = 1 / float64(s.seen)
 	}
-	s.mean += weight * (float64(max(tokens, 0)) - s.mean)
+	size := float64(max(tokens, 1))
+	s.mean += weight * (size - s.mean)
+	switch {
+	case s.median == 0:
+		s.median = size
+	case size > s.median:
+		s.median *= 1 + medianStep
+	case size < s.median:
+		s.median /= 1 + medianStep
+	}
 }
 
 // Light is the largest size in tokens that counts as light.
@@ -36,5 +50,5 @@
 	if s.seen < sizeLeast {
 		return s.start
 	}
-	return int(lightShare * s.mean)
+	return int(max(lightShare*s.mean, usualTimes*s.median))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,7 +199,7 @@
 	r.usual = g.state.noteTime(route.Name, patience)
 	r.service = pickTarget(route.Targets)
 	if request.Prompt != nil {
-		r.lightUpTo = g.state.noteSize(r.service, request.Prompt.size())
+		r.lightUpTo = r.lightOf(index.Service(r.service))
 	}
 	return r, nil
 }
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -22,6 +22,10 @@
 	// each token of memory and reading as the others: of the overload they feel as
 	// little as possible.
 	lightTokens = 2000
+	// lightMemory is the part of a runner's memory that a light prompt takes at most:
+	// prompts that fill it with less than 20 have to wait for room, whatever their size
+	// beside the others.
+	lightMemory = 0.05
 	// roomTokens is the part of a runner's memory that prompts under way may
 	// fill; the rest keeps cached parts. Light ones may fill more.
 	roomTokens      = 0.85
@@ -86,6 +90,16 @@
 	return r.request.Prompt == nil || r.request.Prompt.size() <= cmp.Or(r.lightUpTo, lightTokens)
 }
 
+// lightOf is up to which size a prompt for a service is light: small beside the
+// others that come, and beside a runner's memory.
+func (r *run) lightOf(service *catalog.Service) int {
+	upTo := r.gateway.state.noteSize(r.service, r.request.Prompt.size())
+	if service == nil || service.Engine == nil || service.Engine.MemoryTokens <= 0 {
+		return upTo
+	}
+	return max(min(upTo, int(lightMemory*float64(service.Engine.MemoryTokens))), 1)
+}
+
 // size is the most memory that a prompt and its answer take, in tokens.
 func (p *Prompt) size() int {
 	tokens := p.Output
