--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -129,9 +129,9 @@
 
 // shelvesUrgent is how old the word on the stores may be before it is asked for at
 // once, without waiting for news. An entry that starts beside its control hosts asks
-// one that is not up yet, and is answered 1 s later, when its connection is tried
-// again: by an answer too old to rely on. The next one came 0.2 s later, and up to
-// 0.7 M shared tokens were read again meanwhile.
+// one that is not up yet, and is answered 1 s later by an answer too old to rely on.
+// For want of the next one 0.73 M shared tokens were read again after one restart,
+// and 0.04 M when it is asked for at once.
 const shelvesUrgent = steward.ShelfTrust / 2
 
 // request returns what this entry holds, for the next watch.
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -334,8 +334,9 @@
 
 // askClock asks for the upstreams' clock where it is not known yet. Listings don't
 // tell it, and a question for events is kept open for storeWait: entries that
-// started with all other hosts knew for 0.25 s what the stores hold and could
-// permit no fetch, and had 0.8 million shared tokens read again meanwhile.
+// started with all other hosts knew what the stores hold and could permit no fetch.
+// With the clock, and no store told as open before it is listed, 11 in 100 fewer
+// shared tokens were read again, mean of 15 days that end with a restart.
 func (k *shelves) askClock(ctx context.Context, address string, next uint64) {
 	if k.clock(time.Now()) != 0 {
 		return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -162,9 +162,9 @@
 }
 
 // home is the first runner by hash that has room, or of all if none has. A part
-// that nobody has read yet is nowhere cheaper: kept for a first runner that is
-// full, four in five of the long prompts that were refused on a day of many new
-// parts had room elsewhere.
+// that nobody has read yet is nowhere cheaper: of 58 long prompts refused in 34 calm
+// seconds, 56 had waited for a first runner that was full, with a part that stood
+// nowhere.
 func (p *Prompt) home(salt string, runners []Runner) int {
 	at := p.anchor()
 	if at < 0 {
