gateway: a failing test of the caches asked at older weights

Cause: read in the change as a whole: once a runner with older weights is chosen, the prompt is described again for a list of one runner, but what is cached is asked for the first of all candidates. A prompt may count as cached at a runner that has nothing of it, and those after it wait behind tokens that nobody counted.

--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/lovagereach/lovagereach/holdings"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/placement"
@@ -135,3 +136,32 @@
 		t.Fatalf("%d sends, ends %q: %v", sender.count(), got.ends, got.cause)
 	}
 }
+
+// One runner has new weights and no room, the other the weights before. A prompt is
+// sent to the second. What the first has cached of the older weights must not count as
+// the second's: it would be given a prompt as if it had little to read, and prompts
+// that come after would wait behind what nobody counted.
+func TestACacheOfAnotherRunnerDoesNotCountAtOlderWeights(t *testing.T) {
+	g, _ := testGateway(t, nil)
+	s, now := g.state, time.Now()
+	newer, older := s.members["l1"], s.members["l2"]
+	newer.learn("m", 2)
+	newer.own.Requests = 100
+	shared := placement.Part{ID: "shared", Tokens: 9000}
+	s.recent.note(holdings.Key{Salt: salt("m", 1, nil), Part: shared.ID}, newer.life(), now)
+	r := request("/stream/x")
+	r.Prompt = prompt(shared, placement.Part{ID: "own", Tokens: 500})
+	admitted, err := g.admit(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := admitted.tryPlan(now)
+	if err != nil || p == nil || p.upstream != older {
+		t.Fatalf("plan %+v, %v", p, err)
+	}
+	// Of the shared part, 0.15 are to be read where nothing is known, 0.1 where it is
+	// known to be cached.
+	if p.reads < 1800 {
+		t.Errorf("%d tokens count as to be read, as if the other runner's cache were its own; want 1850", p.reads)
+	}
+}
