gateway: caches asked at older weights are those of the chosen runner

Cause: after the choice of a runner with older weights its caches were looked up in the list of all candidates, by its place in a list of one: those of the first candidate counted as its own. Change: both lists are the chosen runner's.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -248,8 +248,9 @@
 	p.upstream = candidates[choice.Runner]
 	if has := r.versionOf(p.upstream); has != version {
 		version = has
-		asked = s.describe(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates, addresses, now)
-		choice, _ = placement.Choose(&rates, asked.salt, &asked.prompt, runners[choice.Runner:choice.Runner+1], stores)
+		chosen := choice.Runner
+		asked = s.describe(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates[chosen:chosen+1], addresses, now)
+		choice, _ = placement.Choose(&rates, asked.salt, &asked.prompt, runners[chosen:chosen+1], stores)
 	}
 	p.choice = choice
 	p.fetchMs = fetchMs(&asked.prompt, choice, stores)
