--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -216,3 +216,27 @@
 		t.Fatalf("the store with three times the room takes %.2f of the parts", share)
 	}
 }
+
+// Short prompts come whose parts stand in a quick store, and most runners have nothing
+// to do: for each prompt, many are as good as each other. Entries that chose the first
+// of a list would all send to one runner, until words on its load came, and to the next
+// one then.
+func TestPromptsSpreadOverEquallyGoodRunners(t *testing.T) {
+	list := runners(26)
+	store := Store{Address: "s", DataCentre: "north", LinkMbps: 130000, FirstByte: 500 * time.Microsecond, Capacity: 500000, Open: true}
+	sent := make(map[int]int)
+	const prompts = 2600
+	for i := range prompts {
+		p := &Prompt{Parts: []Part{{fmt.Sprintf("p%d", i), 250}, {"own", 80}}, Output: 3, TokenBytes: 18432, Whole: [][]int{{0}, nil}}
+		// The first runner by hash has something to read.
+		first := choose(t, p, list, []Store{store}).Runner
+		list[first].Unread = 300
+		sent[choose(t, p, list, []Store{store}).Runner]++
+		list[first].Unread = 0
+	}
+	for runner, n := range sent {
+		if n > 2*prompts/len(list) {
+			t.Errorf("runner %d gets %d of %d prompts", runner, n, prompts)
+		}
+	}
+}
