placement: equally good runners are told apart by hash, old words fade

Change: costs within half a millisecond are equal, and the hash of runner and prompt decides; what the others had to be read counts less by what a runner reads in the time since the word was asked for. First reads pass over the first three runners by hash at most: in a long overload a part was read wherever room was.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -222,6 +222,7 @@
 	}
 	needed := r.need(s, service, prompt.size(), own)
 	rates := s.ratesOf(service.Name, r.gateway.options.Rates)
+	read := int(rates.ReadPerMs * milliseconds(now.Sub(s.loadsAt)))
 	runners := make([]placement.Runner, len(candidates))
 	version := uint64(0)
 	for i, u := range candidates {
@@ -237,7 +238,7 @@
 		runners[i] = placement.Runner{
 			ID: u.record.ID, DataCentre: u.record.DataCentre, Slots: u.record.Slots, Memory: service.Engine.MemoryTokens,
 			Requests: u.own.Requests + u.others.Requests, Tokens: u.own.Tokens + u.others.Tokens,
-			Unread: u.own.Unread + u.others.Unread, Distrust: extra, Full: full,
+			Unread: u.own.Unread + max(u.others.Unread-read, 0), Distrust: extra, Full: full,
 		}
 	}
 	stores, addresses := s.storeList(candidates, service.Engine, now)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -17,7 +17,8 @@
 	record roster.Upstream
 	// silent tells that the control hosts have not heard it lately.
 	silent bool
-	// own and others are the work under way, of this entry and of the others.
+	// own and others are the work under way, of this entry and, as of the state's
+	// loadsAt, of the others.
 	own, others steward.Load
 	trust       trust
 	// loading tells that the runner is being ordered to load weights.
@@ -73,6 +74,8 @@
 	book      *holdings.Book
 	shelvesAt time.Time
 	term      uint64
+	// loadsAt is when the others' loads were asked for.
+	loadsAt time.Time
 	// clock is the upstreams' clock at clockAt, 0 when unknown.
 	clock   int64
 	clockAt time.Time
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -148,40 +148,78 @@
 	if len(runners) == 0 {
 		return best, false
 	}
-	home := p.home(salt, runners)
+	key := p.key(salt)
+	home := p.home(key, runners)
 	// Two lists by turns: one of its own for each candidate was most of the time.
 	spare := make([]int, len(p.Parts))
 	best.Fetch = make([]int, len(p.Parts))
+	step, score := 0.0, uint64(0)
 	for i := range runners {
 		choice := evaluate(rates, p, i, runners, stores, i == home, spare)
-		if best.Runner < 0 || choice.CostMs < best.CostMs {
+		at := math.Floor(choice.CostMs / equalMs)
+		if best.Runner >= 0 && at > step {
+			continue
+		}
+		own := hash(runners[i].ID, key)
+		if best.Runner < 0 || at < step || own > score {
 			best, spare = choice, best.Fetch
+			step, score = at, own
 		}
 	}
 	return best, true
 }
 
-// home is the first runner by hash that has room, or of all if none has. A part
-// that nobody has read yet is nowhere cheaper: of 58 long prompts refused in 34 calm
-// seconds, 56 had waited for a first runner that was full, with a part that stood
-// nowhere.
-func (p *Prompt) home(salt string, runners []Runner) int {
-	at := p.anchor()
-	if at < 0 {
+// equalMs is the step in milliseconds within which two runners are as good as each
+// other for a caller. The hash decides between them: by the order of a list, or
+// by a difference that all entries are told alike, all would choose the same one.
+const equalMs = 0.5
+
+// key is what runners are ordered by for the prompt: that of its last shared part,
+// or its own where nothing is shared.
+func (p *Prompt) key(salt string) string {
+	if len(p.Parts) == 0 {
+		return salt
+	}
+	return salt + "/" + p.Parts[max(p.anchor(), 0)].ID
+}
+
+// firstReads is how many runners may be the first to read a part. One that is full
+// for a moment is passed over; where three are, the fleet is, and a part that is read
+// at each runner that has room is read again wherever its next prompt goes.
+const firstReads = 3
+
+// home is the first runner by hash that has room among the first few, or the first of
+// all if none of them has. A part that nobody has read yet is nowhere cheaper: of 58
+// long prompts refused in 34 calm seconds, 56 had waited for a first runner that was
+// full, with a part that stood nowhere.
+func (p *Prompt) home(key string, runners []Runner) int {
+	if p.anchor() < 0 {
 		return -1
 	}
-	home, top := -1, uint64(0)
-	key := salt + "/" + p.Parts[at].ID
+	var first [firstReads]struct {
+		runner int
+		score  uint64
+	}
+	count := 0
 	for i := range runners {
 		score := hash(runners[i].ID, key)
-		switch {
-		case home < 0, runners[home].Full && !runners[i].Full:
-		case runners[i].Full && !runners[home].Full, score <= top:
+		at := count
+		for at > 0 && first[at-1].score < score {
+			at--
+		}
+		if at == firstReads {
 			continue
 		}
-		home, top = i, score
+		count = min(count+1, firstReads)
+		copy(first[at+1:count], first[at:])
+		first[at].runner, first[at].score = i, score
+	}
+	for _, f := range first[:count] {
+		if !runners[f.runner].Full {
+			return f.runner
+		}
 	}
-	return home
+	return first[0].runner
 }
 
 // knownAnywhere reports whether any of the runners has very likely still got a part.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -240,3 +240,25 @@
 		}
 	}
 }
+
+// In a long overload nearly every runner is full, and each has room for a moment now
+// and then. A part that nobody has read yet, sent wherever room is just then, would be
+// read there, and again wherever its next prompt finds room. It meets at one of the
+// first three runners by hash, or waits for the first.
+func TestFirstReadsStayTogetherInAnOverload(t *testing.T) {
+	list := runners(30)
+	homes := make(map[int]bool)
+	for room := range list {
+		for i := range list {
+			list[i].Full, list[i].Distrust = i != room, 0
+			if i != room {
+				list[i].Distrust = 800 * time.Millisecond
+			}
+		}
+		p := long()
+		homes[p.home(p.key("m.1"), list)] = true
+	}
+	if len(homes) != firstReads {
+		t.Errorf("%d runners are the first to read a part by turns, want %d", len(homes), firstReads)
+	}
+}
