roster, catalog: entries are told what changed, and no source of a configuration

Cause: each change of one upstream sent the whole roster to every entry, and each configuration went to every entry with the operator's own text beside what was read from it, which only control hosts read back. The source is left out. Result: TestChangesSinceARevisionLeadToTheRoster: a thousand changes with readers that lag, who hold the roster at each step.

--- a/catalog/document.go
+++ b/catalog/document.go
@@ -136,3 +136,11 @@
 	// Source is the document as the operator wrote it, for reading back.
 	Source []byte `cbor:"7,keyasint"`
 }
+
+// WithoutSource returns the document as entries need it. They read nothing back to
+// the operator, and the source is four fifths of a large document's bytes.
+func (d *Document) WithoutSource() *Document {
+	brief := *d
+	brief.Source = nil
+	return &brief
+}
--- a/internal/gateway/told.go
+++ b/internal/gateway/told.go
@@ -29,8 +29,8 @@
 	for _, f := range answer.Floor {
 		s.floor[f.Model] = max(s.floor[f.Model], f.Version)
 	}
-	if answer.Roster != nil && answer.Roster.Revision >= s.rosterR {
-		s.enrol(answer.Roster)
+	if r := answer.Roster; r != nil && r.Revision >= s.rosterR && r.Since <= s.rosterR {
+		s.enrol(r)
 	}
 	if answer.Partial {
 		s.dispatch(time.Now())
@@ -60,10 +60,16 @@
 	return index
 }
 
+// enrol takes in the roster, or what changed of it since a revision that this entry
+// has come to.
 func (s *state) enrol(view *steward.RosterView) {
 	s.rosterR = view.Revision
 	present := make(map[string]bool, len(view.Upstreams))
 	for _, record := range view.Upstreams {
+		if record.State == roster.Gone {
+			delete(s.members, record.ID)
+			continue
+		}
 		present[record.ID] = true
 		known := s.members[record.ID]
 		if known != nil && known.record.Born == record.Born {
@@ -81,7 +87,9 @@
 			delete(s.stores, record.Address)
 		}
 	}
-	maps.DeleteFunc(s.members, func(id string, _ *upstreamState) bool { return !present[id] })
+	if view.Since == 0 {
+		maps.DeleteFunc(s.members, func(id string, _ *upstreamState) bool { return !present[id] })
+	}
 	s.serving = make(map[string][]*upstreamState)
 	for _, id := range slices.Sorted(maps.Keys(s.members)) {
 		u := s.members[id]
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -275,7 +275,7 @@
 	defer m.mu.Unlock()
 	found := false
 	if m.document != nil && m.document.Version > request.Document {
-		answer.Document = m.document
+		answer.Document = m.document.WithoutSource()
 		found = true
 	}
 	if m.weightsRevision > request.Weights {
@@ -283,12 +283,21 @@
 		found = true
 	}
 	if m.roster.Revision() > request.Roster {
-		answer.Roster = &RosterView{Revision: m.roster.Revision(), Upstreams: m.roster.Live()}
+		answer.Roster = m.rosterAfter(request.Roster)
 		found = true
 	}
 	return found
 }
 
+// rosterAfter is what a reader lacks that holds a revision of the roster. The caller
+// holds the lock.
+func (m *Machine) rosterAfter(held uint64) *RosterView {
+	if changed, known := m.roster.Since(held); known {
+		return &RosterView{Revision: m.roster.Revision(), Upstreams: changed, Since: held}
+	}
+	return &RosterView{Revision: m.roster.Revision(), Upstreams: m.roster.Live()}
+}
+
 // revisions tell how far a state has come.
 type revisions struct {
 	document catalog.Version
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -79,10 +79,12 @@
 	Newest   []roster.Loaded `cbor:"2,keyasint"`
 }
 
-// RosterView is the roster without those who are gone.
+// RosterView is the roster without those who are gone or, to who holds revision
+// Since of it, the upstreams that changed after it, those that are gone among them.
 type RosterView struct {
 	Revision  uint64            `cbor:"1,keyasint"`
 	Upstreams []roster.Upstream `cbor:"2,keyasint"`
+	Since     uint64            `cbor:"3,keyasint,omitempty"`
 }
 
 // ShelfState is whether one store may be used.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -89,11 +89,15 @@
 	revision uint64
 	// births tells that an upstream has told its birth.
 	births bool
+	// changed is the revision of each upstream's latest change, as far as this host
+	// knows: of all that came after revision floor.
+	changed map[string]uint64
+	floor   uint64
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{upstreams: make(map[string]*Upstream)}
+	return &Roster{upstreams: make(map[string]*Upstream), changed: make(map[string]uint64)}
 }
 
 // Revision grows with every change.
@@ -136,6 +140,7 @@
 	merged := merge(held, a)
 	r.upstreams[a.ID] = &merged
 	r.revision++
+	r.changed[a.ID] = r.revision
 	r.births = r.births || merged.Born != 0
 	switch isGone := merged.State == Gone; {
 	case isGone && !wasGone:
@@ -200,6 +205,9 @@
 func (r *Roster) bury(id string) {
 	r.gone = append(r.gone, id)
 	for len(r.gone) > MaxGone {
+		// Who has not heard of its end must be told all.
+		r.floor = max(r.floor, r.changed[r.gone[0]])
+		delete(r.changed, r.gone[0])
 		delete(r.upstreams, r.gone[0])
 		r.gone = r.gone[1:]
 	}
@@ -225,6 +233,22 @@
 	return live
 }
 
+// Since lists the upstreams that changed after a revision, by name, also those that
+// are gone by now. It reports false where that is not known: a reader is then told
+// all that are live.
+func (r *Roster) Since(revision uint64) ([]Upstream, bool) {
+	if revision == 0 || revision < r.floor || revision > r.revision {
+		return nil, false
+	}
+	var list []Upstream
+	for _, id := range slices.Sorted(maps.Keys(r.changed)) {
+		if r.changed[id] > revision {
+			list = append(list, *r.upstreams[id])
+		}
+	}
+	return list, true
+}
+
 // Saved is a roster's whole state.
 type Saved struct {
 	Upstreams []Upstream `cbor:"1,keyasint"`
@@ -252,4 +276,5 @@
 	}
 	r.gone = slices.Clone(s.Gone)
 	r.revision = s.Revision
+	r.changed, r.floor = make(map[string]uint64), s.Revision
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"reflect"
 	"testing"
 )
@@ -100,3 +101,58 @@
 		t.Fatal("a restored roster forgot who is gone")
 	}
 }
+
+// An entry that holds an older revision is told what changed since, and nothing else.
+// Told too little, it would send requests to upstreams that have left for as long as it
+// runs. A thousand random changes, with readers that lag, skip and come new, and a host
+// that goes on from a snapshot between.
+func TestChangesSinceARevisionLeadToTheRoster(t *testing.T) {
+	random := rand.New(rand.NewPCG(4, 2))
+	r := New()
+	type reader struct {
+		revision uint64
+		held     map[string]Upstream
+	}
+	readers := make([]reader, 4)
+	whole, parts := 0, 0
+	for step := range 1000 {
+		r.Announce(Upstream{
+			ID: fmt.Sprint("u", random.IntN(30)), Service: "s", Address: fmt.Sprint("a", random.IntN(9)),
+			State: State(1 + random.IntN(3)), Sequence: uint64(step), Born: uint64(1 + step/50),
+		})
+		if step%300 == 299 {
+			saved := r.Save()
+			r = New()
+			r.Restore(saved)
+		}
+		reader := &readers[random.IntN(len(readers))]
+		if reader.held == nil || random.IntN(3) > 0 {
+			changed, known := r.Since(reader.revision)
+			if known {
+				parts++
+			} else {
+				whole++
+				changed, reader.held = r.Live(), make(map[string]Upstream)
+			}
+			for _, u := range changed {
+				reader.held[u.ID] = u
+				if u.State == Gone {
+					delete(reader.held, u.ID)
+				}
+			}
+			reader.revision = r.Revision()
+			live := r.Live()
+			if len(live) != len(reader.held) {
+				t.Fatalf("step %d: holds %d of %d upstreams", step, len(reader.held), len(live))
+			}
+			for _, u := range live {
+				if h := reader.held[u.ID]; !same(&h, &u) {
+					t.Fatalf("step %d: holds %+v of %+v", step, h, u)
+				}
+			}
+		}
+	}
+	if parts < 10*whole {
+		t.Errorf("told all %d times, changes %d times", whole, parts)
+	}
+}
