subset, steward: callers use as many entries as they need, of their data centre; control hosts keep time for the rest

Cause: of 291 entries callers were told the first 64 by name, all of one data centre, whose entries prefer its 26 runners. Every entry asked its control host again as soon as it was answered while news came all the time, and every announcement of a runner was passed on to the leader. Change: a pure choice of the entries that are told (subset): the callers' own data centre, as many as their requests need by what the entries tell of themselves, 8 at least. Entries without requests ask seldom. A control host tells watchers to pause, by what its answers take. Announcements that change nothing end at a host in the runner's data centre, which tells the leader who was heard.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,9 @@
 	Sender  Sender
 	Budget  BudgetLimits
 	Rates   placement.Rates
-	Log     *log.Logger
+	// Host's means, by which the entry tells how many requests it takes.
+	Means Means
+	Log   *log.Logger
 	// Decisions takes a line for each request, within its budget.
 	Decisions *decision.Log
 }
@@ -60,6 +62,7 @@
 	// starting counts the requests that wait for the first configuration.
 	starting atomic.Int64
 	meter    *meter
+	traffic  traffic
 }
 
 // New returns a gateway without a configuration; Told brings it one.
@@ -75,9 +78,14 @@
 
 // Ask returns what to watch for next.
 func (g *Gateway) Ask() *steward.WatchRequest {
-	return g.state.request(steward.EntryView{
+	now := time.Now()
+	rate, most := g.traffic.told(now, g.options.Means)
+	request := g.state.request(steward.EntryView{
 		Host: g.options.Host, DataCentre: g.options.DataCentre, Callers: g.options.Callers, Ready: g.Ready(),
+		Rate: rate, Most: most,
 	})
+	request.Idle = g.traffic.idle(now)
+	return request
 }
 
 // Told takes in an answer of the control hosts; sent is when it was asked for.
@@ -115,6 +123,7 @@
 func (g *Gateway) Serve(ctx context.Context, request *Request, respond Responder) {
 	g.open.Add(1)
 	defer g.open.Add(-1)
+	g.traffic.request(len(request.Body), time.Now())
 	r, err := g.admit(ctx, request)
 	if err != nil {
 		g.logRefused(request, err)
--- /dev/null
+++ b/internal/gateway/traffic.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// usualShare is the part of an entry's processor and of its link that its
+	// requests should take: the rest bears a burst, and the loss of another entry.
+	usualShare = 0.3
+	// processorTime is what a request takes of a processor's core: some 0.4 ms where
+	// the choice is among a hundred runners, and the events of its answer.
+	processorTime = 600 * time.Microsecond
+	// headBytes is what a request and its answer take of a link besides the body.
+	headBytes = 2048
+	// rateOver is the time over which the rate of requests is smoothed.
+	rateOver = time.Second
+	// idleAfter is how long an entry without requests counts as in use. Callers that
+	// are told of it use it within the time that they keep addresses for.
+	idleAfter = 2 * time.Second
+)
+
+// Means are what an entry's host has for its requests; zero where it is not told.
+type Means struct {
+	// Cores is its share of a processor in cores, LinkMbps the rate of its link.
+	Cores, LinkMbps float64
+}
+
+// traffic observes the requests that come to an entry.
+type traffic struct {
+	mu sync.Mutex
+	// rate are the requests and bytes the bytes a second, as of last.
+	rate, bytes float64
+	last        time.Time
+}
+
+// request notes one request with a body of so many bytes.
+func (t *traffic) request(body int, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fade(now)
+	t.last = now
+	t.rate += 1 / rateOver.Seconds()
+	t.bytes += float64(body+headBytes) / rateOver.Seconds()
+}
+
+// fade forgets with time. The caller holds the lock.
+func (t *traffic) fade(now time.Time) {
+	if t.last.IsZero() {
+		return
+	}
+	left := math.Exp(-float64(now.Sub(t.last)) / float64(rateOver))
+	t.rate *= left
+	t.bytes *= left
+}
+
+// told returns the requests a second that come, and those that the entry serves well
+// by its means, 0 if they are not told. A request's body passes its link twice, once
+// each way.
+func (t *traffic) told(now time.Time, means Means) (rate, most int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	left := 0.0
+	if !t.last.IsZero() {
+		left = math.Exp(-float64(now.Sub(t.last)) / float64(rateOver))
+	}
+	rate = int(math.Ceil(t.rate * left))
+	if means.Cores <= 0 {
+		return rate, 0
+	}
+	limit := usualShare * means.Cores / processorTime.Seconds()
+	if mean := t.bytes / max(t.rate, 1e-9); means.LinkMbps > 0 && t.rate > 0 {
+		limit = min(limit, usualShare*means.LinkMbps*1e6/8/mean)
+	}
+	return rate, max(int(limit), 1)
+}
+
+// idle reports whether no request has come lately.
+func (t *traffic) idle(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.last) > idleAfter
+}
--- a/internal/steward/branch.go
+++ b/internal/steward/branch.go
@@ -35,6 +35,9 @@
 	watchers *watchers
 	book     *sharedBook
 
+	// hearing are the upstreams heard here.
+	hearing hearing
+
 	mu sync.Mutex
 	// told is the leader's latest answer, which was asked for at asked and came
 	// at came.
@@ -62,6 +65,7 @@
 	held := b.machine.held()
 	request := &WatchRequest{
 		Term: b.told.Term, Document: held.document, Weights: held.weights, Roster: held.roster,
+		Heard: b.hearing.list(now),
 	}
 	if !b.told.Relaying || !held.cover(b.lacked) {
 		return request
@@ -80,6 +84,7 @@
 	if answer.Shelves != nil && b.book.take(answer.Shelves) {
 		b.states, b.shelvesAsked = answer.States, asked
 	}
+	b.hearing.told(asked, came)
 	b.lacked = answer.revisions()
 	b.told, b.asked, b.came = *answer, asked, came
 	b.told.Shelves, b.told.Document, b.told.Weights, b.told.Roster = nil, nil, nil, nil
@@ -99,6 +104,21 @@
 		request.Term <= b.told.Term && b.machine.held().cover(b.lacked)
 }
 
+// fresh reports whether this host has heard from the leader lately and knows all that
+// it knew.
+func (b *branch) fresh(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.asked) <= branchFresh && b.machine.held().cover(b.lacked)
+}
+
+// relays lists the hosts that answer watches, as the leader told.
+func (b *branch) relays() []RelayView {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.told.Relays
+}
+
 // asOf implements bulletin. Where this host serves, its log has come as far as
 // the leader's had when it was asked.
 func (b *branch) asOf(time.Time) time.Time {
@@ -107,6 +127,9 @@
 	return b.asked
 }
 
+// busy implements bulletin.
+func (b *branch) busy() int { return b.watchers.busy() }
+
 // term implements bulletin.
 func (b *branch) term() uint64 {
 	b.mu.Lock()
--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -89,6 +89,8 @@
 	entries int
 	next    int
 	lost    bool
+	// pause is how long the host of the latest answer asked to wait.
+	pause time.Duration
 	// word is the time as of which everything is known that the leader knew, in
 	// microseconds since epoch.
 	word  atomic.Int64
@@ -149,7 +151,7 @@
 		if !f.once(ctx, request, told) {
 			wait.For(ctx, followPause)
 		}
-		wait.For(ctx, followPause)
+		wait.For(ctx, max(followPause, min(f.pause, pauseMost)))
 	}
 }
 
@@ -272,7 +274,7 @@
 		// kept away from those would all have the leader answer them.
 		clear(f.avoided)
 	}
-	f.term, f.entries = answer.Term, answer.EntryCount
+	f.term, f.entries, f.pause = answer.Term, answer.EntryCount, answer.Pause
 	answer.Partial = call.after != f.taken
 	if word := call.sent.Add(-answer.Heard); word.After(f.wordTime()) {
 		f.setWord(word)
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -134,11 +134,13 @@
 	return voters > l.steward.options.Tolerated && now.Sub(l.small) > smallFor
 }
 
-// beat notes that an upstream was heard.
-func (l *leadership) beat(id string, now time.Time) {
+// beat notes that an upstream was heard, here or at another host.
+func (l *leadership) beat(id string, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.beats[id] = now
+	if at.After(l.beats[id]) {
+		l.beats[id] = at
+	}
 }
 
 // lastHeard returns when an upstream was last heard; a new leader gives
@@ -248,6 +250,9 @@
 	l.mu.Lock()
 	l.told = max(l.told, request.Entries)
 	l.mu.Unlock()
+	for _, heard := range request.Heard {
+		l.beat(heard.Upstream, now.Add(-heard.Age))
+	}
 	l.watchers.follow(from, request, now)
 }
 
@@ -304,6 +309,9 @@
 	return l.watchers.relays(now)
 }
 
+// busy implements bulletin.
+func (l *leadership) busy() int { return l.watchers.busy() }
+
 // term implements bulletin.
 func (l *leadership) term() uint64 { return l.elected }
 
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -37,6 +37,10 @@
 	Callers string `cbor:"3,keyasint"`
 	// Ready is false while the entry has no configuration or is leaving.
 	Ready bool `cbor:"4,keyasint"`
+	// Rate are the requests a second that it serves, and Most those that it serves
+	// well, 0 if it can't tell.
+	Rate int `cbor:"5,keyasint,omitempty"`
+	Most int `cbor:"6,keyasint,omitempty"`
 }
 
 // WatchRequest asks the leader for what the caller lacks.
@@ -65,6 +69,12 @@
 	// Entries is the number of entries that the caller was last told, zero for
 	// none. A leader that has just started knows by it how many will call.
 	Entries int `cbor:"12,keyasint,omitempty"`
+	// Idle tells that the caller, an entry, has had no request lately: it needs the
+	// configuration in time, and the rest only to begin with.
+	Idle bool `cbor:"13,keyasint,omitempty"`
+	// Heard are the upstreams that announced themselves to the caller, a control
+	// host, since its latest question that was answered.
+	Heard []Heard `cbor:"14,keyasint,omitempty"`
 }
 
 // RelayView is a control host that answers the watches of entries.
@@ -135,10 +145,14 @@
 	Floor []roster.Loaded `cbor:"21,keyasint,omitempty"`
 	// Heard is the same for Document, Weights and Roster.
 	Heard time.Duration `cbor:"22,keyasint,omitempty"`
+	// Pause is how long the caller should wait before it asks again.
+	Pause time.Duration `cbor:"23,keyasint,omitempty"`
 	// Partial answers came after another one was taken in that was asked for
 	// later, or about as late: only Document, Weights and Roster, which have
 	// revisions, still hold.
 	Partial bool `cbor:"-"`
+	// waited is for how long the watch was kept open.
+	waited time.Duration
 }
 
 // revisions returns how far the parts of the answer have come that the caller
--- a/internal/steward/relaying_test.go
+++ b/internal/steward/relaying_test.go
@@ -109,7 +109,7 @@
 			f.mu.Lock()
 			m := f.running[hostName(i)]
 			f.mu.Unlock()
-			if m != nil && len(m.steward.Addresses()) != len(entries) {
+			if m != nil && len(m.steward.Addresses("", len(entries))) != len(entries) {
 				return false
 			}
 		}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -67,6 +67,7 @@
 	// lead was told by the leader.
 	book   *sharedBook
 	branch *branch
+	pace   pace
 	meter  *meter
 }
 
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -197,7 +197,7 @@
 	}
 	f.await("every control host knows the entry", func() bool {
 		for _, s := range hosts {
-			if len(s.Addresses()) != 1 {
+			if len(s.Addresses("", 64)) != 1 {
 				return false
 			}
 		}
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -69,6 +69,11 @@
 // known to the leader; that an upstream leaves is in the log of a quorum. A word
 // of a former life is acknowledged and changes nothing.
 func (s *Steward) Announce(ctx context.Context, u roster.Upstream) error {
+	now := time.Now()
+	if s.leading.Load() == nil && s.takesBeat(&u, now) {
+		s.branch.hearing.note(u.ID, now)
+		return nil
+	}
 	_, err := s.submit(ctx, submission{Beat: &u})
 	return err
 }
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -9,6 +9,7 @@
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/internal/wire"
+	"github.com/lovagereach/lovagereach/subset"
 )
 
 const (
@@ -19,6 +20,10 @@
 	// caller is then told at once who does; it would else ask the hosts in turn,
 	// and hear of an election 0.1 s after it on average.
 	electionWait = 200 * time.Millisecond
+	// idleWait is the longest that a watch of an entry without requests is kept open.
+	// Its word stays young enough to serve the first request that comes, and to find
+	// in time that the host it asks is gone.
+	idleWait = 200 * time.Millisecond
 	// gather is how long a watch waits for more after the first news, so that
 	// parts that become whole one after the other share an answer.
 	gather = 15 * time.Millisecond
@@ -29,7 +34,11 @@
 	if err := wire.Unmarshal(body, &request); err != nil {
 		return nil, eris.Wrap(err, "steward: watch")
 	}
-	return wire.MustMarshal(s.watch(ctx, from, &request)), nil
+	began := time.Now()
+	answer := s.watch(ctx, from, &request)
+	encoded := wire.MustMarshal(answer)
+	s.pace.note(time.Since(began) - answer.waited)
+	return encoded, nil
 }
 
 // bulletin is what a host tells those who watch it: the leader what it knows
@@ -47,6 +56,8 @@
 	// asOf is the time as of which this host has everything that the leader had.
 	asOf(now time.Time) time.Time
 	term() uint64
+	// busy is the number of watchers that ask often.
+	busy() int
 }
 
 // bulletin returns what this host may answer a watch with, nil if nothing.
@@ -62,6 +73,7 @@
 }
 
 func (s *Steward) watch(ctx context.Context, from port.Peer, request *WatchRequest) *WatchAnswer {
+	asked := time.Now()
 	b := s.bulletin(request)
 	for end := time.Now().Add(electionWait); b == nil && s.Leader() == "" && time.Now().Before(end); {
 		if !wait.For(ctx, leaderPoll) {
@@ -69,27 +81,32 @@
 		}
 		b = s.bulletin(request)
 	}
+	waited := time.Since(asked)
 	if b == nil {
-		return s.redirect(request)
+		return s.redirect(request, waited)
 	}
 	b.follow(from, request, time.Now())
 	answer := &WatchAnswer{}
 	machineNews, shelfNews := s.machine.news(), s.book.news()
 	heard, found := s.fill(b, request, answer)
-	if answer.Shelves == nil {
+	if answer.Shelves == nil || request.Idle {
 		// Who is not told the shelves is not woken by them: a leader that lists all
-		// stores would answer every watch at each listing.
+		// stores would answer every watch at each listing. An entry without requests
+		// is told them when it asks.
 		shelfNews = nil
 	}
 	if !found && request.Term == b.term() {
+		waiting := time.Now()
 		awaitNews(ctx, waitFor(request), machineNews, shelfNews)
+		waited += time.Since(waiting)
 		heard, _ = s.fill(b, request, answer)
 	}
 	now := time.Now()
 	if heard.IsZero() || !b.serves(request, now) {
-		return s.redirect(request)
+		return s.redirect(request, waited)
 	}
 	b.complete(from, answer, now)
+	answer.Pause, answer.waited = s.pauseAfter(b, request, answer), waited
 	answer.Heard = now.Sub(heard)
 	answer.Members = s.memberNames()
 	if request.Entry != nil {
@@ -99,6 +116,20 @@
 	return answer
 }
 
+// pauseAfter is how long a watcher should wait before it asks again. An entry with
+// requests that has been told a part of the shelves asks for the rest at once: until
+// it has all, its prompts are read from the first token.
+func (s *Steward) pauseAfter(b bulletin, request *WatchRequest, answer *WatchAnswer) time.Duration {
+	usual := s.pace.pause(b.busy())
+	switch {
+	case request.Idle:
+		return max(usual, idleWait)
+	case answer.Shelves != nil && answer.Shelves.More && len(answer.Shelves.Sheets) > 0:
+		return 0
+	}
+	return usual
+}
+
 // fill adds what a watcher lacks and reports whether that is anything, and the
 // time as of which it is all, zero if this host does not know.
 func (s *Steward) fill(b bulletin, request *WatchRequest, answer *WatchAnswer) (time.Time, bool) {
@@ -110,14 +141,17 @@
 		return time.Time{}, false
 	}
 	found := s.machine.fill(request, answer)
-	found = b.fill(request, answer) || found
-	return heard, found
+	lacks := b.fill(request, answer)
+	return heard, found || lacks && !request.Idle
 }
 
 // waitFor is the longest that a watch is kept open.
 func waitFor(request *WatchRequest) time.Duration {
-	if request.Relay {
+	switch {
+	case request.Relay:
 		return relayWait
+	case request.Idle:
+		return idleWait
 	}
 	return watchWait
 }
@@ -140,9 +174,9 @@
 }
 
 // redirect tells the caller of a watch whom to ask.
-func (s *Steward) redirect(request *WatchRequest) *WatchAnswer {
+func (s *Steward) redirect(request *WatchRequest, waited time.Duration) *WatchAnswer {
 	s.meter.redirects.Inc()
-	answer := &WatchAnswer{Elsewhere: true, Leader: s.Leader(), Members: s.memberNames()}
+	answer := &WatchAnswer{Elsewhere: true, Leader: s.Leader(), Members: s.memberNames(), waited: waited}
 	if l := s.leading.Load(); l != nil && request.Entry != nil {
 		answer.Relays = l.relays(time.Now())
 	}
@@ -186,13 +220,21 @@
 	return s.branch.entries()
 }
 
-// Addresses lists the listeners of the entries that take new callers.
-func (s *Steward) Addresses() []EntryView {
-	var ready []EntryView
+// Addresses lists the listeners that callers in a data centre are to use, limit at
+// most.
+func (s *Steward) Addresses(dataCentre string, limit int) []string {
+	var ready []subset.Entry
+	var callers []string
 	for _, view := range s.entryList() {
 		if view.Ready {
-			ready = append(ready, view)
+			ready = append(ready, subset.Entry{Host: view.Host, DataCentre: view.DataCentre, Rate: view.Rate, Most: view.Most})
+			callers = append(callers, view.Callers)
 		}
 	}
-	return ready
+	places := subset.Choose(ready, dataCentre, limit)
+	addresses := make([]string, len(places))
+	for i, at := range places {
+		addresses[i] = callers[at]
+	}
+	return addresses
 }
--- a/internal/steward/watchers.go
+++ b/internal/steward/watchers.go
@@ -36,6 +36,8 @@
 	views []EntryView
 	loads []Load
 	seen  time.Time
+	// idle entries ask seldom.
+	idle bool
 	// relay is set for a control host that answers watches itself.
 	relay *RelayView
 }
@@ -46,7 +48,7 @@
 
 // follow takes in what a watch says of its caller.
 func (w *watchers) follow(from port.Peer, request *WatchRequest, now time.Time) {
-	next := &watcher{views: request.Below, loads: request.Loads, seen: now}
+	next := &watcher{views: request.Below, loads: request.Loads, seen: now, idle: request.Idle}
 	switch {
 	case request.Entry != nil:
 		next.views = []EntryView{*request.Entry}
@@ -61,13 +63,32 @@
 	if known != nil {
 		w.sum(known.loads, -1)
 	}
-	if request.Entry != nil && (known == nil || !slices.Equal(known.views, next.views)) {
+	if request.Entry != nil && (known == nil || !slices.EqualFunc(known.views, next.views, sameState)) {
 		w.log.Info("entry", "host", request.Entry.Host, "ready", request.Entry.Ready)
 	}
 	w.byHost[from.Host] = next
 	w.sum(next.loads, 1)
 }
 
+// sameState reports whether nothing but an entry's load differs.
+func sameState(a, b EntryView) bool {
+	a.Rate, a.Most, b.Rate, b.Most = 0, 0, 0, 0
+	return a == b
+}
+
+// busy is the number of watchers that are not idle.
+func (w *watchers) busy() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, known := range w.byHost {
+		if !known.idle {
+			n++
+		}
+	}
+	return n
+}
+
 // expect counts an entry as heard of, as another host told.
 func (w *watchers) expect(view EntryView, now time.Time) {
 	w.mu.Lock()
