--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -216,3 +216,49 @@
 		t.Fatalf("the store with three times the room takes %.2f of the parts", share)
 	}
 }
+
+// Short prompts come whose parts stand in a quick store, and most runners have nothing
+// to do: for each prompt, many are as good as each other. Entries that chose the first
+// of a list would all send to one runner, until words on its load came, and to the next
+// one then.
+func TestPromptsSpreadOverEquallyGoodRunners(t *testing.T) {
+	list := runners(26)
+	store := Store{Address: "s", DataCentre: "north", LinkMbps: 130000, FirstByte: 500 * time.Microsecond, Capacity: 500000, Open: true}
+	sent := make(map[int]int)
+	const prompts = 2600
+	for i := range prompts {
+		p := &Prompt{Parts: []Part{{fmt.Sprintf("p%d", i), 250}, {"own", 80}}, Output: 3, TokenBytes: 18432, Whole: [][]int{{0}, nil}}
+		// The first runner by hash has something to read.
+		first := choose(t, p, list, []Store{store}).Runner
+		list[first].Unread = 300
+		sent[choose(t, p, list, []Store{store}).Runner]++
+		list[first].Unread = 0
+	}
+	for runner, n := range sent {
+		if n > 2*prompts/len(list) {
+			t.Errorf("runner %d gets %d of %d prompts", runner, n, prompts)
+		}
+	}
+}
+
+// In a long overload nearly every runner is full, and each has room for a moment now
+// and then. A part that nobody has read yet, sent wherever room is just then, would be
+// read there, and again wherever its next prompt finds room. It meets at one of the
+// first three runners by hash, or waits for the first.
+func TestFirstReadsStayTogetherInAnOverload(t *testing.T) {
+	list := runners(30)
+	homes := make(map[int]bool)
+	for room := range list {
+		for i := range list {
+			list[i].Full, list[i].Distrust = i != room, 0
+			if i != room {
+				list[i].Distrust = 800 * time.Millisecond
+			}
+		}
+		p := long()
+		homes[p.home(p.key("m.1"), list)] = true
+	}
+	if len(homes) != firstReads {
+		t.Errorf("%d runners are the first to read a part by turns, want %d", len(homes), firstReads)
+	}
+}
