steward: after a restart of all, entries that hold nothing wait for the hosts that are to answer them

Cause: each entry that has just started asked the first leader for the whole configuration and roster, and again 0.8 s after its start, for its word counted as overdue. With 291 entries the leader's heartbeats came late, and the next host was elected: five leaders in 5 s. Change: while no other host answers, a leader that has heard of more entries than it answers alone tells those that hold nothing to come back; a word that never came is overdue later, and not at one time for all.

--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"github.com/lovagereach/lovagereach/ident"
@@ -36,6 +37,9 @@
 	// silentFor is how long a host is not asked again that did not answer. A
 	// control host is back within about 1 s of its end.
 	silentFor = 2 * time.Second
+	// firstSpread is over how long entries without any word turn to the leader. It
+	// answers some hundred a second that hold nothing.
+	firstSpread = 4 * time.Second
 	// silentMost is after how many silent hosts the leader is asked to answer
 	// itself. Each costs watchTimeout, and a configuration must be in force
 	// within 2 s.
@@ -89,6 +93,8 @@
 	entries int
 	next    int
 	lost    bool
+	// spread is this caller's share of firstSpread.
+	spread float64
 	// pause is how long the host of the latest answer asked to wait.
 	pause time.Duration
 	// word is the time as of which everything is known that the leader knew, in
@@ -125,6 +131,7 @@
 func NewFollower(options FollowerOptions) *Follower {
 	f := &Follower{
 		options: options, avoided: make(map[ident.Host]failure), elsewhere: make(map[ident.Host]int), results: make(chan *watched), epoch: time.Now(),
+		spread: float64(xxhash.Sum64String(string(options.Self))>>11) / (1 << 53),
 	}
 	f.meter = newFollowMeter(f)
 	f.SetSeeds(options.Seeds)
@@ -167,7 +174,7 @@
 	call := f.send(ctx, host, request)
 	patience := time.NewTimer(watchTimeout)
 	defer patience.Stop()
-	turn := time.NewTimer(f.wordTime().Add(overdueAfter).Sub(now))
+	turn := time.NewTimer(f.overdueIn(now))
 	defer turn.Stop()
 	for {
 		select {
@@ -236,6 +243,7 @@
 	}
 	if answer.Elsewhere || answer.Term < f.term {
 		f.redirected(call.host, answer)
+		f.pause = answer.Pause
 		return false
 	}
 	if f.lost || f.asked != call.host {
@@ -299,7 +307,18 @@
 // should be asked. Hosts that answer too late, or only tell to ask elsewhere, are
 // not silent, and yet bring no news.
 func (f *Follower) overdue(now time.Time) bool {
-	return !f.options.LeaderOnly && now.Sub(f.wordTime()) >= overdueAfter
+	return !f.options.LeaderOnly && f.overdueIn(now) <= 0
+}
+
+// overdueIn is how long it is until the word is overdue. An entry that has just
+// started has none, as all others may after a restart of all: it waits for those that
+// are to answer it, and they do not all fall upon the leader at one time.
+func (f *Follower) overdueIn(now time.Time) time.Duration {
+	after := overdueAfter
+	if f.term == 0 {
+		after = relaysWithin + time.Duration(f.spread*float64(firstSpread))
+	}
+	return f.wordTime().Add(after).Sub(now)
 }
 
 // mustAskLeader reports whether the leader is asked for want of a younger word.
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -292,9 +292,18 @@
 // where there are others to ask. After an election all entries come to the new
 // leader at once, each without anything of its term; answers to all of them
 // would take it seconds. One whose word is overdue is answered all the same: the
-// others may be listed here for their questions, and yet have no answers.
+// others may be listed here for their questions, and yet have no answers. After a
+// restart of all, when no entry tells how many there are, the first few that call show
+// that there are many, and those that hold nothing yet wait for the others: an answer
+// with all of the configuration and the roster takes ten times as long.
 func (l *leadership) serves(request *WatchRequest, now time.Time) bool {
-	return request.Entry == nil || request.Direct || request.Overdue || len(l.relays(now)) == 0
+	switch {
+	case request.Entry == nil || request.Direct || request.Overdue:
+		return true
+	case len(l.relays(now)) > 0:
+		return false
+	}
+	return request.Document != 0 || now.Sub(l.since) >= relaysWithin || l.entryCount(now) <= entriesAlone
 }
 
 // asOf implements bulletin.
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -24,6 +24,9 @@
 	// Its word stays young enough to serve the first request that comes, and to find
 	// in time that the host it asks is gone.
 	idleWait = 200 * time.Millisecond
+	// redirectPause is asked of an entry that holds nothing and that nobody can answer yet. Control hosts that
+	// have just started are ready within some 0.3 s of an election.
+	redirectPause = 100 * time.Millisecond
 	// gather is how long a watch waits for more after the first news, so that
 	// parts that become whole one after the other share an answer.
 	gather = 15 * time.Millisecond
@@ -180,6 +183,10 @@
 	if l := s.leading.Load(); l != nil && request.Entry != nil {
 		answer.Relays = l.relays(time.Now())
 	}
+	if len(answer.Relays) == 0 && request.Document == 0 {
+		// There is nobody else to ask yet, and hundreds ask that have just started.
+		answer.Pause = redirectPause
+	}
 	return answer
 }
 
