--- a/internal/steward/pace_test.go
+++ b/internal/steward/pace_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,14 +24,37 @@
 	each      time.Duration
 	pace      pace
 	watchers  int
-	worked    time.Duration
+
+	mu     sync.Mutex
+	worked time.Duration
+	// heard is when each entry was answered last, and longest its longest gap.
+	heard   []time.Time
+	longest []time.Duration
+}
+
+// answered notes an answer to one entry.
+func (h *workingHost) answered(entry int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.longest[entry] = max(h.longest[entry], time.Since(h.heard[entry]))
+	h.heard[entry] = time.Now()
+}
+
+// begin forgets what came before.
+func (h *workingHost) begin() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.worked = 0
+	clear(h.longest)
 }
 
 func (h *workingHost) Call(context.Context, string, port.Method, []byte) ([]byte, error) {
 	began := time.Now()
 	h.processor <- struct{}{}
 	time.Sleep(h.each)
+	h.mu.Lock()
 	h.worked += h.each
+	h.mu.Unlock()
 	answer := &WatchAnswer{Term: 1, Leader: "c1", EntryCount: h.watchers, Pause: h.pace.pause(h.watchers)}
 	<-h.processor
 	h.pace.note(time.Since(began))
@@ -56,27 +80,27 @@
 				stop()
 				time.Sleep(lateMost)
 			}()
-			h := &workingHost{processor: make(chan struct{}, 1), each: c.each, watchers: c.watchers}
-			longest := make([]time.Duration, c.watchers)
+			h := &workingHost{
+				processor: make(chan struct{}, 1), each: c.each, watchers: c.watchers,
+				heard: make([]time.Time, c.watchers), longest: make([]time.Duration, c.watchers),
+			}
 			for i := range c.watchers {
 				f := NewFollower(FollowerOptions{
 					Transport: h, Seeds: []ident.Host{"c1"}, PeerPort: 1, Self: ident.Host(fmt.Sprint("e", i)), Log: log.New(io.Discard),
 				})
-				last := time.Now()
+				h.answered(i)
 				go f.Run(ctx, func() *WatchRequest { return &WatchRequest{Entry: &EntryView{Host: fmt.Sprint("e", i)}} },
-					func(*WatchAnswer, time.Time) {
-						longest[i] = max(longest[i], time.Since(last))
-						last = time.Now()
-					})
+					func(*WatchAnswer, time.Time) { h.answered(i) })
 			}
 			wait.For(ctx, 2*time.Second)
-			h.worked = 0
-			clear(longest)
+			h.begin()
 			wait.For(ctx, 5*time.Second)
+			h.mu.Lock()
+			defer h.mu.Unlock()
 			if share := float64(h.worked) / float64(5*time.Second); share > 0.5 {
 				t.Errorf("%d watchers at %v each take %.2f of the host", c.watchers, c.each, share)
 			}
-			for i, gap := range longest {
+			for i, gap := range h.longest {
 				if gap > ShelfTrust/2 {
 					t.Errorf("%d watchers at %v each: entry %d heard nothing for %v", c.watchers, c.each, i, gap)
 				}
