--- a/catalog/document.go
+++ b/catalog/document.go
@@ -137,8 +137,8 @@
 	Source []byte `cbor:"7,keyasint"`
 }
 
-// WithoutSource returns the document as entries need it. They read nothing back to
-// the operator, and the source is four fifths of a large document's bytes.
+// WithoutSource returns the document as entries need it: they read nothing back to the
+// operator.
 func (d *Document) WithoutSource() *Document {
 	brief := *d
 	brief.Source = nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,7 @@
 	Sender  Sender
 	Budget  BudgetLimits
 	Rates   placement.Rates
-	// Host's means, by which the entry tells how many requests it takes.
+	// Means are the host's, by which the entry tells how many requests it takes.
 	Means Means
 	Log   *log.Logger
 	// Decisions takes a line for each request, within its budget.
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -54,8 +54,8 @@
 	// returnedShare is the part of its route's usual time from which on a request counts
 	// as one that comes for the first time. Those that come with less have been
 	// refused or cut off before: they are late whenever they are served, and come
-	// back no more. They wait behind those still in time, and no longer: in an overload of 20 s
-	// waits of 1.5 s for them cost those still in time 0.027 of the worth of a day.
+	// back no more. They wait behind those still in time, and as long: where they waited
+	// 1.5 s in an overload of 20 s, 8.6 in 100 requests were late in place of 7.7.
 	returnedShare = 0.9
 	// comeBackShare is the part of its time after which a refused caller comes back
 	// at the latest, with enough left to be served, and comeBackMost the longest.
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -31,7 +31,7 @@
 // traffic observes the requests that come to an entry.
 type traffic struct {
 	mu sync.Mutex
-	// rate are the requests and bytes the bytes a second, as of last.
+	// rate are the requests a second and bytes their bytes, as of last.
 	rate, bytes float64
 	last        time.Time
 }
@@ -40,20 +40,18 @@
 func (t *traffic) request(body int, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.fade(now)
+	left := t.left(now)
 	t.last = now
-	t.rate += 1 / rateOver.Seconds()
-	t.bytes += float64(body+headBytes) / rateOver.Seconds()
+	t.rate = t.rate*left + 1/rateOver.Seconds()
+	t.bytes = t.bytes*left + float64(body+headBytes)/rateOver.Seconds()
 }
 
-// fade forgets with time. The caller holds the lock.
-func (t *traffic) fade(now time.Time) {
+// left is the part of what was observed that counts still. The caller holds the lock.
+func (t *traffic) left(now time.Time) float64 {
 	if t.last.IsZero() {
-		return
+		return 0
 	}
-	left := math.Exp(-float64(now.Sub(t.last)) / float64(rateOver))
-	t.rate *= left
-	t.bytes *= left
+	return math.Exp(-float64(now.Sub(t.last)) / float64(rateOver))
 }
 
 // told returns the requests a second that come, and those that the entry serves well
@@ -62,17 +60,14 @@
 func (t *traffic) told(now time.Time, means Means) (rate, most int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	left := 0.0
-	if !t.last.IsZero() {
-		left = math.Exp(-float64(now.Sub(t.last)) / float64(rateOver))
-	}
-	rate = int(math.Ceil(t.rate * left))
+	rate = int(math.Ceil(t.rate * t.left(now)))
 	if means.Cores <= 0 {
 		return rate, 0
 	}
 	limit := usualShare * means.Cores / processorTime.Seconds()
-	if mean := t.bytes / max(t.rate, 1e-9); means.LinkMbps > 0 && t.rate > 0 {
-		limit = min(limit, usualShare*means.LinkMbps*1e6/8/mean)
+	if means.LinkMbps > 0 && t.bytes > 0 {
+		perRequest := t.bytes / t.rate
+		limit = min(limit, usualShare*means.LinkMbps*1e6/8/perRequest)
 	}
 	return rate, max(int(limit), 1)
 }
--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -37,8 +37,8 @@
 	// silentFor is how long a host is not asked again that did not answer. A
 	// control host is back within about 1 s of its end.
 	silentFor = 2 * time.Second
-	// firstSpread is over how long entries without any word turn to the leader. It
-	// answers some hundred a second that hold nothing.
+	// firstSpread is over how long entries without any word turn to the leader: what
+	// they all lack takes it five times as long to tell as its usual answers.
 	firstSpread = 4 * time.Second
 	// silentMost is after how many silent hosts the leader is asked to answer
 	// itself. Each costs watchTimeout, and a configuration must be in force
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -281,7 +281,8 @@
 // fill implements bulletin. The leader of many entries does not tell them the shelves
 // before others can, or while others do. After a restart of all, each lacks all of
 // them, those that pass them on are busy with it, and entries whose word grows old
-// meanwhile turn to the leader: it tells them the rest, which takes a tenth of the time.
+// meanwhile turn to the leader: it tells them the rest, which takes 0.02 ms of its
+// processor in place of 0.6 for a page of the shelves.
 func (l *leadership) fill(request *WatchRequest, answer *WatchAnswer) bool {
 	now := time.Now()
 	if request.Entry != nil && l.entryCount(now) > entriesAlone && (now.Sub(l.since) < relaysWithin || len(l.relays(now)) > 0) {
@@ -297,7 +298,7 @@
 // others may be listed here for their questions, and yet have no answers. After a
 // restart of all, when no entry tells how many there are, the first few that call show
 // that there are many, and those that hold nothing yet wait for the others: an answer
-// with all of the configuration and the roster takes ten times as long.
+// with all of the configuration and the roster takes five times as long.
 func (l *leadership) serves(request *WatchRequest, now time.Time) bool {
 	switch {
 	case request.Entry == nil || request.Direct || request.Overdue:
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -24,8 +24,8 @@
 	// Its word stays young enough to serve the first request that comes, and to find
 	// in time that the host it asks is gone.
 	idleWait = 200 * time.Millisecond
-	// redirectPause is asked of an entry that holds nothing and that nobody can answer yet. Control hosts that
-	// have just started are ready within some 0.3 s of an election.
+	// redirectPause is asked of an entry that holds nothing and that nobody can answer
+	// yet. Control hosts that have just started are ready some 0.3 s after an election.
 	redirectPause = 100 * time.Millisecond
 	// gather is how long a watch waits for more after the first news, so that
 	// parts that become whole one after the other share an answer.
