holdings: readers that lack all share the listings; retired parts do not end a page

Cause: for each reader that holds nothing a host made a listing of every shelf anew, and after a restart of all hosts 73 entries ask each control host. Parts that are retired are told at each question by what a reader holds, and counted as a page: with more than 2,000 of them it ended before the sources that follow, each time. Change: a listing is told to all that lack the shelf until 1,000 records came after it, and what came after it with the next question. Retired parts are not counted.

--- a/holdings/book.go
+++ b/holdings/book.go
@@ -14,6 +14,10 @@
 	// told whole. A record takes about 15 bytes on the wire, so that a page
 	// takes a link of 10 Mbit/s 25 ms.
 	PageRecords = 2000
+	// listingKept is how many records may come before a listing of a shelf is made
+	// anew for those who lack it: they are told the listing and what came after it.
+	// Made for each of hundreds of readers, listings take a host all of its time.
+	listingKept = 1000
 	// unfinished is the floor of a source whose latest dropped batch has not
 	// ended yet.
 	unfinished = math.MaxUint64
@@ -89,13 +93,20 @@
 	floors map[string]uint64
 	// kept bounds the journal, and paged one update.
 	kept, paged int
+	// logged counts the records that the book has taken in.
+	logged uint64
 }
 
 type page struct {
 	shelf *Shelf
 	next  uint64
-	// logged is how far the source's events are followed with its latest record.
-	logged uint64
+	// logged is how far the source's events are followed with its latest record, and
+	// changed the count of all records at that one.
+	logged, changed uint64
+	// listing is everything that the shelf held when the book had taken in listed
+	// records, and listingNext how far the source's events were followed then.
+	listing             []Sheet
+	listed, listingNext uint64
 }
 
 // NewBook returns an empty book. One that is read by others keeps a journal.
@@ -196,6 +207,10 @@
 
 func (b *Book) log(record Record) {
 	b.at.Next++
+	b.logged++
+	if p := b.shelves[record.Address]; p != nil {
+		p.changed = b.logged
+	}
 	if b.kept == 0 {
 		return
 	}
@@ -315,29 +330,54 @@
 // beyond returns what is missing beyond what a reader holds, a shelf at least
 // and no further one after a page.
 func (b *Book) beyond(held []Held) Update {
-	var records []Record
+	var sheets []Sheet
+	told, behind := 0, false
+	tell := func(records []Record) {
+		sheets = append(sheets, fold(records)...)
+		told += len(records)
+	}
 	known := make(map[string]Held, len(held))
 	for _, h := range held {
 		known[h.Address] = h
 		if b.shelves[h.Address] == nil {
-			records = append(records, Record{Address: h.Address, Cleared: true})
+			tell([]Record{{Address: h.Address, Cleared: true}})
 		}
 	}
 	for _, address := range b.Addresses() {
-		if len(records) >= b.paged {
-			return Update{Sheets: fold(records), More: true}
+		if told >= b.paged {
+			return Update{Sheets: sheets, More: true}
 		}
 		h, holds := known[address]
 		switch p := b.shelves[address]; {
 		case holds && h.Life == p.shelf.Life() && h.Next > p.next:
-			return Update{Sheets: fold(records), More: true}
+			return Update{Sheets: sheets, More: true}
 		case holds && h.Life == p.shelf.Life() && h.Next >= b.floors[address] && h.Next > 0:
-			records = append(append(records, b.since(address, h.Next)...), b.retired(address)...)
+			tell(b.since(address, h.Next))
+			// Told at each question, and so not counted: a reader would come to the
+			// same end of a page each time, and never be told of the sources after it.
+			sheets = append(sheets, fold(b.retired(address))...)
 		default:
-			records = append(records, b.whole(address)...)
+			b.list(address, p)
+			sheets = append(sheets, p.listing...)
+			told += p.shelf.Len() + 1
+			behind = behind || p.changed > p.listed
 		}
 	}
-	return Update{At: b.at, Sheets: fold(records)}
+	if behind {
+		// What came after the listings is told when the reader asks with them.
+		return Update{Sheets: sheets, More: true}
+	}
+	return Update{At: b.at, Sheets: sheets}
+}
+
+// list makes the listing of a shelf anew unless the one at hand can be told: it is of
+// the present life, and the journal holds what came after it.
+func (b *Book) list(address string, p *page) {
+	young := b.kept > 0 && len(p.listing) > 0 && p.listing[0].Life == p.shelf.Life() && b.logged-p.listed <= listingKept
+	if young && (p.changed <= p.listed || p.listingNext > 0 && p.listingNext >= b.floors[address]) {
+		return
+	}
+	p.listing, p.listed, p.listingNext = fold(b.whole(address)), b.logged, p.next
 }
 
 // retired lists the retired parts of a source. Retiring is no event of the
