ledger: the test of restarts has a loopback address of its own

Cause: its hosts listen again on ports of 127.0.0.1 that were free when it began, and tests of other packages, which run at the same time, had taken one (address already in use, 1 of 7 runs of the checks). Change: an address of 127.64.0.0/10 drawn for each cluster, which nobody else binds.

--- a/internal/ledger/real_test.go
+++ b/internal/ledger/real_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -51,8 +52,11 @@
 		tb: tb, folder: tb.TempDir(), groups: groups, incarnation: 1,
 		addresses: make(map[ident.Host]string), hosts: make(map[ident.Host]*realHost),
 	}
+	// The hosts listen again on their ports after a restart. On 127.0.0.1 the tests of
+	// another package may have taken them meanwhile; nobody else uses this address.
+	loopback := fmt.Sprintf("127.%d.%d.%d:0", 64+rand.IntN(64), rand.IntN(256), 1+rand.IntN(254))
 	for i := range hosts {
-		listener := must(net.Listen("tcp", "127.0.0.1:0"))
+		listener := must(net.Listen("tcp", loopback))
 		c.names = append(c.names, hostName(i))
 		c.addresses[hostName(i)] = listener.Addr().String()
 		listener.Close()
