--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -3,12 +3,9 @@
 import (
 	"container/list"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -19,7 +16,6 @@
 	"github.com/lovagereach/lovagereach/holdings"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/steward"
-	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/placement"
 	"github.com/lovagereach/lovagereach/roster"
 )
@@ -42,8 +38,6 @@
 	// wordLag how old they are when they come.
 	wordEvery, wordLag time.Duration
 	length             time.Duration
-	// oneZone sends all callers to the entries of one data centre.
-	oneZone bool
 	// stored begins with all shared parts of long prompts in stores.
 	stored bool
 }
@@ -126,29 +120,6 @@
 	next           uint64
 }
 
-// modelRunner takes prompts in turn, reads them one after the other and keeps what
-// it has read as long as its memory has room.
-type modelRunner struct {
-	fleet    *modelFleet
-	id, zone string
-	mu       sync.Mutex
-	slots    chan struct{}
-	present  int
-	arrivals int
-	running  int
-	tokens   int
-	readFree time.Time
-	room     chan struct{}
-	cached   map[string]*list.Element
-	order    *list.List
-	kept     int
-}
-
-type keptPartOf struct {
-	id     string
-	tokens int
-}
-
 func newModelFleet(t testing.TB, shape fleetShape) *modelFleet {
 	t.Helper()
 	f := &modelFleet{
@@ -319,301 +290,8 @@
 	return f.runners[s.Upstream].send(ctx, s)
 }
 
-func (m *modelRunner) send(ctx context.Context, s *Send) (*Answer, error) {
-	time.Sleep(time.Millisecond)
-	m.mu.Lock()
-	m.arrivals++
-	if m.present >= m.fleet.shape.slots+m.fleet.shape.queue {
-		a := refusal(Full)
-		a.Load = m.load()
-		m.mu.Unlock()
-		m.fleet.count(func(r *fleetResult) { r.arrivals++; r.full++ })
-		return a, nil
-	}
-	m.present++
-	m.mu.Unlock()
-	m.fleet.count(func(r *fleetResult) { r.arrivals++ })
-	leave := sync.OnceFunc(func() {
-		m.mu.Lock()
-		m.present--
-		m.mu.Unlock()
-	})
-	select {
-	case m.slots <- struct{}{}:
-	case <-ctx.Done():
-		leave()
-		return nil, &outcome.Unknown{Reason: outcome.ReasonTimeout}
-	}
-	size := s.Request.Prompt.size()
-	for {
-		m.mu.Lock()
-		if m.running == 0 || m.tokens+size <= m.fleet.shape.memory {
-			break
-		}
-		room := m.room
-		m.mu.Unlock()
-		select {
-		case <-room:
-		case <-ctx.Done():
-			<-m.slots
-			leave()
-			return nil, &outcome.Unknown{Reason: outcome.ReasonTimeout}
-		}
-	}
-	m.running++
-	m.tokens += size
-	m.evict()
-	ready := m.read(s)
-	load := m.load()
-	step := time.Duration((3.41 + 0.097*float64(m.running)) * float64(time.Millisecond))
-	m.mu.Unlock()
-	end := sync.OnceFunc(func() {
-		m.mu.Lock()
-		m.running--
-		m.tokens -= size
-		parts := s.Request.Prompt.Parts
-		for _, part := range parts[:len(parts)-1] {
-			m.keep(part)
-		}
-		m.evict()
-		close(m.room)
-		m.room = make(chan struct{})
-		m.mu.Unlock()
-		<-m.slots
-		leave()
-	})
-	time.Sleep(time.Until(ready) + step)
-	if ctx.Err() != nil {
-		end()
-		return nil, &outcome.Unknown{Reason: outcome.ReasonTimeout}
-	}
-	body := &modelBody{rest: time.Duration(s.Request.Prompt.Output) * step, end: end}
-	return &Answer{Status: 200, Header: http.Header{}, Load: load, Length: -1, Body: body}, nil
-}
-
-// read returns when the prompt will be read. The caller holds the lock.
-func (m *modelRunner) read(s *Send) time.Time {
-	f, now := m.fleet, time.Now()
-	parts, prompt := s.Request.Prompt.Parts, s.Prompt
-	fetched, tokens, chain := now, 0, true
-	for i, part := range parts {
-		if i == len(parts)-1 {
-			tokens += part.Tokens
-			break
-		}
-		again, read := 0, 0
-		_, held := m.cached[part.ID]
-		switch {
-		case held && chain:
-		case chain && len(prompt.Fetch) > i && prompt.Fetch[i].Address != "":
-			if end := f.link(f.stores[prompt.Fetch[i].Address], part.Tokens, m.zone); end.After(fetched) {
-				fetched = end
-			}
-		default:
-			chain = false
-			tokens += part.Tokens
-			read = part.Tokens
-			f.mu.Lock()
-			if f.seen[part.ID] {
-				again = part.Tokens
-			}
-			f.seen[part.ID] = true
-			f.mu.Unlock()
-		}
-		f.count(func(r *fleetResult) { r.sharedTokens += part.Tokens; r.readTokens += read; r.againTokens += again })
-	}
-	begin := fetched
-	if m.readFree.After(begin) {
-		begin = m.readFree
-	}
-	m.readFree = begin.Add(time.Duration(float64(tokens) / f.shape.readPerMs * float64(time.Millisecond)))
-	read := m.readFree
-	for i, address := range prompt.Save {
-		if store := f.stores[address]; store != nil {
-			f.saves.Go(func() {
-				time.Sleep(time.Until(read))
-				time.Sleep(time.Until(f.link(store, parts[i].Tokens, m.zone)) + eventLag)
-				f.saved(store, parts[i], prompt.Salt)
-			})
-		}
-	}
-	return read
-}
-
-func (m *modelRunner) load() *Load {
-	return &Load{Running: m.running, Waiting: m.present - m.running, Slots: m.fleet.shape.slots}
-}
-
-func (m *modelRunner) keep(part placement.Part) {
-	if at, held := m.cached[part.ID]; held {
-		m.order.MoveToFront(at)
-		return
-	}
-	m.cached[part.ID] = m.order.PushFront(keptPartOf{id: part.ID, tokens: part.Tokens})
-	m.kept += part.Tokens
-}
-
-func (m *modelRunner) evict() {
-	for m.kept+m.tokens > m.fleet.shape.memory && m.order.Len() > 0 {
-		last := m.order.Back()
-		part := last.Value.(keptPartOf)
-		m.order.Remove(last)
-		delete(m.cached, part.id)
-		m.kept -= part.tokens
-	}
-}
-
-type modelBody struct {
-	rest  time.Duration
-	begun bool
-	end   func()
-}
-
-func (b *modelBody) Next() (Piece, error) {
-	if !b.begun {
-		b.begun = true
-		return Piece{Data: []byte("id: 1\n\n"), ID: "1"}, nil
-	}
-	time.Sleep(b.rest)
-	b.end()
-	return Piece{}, io.EOF
-}
-
-func (b *modelBody) Close() { b.end() }
-
 func (f *modelFleet) count(note func(*fleetResult)) {
 	f.result.mu.Lock()
 	defer f.result.mu.Unlock()
 	note(&f.result)
 }
-
-// timing notes when the caller had the first event.
-type timing struct {
-	recorder
-	began time.Time
-	first time.Duration
-}
-
-func (c *timing) Piece([]byte) error {
-	if c.first == 0 {
-		c.first = time.Since(c.began)
-	}
-	return nil
-}
-
-// call is one caller, who comes back once when it is told to.
-func (f *modelFleet) call(kind string, parts []placement.Part, output, entry, second int) {
-	wait, target := 6*time.Second, 600*time.Millisecond
-	if kind == "short" {
-		wait, target = 3*time.Second, 300*time.Millisecond
-	}
-	began := time.Now()
-	c := &timing{began: began}
-	for try := range 2 {
-		c.ends, c.cause = "", nil
-		r := &Request{
-			ID: fmt.Sprintf("%p-%d", c, try), Method: "POST", Host: "h", Target: "/" + kind + "/x", Path: "/" + kind + "/x",
-			Header: http.Header{}, Wait: wait - time.Since(began), Arrived: time.Now(),
-			Prompt: &Prompt{Model: "m", Parts: parts, Output: output},
-		}
-		f.gateways[(entry+try*7)%len(f.gateways)].Serve(context.Background(), r, c)
-		var refused *outcome.NotRun
-		if c.ends == "done" || !errors.As(c.cause, &refused) || refused.RetryAfter <= 0 || refused.RetryAfter > (wait-time.Since(began))/3 {
-			break
-		}
-		time.Sleep(refused.RetryAfter)
-	}
-	f.count(func(r *fleetResult) {
-		r.asked[kind]++
-		r.askedBySecond[second]++
-		if c.ends != "done" {
-			return
-		}
-		r.served[kind]++
-		if c.first <= target {
-			r.inTime[kind]++
-			r.inTimeBySecond[second]++
-		}
-	})
-}
-
-// entry draws the entry of one caller.
-func (f *modelFleet) entry(random *rand.Rand) int {
-	at := random.IntN(len(f.gateways))
-	if f.shape.oneZone {
-		at -= at % f.shape.zones
-	}
-	return at
-}
-
-// lognormal draws a size around a mean.
-func lognormal(random *rand.Rand, mean, spread float64, most int) int {
-	return min(max(int(mean*math.Exp(spread*random.NormFloat64()-spread*spread/2)), 1), most)
-}
-
-// play lets callers come for the length of the shape.
-func (f *modelFleet) play() *fleetResult {
-	ctx, stop := context.WithCancel(context.Background())
-	var words, callers sync.WaitGroup
-	for i := range f.gateways {
-		words.Go(func() { f.word(ctx, i) })
-	}
-	random := rand.New(rand.NewPCG(1, 2))
-	sizes := func(things int, mean, spread float64, most int) []int {
-		list := make([]int, things)
-		for i := range list {
-			list[i] = lognormal(random, mean, spread, most)
-		}
-		return list
-	}
-	long, short := sizes(f.shape.longThings, 12800, 0.6, 34000), sizes(f.shape.shortThings, 246, 0.6, 656)
-	if f.shape.stored {
-		for i, tokens := range long {
-			f.store(placement.Part{ID: fmt.Sprintf("l%d", i), Tokens: tokens})
-		}
-	}
-	begin := time.Now()
-	rate := f.shape.longPerS + f.shape.shortPerS
-	for at := time.Duration(0); at < f.shape.length; at += time.Duration(random.ExpFloat64() / rate * float64(time.Second)) {
-		time.Sleep(time.Until(begin.Add(at)))
-		entry, second := f.entry(random), int(at/time.Second)
-		if random.Float64() < f.shape.longPerS/rate {
-			thing := random.IntN(len(long))
-			parts := []placement.Part{{ID: fmt.Sprintf("l%d", thing), Tokens: long[thing]}, {ID: "own", Tokens: lognormal(random, 4260, 0.7, 17000)}}
-			callers.Go(func() { f.call("long", parts, 8, entry, second) })
-			continue
-		}
-		thing := random.IntN(len(short))
-		parts := []placement.Part{
-			{ID: fmt.Sprintf("h%d", thing%160), Tokens: 55}, {ID: fmt.Sprintf("s%d", thing), Tokens: short[thing]},
-			{ID: "own", Tokens: lognormal(random, 82, 0.7, 328)},
-		}
-		callers.Go(func() { f.call("short", parts, 3, entry, second) })
-	}
-	callers.Wait()
-	f.saves.Wait()
-	stop()
-	words.Wait()
-	most, total := 0, 0
-	for _, runner := range f.runners {
-		most, total = max(most, runner.arrivals), total+runner.arrivals
-	}
-	f.result.busiest = float64(most) * float64(len(f.runners)) / float64(max(total, 1))
-	return &f.result
-}
-
-// store keeps a part in the first store by hash that has room.
-func (f *modelFleet) store(part placement.Part) {
-	f.seen[part.ID] = true
-	var list []placement.Store
-	var addresses []string
-	for i := range f.shape.quick + f.shape.slow {
-		store := f.stores[fmt.Sprintf("store%02d:1", i)]
-		addresses = append(addresses, store.address)
-		list = append(list, placement.Store{Address: store.address, LinkMbps: store.mbps, FirstByte: store.first, Capacity: store.capacity, Used: store.used, Open: true})
-	}
-	rates := placement.DefaultRates()
-	if at := placement.KeepAt(&rates, "m.1", part, 18432, list); at >= 0 {
-		f.saved(f.stores[addresses[at]], part, "m.1")
-	}
-}
