gateway: a test that changes of the roster are taken in

Cause: entries are told what changed of the roster, and only the roster's own package was tested for it. Change: a test at the entry: an end, a start, and changes since a revision never told. Result: passes; fails with the bound on the revision left out, and with all others dropped (two seeded mistakes).

--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -146,3 +146,30 @@
 		t.Fatalf("a service without a runner: %v", rec.cause)
 	}
 }
+
+// A runner ends and another starts, and an entry is told these two of a roster that it
+// holds. Prompts sent to the one that ended would be lost, and the others must stay. What
+// changed since a revision that the entry has not come to must change nothing: the end
+// of a runner in between would never be heard of.
+func TestChangesOfTheRosterAreTakenIn(t *testing.T) {
+	g, _ := testGateway(t, nil)
+	serving := func() string {
+		names := ""
+		for _, u := range g.state.serving["llm"] {
+			names += u.record.ID + " "
+		}
+		return names
+	}
+	tell := func(since, revision uint64, changed ...roster.Upstream) {
+		g.Told(&steward.WatchAnswer{Term: 1, Roster: &steward.RosterView{Revision: revision, Since: since, Upstreams: changed}}, time.Now())
+	}
+	kept := g.state.members["l2"]
+	tell(1, 3, roster.Upstream{ID: "l1", Service: "llm", State: roster.Gone}, roster.Upstream{ID: "l3", Service: "llm", Address: "l3:1", State: roster.Serving})
+	if got := serving(); got != "l2 l3 " || g.state.members["l2"] != kept {
+		t.Fatalf("served by %s", got)
+	}
+	tell(5, 6, roster.Upstream{ID: "l4", Service: "llm", Address: "l4:1", State: roster.Serving})
+	if got := serving(); got != "l2 l3 " || g.state.rosterR != 3 {
+		t.Fatalf("served by %s, at revision %d, after changes since one that was never told", got, g.state.rosterR)
+	}
+}
