gateway: which requests an upstream had when it ended, and whether it did

Change: a print of what a request says (team, service, method, host, target, body), a look at the upstream after sends broke off there (one connection, which is kept if it is taken), a line 'upstream lost' and a counter. No decision goes by it yet.

--- a/internal/decision/beliefs.go
+++ b/internal/decision/beliefs.go
@@ -1,6 +1,9 @@
 package decision
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // StorePace is a store that came to count as slow, or as sound again.
 type StorePace struct {
@@ -44,3 +47,31 @@
 func (e *UpstreamTrust) Fields() []any {
 	return []any{"upstream", e.Upstream, "avoided", e.Avoided, "in_row", e.InRow, "failures", e.Failures, "cause", e.Cause}
 }
+
+// UpstreamLost tells of requests that broke off at an upstream, and whether it ended
+// or only they did.
+type UpstreamLost struct {
+	Upstream string
+	Ended    bool
+	// Requests are the callers' attempts, and Prints tell the same request in
+	// several of them, one for each.
+	Requests, Prints []string
+}
+
+// lostShown is how many requests a line names; the rest are counted.
+const lostShown = 12
+
+// Class implements Event.
+func (e *UpstreamLost) Class() Class { return Belief }
+
+// Message implements Event.
+func (e *UpstreamLost) Message() string { return "upstream lost" }
+
+// Fields implements Event.
+func (e *UpstreamLost) Fields() []any {
+	shown := min(len(e.Requests), lostShown)
+	return []any{
+		"upstream", e.Upstream, "ended", e.Ended, "under_way", len(e.Requests),
+		"requests", strings.Join(e.Requests[:shown], ","), "prints", strings.Join(e.Prints[:shown], ","),
+	}
+}
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -86,7 +86,7 @@
 // fail notes that a send ended without a whole answer. A caller that went away
 // says nothing of the upstream.
 func (r *run) fail(ctx context.Context, p *plan, cause error) {
-	s := r.gateway.state
+	s, print := r.gateway.state, r.print()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settle(p)
@@ -95,6 +95,7 @@
 		return
 	}
 	p.upstream.trust.failed(time.Now())
+	r.noteLost(p, print, cause)
 	r.gateway.believe(p.upstream, true, cause)
 	s.forgetPending(p)
 }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -25,6 +25,8 @@
 	mu     sync.Mutex
 	sends  []*Send
 	script func(n int, s *Send) (*Answer, error)
+	// ended are the upstreams whose processes have ended.
+	ended map[string]bool
 }
 
 func (f *scriptedSender) Send(_ context.Context, s *Send) (*Answer, error) {
@@ -35,6 +37,13 @@
 	return f.script(n, s)
 }
 
+// Ended implements Sender.
+func (f *scriptedSender) Ended(_ context.Context, s *Send) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ended[s.Upstream]
+}
+
 func (f *scriptedSender) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/placement"
+	"github.com/lovagereach/lovagereach/quarantine"
 )
 
 const (
@@ -160,6 +161,8 @@
 	guessed map[*upstreamState]uint64
 	// mayHaveRun tells that a send may have been run.
 	mayHaveRun bool
+	// printed is the request's print once it was asked for.
+	printed quarantine.Print
 	// last is the latest send.
 	last *plan
 	// begun tells that the caller has the status and headers.
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -28,6 +28,8 @@
 	sends, again, resumed *metrics.Counter
 	// budget counts repetitions that the shared budget did not allow.
 	budget *metrics.Counter
+	// ends counts upstreams that were found to have ended under requests.
+	ends *metrics.Counter
 	// notRun counts requests that did not run by reason.
 	notRun map[outcome.Reason]*metrics.Counter
 	other  *metrics.Counter
@@ -55,6 +57,7 @@
 	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_gateway_" + part + "_total") }
 	m.late, m.sends, m.again = counter("late"), counter("sends"), counter("sent_again")
 	m.resumed, m.budget = counter("resumed"), counter("budget_refusals")
+	m.ends = counter("upstream_ends")
 	for _, reason := range countedReasons {
 		m.notRun[reason] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_not_run_total{reason=%q}`, reason))
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -81,6 +81,8 @@
 	clockAt time.Time
 	entries int
 	recent  *recentParts
+	// lost are the sends that broke off lately, by their upstream's life.
+	lost map[life]*lostSends
 	// waiting are the requests that wait for room, in the order of their turns.
 	waiting  []*waiter
 	patience patience
@@ -124,6 +126,7 @@
 		stores:  make(map[string]*storeState),
 		book:    holdings.NewBook(false),
 		recent:  newRecentParts(),
+		lost:    make(map[life]*lostSends),
 		budgets: newBudgets(),
 
 		patience: patience{heavy: waitingMost, returned: returnedMost},
--- /dev/null
+++ b/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine tells which requests end the upstreams that run them.
+package quarantine
