Requests that end three upstreams are sent to no further one

What callers saw: one request ended runner after runner (36 in 9 s), each with all requests beside it; 21 of 567 others were not served. Cause: every attempt is a new request to the entry that gets it. A broken send counted against the runner, never against the request, and no entry told another. Class: a failure that follows the input, held against the place. The log holds the ends (quarantine.Ledger): the fewest requests that explain them are blamed, which exempts those that were only repeated to the same runners. Watches tell all entries, also those that have just started. Held requests get a final answer that promises nothing. Why it holds: the judgement is in the log of a quorum, so no lost host, entry or leader takes it back, and whoever has a configuration has it too.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// unsend gives back what a plan was granted that is not sent.
+func (r *run) unsend(p *plan) {
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(p)
+	s.forgetPending(p)
+}
+
 // whole notes an answer that came to its end.
 func (r *run) whole(p *plan, good bool) {
 	s := r.gateway.state
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	starting atomic.Int64
 	meter    *meter
 	traffic  traffic
+	reports  *reports
 }
 
 // New returns a gateway without a configuration; Told brings it one.
@@ -71,7 +72,7 @@
 	if options.Sender == nil || options.Log == nil || options.Decisions == nil {
 		return nil, eris.New("gateway: Sender, Log and Decisions are required")
 	}
-	g := &Gateway{options: options, state: newState(options.Rates.ReadPerMs)}
+	g := &Gateway{options: options, state: newState(options.Rates.ReadPerMs), reports: newReports()}
 	g.state.budgets.limits = options.Budget
 	g.meter = newMeter(g.state, func() float64 { return float64(g.open.Load()) })
 	return g, nil
@@ -91,6 +92,9 @@
 
 // Told takes in an answer of the control hosts; sent is when it was asked for.
 func (g *Gateway) Told(answer *steward.WatchAnswer, sent time.Time) {
+	g.state.mu.Lock()
+	g.judgeBy(answer.Quarantine, time.Now())
+	g.state.mu.Unlock()
 	if index := g.state.take(answer, sent); index != nil {
 		g.options.Log.Info("configuration in force", "version", index.Version(), "routes", len(index.Document().Routes))
 	}
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -88,10 +88,11 @@
 	s.mu.Lock()
 	l := s.lost[key]
 	delete(s.lost, key)
-	s.mu.Unlock()
 	if ended {
+		g.blame(l, time.Now())
 		g.meter.ends.Inc()
 	}
+	s.mu.Unlock()
 	event := &decision.UpstreamLost{Upstream: key.id, Ended: ended}
 	for _, request := range l.requests {
 		event.Requests = append(event.Requests, request.id)
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -30,6 +30,8 @@
 	budget *metrics.Counter
 	// ends counts upstreams that were found to have ended under requests.
 	ends *metrics.Counter
+	// held counts requests that were sent to no upstream because they end them.
+	held *metrics.Counter
 	// notRun counts requests that did not run by reason.
 	notRun map[outcome.Reason]*metrics.Counter
 	other  *metrics.Counter
@@ -57,7 +59,7 @@
 	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_gateway_" + part + "_total") }
 	m.late, m.sends, m.again = counter("late"), counter("sends"), counter("sent_again")
 	m.resumed, m.budget = counter("resumed"), counter("budget_refusals")
-	m.ends = counter("upstream_ends")
+	m.ends, m.held = counter("upstream_ends"), counter("held")
 	for _, reason := range countedReasons {
 		m.notRun[reason] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_not_run_total{reason=%q}`, reason))
 	}
@@ -78,6 +80,7 @@
 	gauge("upstreams_avoided", func(s *state, now time.Time) float64 { return float64(s.avoidedCount(now)) })
 	gauge("slowest_reading_tokens_per_ms", func(s *state, _ time.Time) float64 { return s.slowestReading() })
 	gauge("largest_light_tokens", func(s *state, _ time.Time) float64 { return s.largestLight() })
+	gauge("held_requests", func(s *state, _ time.Time) float64 { return float64(len(s.verdicts.held)) })
 	gauge("view_age_seconds", func(s *state, now time.Time) float64 { return now.Sub(s.shelvesAt).Seconds() })
 	return m
 }
@@ -100,6 +103,10 @@
 	}
 	m.sends.Add(sends)
 	m.again.Add(max(sends-1, 0))
+	var unknown *outcome.Unknown
+	if errors.As(cause, &unknown) && unknown.Reason == ReasonEndsUpstreams {
+		m.held.Inc()
+	}
 	var refused *outcome.NotRun
 	if !errors.As(cause, &refused) {
 		return
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/internal/wait"
+	"github.com/lovagereach/lovagereach/outcome"
+	"github.com/lovagereach/lovagereach/quarantine"
+)
+
+// ReasonEndsUpstreams: earlier attempts of the same request have ended the upstreams
+// that ran them, and nothing was sent now.
+const ReasonEndsUpstreams outcome.Reason = "ends-upstreams"
+
+const (
+	// servedFor is for how long a request that was served is not taken for the cause
+	// of an end. What many callers ask is under way wherever an upstream ends.
+	servedFor = 10 * time.Second
+	// servedMost bounds the requests remembered as served.
+	servedMost = 4096
+	// reportsMost bounds the ends that wait to be reported, and the requests that are
+	// to be cleared. The oldest yield while no control host is reached.
+	reportsMost = 64
+	// reportAgain is the pause before a report is told again.
+	reportAgain = 100 * time.Millisecond
+)
+
+// verdicts are what this entry was told of requests that end upstreams.
+type verdicts struct {
+	revision       uint64
+	held, suspects map[quarantine.Print]bool
+}
+
+// served are the requests that were served within servedFor, and some that were
+// before, in two generations.
+type served struct {
+	young, old map[quarantine.Print]bool
+	turned     time.Time
+}
+
+func (d *served) turn(now time.Time) {
+	if age := now.Sub(d.turned); age >= servedFor || len(d.young) >= servedMost/2 {
+		d.old = d.young
+		if age >= 2*servedFor {
+			d.old = nil
+		}
+		d.young, d.turned = make(map[quarantine.Print]bool), now
+	}
+}
+
+func (d *served) note(p quarantine.Print, now time.Time) {
+	d.turn(now)
+	d.young[p] = true
+}
+
+func (d *served) has(p quarantine.Print, now time.Time) bool {
+	d.turn(now)
+	return d.young[p] || d.old[p]
+}
+
+// judgeBy takes in what the control hosts tell. What this entry has served lately it
+// sends on all the same, and has it cleared. The caller holds the lock.
+func (g *Gateway) judgeBy(view *steward.QuarantineView, now time.Time) {
+	s := g.state
+	if view == nil || view.Revision < s.verdicts.revision {
+		return
+	}
+	s.verdicts = verdicts{
+		revision: view.Revision,
+		held:     make(map[quarantine.Print]bool, len(view.Held)), suspects: make(map[quarantine.Print]bool, len(view.Suspects)),
+	}
+	var cleared []quarantine.Print
+	sort := func(told []quarantine.Print, into map[quarantine.Print]bool) {
+		for _, p := range told {
+			if s.served.has(p, now) {
+				cleared = append(cleared, p)
+				continue
+			}
+			into[p] = true
+		}
+	}
+	sort(view.Held, s.verdicts.held)
+	sort(view.Suspects, s.verdicts.suspects)
+	g.reports.add(steward.Report{Served: cleared})
+}
+
+// noteServed notes that the request was served whole.
+func (r *run) noteServed() {
+	s, p := r.gateway.state, r.print()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.served.note(p, time.Now())
+	if s.verdicts.held[p] || s.verdicts.suspects[p] {
+		delete(s.verdicts.held, p)
+		delete(s.verdicts.suspects, p)
+		r.gateway.reports.add(steward.Report{Served: []quarantine.Print{p}})
+	}
+}
+
+// heldError reports, as an error, that the request is to be sent to no upstream.
+func (r *run) heldError() error {
+	s := r.gateway.state
+	s.mu.Lock()
+	none := len(s.verdicts.held) == 0
+	s.mu.Unlock()
+	if none {
+		return nil
+	}
+	p := r.print()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.verdicts.held[p] {
+		return nil
+	}
+	return &outcome.Unknown{
+		Reason: ReasonEndsUpstreams,
+		Detail: "earlier attempts of this request ended the upstreams that ran them; nothing was sent now, do not repeat it as it is",
+	}
+}
+
+// suspected reports whether one more end under the request decides that it is held. It
+// is then for its caller to repeat it: by ourselves we would end one more before we know.
+func (r *run) suspected() bool {
+	s, p := r.gateway.state, r.print()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.verdicts.held[p] || s.verdicts.suspects[p]
+}
+
+// reports gather what is to be told to the control hosts.
+type reports struct {
+	mu      sync.Mutex
+	pending steward.Report
+	// ready holds an item while something is pending.
+	ready chan struct{}
+}
+
+func newReports() *reports { return &reports{ready: make(chan struct{}, 1)} }
+
+// add takes in what is to be told.
+func (q *reports) add(r steward.Report) {
+	if r.Empty() {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.pending.Ends = latest(append(q.pending.Ends, r.Ends...))
+	q.pending.Served = latest(append(q.pending.Served, r.Served...))
+	select {
+	case q.ready <- struct{}{}:
+	default:
+	}
+}
+
+func latest[T any](list []T) []T { return list[max(len(list)-reportsMost, 0):] }
+
+// take returns what is to be told.
+func (q *reports) take() steward.Report {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.pending
+	q.pending = steward.Report{}
+	return r
+}
+
+// Report tells control hosts, until ctx ends, what this entry sees of requests that end
+// upstreams. What fails to be told is told again.
+func (g *Gateway) Report(ctx context.Context, tell func(context.Context, *steward.Report) error) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.reports.ready:
+		}
+		r := g.reports.take()
+		if tell(ctx, &r) == nil {
+			continue
+		}
+		g.reports.add(r)
+		wait.For(ctx, reportAgain)
+	}
+}
+
+// blame reports the requests that were under way at an upstream when it ended, but for
+// those that were served lately. The caller holds the lock.
+func (g *Gateway) blame(l *lostSends, now time.Time) {
+	record := l.upstream.record
+	end := quarantine.End{Life: quarantine.Life{Upstream: record.ID, Born: record.Born}}
+	for _, request := range l.requests {
+		if !g.state.served.has(request.print, now) && !slices.Contains(end.Prints, request.print) {
+			end.Prints = append(end.Prints, request.print)
+		}
+	}
+	if len(end.Prints) > 0 {
+		g.reports.add(steward.Report{Ends: []quarantine.End{end}})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -87,14 +87,21 @@
 		return false, r.refusal(outcome.ReasonRefused, comeBackFull, err.Error())
 	case errors.As(err, &repeat):
 		return true, nil
+	case r.suspected():
+		return false, unknownOf(err)
 	case r.mayRepeat() && r.sends < r.attempts() && r.takeBudget(now):
 		return true, nil
 	}
+	return false, unknownOf(err)
+}
+
+// unknownOf is the final answer after a send that may have run.
+func unknownOf(err error) error {
 	var unknown *outcome.Unknown
 	if errors.As(err, &unknown) {
-		return false, unknown
+		return unknown
 	}
-	return false, &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: err.Error()}
+	return &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: err.Error()}
 }
 
 // mayRepeat reports whether the request may run once more: a resumable stream
@@ -137,10 +144,18 @@
 // attempt makes one send and passes its answer on. A nil error means that the
 // caller has a whole answer.
 func (r *run) attempt(ctx context.Context, respond Responder) error {
+	if err := r.heldError(); err != nil {
+		return err
+	}
 	p, err := r.await(ctx)
 	if err != nil {
 		return err
 	}
+	if err := r.heldError(); err != nil {
+		// It was judged while it waited.
+		r.unsend(p)
+		return err
+	}
 	answer, err := r.gateway.options.Sender.Send(ctx, p.send)
 	if err != nil {
 		var unsent *outcome.NotRun
@@ -234,6 +249,9 @@
 				return err
 			}
 			r.whole(p, answer.Status < 500)
+			if answer.Status/100 == 2 {
+				r.noteServed()
+			}
 			return nil
 		}
 		if err != nil {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -83,6 +83,9 @@
 	recent  *recentParts
 	// lost are the sends that broke off lately, by their upstream's life.
 	lost map[life]*lostSends
+	// verdicts are on requests that end upstreams, and served those that did not.
+	verdicts verdicts
+	served   served
 	// waiting are the requests that wait for room, in the order of their turns.
 	waiting  []*waiter
 	patience patience
@@ -146,6 +149,7 @@
 	defer s.mu.Unlock()
 	request := &steward.WatchRequest{
 		Entry: &view, Weights: s.weightsR, Roster: s.rosterR, Term: s.term,
+		Quarantine: s.verdicts.revision,
 	}
 	if time.Since(s.shelvesAt) > shelvesUrgent {
 		// A host that does not know the term as its own answers at once.
--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
 
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
@@ -71,7 +72,7 @@
 }
 
 // Follower keeps watching the leader, or a host that passes on what the leader
-// tells. It is not safe for concurrent use but for SetSeeds.
+// tells. It is not safe for concurrent use but for SetSeeds and Report.
 type Follower struct {
 	options FollowerOptions
 	seeds   atomic.Pointer[[]ident.Host]
@@ -97,6 +98,8 @@
 	spread float64
 	// pause is how long the host of the latest answer asked to wait.
 	pause time.Duration
+	// through is the host of the latest answer of a leader, for reports.
+	through atomic.Pointer[ident.Host]
 	// word is the time as of which everything is known that the leader knew, in
 	// microseconds since epoch.
 	word  atomic.Int64
@@ -197,6 +200,33 @@
 	}
 }
 
+// reportTimeout bounds one report: two ways, gathering and a commit.
+const reportTimeout = proposeTimeout + watchTimeout
+
+// Report tells the control hosts what this entry has seen. Without an error it is in the
+// log of a quorum; after ErrUnavailable it may be, and telling it again does no harm.
+func (f *Follower) Report(ctx context.Context, r *Report) error {
+	host := f.through.Load()
+	if host == nil {
+		return ErrUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	address := net.JoinHostPort(string(*host), strconv.Itoa(f.options.PeerPort))
+	raw, err := f.options.Transport.Call(ctx, address, methodReport, wire.MustMarshal(r))
+	if err != nil {
+		return errors.Join(ErrUnavailable, err)
+	}
+	var answer submitted
+	if err := wire.Unmarshal(raw, &answer); err != nil {
+		return eris.Wrap(err, "steward: decode the answer to a report")
+	}
+	if answer.Uncertain {
+		return ErrUnavailable
+	}
+	return nil
+}
+
 // describe adds to a request what the host that is asked needs to know of the caller.
 func (f *Follower) describe(request *WatchRequest, host ident.Host, now time.Time) {
 	request.Entries = f.entries
@@ -251,6 +281,7 @@
 		f.options.Log.Info("leader followed", "leader", answer.Leader, "through", call.host, "term", answer.Term)
 	}
 	f.asked = call.host
+	f.through.Store(&call.host)
 	delete(f.elsewhere, call.host)
 	f.leader = ident.Host(answer.Leader)
 	f.relays = f.order(answer.Relays)
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -51,6 +51,10 @@
 	beats map[string]time.Time
 	// told is the most entries that callers had been told of before.
 	told int
+	// reports are being gathered for a command, nil if none are.
+	reports *reportBatch
+	// forgotAt is when ends were last looked for that no longer count.
+	forgotAt time.Time
 	// small is since when the group has been below its size, zero when it is
 	// not.
 	small time.Time
@@ -231,9 +235,10 @@
 	})
 }
 
-// housekeep gives up upstreams that are lost.
+// housekeep gives up upstreams that are lost, and forgets old ends.
 func (l *leadership) housekeep(ctx context.Context) {
 	for wait.For(ctx, housekeeping) {
+		l.forgetEnds(ctx)
 		for _, u := range l.lost(l.steward.machine.live(), time.Now()) {
 			u.State = roster.Gone
 			l.steward.options.Log.Info("upstream given up", "upstream", u.ID, "address", u.Address)
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/wire"
+	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/rollout"
 	"github.com/lovagereach/lovagereach/roster"
 )
@@ -20,6 +21,9 @@
 	Weights  *roster.Loaded    `cbor:"2,keyasint,omitempty"`
 	Upstream *roster.Upstream  `cbor:"3,keyasint,omitempty"`
 	Life     *storeLife        `cbor:"4,keyasint,omitempty"`
+	Report   *Report           `cbor:"5,keyasint,omitempty"`
+	// Forget are upstreams whose ends no longer count.
+	Forget []quarantine.Life `cbor:"6,keyasint,omitempty"`
 }
 
 // storeLife is the life in which a store was last opened to entries. A new
@@ -50,6 +54,10 @@
 	namings *rollout.Namings
 	roster  *roster.Roster
 	lives   map[string]uint64
+	// quarantine holds the requests that end upstreams, and ends when this host learnt
+	// of each end: like namings, each host's own.
+	quarantine *quarantine.Ledger
+	ends       map[quarantine.Life]time.Time
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -58,7 +66,8 @@
 func NewMachine() *Machine {
 	return &Machine{
 		weights: make(map[string]uint64), namings: rollout.NewNamings(), lives: make(map[string]uint64),
-		roster: roster.New(), changed: make(chan struct{}),
+		roster: roster.New(), quarantine: quarantine.NewLedger(), ends: make(map[quarantine.Life]time.Time),
+		changed: make(chan struct{}),
 	}
 }
 
@@ -82,6 +91,10 @@
 		}
 	case c.Life != nil:
 		m.lives[c.Life.Address] = c.Life.Life
+	case c.Report != nil:
+		m.applyReport(c.Report)
+	case len(c.Forget) > 0:
+		m.applyForget(c.Forget)
 	}
 	return wire.MustMarshal(v)
 }
@@ -117,6 +130,7 @@
 	WeightsRevision uint64            `cbor:"3,keyasint"`
 	Roster          roster.Saved      `cbor:"4,keyasint"`
 	Lives           map[string]uint64 `cbor:"5,keyasint"`
+	Quarantine      quarantine.Saved  `cbor:"6,keyasint"`
 }
 
 // Snapshot implements port.StateMachine.
@@ -129,6 +143,7 @@
 		WeightsRevision: m.weightsRevision,
 		Roster:          m.roster.Save(),
 		Lives:           m.lives,
+		Quarantine:      m.quarantine.Save(),
 	}
 	data, err := wire.Marshal(saved)
 	return data, eris.Wrap(err, "steward: encode snapshot")
@@ -154,6 +169,8 @@
 	if m.lives == nil {
 		m.lives = make(map[string]uint64)
 	}
+	m.quarantine.Restore(saved.Quarantine)
+	m.noteEnds(time.Now())
 	m.notify()
 	return nil
 }
@@ -286,6 +303,10 @@
 		answer.Roster = m.rosterAfter(request.Roster)
 		found = true
 	}
+	if m.quarantine.Revision() > request.Quarantine {
+		answer.Quarantine = &QuarantineView{Revision: m.quarantine.Revision(), Held: m.quarantine.Held(), Suspects: m.quarantine.Suspects()}
+		found = true
+	}
 	return found
 }
 
@@ -300,21 +321,22 @@
 
 // revisions tell how far a state has come.
 type revisions struct {
-	document catalog.Version
-	weights  uint64
-	roster   uint64
+	document   catalog.Version
+	weights    uint64
+	roster     uint64
+	quarantine uint64
 }
 
 // cover reports whether nothing of other is missing.
 func (r revisions) cover(other revisions) bool {
-	return r.document >= other.document && r.weights >= other.weights && r.roster >= other.roster
+	return r.document >= other.document && r.weights >= other.weights && r.roster >= other.roster && r.quarantine >= other.quarantine
 }
 
 // held returns how far the state has come.
 func (m *Machine) held() revisions {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	held := revisions{weights: m.weightsRevision, roster: m.roster.Revision()}
+	held := revisions{weights: m.weightsRevision, roster: m.roster.Revision(), quarantine: m.quarantine.Revision()}
 	if m.document != nil {
 		held.document = m.document.Version
 	}
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -6,6 +6,7 @@
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/holdings"
 	"github.com/lovagereach/lovagereach/internal/port"
+	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -14,6 +15,7 @@
 	methodWatch  port.Method = "steward.watch"
 	methodSubmit port.Method = "steward.submit"
 	methodJoin   port.Method = "steward.join"
+	methodReport port.Method = "steward.report"
 )
 
 // Load is the work that one entry has under way at an upstream, or what it
@@ -72,6 +74,8 @@
 	// Idle tells that the caller, an entry, has had no request lately: it needs the
 	// configuration in time, and the rest only to begin with.
 	Idle bool `cbor:"13,keyasint,omitempty"`
+	// Quarantine is the revision of the quarantine that the caller holds.
+	Quarantine uint64 `cbor:"15,keyasint,omitempty"`
 	// Heard are the upstreams that announced themselves to the caller, a control
 	// host, since its latest question that was answered.
 	Heard []Heard `cbor:"14,keyasint,omitempty"`
@@ -97,6 +101,24 @@
 	Since     uint64            `cbor:"3,keyasint,omitempty"`
 }
 
+// QuarantineView is which requests are to be sent to no upstream, and which further
+// ones have ended all but as many.
+type QuarantineView struct {
+	Revision uint64             `cbor:"1,keyasint"`
+	Held     []quarantine.Print `cbor:"2,keyasint,omitempty"`
+	Suspects []quarantine.Print `cbor:"3,keyasint,omitempty"`
+}
+
+// Report is what an entry has seen of requests that end upstreams.
+type Report struct {
+	Ends []quarantine.End `cbor:"1,keyasint,omitempty"`
+	// Served are requests that ran to a good end and were suspected.
+	Served []quarantine.Print `cbor:"2,keyasint,omitempty"`
+}
+
+// Empty reports whether there is nothing to tell.
+func (r *Report) Empty() bool { return len(r.Ends)+len(r.Served) == 0 }
+
 // ShelfState is whether one store may be used.
 type ShelfState struct {
 	Address string `cbor:"1,keyasint"`
@@ -143,13 +165,14 @@
 	// Floor lists the oldest weights on which a prompt may begin, for the models
 	// where older ones are past their bound.
 	Floor []roster.Loaded `cbor:"21,keyasint,omitempty"`
-	// Heard is the same for Document, Weights and Roster.
+	// Heard is the same for Document, Weights, Roster and Quarantine.
 	Heard time.Duration `cbor:"22,keyasint,omitempty"`
 	// Pause is how long the caller should wait before it asks again.
-	Pause time.Duration `cbor:"23,keyasint,omitempty"`
+	Pause      time.Duration   `cbor:"23,keyasint,omitempty"`
+	Quarantine *QuarantineView `cbor:"24,keyasint,omitempty"`
 	// Partial answers came after another one was taken in that was asked for
-	// later, or about as late: only Document, Weights and Roster, which have
-	// revisions, still hold.
+	// later, or about as late: only Document, Weights, Roster and Quarantine, which
+	// have revisions, still hold.
 	Partial bool `cbor:"-"`
 	// waited is for how long the watch was kept open.
 	waited time.Duration
@@ -168,6 +191,9 @@
 	if a.Roster != nil {
 		r.roster = a.Roster.Revision
 	}
+	if a.Quarantine != nil {
+		r.quarantine = a.Quarantine.Revision
+	}
 	return r
 }
 
@@ -178,6 +204,8 @@
 	Beat *roster.Upstream `cbor:"2,keyasint,omitempty"`
 	// Read asks for the configuration.
 	Read bool `cbor:"3,keyasint,omitempty"`
+	// Report is an entry's.
+	Report *Report `cbor:"4,keyasint,omitempty"`
 }
 
 type submitted struct {
--- a/internal/steward/meter.go
+++ b/internal/steward/meter.go
@@ -66,6 +66,14 @@
 		}
 		return 0
 	})
+	gauge("requests_held", func(time.Time) float64 {
+		held, _ := s.machine.quarantined()
+		return float64(len(held))
+	})
+	gauge("requests_suspected", func(time.Time) float64 {
+		_, suspects := s.machine.quarantined()
+		return float64(suspects)
+	})
 	gauge("leader_heard_seconds", func(now time.Time) float64 {
 		if s.leading.Load() != nil {
 			return 0
@@ -105,6 +113,8 @@
 	Silent   []string         `json:"silent_upstreams"`
 	Loading  []string         `json:"loading_upstreams"`
 	Roster   []DumpedUpstream `json:"upstreams"`
+	// Held are the prints of requests that are sent to no upstream.
+	Held []string `json:"held_requests"`
 	// Heard is the time since the leader was asked with success.
 	Heard time.Duration `json:"leader_heard_ns"`
 }
@@ -136,6 +146,10 @@
 		u := &live[i]
 		d.Roster = append(d.Roster, DumpedUpstream{ID: u.ID, Service: u.Service, Address: u.Address, State: u.State.String(), Sequence: u.Sequence})
 	}
+	held, _ := s.machine.quarantined()
+	for _, p := range held {
+		d.Held = append(d.Held, p.String())
+	}
 	if l := s.leading.Load(); l != nil {
 		d.Leading = true
 		d.Relays, d.Silent, d.Loading = l.relays(now), l.silent(live, now), l.loader.loading()
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -134,6 +134,7 @@
 	})
 	s.transport.Handle(methodWatch, port.PeerHandlerFunc(s.handleWatch))
 	s.transport.Handle(methodSubmit, port.PeerHandlerFunc(s.handleSubmit))
+	s.transport.Handle(methodReport, port.PeerHandlerFunc(s.handleReport))
 	s.transport.Handle(methodJoin, port.PeerHandlerFunc(s.handleJoin))
 	return nil
 }
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -140,6 +140,8 @@
 			return submitted{}, errors.Join(ErrUnavailable, err)
 		}
 		return submitted{Document: s.machine.Document()}, nil
+	case message.Report != nil:
+		return submitted{}, s.takeReport(ctx, message.Report)
 	case message.Beat != nil:
 		return submitted{}, s.takeBeat(ctx, message.Beat)
 	case message.Command != nil:
--- /dev/null
+++ b/quarantine/ledger_test.go
@@ -0,0 +1,175 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+func printOf(name string) Print {
+	r := Request{Team: "growers", Target: name}
+	return r.Print()
+}
+
+func endOf(upstream string, names ...string) End {
+	e := End{Life: Life{Upstream: upstream}}
+	for _, name := range names {
+		e.Prints = append(e.Prints, printOf(name))
+	}
+	return e
+}
+
+// One request ends upstream after upstream, and takes others with it that are repeated
+// to the next. Only the one that stood at every end may be held.
+func TestWhoStoodAtEveryEndIsHeld(t *testing.T) {
+	cases := []struct {
+		name string
+		ends []End
+		held []string
+	}{
+		{"two ends may be chance", []End{endOf("a", "bad", "x"), endOf("b", "bad")}, nil},
+		{"three ends", []End{endOf("a", "bad", "x"), endOf("b", "bad", "y"), endOf("c", "bad")}, []string{"bad"}},
+		{"the same end told by two entries", []End{endOf("a", "bad"), endOf("a", "bad", "x"), endOf("b", "bad")}, nil},
+		{"another life under the same name", []End{endOf("a", "bad"), endOf("b", "bad"), {Life: Life{"a", 7}, Prints: []Print{printOf("bad")}}}, []string{"bad"}},
+		{"one that was repeated to three of four", []End{endOf("a", "bad"), endOf("b", "bad", "x"), endOf("c", "bad", "x"), endOf("d", "bad", "x")}, []string{"bad"}},
+		{"one that stood at the same three", []End{endOf("a", "bad", "x"), endOf("b", "bad", "x"), endOf("c", "bad", "x")}, nil},
+		{"which the fourth tells apart", []End{endOf("a", "bad", "x"), endOf("b", "bad", "x"), endOf("c", "bad", "x"), endOf("d", "bad")}, []string{"bad"}},
+		{"two that end upstreams of their own", []End{
+			endOf("a", "bad"), endOf("b", "worse"), endOf("c", "bad"), endOf("d", "worse"), endOf("e", "bad", "worse"), endOf("f", "worse"),
+		}, []string{"worse"}},
+		{"a whole rack with all its requests", []End{endOf("a", "x", "y"), endOf("b", "z"), endOf("c", "u", "v"), endOf("d", "x")}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := NewLedger()
+			for _, e := range c.ends {
+				l.Ended(e)
+			}
+			var want []Print
+			for _, name := range c.held {
+				want = append(want, printOf(name))
+			}
+			if !slices.Equal(l.Held(), want) {
+				t.Fatalf("held %v, want %v", l.Held(), want)
+			}
+		})
+	}
+}
+
+// Many callers ask the same, and three upstreams are lost with it under way: it is
+// served by the next. A request that runs to a good end ends nobody.
+func TestServedRequestsAreCleared(t *testing.T) {
+	l := NewLedger()
+	for _, name := range []string{"a", "b", "c"} {
+		l.Ended(endOf(name, "poll"))
+	}
+	if len(l.Held()) != 1 {
+		t.Fatal("the case is not what it says")
+	}
+	before := l.Revision()
+	l.Served(printOf("poll"))
+	if len(l.Held())+len(l.Suspects()) != 0 || l.Revision() == before {
+		t.Fatalf("held %v, suspected %v, revision %d after %d", l.Held(), l.Suspects(), l.Revision(), before)
+	}
+}
+
+// A request that one held request explains is no suspect, and one that stood at two
+// ends without it is.
+func TestSuspects(t *testing.T) {
+	l := NewLedger()
+	for _, e := range []End{endOf("a", "bad", "x"), endOf("b", "bad", "x", "y"), endOf("c", "bad"), endOf("d", "y"), endOf("e", "y")} {
+		l.Ended(e)
+	}
+	if !slices.Equal(l.Held(), []Print{printOf("bad")}) || !slices.Equal(l.Suspects(), []Print{printOf("y")}) {
+		t.Fatalf("held %v, suspected %v", l.Held(), l.Suspects())
+	}
+}
+
+// An end that is forgotten releases who was held for it, and ledgers stay bounded
+// whatever comes.
+func TestEndsAreForgottenAndBounded(t *testing.T) {
+	l := NewLedger()
+	for i := range 3 {
+		l.Ended(endOf(fmt.Sprint(i), "bad"))
+	}
+	l.Forget(Life{Upstream: "0"})
+	if len(l.Held()) != 0 || !slices.Equal(l.Suspects(), []Print{printOf("bad")}) {
+		t.Fatalf("held %v, suspected %v", l.Held(), l.Suspects())
+	}
+	crowd := End{Life: Life{Upstream: "crowd"}}
+	for n := range 2 * MaxPrints {
+		crowd.Prints = append(crowd.Prints, printOf(fmt.Sprint("one of many ", n)))
+	}
+	l.Ended(crowd)
+	if len(l.counts) != 1+MaxPrints {
+		t.Fatalf("%d requests are remembered", len(l.counts))
+	}
+	for i := range 2 * MaxLives {
+		l.Ended(endOf(fmt.Sprint("more-", i), fmt.Sprint("x", i)))
+	}
+	if len(l.Lives()) != MaxLives || len(l.counts) != MaxLives {
+		t.Fatalf("%d ends and %d requests are remembered", len(l.Lives()), len(l.counts))
+	}
+}
+
+// Hosts that restore a snapshot judge as those that took in the log.
+func TestRestoredLedgersJudgeAlike(t *testing.T) {
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		l, restored := NewLedger(), NewLedger()
+		for range 60 {
+			switch p := fmt.Sprint("p", r.IntN(12)); r.IntN(8) {
+			case 0:
+				l.Served(printOf(p))
+			case 1:
+				l.Forget(Life{Upstream: fmt.Sprint(r.IntN(20))})
+			default:
+				l.Ended(endOf(fmt.Sprint(r.IntN(20)), p, fmt.Sprint("p", r.IntN(12))))
+			}
+			restored.Restore(l.Save())
+			if !slices.Equal(l.Held(), restored.Held()) || !slices.Equal(l.Suspects(), restored.Suspects()) || l.Revision() != restored.Revision() {
+				t.Fatalf("seed %d: held %v and %v", seed, l.Held(), restored.Held())
+			}
+			for p, n := range l.counts {
+				stood := 0
+				for _, e := range l.ends {
+					if slices.Contains(e.Prints, p) {
+						stood++
+					}
+				}
+				if stood != n || n == 0 {
+					t.Fatalf("seed %d: counted %d ends, %d are remembered", seed, n, stood)
+				}
+			}
+		}
+	}
+}
+
+// The cost of one end while a third of a fleet of 130 is lost with eight requests
+// each, and that of a ledger as full as it can be.
+func BenchmarkEnded(b *testing.B) {
+	for _, size := range []struct{ lives, prints, of int }{{43, 8, 344}, {MaxLives, MaxPrints, 8192}} {
+		b.Run(fmt.Sprintf("%d ends of %d", size.lives, size.prints), func(b *testing.B) {
+			l := NewLedger()
+			next := 0
+			end := func(i int) End {
+				e := End{Life: Life{Upstream: fmt.Sprint(i)}}
+				for range size.prints {
+					e.Prints = append(e.Prints, printOf(fmt.Sprint(next%size.of)))
+					next++
+				}
+				return e
+			}
+			for i := range size.lives - 1 {
+				l.Ended(end(i))
+			}
+			last := end(size.lives)
+			b.ResetTimer()
+			for b.Loop() {
+				l.Ended(last)
+				l.Forget(last.Life)
+			}
+		})
+	}
+}
