--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/lovagereach/lovagereach/outcome"
 )
 
 // finish ends the accounting of a send that says nothing of its upstream.
@@ -43,11 +45,9 @@
 	}
 }
 
-// unsend gives back what a plan was granted that is not sent.
-func (r *run) unsend(p *plan) {
-	s := r.gateway.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// unsend gives back what a plan was granted that is not sent. The caller holds the
+// lock.
+func (s *state) unsend(p *plan) {
 	s.settle(p)
 	s.forgetPending(p)
 }
@@ -95,7 +95,13 @@
 // fail notes that a send ended without a whole answer. A caller that went away
 // says nothing of the upstream.
 func (r *run) fail(ctx context.Context, p *plan, cause error) {
-	s, print := r.gateway.state, r.print()
+	s := r.gateway.state
+	var unsent *outcome.NotRun
+	sent := !errors.As(cause, &unsent)
+	if sent {
+		// Before the lock is taken, for it reads the body.
+		r.print()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settle(p)
@@ -104,7 +110,9 @@
 		return
 	}
 	p.upstream.trust.failed(time.Now())
-	r.noteLost(p, print, cause)
+	if sent {
+		r.noteLost(p)
+	}
 	r.gateway.believe(p.upstream, true, cause)
 	s.forgetPending(p)
 }
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"time"
 
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/wait"
-	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/quarantine"
 )
 
@@ -59,13 +57,8 @@
 }
 
 // noteLost notes that a send broke off, and looks once whether its upstream has
-// ended. Sends that no byte of has left say nothing of it. The caller holds the
-// lock; print is the request's.
-func (r *run) noteLost(p *plan, print quarantine.Print, cause error) {
-	var unsent *outcome.NotRun
-	if errors.As(cause, &unsent) {
-		return
-	}
+// ended. The caller holds the lock.
+func (r *run) noteLost(p *plan) {
 	s, key := r.gateway.state, p.upstream.life()
 	l := s.lost[key]
 	if l == nil {
@@ -74,7 +67,7 @@
 		go r.gateway.look(key, p.send)
 	}
 	if len(l.requests) < lostMost {
-		l.requests = append(l.requests, lostRequest{id: r.request.ID, print: print})
+		l.requests = append(l.requests, lostRequest{id: r.request.ID, print: r.print()})
 	}
 }
 
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -190,8 +190,7 @@
 	select {
 	case p := <-w.granted:
 		// Room was found at the same moment; nothing was sent yet.
-		s.settle(p)
-		s.forgetPending(p)
+		s.unsend(p)
 	default:
 	}
 	return nil, err
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -153,7 +153,10 @@
 	}
 	if err := r.heldError(); err != nil {
 		// It was judged while it waited.
-		r.unsend(p)
+		s := r.gateway.state
+		s.mu.Lock()
+		s.unsend(p)
+		s.mu.Unlock()
 		return err
 	}
 	answer, err := r.gateway.options.Sender.Send(ctx, p.send)
