entry: prompts and calls that end three upstreams are sent to no further one

What callers saw: as in the routed pipeline, one prompt or call ended upstream after upstream with all that was under way there. Cause: the same; attempts have identities of their own, and entries tell each other of upstreams that leave, not of requests that end them. Change: an entry looks at an upstream where attempts broke off and, if it has ended, tells all entries what was under way; each judges by the same ledger (quarantine) and holds the request. Keyed calls ask the at-most-once ledger first. What both pipelines share (print, ledger, what was served, what broke off) is in quarantine. Why it holds: the judgement follows the request and all entries have it; a lost message is told again. Left: the ends that only one entry saw are not told to entries that start after that entry was lost.

--- a/internal/adapter/callers/errors.go
+++ b/internal/adapter/callers/errors.go
@@ -49,8 +49,10 @@
 	outcome.ReasonKeyConflict:  {http.StatusUnprocessableEntity, typeConflict},
 	outcome.ReasonKeyExpired:   {http.StatusConflict, typeConflict},
 	outcome.ReasonTeamLimit:    {http.StatusTooManyRequests, typeRate},
-	outcome.ReasonTimeout:      {http.StatusGatewayTimeout, typeServer},
-	outcome.ReasonDeadline:     {http.StatusServiceUnavailable, typeServer},
+	// No promise that it has not run; callers repeat nothing after this status.
+	outcome.ReasonEndsUpstreams: {http.StatusBadRequest, typeInvalid},
+	outcome.ReasonTimeout:       {http.StatusGatewayTimeout, typeServer},
+	outcome.ReasonDeadline:      {http.StatusServiceUnavailable, typeServer},
 }
 
 // describe turns an error into a status and the body's detail.
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -67,6 +67,9 @@
 // start takes a place and sends the first attempt, or further ones as long as
 // they are certain not to have run.
 func (a *answer) start() error {
+	if err := a.entry.mayRun(a.job.print); err != nil {
+		return err
+	}
 	if err := a.admitted(); err != nil {
 		return err
 	}
@@ -102,6 +105,9 @@
 
 // try makes one attempt.
 func (a *answer) try() error {
+	if err := a.entry.mayRun(a.job.print); err != nil {
+		return err
+	}
 	if err := a.place(); err != nil {
 		return err
 	}
@@ -190,6 +196,9 @@
 // mayRetry waits before another attempt, or returns the outcome to answer.
 func (a *answer) mayRetry(cause error) error {
 	j := a.job
+	if !a.entry.mayRepeat(j.print, cause, a.ran) {
+		return cause
+	}
 	call := retry.Call{
 		Team:       j.prompt.Caller.Team(),
 		Class:      j.class.Name,
--- a/internal/entry/counts.go
+++ b/internal/entry/counts.go
@@ -37,6 +37,8 @@
 	hedges           *metrics.Counter
 	lateAnswers      *metrics.Counter
 	departuresHeard  *metrics.Counter
+	upstreamEnds     *metrics.Counter
+	held             *metrics.Counter
 	serviceCalls     *metrics.Counter
 	repeatedCalls    *metrics.Counter
 	outcomes         [outcome.KindUnknown + 1]*metrics.Counter
@@ -71,6 +73,8 @@
 		hedges:           set.NewCounter("lovagereach_entry_hedges_total"),
 		lateAnswers:      set.NewCounter("lovagereach_entry_late_answers_total"),
 		departuresHeard:  set.NewCounter("lovagereach_entry_departures_heard_total"),
+		upstreamEnds:     set.NewCounter("lovagereach_entry_upstream_ends_total"),
+		held:             set.NewCounter("lovagereach_entry_held_total"),
 		serviceCalls:     set.NewCounter("lovagereach_entry_service_calls_total"),
 		repeatedCalls:    set.NewCounter("lovagereach_entry_repeated_calls_total"),
 	}
--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -1,11 +1,19 @@
 package entry
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/wire"
+	"github.com/lovagereach/lovagereach/outcome"
+	"github.com/lovagereach/lovagereach/quarantine"
 )
 
 // endsMost are the engines that may end under a prompt, and a call, before it is known,
@@ -13,12 +21,13 @@
 const endsMost, sentMost = 3, 3
 
 // A prompt ends each engine that begins to run it, and its caller sends it to one entry
-// after the other. Each attempt was new to the entry that got it, as in the routed
-// pipeline: it was sent, and sent again to the next engine, with every attempt.
+// after the other. Each attempt was new to the entry that got it: the engine was held
+// to have failed, never the prompt, so it was sent, and sent again to the next engine,
+// with every attempt. 16 attempts at two entries ended 36 engines.
 func TestAPromptThatEndsItsEnginesIsStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		one, two := newBench(t), newBench(t)
-		joined(one, two)
+		joined(t, one, two)
 		ended := func(b *bench) (n int) {
 			for _, f := range b.upstreams.engines {
 				n += len(f.requests)
@@ -56,11 +65,11 @@
 	})
 }
 
-// The same for a call of a plain service.
+// The same for a call of a plain service: 16 attempts ended 36 replicas.
 func TestACallThatEndsItsReplicasIsStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		one, two := newBench(t), newBench(t)
-		joined(one, two)
+		joined(t, one, two)
 		for _, b := range []*bench{one, two} {
 			for _, name := range []string{"app-1", "app-2", "app-3"} {
 				f := b.service(t, name)
@@ -94,8 +103,23 @@
 	})
 }
 
-// joined lets entries hear of each other.
-func joined(one, two *bench) {}
+// joined lets entries hear of each other. Upstreams that break off have ended.
+func joined(t *testing.T, one, two *bench) {
+	one.upstreams.ended, two.upstreams.ended = true, true
+	one.options.SendEnds = func(body []byte) { _ = two.TakeEnds(body) }
+	two.options.SendEnds = func(body []byte) { _ = one.TakeEnds(body) }
+	run(t, one, two)
+}
+
+// run lets entries work until the test ends.
+func run(t *testing.T, entries ...*bench) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	for _, b := range entries {
+		work.Go(func() { b.Run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); work.Wait() })
+}
 
 // reborn announces all upstreams in a new life, as after their end.
 func reborn(t *testing.T, entries ...*bench) {
@@ -107,3 +131,112 @@
 		b.announceAgain(t)
 	}
 }
+
+// ask sends one prompt of the test team, with a seed that tells it from others.
+func (b *bench) ask(t *testing.T, id byte, seed uint64) error {
+	t.Helper()
+	prompt := b.prompt(t, id)
+	prompt.Seed = seed
+	answer, err := b.Prompt(t.Context(), prompt)
+	if err == nil {
+		_, err = read(answer)
+	}
+	return err
+}
+
+func isHeld(err error) bool {
+	var unknown *outcome.Unknown
+	return errors.As(err, &unknown) && unknown.Reason == outcome.ReasonEndsUpstreams
+}
+
+// The first messages about ends are lost, and a third entry starts long after they were
+// seen. Both must hold the prompt, tell its caller that it is not sent, and go on
+// sending all others; once it was served somewhere, all send it again.
+func TestEndsReachEveryEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two, three := newBench(t), newBench(t), newBench(t)
+		one.upstreams.ended = true
+		var told atomic.Int32
+		one.options.SendEnds = func(body []byte) {
+			if told.Add(1) > 3 {
+				_, _ = two.TakeEnds(body), three.TakeEnds(body)
+			}
+		}
+		for i := range quarantine.Ends {
+			one.engine(t, fmt.Sprint("runner-", i), step{refuse: errLost})
+			two.engine(t, fmt.Sprint("runner-", i))
+			three.engine(t, fmt.Sprint("runner-", i))
+		}
+		run(t, one)
+		for n := range byte(2) {
+			_ = one.ask(t, n, 7)
+			time.Sleep(time.Second)
+			reborn(t, one)
+		}
+		time.Sleep(2 * endEvery)
+		if err := two.ask(t, 10, 7); !isHeld(err) {
+			t.Errorf("the second entry answers %v", err)
+		}
+		time.Sleep(2 * endRepeat)
+		three.mu.Lock()
+		three.ends = newEnds()
+		three.mu.Unlock()
+		one.control.enter(Peer{Host: "entry-3"})
+		time.Sleep(2 * endEvery)
+		three.announceAgain(t)
+		if err := three.ask(t, 11, 7); !isHeld(err) {
+			t.Errorf("an entry that started later answers %v", err)
+		}
+		if err := three.ask(t, 12, 8); err != nil {
+			t.Errorf("another prompt ends with %v", err)
+		}
+		_ = three.TakeEnds(wire.MustMarshal(endsMessage{Served: three.ends.ledger.Held()}))
+		three.announceAgain(t)
+		if err := three.ask(t, 13, 7); err != nil {
+			t.Errorf("a prompt that was served elsewhere ends with %v", err)
+		}
+	})
+}
+
+// Connections break, but the engines go on: their prompts are not held, and an entry
+// that has served one clears it with all others. Old ends no longer count.
+func TestOnlyEndsCountAndNotForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.engine(t, "runner-1", step{refuse: errLost})
+		run(t, b)
+		for n := range byte(6) {
+			_ = b.ask(t, n, 7)
+			time.Sleep(time.Second)
+			reborn(t, b)
+		}
+		if held := b.ends.ledger.Held(); len(held) != 0 || b.ends.lost.Len() != 0 {
+			t.Fatalf("held %v without an end", held)
+		}
+		b.upstreams.ended = true
+		for n := range byte(6) {
+			_ = b.ask(t, 10+n, 7)
+			time.Sleep(time.Second)
+			reborn(t, b)
+		}
+		if !isHeld(b.ask(t, 20, 7)) {
+			t.Fatal("not held")
+		}
+		time.Sleep(endKept)
+		b.endsDue(time.Now())
+		if len(b.ends.ledger.Lives())+len(b.ends.own)+len(b.ends.heard) != 0 {
+			t.Fatal("old ends are kept")
+		}
+	})
+}
+
+// What another process says is bounded.
+func TestTakeEndsIsBounded(t *testing.T) {
+	b := newBench(t)
+	if b.TakeEnds(wire.MustMarshal(endsMessage{Ends: make([]quarantine.End, maxOwnEnds+1)})) == nil {
+		t.Error("too many ends are taken")
+	}
+	if b.TakeEnds([]byte("no message")) == nil {
+		t.Error("bytes that can't be read are taken")
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,7 +22,9 @@
 	counts  counts
 	keeper  *keeper
 	repairs chan ident.Upstream
-	drain   drainState
+	// looks are upstreams at which attempts broke off.
+	looks chan look
+	drain drainState
 
 	// mu guards the decision state below. It is never held during I/O.
 	mu       sync.Mutex
@@ -42,6 +44,8 @@
 	followed map[ident.Upstream]*followed
 	// departures are told to the other entries.
 	departures departureNews
+	// ends are of upstreams, and the requests that may have brought them about.
+	ends ends
 	// centres lists the data centres where a model, a service or (under the
 	// empty name) a store host was announced.
 	centres map[poolKey][]ident.DataCentre
@@ -85,6 +89,7 @@
 		options:    options,
 		counts:     newCounts(options.Metrics),
 		repairs:    make(chan ident.Upstream, maxRepairs),
+		looks:      make(chan look, maxLooks),
 		registry:   registry,
 		planner:    planner,
 		policy:     retry.NewPolicy(retry.DefaultOptions(), budgets),
@@ -96,6 +101,7 @@
 		stores:     stores,
 		followed:   make(map[ident.Upstream]*followed),
 		departures: newDepartureNews(),
+		ends:       newEnds(),
 		centres:    make(map[poolKey][]ident.DataCentre),
 		fetching:   newUnderWay(),
 		inFlight:   route.NewInFlight(),
@@ -108,13 +114,16 @@
 }
 
 // Run does the entry's background work until ctx ends: leases that run out,
-// snapshots that repair directories, and exports.
+// snapshots that repair directories, looks at upstreams that were lost, and exports.
 func (e *Entry) Run(ctx context.Context) {
 	var work sync.WaitGroup
 	work.Go(func() { e.housekeeping(ctx) })
 	for range repairWorkers {
 		work.Go(func() { e.repairLoop(ctx) })
 	}
+	for range lookWorkers {
+		work.Go(func() { e.lookLoop(ctx) })
+	}
 	work.Go(func() { e.keeper.runPlans(ctx) })
 	for range keepWorkers {
 		work.Go(func() { e.keeper.runWork(ctx) })
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -42,8 +43,19 @@
 	defer c.mu.Unlock()
 	return c.serving
 }
-func (c *fakeControl) Entries() []Peer { return c.peers }
-func (c *fakeControl) Leave()          { c.left.Store(true) }
+func (c *fakeControl) Entries() []Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peers
+}
+
+// enter adds an entry to those that serve.
+func (c *fakeControl) enter(p Peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers = append(slices.Clone(c.peers), p)
+}
+func (c *fakeControl) Leave() { c.left.Store(true) }
 
 // fakeLedger runs each key once and remembers the answer.
 type fakeLedger struct {
@@ -243,10 +255,13 @@
 	engines  map[string]*fakeEngine
 	services map[string]*fakeService
 	store    *fakeStore
+	// ended tells that upstreams that break off have ended.
+	ended bool
 }
 
 func (u *fakeUpstreams) Engine(address string) port.Engine   { return u.engines[address] }
 func (u *fakeUpstreams) Store(string) port.Store             { return u.store }
+func (u *fakeUpstreams) Ended(context.Context, string) bool  { return u.ended }
 func (u *fakeUpstreams) Service(address string) port.Service { return u.services[address] }
 
 const (
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -8,6 +8,7 @@
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/prefix"
+	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/route"
 	"github.com/lovagereach/lovagereach/upstream"
 )
@@ -49,6 +50,7 @@
 	e.tracker.End(a.attempt.Request, a.attempt.Number)
 	a.learn(usage)
 	e.mu.Unlock()
+	e.noteServed(a.job.print)
 	e.counts.done.Inc()
 	e.counts.ended(outcome.KindDone)
 	e.keeper.used(a.job, a.plan, usage)
@@ -119,6 +121,10 @@
 func (a *answer) attemptFailed(err error) {
 	if outcome.KindOf(err) != outcome.KindNotRun {
 		a.ran = err
+		if a.ctx.Err() == nil {
+			c := a.plan.candidate
+			a.entry.noteLost(c.Upstream, c.Incarnation, c.Address, quarantine.Attempt{Request: a.attempt.Request.String(), Print: a.job.print})
+		}
 	}
 	result := upstream.Failed
 	var notRun *outcome.NotRun
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -143,6 +143,9 @@
 }
 
 func (e *Entry) mayHedge(j *serviceJob, waited, usual time.Duration) bool {
+	if e.judged(j.print) {
+		return false
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.policy.Hedge(time.Now(), retry.Call{
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"time"
@@ -44,6 +45,9 @@
 	Engine(address string) port.Engine
 	Store(address string) port.Store
 	Service(address string) port.Service
+	// Ended reports whether the process of an upstream has ended: nothing listens at
+	// its address. Without a clear answer it reports false.
+	Ended(ctx context.Context, address string) bool
 }
 
 // Options configure an Entry. Zero times and bounds take the defaults below.
@@ -68,6 +72,8 @@
 	// SendDepartures sends a message to every other entry, which passes it to
 	// TakeDepartures. It never blocks; nil drops it.
 	SendDepartures func(body []byte)
+	// SendEnds does the same for TakeEnds.
+	SendEnds func(body []byte)
 	// Keep bounds and times what is kept of prompts.
 	Keep    keep.Options
 	Log     *log.Logger
@@ -111,6 +117,9 @@
 	if o.SendDepartures == nil {
 		o.SendDepartures = func([]byte) {}
 	}
+	if o.SendEnds == nil {
+		o.SendEnds = func([]byte) {}
+	}
 	return o
 }
 
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -56,6 +56,7 @@
 	}
 	return &job{
 		prompt:   prompt,
+		print:    printOfPrompt(&prompt),
 		model:    model,
 		class:    class,
 		arrived:  now,
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -10,6 +10,7 @@
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/prefix"
+	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/route"
 	"github.com/lovagereach/lovagereach/upstream"
 )
@@ -25,7 +26,9 @@
 
 // job is one prompt on its way, across its attempts.
 type job struct {
-	prompt   Prompt
+	prompt Prompt
+	// print tells the prompt from all others.
+	print    quarantine.Print
 	model    *config.Model
 	class    *config.Class
 	arrived  time.Time
--- a/internal/entry/repair.go
+++ b/internal/entry/repair.go
@@ -109,11 +109,21 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			e.tellDepartures(e.tick(time.Now()))
+			now := time.Now()
+			e.tellDepartures(e.tick(now))
+			e.tellEnds(e.endsDue(now))
 		}
 	}
 }
 
+// endsDue returns the ends that are to be told to the other entries.
+func (e *Entry) endsDue(now time.Time) endsMessage {
+	peers := e.options.Control.Entries()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ends.due(now, peers)
+}
+
 // tick returns the departures that are to be told to the other entries.
 func (e *Entry) tick(now time.Time) []departureWord {
 	e.mu.Lock()
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -13,6 +13,7 @@
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/once"
 	"github.com/lovagereach/lovagereach/outcome"
+	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/retry"
 	"github.com/lovagereach/lovagereach/upstream"
 )
@@ -37,6 +38,8 @@
 	avoid      []ident.Upstream
 	// ran is the outcome of an attempt that may have run; see answer.verdict.
 	ran error
+	// print tells the call from all others.
+	print quarantine.Print
 }
 
 // Call implements Service.
@@ -92,6 +95,7 @@
 		class:      class,
 		repeatable: service.RepeatableCall(call.Method, path),
 		deadline:   deadlineOf(now, call.Deadline, class),
+		print:      printOfCall(&call),
 	}
 	if j.deadline.IsZero() {
 		j.deadline = now.Add(defaultServiceDeadline)
@@ -107,6 +111,12 @@
 
 // runService takes a place in the service's pool and runs the call.
 func (e *Entry) runService(ctx context.Context, j *serviceJob) (ServiceAnswer, error) {
+	if j.repeatable {
+		// What may not be repeated asks the ledger first, for its recorded outcome.
+		if err := e.mayRun(j.print); err != nil {
+			return ServiceAnswer{}, err
+		}
+	}
 	key := poolKey{service: j.call.Service}
 	p, _, err := e.enter(ctx, key, j.call.Caller.snapshot, admit.Request{
 		ID:       j.call.Request,
@@ -187,6 +197,9 @@
 
 // forward makes one attempt.
 func (e *Entry) forward(ctx context.Context, j *serviceJob) (ServiceAnswer, error) {
+	if err := e.mayRun(j.print); err != nil {
+		return ServiceAnswer{}, err
+	}
 	chosen, attempt, err := e.placeCall(j)
 	if err != nil {
 		return ServiceAnswer{}, err
@@ -207,6 +220,14 @@
 	e.tracker.End(attempt.Request, attempt.Number)
 	e.noteCall(j, time.Since(sent), err)
 	e.mu.Unlock()
+	broke := func() {
+		if ctx.Err() == nil {
+			e.noteLost(chosen.Upstream, chosen.Incarnation, chosen.Address, quarantine.Attempt{Request: attempt.Request.String(), Print: j.print})
+		}
+	}
+	if outcome.KindOf(err) == outcome.KindUnknown {
+		broke()
+	}
 	if err != nil {
 		e.options.Log.Warn("service call failed", "request", attempt.Request.String(), "attempt", attempt.Number,
 			"upstream", string(chosen.Upstream), "err", err)
@@ -215,7 +236,7 @@
 	return ServiceAnswer{
 		Status: answer.Status,
 		Header: answer.Header,
-		Body:   answer.Body,
+		Body:   &observedBody{ReadCloser: answer.Body, served: func() { e.noteServed(j.print) }, broke: broke},
 		Length: answer.Length,
 		Provenance: Provenance{
 			Request:  j.call.Request,
@@ -299,6 +320,9 @@
 	if j.attempts == 0 {
 		return cause
 	}
+	if !e.mayRepeat(j.print, cause, j.ran) {
+		return j.verdict(cause)
+	}
 	e.mu.Lock()
 	decision := e.policy.Next(time.Now(), retry.Call{
 		Team:       j.call.Caller.Team(),
--- a/internal/entryhost/departures.go
+++ b/internal/entryhost/departures.go
@@ -10,10 +10,18 @@
 // one-way.
 const MethodDepartures port.Method = "entry/departures"
 
-func (h *Host) sendDepartures(body []byte) {
+// MethodEnds tells another entry of requests that end upstreams; it is one-way.
+const MethodEnds port.Method = "entry/ends"
+
+func (h *Host) sendDepartures(body []byte) { h.sendAll(MethodDepartures, body) }
+
+func (h *Host) sendEnds(body []byte) { h.sendAll(MethodEnds, body) }
+
+// sendAll sends a message to every other entry.
+func (h *Host) sendAll(method port.Method, body []byte) {
 	for _, member := range h.control.Present() {
 		if member.Host != h.options.Host {
-			h.transport.Send(member.Peers, MethodDepartures, body)
+			h.transport.Send(member.Peers, method, body)
 		}
 	}
 }
@@ -21,3 +29,7 @@
 func (h *Host) takeDepartures(_ context.Context, _ port.Peer, _ port.Method, body []byte) ([]byte, error) {
 	return nil, h.entry.TakeDepartures(body)
 }
+
+func (h *Host) takeEnds(_ context.Context, _ port.Peer, _ port.Method, body []byte) ([]byte, error) {
+	return nil, h.entry.TakeEnds(body)
+}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -135,10 +135,12 @@
 		KeepAddress:    o.KeepAddress,
 		SendUse:        h.sendUse,
 		SendDepartures: h.sendDepartures,
+		SendEnds:       h.sendEnds,
 		Keep:           o.Keep,
 	})
 	h.transport.Handle(MethodUse, port.PeerHandlerFunc(h.takeUse))
 	h.transport.Handle(MethodDepartures, port.PeerHandlerFunc(h.takeDepartures))
+	h.transport.Handle(MethodEnds, port.PeerHandlerFunc(h.takeEnds))
 	return eris.Wrap(err, "entry: pipeline")
 }
 
--- a/internal/entryhost/upstreams.go
+++ b/internal/entryhost/upstreams.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -54,6 +55,11 @@
 	return kept(u, u.services, address, func() port.Service { return service.New(address, u.transport) })
 }
 
+// Ended implements entry.Upstreams.
+func (u *upstreamClients) Ended(ctx context.Context, address string) bool {
+	return httpsend.Ended(ctx, address)
+}
+
 func kept[C any](u *upstreamClients, clients map[string]C, address string, make func() C) C {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -10,29 +10,6 @@
 	"github.com/lovagereach/lovagereach/quarantine"
 )
 
-const (
-	// lostGather is how long after a first send broke off the others at the same
-	// upstream are waited for: all connections of a process end with it, but entries
-	// notice it one by one.
-	lostGather = 10 * time.Millisecond
-	// lookTimeout bounds the question whether the upstream's process has ended.
-	lookTimeout = 500 * time.Millisecond
-	// lostMost bounds the requests noted for one upstream; it runs fewer at a time.
-	lostMost = 256
-)
-
-// lostSends are the requests that broke off at one life of an upstream, until it is known
-// whether the upstream ended or only they did.
-type lostSends struct {
-	upstream *upstreamState
-	requests []lostRequest
-}
-
-type lostRequest struct {
-	id    string
-	print quarantine.Print
-}
-
 // print identifies the request across attempts and entries.
 func (r *run) print() quarantine.Print {
 	if r.printed == (quarantine.Print{}) {
@@ -59,37 +36,30 @@
 // noteLost notes that a send broke off, and looks once whether its upstream has
 // ended. The caller holds the lock.
 func (r *run) noteLost(p *plan) {
-	s, key := r.gateway.state, p.upstream.life()
-	l := s.lost[key]
-	if l == nil {
-		l = &lostSends{upstream: p.upstream}
-		s.lost[key] = l
-		go r.gateway.look(key, p.send)
-	}
-	if len(l.requests) < lostMost {
-		l.requests = append(l.requests, lostRequest{id: r.request.ID, print: r.print()})
+	life := quarantine.Life{Upstream: p.upstream.record.ID, Born: p.upstream.record.Born}
+	if r.gateway.state.lost.Add(life, quarantine.Attempt{Request: r.request.ID, Print: r.print()}) {
+		go r.gateway.look(life, p.send)
 	}
 }
 
 // look finds out whether an upstream has ended at which sends broke off.
-func (g *Gateway) look(key life, send *Send) {
-	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+func (g *Gateway) look(life quarantine.Life, send *Send) {
+	ctx, cancel := context.WithTimeout(context.Background(), quarantine.LookTimeout)
 	defer cancel()
-	wait.For(ctx, lostGather)
+	wait.For(ctx, quarantine.LookAfter)
 	ended := g.options.Sender.Ended(ctx, send)
 	s := g.state
 	s.mu.Lock()
-	l := s.lost[key]
-	delete(s.lost, key)
+	attempts := s.lost.Take(life)
 	if ended {
-		g.blame(l, time.Now())
+		g.blame(life, attempts, time.Now())
 		g.meter.ends.Inc()
 	}
 	s.mu.Unlock()
-	event := &decision.UpstreamLost{Upstream: key.id, Ended: ended}
-	for _, request := range l.requests {
-		event.Requests = append(event.Requests, request.id)
-		event.Prints = append(event.Prints, request.print.String())
+	event := &decision.UpstreamLost{Upstream: life.Upstream, Ended: ended}
+	for _, a := range attempts {
+		event.Requests = append(event.Requests, a.Request)
+		event.Prints = append(event.Prints, a.Print.String())
 	}
 	g.options.Decisions.Emit(event)
 }
--- a/internal/gateway/lost_test.go
+++ b/internal/gateway/lost_test.go
@@ -66,7 +66,7 @@
 		if ends := g.meter.ends.Get(); ends != 1 {
 			t.Fatalf("%d ends seen, want 1", ends)
 		}
-		if len(g.state.lost) != 0 {
+		if g.state.lost.Len() != 0 {
 			t.Fatal("broken sends are kept after the look")
 		}
 	})
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,16 +11,7 @@
 	"github.com/lovagereach/lovagereach/quarantine"
 )
 
-// ReasonEndsUpstreams: earlier attempts of the same request have ended the upstreams
-// that ran them, and nothing was sent now.
-const ReasonEndsUpstreams outcome.Reason = "ends-upstreams"
-
 const (
-	// servedFor is for how long a request that was served is not taken for the cause
-	// of an end. What many callers ask is under way wherever an upstream ends.
-	servedFor = 10 * time.Second
-	// servedMost bounds the requests remembered as served.
-	servedMost = 4096
 	// reportsMost bounds the ends that wait to be reported, and the requests that are
 	// to be cleared. The oldest yield while no control host is reached.
 	reportsMost = 64
@@ -35,33 +25,6 @@
 	held, suspects map[quarantine.Print]bool
 }
 
-// served are the requests that were served within servedFor, and some that were
-// before, in two generations.
-type served struct {
-	young, old map[quarantine.Print]bool
-	turned     time.Time
-}
-
-func (d *served) turn(now time.Time) {
-	if age := now.Sub(d.turned); age >= servedFor || len(d.young) >= servedMost/2 {
-		d.old = d.young
-		if age >= 2*servedFor {
-			d.old = nil
-		}
-		d.young, d.turned = make(map[quarantine.Print]bool), now
-	}
-}
-
-func (d *served) note(p quarantine.Print, now time.Time) {
-	d.turn(now)
-	d.young[p] = true
-}
-
-func (d *served) has(p quarantine.Print, now time.Time) bool {
-	d.turn(now)
-	return d.young[p] || d.old[p]
-}
-
 // judgeBy takes in what the control hosts tell. What this entry has served lately it
 // sends on all the same, and has it cleared. The caller holds the lock.
 func (g *Gateway) judgeBy(view *steward.QuarantineView, now time.Time) {
@@ -76,7 +39,7 @@
 	var cleared []quarantine.Print
 	sort := func(told []quarantine.Print, into map[quarantine.Print]bool) {
 		for _, p := range told {
-			if s.served.has(p, now) {
+			if s.served.Has(p, now) {
 				cleared = append(cleared, p)
 				continue
 			}
@@ -93,7 +56,7 @@
 	s, p := r.gateway.state, r.print()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.served.note(p, time.Now())
+	s.served.Note(p, time.Now())
 	if s.verdicts.held[p] || s.verdicts.suspects[p] {
 		delete(s.verdicts.held, p)
 		delete(s.verdicts.suspects, p)
@@ -117,7 +80,7 @@
 		return nil
 	}
 	return &outcome.Unknown{
-		Reason: ReasonEndsUpstreams,
+		Reason: outcome.ReasonEndsUpstreams,
 		Detail: "earlier attempts of this request ended the upstreams that ran them; nothing was sent now, do not repeat it as it is",
 	}
 }
@@ -185,17 +148,10 @@
 	}
 }
 
-// blame reports the requests that were under way at an upstream when it ended, but for
-// those that were served lately. The caller holds the lock.
-func (g *Gateway) blame(l *lostSends, now time.Time) {
-	record := l.upstream.record
-	end := quarantine.End{Life: quarantine.Life{Upstream: record.ID, Born: record.Born}}
-	for _, request := range l.requests {
-		if !g.state.served.has(request.print, now) && !slices.Contains(end.Prints, request.print) {
-			end.Prints = append(end.Prints, request.print)
-		}
-	}
-	if len(end.Prints) > 0 {
+// blame reports the requests that were under way at an upstream when it ended. The
+// caller holds the lock.
+func (g *Gateway) blame(life quarantine.Life, attempts []quarantine.Attempt, now time.Time) {
+	if end := quarantine.Blame(life, attempts, &g.state.served, now); len(end.Prints) > 0 {
 		g.reports.add(steward.Report{Ends: []quarantine.End{end}})
 	}
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -47,7 +47,7 @@
 	for name, r := range map[string]*Request{"the request": withBody("/resume/x", "bad"), "its resumed stream": resumed} {
 		rec := serve(g, r)
 		var unknown *outcome.Unknown
-		if rec.ends != "refused" || !errors.As(rec.cause, &unknown) || unknown.Reason != ReasonEndsUpstreams {
+		if rec.ends != "refused" || !errors.As(rec.cause, &unknown) || unknown.Reason != outcome.ReasonEndsUpstreams {
 			t.Errorf("%s ends %q with %v", name, rec.ends, rec.cause)
 		}
 	}
@@ -157,7 +157,7 @@
 		if rec := serve(g, withBody("/safe/x", "poll")); rec.ends != "done" {
 			t.Errorf("what was served lately ends %q", rec.ends)
 		}
-		time.Sleep(3 * servedFor)
+		time.Sleep(30 * time.Second)
 		tellHeld(g, 2, []quarantine.Print{poll}, nil)
 		if rec := serve(g, withBody("/safe/x", "poll")); rec.ends != "refused" {
 			t.Errorf("what was served long ago ends %q", rec.ends)
@@ -226,20 +226,3 @@
 		}
 	})
 }
-
-// Memory of what was served is bounded and fades.
-func TestServedIsBounded(t *testing.T) {
-	var d served
-	now := time.Now()
-	numbered := func(i int) quarantine.Print { return quarantine.Print{byte(i), byte(i >> 8)} }
-	for i := range 3 * servedMost {
-		d.note(numbered(i), now)
-		if len(d.young)+len(d.old) > servedMost {
-			t.Fatalf("%d are remembered", len(d.young)+len(d.old))
-		}
-	}
-	last := numbered(3*servedMost - 1)
-	if !d.has(last, now.Add(servedFor-1)) || d.has(last, now.Add(5*servedFor)) {
-		t.Fatal("what was served is forgotten too soon, or never")
-	}
-}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -9,6 +9,7 @@
 	"github.com/lovagereach/lovagereach/estimate"
 	"github.com/lovagereach/lovagereach/holdings"
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -81,11 +82,11 @@
 	clockAt time.Time
 	entries int
 	recent  *recentParts
-	// lost are the sends that broke off lately, by their upstream's life.
-	lost map[life]*lostSends
+	// lost are the sends that broke off lately.
+	lost quarantine.Lost
 	// verdicts are on requests that end upstreams, and served those that did not.
 	verdicts verdicts
-	served   served
+	served   quarantine.Served
 	// waiting are the requests that wait for room, in the order of their turns.
 	waiting  []*waiter
 	patience patience
@@ -129,7 +130,6 @@
 		stores:  make(map[string]*storeState),
 		book:    holdings.NewBook(false),
 		recent:  newRecentParts(),
-		lost:    make(map[life]*lostSends),
 		budgets: newBudgets(),
 
 		patience: patience{heavy: waitingMost, returned: returnedMost},
