--- a/internal/capacity/bounds_test.go
+++ b/internal/capacity/bounds_test.go
@@ -8,6 +8,7 @@
 	"github.com/lovagereach/lovagereach/config"
 	"github.com/lovagereach/lovagereach/internal/adapter/announce"
 	"github.com/lovagereach/lovagereach/internal/wire"
+	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/rollout"
 	"github.com/lovagereach/lovagereach/upstream"
 )
@@ -155,3 +156,14 @@
 	now := probeStart.Add(9 * time.Second)
 	return testing.AllocsPerRun(10, func() { schedule.Next(live, namings, now) })
 }
+
+// What is told and kept of requests that end upstreams is bounded, however many end.
+func TestQuarantineIsBounded(t *testing.T) {
+	const toldMost, heldMost = 10 << 10, 2 << 20
+	if size := verdictBytes(); size > toldMost {
+		t.Errorf("an entry is told %d B, at most %d", size, toldMost)
+	}
+	if bytes := HeapBytes(func() any { return quarantineOf(4 * quarantine.MaxLives) }); bytes > heldMost {
+		t.Errorf("%.0f B are held, at most %d", bytes, heldMost)
+	}
+}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -23,6 +23,8 @@
 	Upstreams []DumpedUpstream  `json:"upstreams"`
 	Stores    []DumpedStore     `json:"stores"`
 	Estimates []DumpedEstimate  `json:"estimates"`
+	// Held are the prints of requests that are sent to no upstream.
+	Held []string `json:"held_requests"`
 }
 
 // DumpedEstimate is what an entry has learnt of one service's engines and prompts.
@@ -74,6 +76,10 @@
 		Config: s.version(), Term: s.term, ViewAge: now.Sub(s.shelvesAt), Complete: s.book.Complete(),
 		Entries: s.entries, Waiting: len(s.waiting), Open: g.open.Load(), Leaving: g.leaving.Load(), Weights: maps.Clone(s.weights),
 	}
+	for p := range s.verdicts.held {
+		d.Held = append(d.Held, p.String())
+	}
+	slices.Sort(d.Held)
 	for _, id := range slices.Sorted(maps.Keys(s.members)) {
 		u := s.members[id]
 		d.Upstreams = append(d.Upstreams, DumpedUpstream{
