httpsend: a kept connection that ends under a call, red

Brought about here each time: bytes or an end come on the kept connection between its choice and the first byte.

--- /dev/null
+++ b/internal/adapter/httpsend/kept_test.go
@@ -0,0 +1,90 @@
+package httpsend
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"testing"
+	"time"
+)
+
+// A caller's call takes a kept connection just as bytes come on it that belong to no
+// request, such as a second answer to the one before, or its end. Go's transport gives
+// the connection up before a byte of the call has left, and the call ended as not run:
+//
+//	not run (connection-lost): no byte was sent: readLoopPeekFailLocked
+//
+// That was true, and yet a failure of a call that any new connection would have carried.
+func TestAKeptConnectionThatEndsUnderACallCostsNoAnswer(t *testing.T) {
+	for name, end := range map[string]func(net.Conn){
+		"closed":          func(c net.Conn) { _ = c.Close() },
+		"a second answer": func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno") },
+	} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(name+"/"+method, func(t *testing.T) {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer listener.Close()
+				conns := make(chan net.Conn, 4)
+				go func() {
+					for {
+						conn, err := listener.Accept()
+						if err != nil {
+							return
+						}
+						conns <- conn
+						go answerAll(conn)
+					}
+				}()
+				transport := NoRetryTransport()
+				defer transport.CloseIdleConnections()
+				call := func(taken func()) error {
+					req, err := http.NewRequest(method, "http://"+listener.Addr().String()+"/", nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+						if info.Reused {
+							taken()
+						}
+					}})
+					resp, err := transport.Do(req.WithContext(ctx), testRequest, 1)
+					if err != nil {
+						return err
+					}
+					defer resp.Body.Close()
+					_, err = io.Copy(io.Discard, resp.Body)
+					return err
+				}
+				if err := call(func() {}); err != nil {
+					t.Fatal(err)
+				}
+				first := <-conns
+				if err := call(func() { end(first); time.Sleep(50 * time.Millisecond) }); err != nil {
+					t.Errorf("the call ends with %v", err)
+				}
+			})
+		}
+	}
+}
+
+// answerAll answers every request on a connection.
+func answerAll(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
