httpsend: a call whose kept connection ends before a byte of it takes another

What callers saw: a call that any new connection carries was told as not run, where a kept connection ended, or a second answer came on it, just as the call was given it. Cause: Go's transport then gives the connection up, and its own repeat is off because it can't prove that nothing ran. We can: writes are counted, and the connection is sealed. Change: such a call goes out on another connection, three at most; its body is had anew, or the call ends as before. Why it holds: only with the seal, after which no byte of the call can leave.

--- a/internal/adapter/httpsend/kept_test.go
+++ b/internal/adapter/httpsend/kept_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -31,6 +33,7 @@
 				}
 				defer listener.Close()
 				conns := make(chan net.Conn, 4)
+				var read atomic.Int64
 				go func() {
 					for {
 						conn, err := listener.Accept()
@@ -38,13 +41,13 @@
 							return
 						}
 						conns <- conn
-						go answerAll(conn)
+						go answerAll(conn, &read)
 					}
 				}()
 				transport := NoRetryTransport()
 				defer transport.CloseIdleConnections()
 				call := func(taken func()) error {
-					req, err := http.NewRequest(method, "http://"+listener.Addr().String()+"/", nil)
+					req, err := http.NewRequest(method, "http://"+listener.Addr().String()+"/", strings.NewReader("bid"))
 					if err != nil {
 						t.Fatal(err)
 					}
@@ -68,13 +71,16 @@
 				if err := call(func() { end(first); time.Sleep(50 * time.Millisecond) }); err != nil {
 					t.Errorf("the call ends with %v", err)
 				}
+				if n := read.Load(); n != 2 {
+					t.Errorf("%d calls reached the server, want 2", n)
+				}
 			})
 		}
 	}
 }
 
-// answerAll answers every request on a connection.
-func answerAll(conn net.Conn) {
+// answerAll answers every request on a connection, and counts those that came whole.
+func answerAll(conn net.Conn, read *atomic.Int64) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -85,6 +91,7 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
+		read.Add(1)
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	}
 }
--- a/internal/adapter/httpsend/send.go
+++ b/internal/adapter/httpsend/send.go
@@ -35,7 +35,46 @@
 // was written or the upstream states that it did not run the request, else
 // *outcome.Unknown. An answer with an error status is an answer; the caller
 // reads and closes its body.
+//
+// A kept connection may end, or bytes of another answer come on it, just when it was
+// chosen. The caller would be told not-run for a call that any new connection carries;
+// while no byte has left, and none can any more, the call goes out on another.
 func (t *Transport) Do(req *http.Request, request ident.Request, attempt uint32) (*http.Response, error) {
+	for tries := 1; ; tries++ {
+		resp, ended, err := t.once(req, request, attempt)
+		if err == nil || !ended || tries == maxKeptEnded || req.Context().Err() != nil {
+			return resp, err
+		}
+		if req, err = again(req, err); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// maxKeptEnded bounds the connections that one call is given. Where a server closes all
+// kept ones at once, the next may end alike.
+const maxKeptEnded = 3
+
+// again returns the request with its body from the start, or cause if that can't be had.
+func again(req *http.Request, cause error) (*http.Request, error) {
+	if req.Body == nil || req.Body == http.NoBody {
+		return req, nil
+	}
+	if req.GetBody == nil {
+		return nil, cause
+	}
+	body, err := req.GetBody()
+	if err != nil {
+		return nil, cause
+	}
+	next := req.Clone(req.Context())
+	next.Body = body
+	return next, nil
+}
+
+// once gives the call to one connection. ended tells that this was a kept one, which
+// took no byte of the call and takes none any more.
+func (t *Transport) once(req *http.Request, request ident.Request, attempt uint32) (resp *http.Response, ended bool, err error) {
 	watch := &connWatch{}
 	trace := &httptrace.ClientTrace{GotConn: watch.gotConn}
 	traced := req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
@@ -46,16 +85,17 @@
 	traced.Header.Set(HeaderRequest, request.String())
 	traced.Header.Set(HeaderAttempt, strconv.FormatUint(uint64(attempt), 10))
 
-	resp, err := t.RoundTrip(traced)
+	resp, err = t.RoundTrip(traced)
 	if err != nil {
-		return nil, retry.Classify(watch.evidence(req.Context(), err))
+		evidence := watch.evidence(req.Context(), err)
+		return nil, watch.keptUnwritten(evidence), retry.Classify(evidence)
 	}
 	evidence := judge(resp.Header, request, attempt)
 	if evidence.Refused || evidence.Mismatched {
 		resp.Body.Close()
-		return nil, retry.Classify(evidence)
+		return nil, false, retry.Classify(evidence)
 	}
-	return resp, nil
+	return resp, false, nil
 }
 
 // judge reads what an answer's header says about whose answer it is.
@@ -76,6 +116,8 @@
 	mu    sync.Mutex
 	conn  *countedConn
 	start uint64
+	// kept tells that the connection had carried a request before.
+	kept  bool
 	other bool
 }
 
@@ -89,6 +131,15 @@
 	}
 	w.conn = conn
 	w.start = conn.count()
+	w.kept = info.Reused
+}
+
+// keptUnwritten reports whether the request was given a kept connection only, which is
+// sealed without a byte of it.
+func (w *connWatch) keptUnwritten(e retry.Evidence) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.kept && !w.other && !e.Wrote
 }
 
 // evidence describes a request that ended with err and without an answer.
