gateway: a request that is judged while it waits for room is answered at once

Cause: the wait went on until room came or its time was up. What is known to be unservable must be rejected at once, and its place in the queue go to others. Change: verdicts end the wait of held requests; what is asked under the lock is whether the request is held, and the answer is one value.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +38,7 @@
 		held:     make(map[quarantine.Print]bool, len(view.Held)), suspects: make(map[quarantine.Print]bool, len(view.Suspects)),
 	}
 	var cleared []quarantine.Print
-	sort := func(told []quarantine.Print, into map[quarantine.Print]bool) {
+	take := func(told []quarantine.Print, into map[quarantine.Print]bool) {
 		for _, p := range told {
 			if s.served.Has(p, now) {
 				cleared = append(cleared, p)
@@ -46,11 +47,24 @@
 			into[p] = true
 		}
 	}
-	sort(view.Held, s.verdicts.held)
-	sort(view.Suspects, s.verdicts.suspects)
+	take(view.Held, s.verdicts.held)
+	take(view.Suspects, s.verdicts.suspects)
+	s.releaseHeld()
 	g.reports.add(steward.Report{Served: cleared})
 }
 
+// releaseHeld ends the wait of requests that were judged while they waited for room.
+// The caller holds the lock.
+func (s *state) releaseHeld() {
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool {
+		held := s.verdicts.held[w.run.printed]
+		if held {
+			w.granted <- nil
+		}
+		return held
+	})
+}
+
 // noteServed notes that the request was served whole.
 func (r *run) noteServed() {
 	s, p := r.gateway.state, r.print()
@@ -64,25 +78,18 @@
 	}
 }
 
-// heldError reports, as an error, that the request is to be sent to no upstream.
-func (r *run) heldError() error {
-	s := r.gateway.state
-	s.mu.Lock()
-	none := len(s.verdicts.held) == 0
-	s.mu.Unlock()
-	if none {
-		return nil
-	}
-	p := r.print()
+// errHeld is the answer to a request that is sent to no upstream.
+var errHeld = &outcome.Unknown{
+	Reason: outcome.ReasonEndsUpstreams,
+	Detail: "earlier attempts of this request ended the upstreams that ran them; nothing was sent now, do not repeat it as it is",
+}
+
+// held reports whether the request is to be sent to no upstream.
+func (r *run) held() bool {
+	s, p := r.gateway.state, r.print()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.verdicts.held[p] {
-		return nil
-	}
-	return &outcome.Unknown{
-		Reason: outcome.ReasonEndsUpstreams,
-		Detail: "earlier attempts of this request ended the upstreams that ran them; nothing was sent now, do not repeat it as it is",
-	}
+	return s.verdicts.held[p]
 }
 
 // suspected reports whether one more end under the request decides that it is held. It
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -85,7 +85,11 @@
 			t.Fatal("nothing waits")
 		}
 		tellHeld(g, 1, []quarantine.Print{printOf(t, g, withBody("/safe/x", "bad"))}, nil)
+		told := time.Now()
 		rec := <-waits
+		if late := time.Since(told); late > 0 {
+			t.Errorf("its caller is told %v after it was judged", late)
+		}
 		busy.Wait()
 		for _, s := range sender.sends[before:] {
 			if string(s.Request.Body) == "bad" {
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -79,7 +79,8 @@
 // waiter is a request that waits for room.
 type waiter struct {
 	run *run
-	// granted receives the plan once there is room.
+	// granted receives the plan once there is room, nil if the request is to be sent
+	// to no upstream.
 	granted chan *plan
 }
 
@@ -175,6 +176,9 @@
 	select {
 	case p := <-w.granted:
 		r.waited += time.Since(now)
+		if p == nil {
+			return nil, errHeld
+		}
 		return p, nil
 	case <-timer.C:
 	case <-ctx.Done():
@@ -190,7 +194,9 @@
 	select {
 	case p := <-w.granted:
 		// Room was found at the same moment; nothing was sent yet.
-		s.unsend(p)
+		if p != nil {
+			s.unsend(p)
+		}
 	default:
 	}
 	return nil, err
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -144,20 +144,20 @@
 // attempt makes one send and passes its answer on. A nil error means that the
 // caller has a whole answer.
 func (r *run) attempt(ctx context.Context, respond Responder) error {
-	if err := r.heldError(); err != nil {
-		return err
+	if r.held() {
+		return errHeld
 	}
 	p, err := r.await(ctx)
 	if err != nil {
 		return err
 	}
-	if err := r.heldError(); err != nil {
-		// It was judged while it waited.
+	if r.held() {
+		// It was judged as room came.
 		s := r.gateway.state
 		s.mu.Lock()
 		s.unsend(p)
 		s.mu.Unlock()
-		return err
+		return errHeld
 	}
 	answer, err := r.gateway.options.Sender.Send(ctx, p.send)
 	if err != nil {
