quarantine: two requests that excuse each other, red

Symptom: two requests that ended the same three upstreams by chance, and then others each, are held and released by turns: 6 ends under each, 5 are wanted (two after the third, within the three retries that are allowed).

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -13,6 +13,10 @@
 	Ends = 3
 	// suspectEnds is the number from which on a request is suspected: one more decides.
 	suspectEnds = Ends - 1
+	// endsMost is the number from which on a request is held whatever else explains its
+	// ends: two that ended the same upstreams would else excuse each other. By chance a
+	// request stands at fewer, for its caller does not repeat it as often.
+	endsMost = 2*Ends - 1
 	// MaxLives bounds the ends that are remembered, and MaxPrints the requests noted
 	// for each: 32,768 prints, 0.5 MB. An upstream runs fewer at a time.
 	MaxLives, MaxPrints = 256, 128
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -57,6 +57,29 @@
 	}
 }
 
+// Two requests end the same upstreams by chance, and then others each. The ends that one
+// explains must not excuse the other for ever: no request may end more than five.
+func TestNoRequestEndsMoreThanFive(t *testing.T) {
+	l := NewLedger()
+	for i := range 3 {
+		l.Ended(endOf(fmt.Sprint("both-", i), "bad", "worse"))
+	}
+	ended := map[string]int{"bad": 3, "worse": 3}
+	for n := range 20 {
+		name := []string{"bad", "worse"}[n%2]
+		if slices.Contains(l.Held(), printOf(name)) {
+			continue
+		}
+		ended[name]++
+		l.Ended(endOf(fmt.Sprint("one-", n), name))
+	}
+	for name, ends := range ended {
+		if ends > endsMost || !slices.Contains(l.Held(), printOf(name)) {
+			t.Errorf("%d upstreams ended under the request %q, want at most %d", ends, name, endsMost)
+		}
+	}
+}
+
 // Many callers ask the same, and three upstreams are lost with it under way: it is
 // served by the next. A request that runs to a good end ends nobody.
 func TestServedRequestsAreCleared(t *testing.T) {
