quarantine: a request is held after five ends, whatever else explains them

What callers saw (in the test): two requests that ended the same three upstreams were held and released by turns, and each ended six. Cause: the fewest requests that explain the ends are blamed, so that the ends of one excuse the other, and the next end turns that round. Change: from five ends on no excuse counts. The outcome of held requests stands once, for both pipelines. Why it holds: five is two sends after the third end, and a request beside it is repeated by its caller less often; one that is served is cleared.

--- a/internal/entry/ends.go
+++ b/internal/entry/ends.go
@@ -142,10 +142,7 @@
 		return nil
 	}
 	e.counts.held.Inc()
-	return &outcome.Unknown{
-		Reason: outcome.ReasonEndsUpstreams,
-		Detail: "earlier attempts of this request ended the upstreams that ran them; nothing was sent now, do not repeat it as it is",
-	}
+	return quarantine.ErrHeld
 }
 
 // mayRepeat reports whether a request is sent again by ourselves after cause; ran is the
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -8,7 +8,6 @@
 
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/internal/wait"
-	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/quarantine"
 )
 
@@ -78,12 +77,6 @@
 	}
 }
 
-// errHeld is the answer to a request that is sent to no upstream.
-var errHeld = &outcome.Unknown{
-	Reason: outcome.ReasonEndsUpstreams,
-	Detail: "earlier attempts of this request ended the upstreams that ran them; nothing was sent now, do not repeat it as it is",
-}
-
 // held reports whether the request is to be sent to no upstream.
 func (r *run) held() bool {
 	s, p := r.gateway.state, r.print()
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -9,6 +9,7 @@
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/outcome"
+	"github.com/lovagereach/lovagereach/quarantine"
 )
 
 // A runner that is given more prompts than its memory holds fetches the parts
@@ -177,7 +178,7 @@
 	case p := <-w.granted:
 		r.waited += time.Since(now)
 		if p == nil {
-			return nil, errHeld
+			return nil, quarantine.ErrHeld
 		}
 		return p, nil
 	case <-timer.C:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/outcome"
+	"github.com/lovagereach/lovagereach/quarantine"
 )
 
 // serve sends the request until it has a final answer.
@@ -145,7 +146,7 @@
 // caller has a whole answer.
 func (r *run) attempt(ctx context.Context, respond Responder) error {
 	if r.held() {
-		return errHeld
+		return quarantine.ErrHeld
 	}
 	p, err := r.await(ctx)
 	if err != nil {
@@ -157,7 +158,7 @@
 		s.mu.Lock()
 		s.unsend(p)
 		s.mu.Unlock()
-		return errHeld
+		return quarantine.ErrHeld
 	}
 	answer, err := r.gateway.options.Sender.Send(ctx, p.send)
 	if err != nil {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -171,9 +171,25 @@
 		open.explain(at)
 		unexplained.explain(at)
 	}
+	held = append(held, l.excused(held)...)
+	for _, p := range held {
+		delete(unexplained, p)
+	}
 	return held[:min(len(held), MaxTold)], unexplained
 }
 
+// excused lists further requests that stood at too many ends for any excuse.
+func (l *Ledger) excused(held []Print) []Print {
+	var list []Print
+	for p, n := range l.counts {
+		if n >= endsMost && !slices.Contains(held, p) {
+			list = append(list, p)
+		}
+	}
+	sortPrints(list)
+	return list
+}
+
 // stands are the ends at which requests stood, by the places of the ends.
 type stands map[Print][]int
 
