--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -240,3 +240,34 @@
 		t.Error("bytes that can't be read are taken")
 	}
 }
+
+// The only entry that saw the ends is lost, and then another starts. Those that were told
+// hold the prompt: the first of them by name must tell it on, or each entry that starts
+// ends three engines more.
+func TestEndsAreToldOnAfterTheirEntryIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		two, three := newBench(t), newBench(t)
+		two.options.SendEnds = func(body []byte) { _ = three.TakeEnds(body) }
+		run(t, two)
+		two.engine(t, "runner-1")
+		three.engine(t, "runner-1")
+		bad := printOfPrompt(&Prompt{Caller: two.prompt(t, 1).Caller, Model: testModel, Tokens: two.prompt(t, 1).Tokens, MaxTokens: 5, Seed: 7})
+		var told endsMessage
+		for i := range quarantine.Ends {
+			told.Ends = append(told.Ends, quarantine.End{
+				Life: quarantine.Life{Upstream: fmt.Sprint("gone-", i)}, Prints: []quarantine.Print{bad, {byte(i)}},
+			})
+		}
+		if err := two.TakeEnds(wire.MustMarshal(told)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * endRepeat)
+		two.control.enter(Peer{Host: "entry-1"})
+		two.control.enter(Peer{Host: "entry-3"})
+		time.Sleep(2 * endEvery)
+		three.announceAgain(t)
+		if err := three.ask(t, 1, 7); !isHeld(err) {
+			t.Errorf("an entry that starts later answers %v", err)
+		}
+	})
+}
