entry: the first entry tells of the ends that decide, whoever saw them

What callers saw: after the loss of the one entry that saw a prompt end its engines, each entry that started sent the prompt on. Cause: only who saw an end told of it again. Why it holds: every entry that was told holds these ends, and one of them is always the first; one entry tells, so that the messages grow with the entries.

--- a/internal/entry/ends.go
+++ b/internal/entry/ends.go
@@ -95,8 +95,9 @@
 }
 
 // due returns the ends that the other entries are to be told: new ones a few times, and
-// all once an entry has started that knows nothing of them.
-func (n *ends) due(now time.Time, peers []Peer) endsMessage {
+// all once an entry has started that knows nothing of them. Those that decide are then
+// told by the first of the entries too, for who saw them may be lost.
+func (n *ends) due(now time.Time, self ident.Host, peers []Peer) endsMessage {
 	var m endsMessage
 	if now.Sub(n.lastTold) < endEvery {
 		return m
@@ -110,9 +111,24 @@
 			m.Ends = append(m.Ends, o.end)
 		}
 	}
+	if others && !slices.ContainsFunc(peers, func(p Peer) bool { return p.Host < self }) {
+		m.Ends = append(m.Ends, n.decisive(maxOwnEnds-len(m.Ends))...)
+	}
 	return m
 }
 
+// decisive lists the ends of held requests, with these requests only, the latest first.
+func (n *ends) decisive(most int) []quarantine.End {
+	var list []quarantine.End
+	for _, end := range slices.Backward(n.ledger.Save().Ends) {
+		end.Prints = slices.DeleteFunc(end.Prints, func(p quarantine.Print) bool { return !slices.Contains(n.ledger.Held(), p) })
+		if len(end.Prints) > 0 && len(list) < most {
+			list = append(list, end)
+		}
+	}
+	return list
+}
+
 // printOfPrompt tells a prompt from all others.
 func printOfPrompt(p *Prompt) quarantine.Print {
 	body := binary.BigEndian.AppendUint64(nil, p.Seed)
--- a/internal/entry/repair.go
+++ b/internal/entry/repair.go
@@ -121,7 +121,7 @@
 	peers := e.options.Control.Entries()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.ends.due(now, peers)
+	return e.ends.due(now, e.options.Host, peers)
 }
 
 // tick returns the departures that are to be told to the other entries.
