Reports of ends: two faults at their bounds, red

Symptoms: an end that is seen while a report fails is dropped for older ones; a report as long as an entry makes it is refused for ever, and so are all after it.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -14,7 +14,7 @@
 const (
 	// reportsMost bounds the ends that wait to be reported, and the requests that are
 	// to be cleared. The oldest yield while no control host is reached.
-	reportsMost = 64
+	reportsMost = steward.MostReported
 	// reportAgain is the pause before a report is told again.
 	reportAgain = 100 * time.Millisecond
 )
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -230,3 +230,35 @@
 		}
 	})
 }
+
+// A report can't be told just as the next end is seen. What waits is bounded, and the
+// oldest must yield: the latest ends are those of a request that is on its way again.
+func TestTheLatestEndsAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := testGateway(t, nil)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		endsOf := func(from, to uint64) (ends []quarantine.End) {
+			for born := from; born < to; born++ {
+				ends = append(ends, quarantine.End{Life: quarantine.Life{Born: born}})
+			}
+			return ends
+		}
+		g.reports.add(steward.Report{Ends: endsOf(0, reportsMost)})
+		tells := 0
+		var told []quarantine.End
+		go g.Report(ctx, func(_ context.Context, r *steward.Report) error {
+			if tells++; tells == 1 {
+				g.reports.add(steward.Report{Ends: endsOf(reportsMost, reportsMost+1)})
+				return steward.ErrUnavailable
+			}
+			told = r.Ends
+			return nil
+		})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if len(told) != reportsMost || told[len(told)-1].Life.Born != reportsMost {
+			t.Fatalf("told %d ends without the latest", len(told))
+		}
+	})
+}
--- a/internal/steward/report.go
+++ b/internal/steward/report.go
@@ -19,6 +19,8 @@
 	// report an upstream's end within a few ms, and each command costs the group two
 	// syncs of a disk.
 	reportGather = 10 * time.Millisecond
+	// MostReported bounds the ends of one report, and the requests that it clears.
+	MostReported = 64
 	// reportMost bounds the prints and ends that one command gathers; what comes beyond
 	// is reported again.
 	reportMost = 4096
--- a/internal/steward/report_test.go
+++ b/internal/steward/report_test.go
@@ -180,3 +180,18 @@
 		t.Fatal("a report within the bound was refused")
 	}
 }
+
+// A third of a fleet ends while one entry reaches no control host, each runner with as many
+// requests as are noted. The longest report that an entry makes must fit into a command,
+// or it is refused for ever, and no other of that entry is told after it.
+func TestTheLongestReportIsTaken(t *testing.T) {
+	var longest Report
+	for range MostReported {
+		longest.Ends = append(longest.Ends, quarantine.End{Prints: make([]quarantine.Print, quarantine.MaxPrints)})
+		longest.Served = append(longest.Served, quarantine.Print{})
+	}
+	l := &leadership{reports: &reportBatch{done: make(chan struct{})}}
+	if l.join(&longest) == nil {
+		t.Fatal("the longest report is refused")
+	}
+}
