Reports of ends: the latest are kept, and the longest fits into a command

What callers saw: nothing yet; both need a long time without a control host or many ends at once. Then a request that ends upstreams could go on unseen. Causes: a report that failed was put behind what came meanwhile, whose newest then fell out; and a command gathered 4,096 prints where a report may hold 8,256, so that it was refused each time. Change: what failed goes before what is newer; the bounds of a report and of a command follow from one constant.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -11,13 +11,8 @@
 	"github.com/lovagereach/lovagereach/quarantine"
 )
 
-const (
-	// reportsMost bounds the ends that wait to be reported, and the requests that are
-	// to be cleared. The oldest yield while no control host is reached.
-	reportsMost = steward.MostReported
-	// reportAgain is the pause before a report is told again.
-	reportAgain = 100 * time.Millisecond
-)
+// reportAgain is the pause before a report is told again.
+const reportAgain = 100 * time.Millisecond
 
 // verdicts are what this entry was told of requests that end upstreams.
 type verdicts struct {
@@ -94,7 +89,8 @@
 	return s.verdicts.held[p] || s.verdicts.suspects[p]
 }
 
-// reports gather what is to be told to the control hosts.
+// reports gather what is to be told to the control hosts, at most one report. The oldest
+// ends yield while no control host is reached.
 type reports struct {
 	mu      sync.Mutex
 	pending steward.Report
@@ -111,15 +107,30 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.pending.Ends = latest(append(q.pending.Ends, r.Ends...))
-	q.pending.Served = latest(append(q.pending.Served, r.Served...))
+	q.join(q.pending, r)
+}
+
+// addAgain takes in what failed to be told. It is older than what came meanwhile.
+func (q *reports) addAgain(r steward.Report) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.join(r, q.pending)
+}
+
+// join makes two reports pending, the older one first. The caller holds the lock.
+func (q *reports) join(older, newer steward.Report) {
+	q.pending = steward.Report{Ends: latest(older.Ends, newer.Ends), Served: latest(older.Served, newer.Served)}
 	select {
 	case q.ready <- struct{}{}:
 	default:
 	}
 }
 
-func latest[T any](list []T) []T { return list[max(len(list)-reportsMost, 0):] }
+// latest joins two lists, the older one first, and leaves out the oldest beyond the bound.
+func latest[T any](older, newer []T) []T {
+	list := slices.Concat(older, newer)
+	return list[max(len(list)-steward.MostReported, 0):]
+}
 
 // take returns what is to be told.
 func (q *reports) take() steward.Report {
@@ -143,7 +154,7 @@
 		if tell(ctx, &r) == nil {
 			continue
 		}
-		g.reports.add(r)
+		g.reports.addAgain(r)
 		wait.For(ctx, reportAgain)
 	}
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -215,17 +215,17 @@
 			told.Ends = append(told.Ends, r.Ends...)
 			return nil
 		})
-		for i := range 3 * reportsMost {
+		for i := range 3 * steward.MostReported {
 			g.reports.add(steward.Report{Ends: []quarantine.End{{Life: quarantine.Life{Born: uint64(i)}}}})
 			time.Sleep(time.Millisecond)
 		}
 		reached.Store(true)
 		time.Sleep(2 * reportAgain)
 		synctest.Wait()
-		if len(told.Ends) != reportsMost {
-			t.Fatalf("%d ends told, want the latest %d", len(told.Ends), reportsMost)
+		if len(told.Ends) != steward.MostReported {
+			t.Fatalf("%d ends told, want the latest %d", len(told.Ends), steward.MostReported)
 		}
-		if !slices.ContainsFunc(told.Ends, func(e quarantine.End) bool { return e.Life.Born == 3*reportsMost-1 }) {
+		if !slices.ContainsFunc(told.Ends, func(e quarantine.End) bool { return e.Life.Born == 3*steward.MostReported-1 }) {
 			t.Fatal("the latest end is not told")
 		}
 	})
@@ -244,12 +244,12 @@
 			}
 			return ends
 		}
-		g.reports.add(steward.Report{Ends: endsOf(0, reportsMost)})
+		g.reports.add(steward.Report{Ends: endsOf(0, steward.MostReported)})
 		tells := 0
 		var told []quarantine.End
 		go g.Report(ctx, func(_ context.Context, r *steward.Report) error {
 			if tells++; tells == 1 {
-				g.reports.add(steward.Report{Ends: endsOf(reportsMost, reportsMost+1)})
+				g.reports.add(steward.Report{Ends: endsOf(steward.MostReported, steward.MostReported+1)})
 				return steward.ErrUnavailable
 			}
 			told = r.Ends
@@ -257,7 +257,7 @@
 		})
 		time.Sleep(time.Second)
 		synctest.Wait()
-		if len(told) != reportsMost || told[len(told)-1].Life.Born != reportsMost {
+		if len(told) != steward.MostReported || told[len(told)-1].Life.Born != steward.MostReported {
 			t.Fatalf("told %d ends without the latest", len(told))
 		}
 	})
--- a/internal/steward/report.go
+++ b/internal/steward/report.go
@@ -21,9 +21,9 @@
 	reportGather = 10 * time.Millisecond
 	// MostReported bounds the ends of one report, and the requests that it clears.
 	MostReported = 64
-	// reportMost bounds the prints and ends that one command gathers; what comes beyond
-	// is reported again.
-	reportMost = 4096
+	// reportMost bounds the prints and ends that one command gathers, 260 KB: two of the
+	// longest reports. What comes beyond is reported again.
+	reportMost = 2 * MostReported * (quarantine.MaxPrints + 2)
 	// endKept is how long an end counts against the requests that were under way. A
 	// request that is held for it ends three more upstreams in this time at most.
 	endKept = 30 * time.Minute
