entry: ends that are told on for ever, red

Symptom: an entry that starts late hears of old ends as new, and tells them on: entries that have forgotten them hold the prompt again. Found by reading.

--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -271,3 +271,40 @@
 		}
 	})
 }
+
+// An entry hears of old ends because it starts late, and becomes the first that tells of
+// them. Told on as new, the ends would come back to entries that have forgotten them,
+// and the prompt would be held for ever.
+func TestEndsThatAreToldOnGrowOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, late := newBench(t), newBench(t)
+		tell := func(from, to *bench) {
+			from.mu.Lock()
+			m := from.ends.due(time.Now(), "entry-0", []Peer{{Host: "entry-0"}, {Host: ident.Host(time.Now().String())}})
+			from.mu.Unlock()
+			if err := to.TakeEnds(wire.MustMarshal(m)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var seen []quarantine.End
+		for i := range quarantine.Ends {
+			seen = append(seen, quarantine.End{Life: quarantine.Life{Upstream: fmt.Sprint("gone-", i)}, Prints: []quarantine.Print{{1}}})
+		}
+		first.takeEnds(toldNow(seen))
+		time.Sleep(endKept - time.Minute)
+		tell(first, late)
+		if len(late.ends.ledger.Held()) != 1 {
+			t.Fatal("the late entry was not told")
+		}
+		time.Sleep(2 * time.Minute)
+		tell(late, first)
+		first.mu.Lock()
+		defer first.mu.Unlock()
+		if held := first.ends.ledger.Held(); len(held) != 0 {
+			t.Errorf("%d requests are held for ends that no longer count", len(held))
+		}
+	})
+}
+
+// toldNow is a message on ends that have just been seen.
+func toldNow(seen []quarantine.End) endsMessage { return endsMessage{Ends: seen} }
