entry: ends are told with their age

What callers saw: a prompt could be held for ever, as entries by turns heard of its ends anew from each other. Cause: an end told on counted from when it was heard, not from when it was seen. Change: each end is told with its age, and one that no longer counts isn't taken.

--- a/internal/entry/ends.go
+++ b/internal/entry/ends.go
@@ -33,18 +33,25 @@
 // endsMessage is what an entry tells all others of requests that end upstreams. It may
 // be taken any number of times.
 type endsMessage struct {
-	Ends []quarantine.End `cbor:"1,keyasint,omitempty"`
+	Ends []endWord `cbor:"1,keyasint,omitempty"`
 	// Served are requests that ran to a good end and were held or suspected.
 	Served []quarantine.Print `cbor:"2,keyasint,omitempty"`
 }
 
+// endWord is an end and how long ago it was seen: told on as new, an end would come back
+// to entries that have forgotten it, and never cease to count.
+type endWord struct {
+	End quarantine.End `cbor:"1,keyasint"`
+	Age time.Duration  `cbor:"2,keyasint,omitempty"`
+}
+
 // ends is what this entry knows of requests that end upstreams. Each entry judges by
 // itself, by the same ends.
 type ends struct {
 	ledger *quarantine.Ledger
 	lost   quarantine.Lost
 	served quarantine.Served
-	// heard tells when this entry learnt of each end.
+	// heard tells when each end was seen, as far as this entry knows.
 	heard map[quarantine.Life]time.Time
 	// own are the ends that this entry saw itself, which it tells the others of, and
 	// again to those that have started since.
@@ -66,7 +73,17 @@
 // has changed.
 func (n *ends) take(now time.Time, m endsMessage) bool {
 	before := n.ledger.Revision()
-	n.ledger.Ended(m.Ends...)
+	var ended []quarantine.End
+	for _, word := range m.Ends {
+		if word.Age < 0 || word.Age >= endKept {
+			continue
+		}
+		ended = append(ended, word.End)
+		if _, known := n.heard[word.End.Life]; !known {
+			n.heard[word.End.Life] = now.Add(-word.Age)
+		}
+	}
+	n.ledger.Ended(ended...)
 	n.ledger.Served(m.Served...)
 	n.settle(now)
 	return n.ledger.Revision() != before
@@ -108,22 +125,22 @@
 	n.peers = slices.Clone(peers)
 	for _, o := range n.own {
 		if others || now.Sub(o.seen) < endRepeat {
-			m.Ends = append(m.Ends, o.end)
+			m.Ends = append(m.Ends, endWord{End: o.end, Age: now.Sub(o.seen)})
 		}
 	}
 	if others && !slices.ContainsFunc(peers, func(p Peer) bool { return p.Host < self }) {
-		m.Ends = append(m.Ends, n.decisive(maxOwnEnds-len(m.Ends))...)
+		m.Ends = append(m.Ends, n.decisive(now, maxOwnEnds-len(m.Ends))...)
 	}
 	return m
 }
 
 // decisive lists the ends of held requests, with these requests only, the latest first.
-func (n *ends) decisive(most int) []quarantine.End {
-	var list []quarantine.End
+func (n *ends) decisive(now time.Time, most int) []endWord {
+	var list []endWord
 	for _, end := range slices.Backward(n.ledger.Save().Ends) {
 		end.Prints = slices.DeleteFunc(end.Prints, func(p quarantine.Print) bool { return !slices.Contains(n.ledger.Held(), p) })
 		if len(end.Prints) > 0 && len(list) < most {
-			list = append(list, end)
+			list = append(list, endWord{End: end, Age: now.Sub(n.heard[end.Life])})
 		}
 	}
 	return list
@@ -235,8 +252,9 @@
 	e.options.Log.Info("upstream lost", "upstream", life.Upstream, "ended", ended, "under_way", len(attempts))
 	if news {
 		e.counts.upstreamEnds.Inc()
-		e.takeEnds(endsMessage{Ends: []quarantine.End{end}})
-		e.tellEnds(endsMessage{Ends: []quarantine.End{end}})
+		seen := endsMessage{Ends: []endWord{{End: end}}}
+		e.takeEnds(seen)
+		e.tellEnds(seen)
 	}
 }
 
--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -233,7 +233,7 @@
 // What another process says is bounded.
 func TestTakeEndsIsBounded(t *testing.T) {
 	b := newBench(t)
-	if b.TakeEnds(wire.MustMarshal(endsMessage{Ends: make([]quarantine.End, maxOwnEnds+1)})) == nil {
+	if b.TakeEnds(wire.MustMarshal(endsMessage{Ends: make([]endWord, maxOwnEnds+1)})) == nil {
 		t.Error("too many ends are taken")
 	}
 	if b.TakeEnds([]byte("no message")) == nil {
@@ -252,13 +252,13 @@
 		three.engine(t, "runner-1")
 		run(t, two)
 		bad := printOfPrompt(&Prompt{Caller: two.prompt(t, 1).Caller, Model: testModel, Tokens: two.prompt(t, 1).Tokens, MaxTokens: 5, Seed: 7})
-		var told endsMessage
+		var seen []quarantine.End
 		for i := range quarantine.Ends {
-			told.Ends = append(told.Ends, quarantine.End{
+			seen = append(seen, quarantine.End{
 				Life: quarantine.Life{Upstream: fmt.Sprint("gone-", i)}, Prints: []quarantine.Print{bad, {byte(i)}},
 			})
 		}
-		if err := two.TakeEnds(wire.MustMarshal(told)); err != nil {
+		if err := two.TakeEnds(wire.MustMarshal(toldNow(seen))); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(2 * endRepeat)
@@ -280,7 +280,7 @@
 		first, late := newBench(t), newBench(t)
 		tell := func(from, to *bench) {
 			from.mu.Lock()
-			m := from.ends.due(time.Now(), "entry-0", []Peer{{Host: "entry-0"}, {Host: ident.Host(time.Now().String())}})
+			m := from.ends.due(time.Now(), "entry-0", []Peer{{Host: "entry-0"}, {Host: ident.Host("entry-" + time.Now().String())}})
 			from.mu.Unlock()
 			if err := to.TakeEnds(wire.MustMarshal(m)); err != nil {
 				t.Fatal(err)
@@ -297,6 +297,7 @@
 			t.Fatal("the late entry was not told")
 		}
 		time.Sleep(2 * time.Minute)
+		first.endsDue(time.Now())
 		tell(late, first)
 		first.mu.Lock()
 		defer first.mu.Unlock()
@@ -307,4 +308,9 @@
 }
 
 // toldNow is a message on ends that have just been seen.
-func toldNow(seen []quarantine.End) endsMessage { return endsMessage{Ends: seen} }
+func toldNow(seen []quarantine.End) (m endsMessage) {
+	for _, end := range seen {
+		m.Ends = append(m.Ends, endWord{End: end})
+	}
+	return m
+}
