quarantine: the times of ends stand once; a request's print is taken at admission

Cause: both pipelines kept when each end was seen, and forgot it, by code of their own; the print was taken on demand, with a guard for the lock that could never be needed, as it is asked for before each send. Change: quarantine.Seen and one EndKept for both; the print is a field; the leader's forgetting takes the time as an argument and has a test. Behaviour unchanged. Result: tests of quarantine, entry, gateway and steward pass under the race detector.

--- a/internal/entry/ends.go
+++ b/internal/entry/ends.go
@@ -21,8 +21,6 @@
 	// be lost, and endRepeat for how long.
 	endEvery  = time.Second
 	endRepeat = 10 * time.Second
-	// endKept is how long an end counts against the requests that were under way.
-	endKept = 30 * time.Minute
 	// lookWorkers bounds the upstreams looked at at once, and maxLooks those that wait:
 	// a rack may be lost at one moment.
 	lookWorkers, maxLooks = 8, 256
@@ -51,8 +49,8 @@
 	ledger *quarantine.Ledger
 	lost   quarantine.Lost
 	served quarantine.Served
-	// heard tells when each end was seen, as far as this entry knows.
-	heard map[quarantine.Life]time.Time
+	// seen tells when each end was seen, as far as this entry knows.
+	seen quarantine.Seen
 	// own are the ends that this entry saw itself, which it tells the others of, and
 	// again to those that have started since.
 	own      []ownEnd
@@ -66,7 +64,7 @@
 }
 
 func newEnds() ends {
-	return ends{ledger: quarantine.NewLedger(), heard: make(map[quarantine.Life]time.Time)}
+	return ends{ledger: quarantine.NewLedger()}
 }
 
 // take takes in what this entry or another has seen, and reports whether the judgement
@@ -75,13 +73,11 @@
 	before := n.ledger.Revision()
 	var ended []quarantine.End
 	for _, word := range m.Ends {
-		if word.Age < 0 || word.Age >= endKept {
+		if word.Age < 0 || word.Age >= quarantine.EndKept {
 			continue
 		}
 		ended = append(ended, word.End)
-		if _, known := n.heard[word.End.Life]; !known {
-			n.heard[word.End.Life] = now.Add(-word.Age)
-		}
+		n.seen.Note(word.End.Life, now.Add(-word.Age))
 	}
 	n.ledger.Ended(ended...)
 	n.ledger.Served(m.Served...)
@@ -91,24 +87,12 @@
 
 // settle forgets ends that no longer count.
 func (n *ends) settle(now time.Time) {
-	heard := make(map[quarantine.Life]time.Time)
-	var old []quarantine.Life
-	for _, life := range n.ledger.Lives() {
-		at, known := n.heard[life]
-		switch {
-		case !known:
-			heard[life] = now
-		case now.Sub(at) >= endKept:
-			old = append(old, life)
-		default:
-			heard[life] = at
-		}
-	}
-	n.heard = heard
-	if len(old) > 0 {
+	n.seen.Follow(n.ledger.Lives(), now)
+	if old := n.seen.Old(now); len(old) > 0 {
 		n.ledger.Forget(old...)
+		n.seen.Follow(n.ledger.Lives(), now)
 	}
-	n.own = slices.DeleteFunc(n.own, func(o ownEnd) bool { return now.Sub(o.seen) >= endKept })
+	n.own = slices.DeleteFunc(n.own, func(o ownEnd) bool { return now.Sub(o.seen) >= quarantine.EndKept })
 }
 
 // due returns the ends that the other entries are to be told: new ones a few times, and
@@ -140,7 +124,7 @@
 	for _, end := range slices.Backward(n.ledger.Save().Ends) {
 		end.Prints = slices.DeleteFunc(end.Prints, func(p quarantine.Print) bool { return !slices.Contains(n.ledger.Held(), p) })
 		if len(end.Prints) > 0 && len(list) < most {
-			list = append(list, endWord{End: end, Age: now.Sub(n.heard[end.Life])})
+			list = append(list, endWord{End: end, Age: n.seen.Age(end.Life, now)})
 		}
 	}
 	return list
--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -222,9 +222,9 @@
 		if !isHeld(b.ask(t, 20, 7)) {
 			t.Fatal("not held")
 		}
-		time.Sleep(endKept)
+		time.Sleep(quarantine.EndKept)
 		b.endsDue(time.Now())
-		if len(b.ends.ledger.Lives())+len(b.ends.own)+len(b.ends.heard) != 0 {
+		if len(b.ends.ledger.Lives())+len(b.ends.own)+b.ends.seen.Len() != 0 {
 			t.Fatal("old ends are kept")
 		}
 	})
@@ -291,7 +291,7 @@
 			seen = append(seen, quarantine.End{Life: quarantine.Life{Upstream: fmt.Sprint("gone-", i)}, Prints: []quarantine.Print{{1}}})
 		}
 		first.takeEnds(toldNow(seen))
-		time.Sleep(endKept - time.Minute)
+		time.Sleep(quarantine.EndKept - time.Minute)
 		tell(first, late)
 		if len(late.ends.ledger.Held()) != 1 {
 			t.Fatal("the late entry was not told")
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -98,10 +98,6 @@
 	s := r.gateway.state
 	var unsent *outcome.NotRun
 	sent := !errors.As(cause, &unsent)
-	if sent {
-		// Before the lock is taken, for it reads the body.
-		r.print()
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settle(p)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,8 +165,8 @@
 	guessed map[*upstreamState]uint64
 	// mayHaveRun tells that a send may have been run.
 	mayHaveRun bool
-	// printed is the request's print once it was asked for.
-	printed quarantine.Print
+	// print identifies the request across attempts and entries.
+	print quarantine.Print
 	// last is the latest send.
 	last *plan
 	// begun tells that the caller has the status and headers.
@@ -214,6 +214,7 @@
 	r.deadline = request.Arrived.Add(patience)
 	r.usual = g.state.noteTime(route.Name, patience)
 	r.service = pickTarget(route.Targets)
+	r.print = r.printed()
 	if request.Prompt != nil {
 		r.lightUpTo = r.lightOf(index.Service(r.service))
 	}
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -10,16 +10,13 @@
 	"github.com/lovagereach/lovagereach/quarantine"
 )
 
-// print identifies the request across attempts and entries.
-func (r *run) print() quarantine.Print {
-	if r.printed == (quarantine.Print{}) {
-		q := quarantine.Request{
-			Service: r.service, Team: r.callerName(), Method: r.request.Method,
-			Host: strings.ToLower(r.request.Host), Target: r.request.Target, Body: r.request.Body,
-		}
-		r.printed = q.Print()
+// printed takes the request's print.
+func (r *run) printed() quarantine.Print {
+	q := quarantine.Request{
+		Service: r.service, Team: r.callerName(), Method: r.request.Method,
+		Host: strings.ToLower(r.request.Host), Target: r.request.Target, Body: r.request.Body,
 	}
-	return r.printed
+	return q.Print()
 }
 
 // callerName is the team that holds the caller's key, also on a route that asks for
@@ -37,7 +34,7 @@
 // ended. The caller holds the lock.
 func (r *run) noteLost(p *plan) {
 	life := quarantine.Life{Upstream: p.upstream.record.ID, Born: p.upstream.record.Born}
-	if r.gateway.state.lost.Add(life, quarantine.Attempt{Request: r.request.ID, Print: r.print()}) {
+	if r.gateway.state.lost.Add(life, quarantine.Attempt{Request: r.request.ID, Print: r.print}) {
 		go r.gateway.look(life, p.send)
 	}
 }
--- a/internal/gateway/lost_test.go
+++ b/internal/gateway/lost_test.go
@@ -21,7 +21,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return run.print()
+		return run.print
 	}
 	first := print(func(*Request) {})
 	for name, change := range map[string]func(*Request){
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -27,10 +27,8 @@
 
 // pace is how much longer a store's transfers take than its link says. It is for the
 // log and the state dump alone. From one answer an entry can't tell a slow store from
-// a runner that is busier than it knows: taken into the choice, stores counted as slow
-// 300 to 800 times a day, and parts were read again that stood in them. Left out, the
-// credit of days with trouble rose by 0.020, 0.015 and 0.012 at three deployments,
-// means of five to ten days each.
+// a runner that is busier than it knows: taken into the choice, sound stores would count
+// as slow, and parts be read again that stand in them.
 type pace struct {
 	factor float64
 	at     time.Time
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -51,7 +51,7 @@
 // The caller holds the lock.
 func (s *state) releaseHeld() {
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool {
-		held := s.verdicts.held[w.run.printed]
+		held := s.verdicts.held[w.run.print]
 		if held {
 			w.granted <- nil
 		}
@@ -61,7 +61,7 @@
 
 // noteServed notes that the request was served whole.
 func (r *run) noteServed() {
-	s, p := r.gateway.state, r.print()
+	s, p := r.gateway.state, r.print
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.served.Note(p, time.Now())
@@ -74,7 +74,7 @@
 
 // held reports whether the request is to be sent to no upstream.
 func (r *run) held() bool {
-	s, p := r.gateway.state, r.print()
+	s, p := r.gateway.state, r.print
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.verdicts.held[p]
@@ -83,7 +83,7 @@
 // suspected reports whether one more end under the request decides that it is held. It
 // is then for its caller to repeat it: by ourselves we would end one more before we know.
 func (r *run) suspected() bool {
-	s, p := r.gateway.state, r.print()
+	s, p := r.gateway.state, r.print
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.verdicts.held[p] || s.verdicts.suspects[p]
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return run.print()
+	return run.print
 }
 
 // tellHeld tells an entry of held and suspected requests, as a late answer may.
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -55,8 +55,8 @@
 	// returnedShare is the part of its route's usual time from which on a request counts
 	// as one that comes for the first time. Those that come with less have been
 	// refused or cut off before: they are late whenever they are served, and come
-	// back no more. They wait behind those still in time, and as long: where they waited
-	// 1.5 s in an overload of 20 s, 8.6 in 100 requests were late in place of 7.7.
+	// back no more. They wait behind those still in time, and as long: in an overload
+	// longer waits fill the runners with what is late already.
 	returnedShare = 0.9
 	// comeBackShare is the part of its time after which a refused caller comes back
 	// at the latest, with enough left to be served, and comeBackMost the longest.
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -12,19 +12,17 @@
 const (
 	// startWait is how long a request waits for the first word of the control
 	// hosts to an entry that has just started, and startShare the part of its own time that
-	// it may wait. After a restart of all processes the word comes 0.6 to 0.9 s
-	// after an entry has started: hosts start up to 0.4 s apart, and an election
-	// takes 0.4 s. Callers come back once or twice only, and most of those that ask
-	// then were cut off before: refused, they are lost. Where only this entry has
-	// started, the word comes after 0.07 to 0.11 s. Half of their time is left for the answer.
+	// it may wait. After a restart of all processes the word comes only when the hosts
+	// have started and one is elected. Callers come back once or twice only, and most of
+	// those that ask then were cut off before: refused, they are lost. Half of their
+	// time is left for the answer.
 	startWait  = 1500 * time.Millisecond
 	startShare = 0.5
 	// stockedWait is how long large prompts wait after it for the first word on the
 	// stores. Stores that are down for long must not hold up requests for ever.
 	stockedWait = 600 * time.Millisecond
-	// startSpread is over how long requests are let go that are late by then.
-	// The next word of the control hosts brings the other entries' loads in
-	// 0.15 s.
+	// startSpread is over how long requests are let go that are late by then, so that
+	// the next word of the control hosts brings the other entries' loads meanwhile.
 	startSpread = 400 * time.Millisecond
 	// startingMost bounds the requests that wait so. Each takes a few KB.
 	startingMost = 1024
@@ -33,8 +31,7 @@
 // awaitStart returns the configuration in force. An entry that has just started
 // lets requests wait for it a little, and large prompts also for the word on what
 // the stores hold: without it each would be read from its first token, all at
-// once. Short ones gained nothing by waiting for it: 0.643 of the credit without,
-// 0.642 with it, ten days.
+// once. Short ones have little to read, and go without it.
 func (g *Gateway) awaitStart(ctx context.Context, request *Request) (index *catalog.Index, waited bool) {
 	index = g.Index()
 	if index != nil && (request.Prompt == nil || g.state.isStocked()) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -138,9 +138,8 @@
 
 // shelvesUrgent is how old the word on the stores may be before it is asked for at
 // once, without waiting for news. An entry that starts beside its control hosts asks
-// one that is not up yet, and is answered 1 s later by an answer too old to rely on.
-// For want of the next one 0.73 M shared tokens were read again after one restart,
-// and 0.04 M when it is asked for at once.
+// one that is not up yet, and is answered late by an answer too old to rely on. Until
+// the next one comes, shared parts that stand in stores are read again.
 const shelvesUrgent = steward.ShelfTrust / 2
 
 // request returns what this entry holds, for the next watch.
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -10,8 +10,8 @@
 	// usualShare is the part of an entry's processor and of its link that its
 	// requests should take: the rest bears a burst, and the loss of another entry.
 	usualShare = 0.3
-	// processorTime is what a request takes of a processor's core: some 0.4 ms where
-	// the choice is among a hundred runners, and the events of its answer.
+	// processorTime is what a request takes of a processor's core: the choice among a
+	// hundred runners, and the events of its answer.
 	processorTime = 600 * time.Microsecond
 	// headBytes is what a request and its answer take of a link besides the body.
 	headBytes = 2048
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -238,7 +238,7 @@
 // housekeep gives up upstreams that are lost, and forgets old ends.
 func (l *leadership) housekeep(ctx context.Context) {
 	for wait.For(ctx, housekeeping) {
-		l.forgetEnds(ctx)
+		l.forgetEnds(ctx, time.Now())
 		for _, u := range l.lost(l.steward.machine.live(), time.Now()) {
 			u.State = roster.Gone
 			l.steward.options.Log.Info("upstream given up", "upstream", u.ID, "address", u.Address)
@@ -286,8 +286,8 @@
 // fill implements bulletin. The leader of many entries does not tell them the shelves
 // before others can, or while others do. After a restart of all, each lacks all of
 // them, those that pass them on are busy with it, and entries whose word grows old
-// meanwhile turn to the leader: it tells them the rest, which takes 0.02 ms of its
-// processor in place of 0.6 for a page of the shelves.
+// meanwhile turn to the leader: it tells them the rest, which costs it little beside a
+// page of the shelves.
 func (l *leadership) fill(request *WatchRequest, answer *WatchAnswer) bool {
 	now := time.Now()
 	if request.Entry != nil && l.entryCount(now) > entriesAlone && (now.Sub(l.since) < relaysWithin || len(l.relays(now)) > 0) {
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -54,10 +54,10 @@
 	namings *rollout.Namings
 	roster  *roster.Roster
 	lives   map[string]uint64
-	// quarantine holds the requests that end upstreams, and ends when this host learnt
+	// quarantine holds the requests that end upstreams, and seen when this host learnt
 	// of each end: like namings, each host's own.
 	quarantine *quarantine.Ledger
-	ends       map[quarantine.Life]time.Time
+	seen       quarantine.Seen
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -66,8 +66,7 @@
 func NewMachine() *Machine {
 	return &Machine{
 		weights: make(map[string]uint64), namings: rollout.NewNamings(), lives: make(map[string]uint64),
-		roster: roster.New(), quarantine: quarantine.NewLedger(), ends: make(map[quarantine.Life]time.Time),
-		changed: make(chan struct{}),
+		roster: roster.New(), quarantine: quarantine.NewLedger(), changed: make(chan struct{}),
 	}
 }
 
@@ -170,7 +169,7 @@
 		m.lives = make(map[string]uint64)
 	}
 	m.quarantine.Restore(saved.Quarantine)
-	m.noteEnds(time.Now())
+	m.seen.Follow(m.quarantine.Lives(), time.Now())
 	m.notify()
 	return nil
 }
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -101,8 +101,8 @@
 	Since     uint64            `cbor:"3,keyasint,omitempty"`
 }
 
-// QuarantineView is which requests are to be sent to no upstream, and which further
-// ones have ended all but as many.
+// QuarantineView is which requests are to be sent to no upstream, and of which further
+// ones one more end decides.
 type QuarantineView struct {
 	Revision uint64             `cbor:"1,keyasint"`
 	Held     []quarantine.Print `cbor:"2,keyasint,omitempty"`
--- a/internal/steward/report.go
+++ b/internal/steward/report.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"slices"
 	"time"
 
@@ -24,9 +23,6 @@
 	// reportMost bounds the prints and ends that one command gathers, 260 KB: two of the
 	// longest reports. What comes beyond is reported again.
 	reportMost = 2 * MostReported * (quarantine.MaxPrints + 2)
-	// endKept is how long an end counts against the requests that were under way. A
-	// request that is held for it ends three more upstreams in this time at most.
-	endKept = 30 * time.Minute
 	// forgetEvery is how often ends are looked for that no longer count.
 	forgetEvery = 10 * time.Second
 )
@@ -37,7 +33,7 @@
 	before := m.quarantine.Revision()
 	m.quarantine.Ended(r.Ends...)
 	m.quarantine.Served(r.Served...)
-	m.noteEnds(time.Now())
+	m.seen.Follow(m.quarantine.Lives(), time.Now())
 	if m.quarantine.Revision() != before {
 		m.notify()
 	}
@@ -47,32 +43,17 @@
 func (m *Machine) applyForget(lives []quarantine.Life) {
 	before := m.quarantine.Revision()
 	m.quarantine.Forget(lives...)
-	m.noteEnds(time.Now())
+	m.seen.Follow(m.quarantine.Lives(), time.Now())
 	if m.quarantine.Revision() != before {
 		m.notify()
 	}
 }
 
-// noteEnds notes when this host learnt of the ends that are remembered. The caller holds
-// the lock.
-func (m *Machine) noteEnds(now time.Time) {
-	noted := make(map[quarantine.Life]time.Time)
-	for _, life := range m.quarantine.Lives() {
-		at, known := m.ends[life]
-		if !known {
-			at = now
-		}
-		noted[life] = at
-	}
-	m.ends = noted
-}
-
-// oldEnds lists the ends that this host learnt of before a time.
-func (m *Machine) oldEnds(before time.Time) []quarantine.Life {
+// oldEnds lists the ends that no longer count, as this host has learnt of them.
+func (m *Machine) oldEnds(now time.Time) []quarantine.Life {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	lives := slices.Collect(maps.Keys(m.ends))
-	return slices.DeleteFunc(lives, func(life quarantine.Life) bool { return !m.ends[life].Before(before) })
+	return m.seen.Old(now)
 }
 
 // quarantined lists the requests that are sent to no upstream, and counts those suspected.
@@ -174,13 +155,13 @@
 }
 
 // forgetEnds drops ends that no longer count, on the leader.
-func (l *leadership) forgetEnds(ctx context.Context) {
-	s, now := l.steward, time.Now()
+func (l *leadership) forgetEnds(ctx context.Context, now time.Time) {
 	if now.Sub(l.forgotAt) < forgetEvery {
 		return
 	}
 	l.forgotAt = now
-	lives := s.machine.oldEnds(now.Add(-endKept))
+	s := l.steward
+	lives := s.machine.oldEnds(now)
 	if len(lives) == 0 {
 		return
 	}
--- a/internal/steward/report_test.go
+++ b/internal/steward/report_test.go
@@ -146,10 +146,11 @@
 func TestOldEndsAreForgotten(t *testing.T) {
 	m, now := NewMachine(), time.Now()
 	m.applyReport(&Report{Ends: []quarantine.End{{Life: quarantine.Life{Upstream: "a"}, Prints: []quarantine.Print{{1}}}}})
-	if old := m.oldEnds(now.Add(endKept)); len(old) != 1 {
-		t.Fatalf("%d ends are old after %v", len(old), endKept)
+	later := now.Add(quarantine.EndKept + time.Second)
+	if old := m.oldEnds(later); len(old) != 1 {
+		t.Fatalf("%d ends are old after %v", len(old), quarantine.EndKept)
 	}
-	if old := m.oldEnds(now.Add(-time.Second)); len(old) != 0 {
+	if old := m.oldEnds(now); len(old) != 0 {
 		t.Fatalf("%d ends are old at once", len(old))
 	}
 	data, err := m.Snapshot()
@@ -160,15 +161,34 @@
 	if err := restored.Restore(data); err != nil {
 		t.Fatal(err)
 	}
-	if restored.held() != m.held() || len(restored.oldEnds(now.Add(endKept))) != 1 {
+	if restored.held() != m.held() || len(restored.oldEnds(later)) != 1 {
 		t.Fatal("a restored host does not know of the end")
 	}
-	restored.applyForget(restored.oldEnds(now.Add(endKept)))
-	if len(restored.quarantine.Lives())+len(restored.ends) != 0 {
+	restored.applyForget(restored.oldEnds(later))
+	if len(restored.quarantine.Lives())+restored.seen.Len() != 0 {
 		t.Fatal("a forgotten end is kept")
 	}
 }
 
+// The leader commits that old ends no longer count, and all entries send the request on
+// that was held for them.
+func TestTheLeaderForgetsOldEnds(t *testing.T) {
+	f := newFleet(t)
+	f.startThree()
+	f.put(1, "one")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	entry, bad := f.startReporting(ctx, "entry-1"), quarantine.Print{1}
+	var r Report
+	for i := range quarantine.Ends {
+		r.Ends = append(r.Ends, quarantine.End{Life: quarantine.Life{Upstream: fmt.Sprint("runner-", i)}, Prints: []quarantine.Print{bad}})
+	}
+	entry.report(ctx, &r)
+	f.await("the entry holds the request", func() bool { return entry.holds(bad) })
+	f.leader().leading.Load().forgetEnds(ctx, time.Now().Add(quarantine.EndKept+time.Second))
+	f.await("the entry sends the request on", func() bool { return !entry.holds(bad) })
+}
+
 // A report that is too long for one command must be told again, not cut.
 func TestReportsBeyondABatchAreToldAgain(t *testing.T) {
 	l := &leadership{reports: &reportBatch{done: make(chan struct{}), size: reportMost - 1}}
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -32,9 +32,8 @@
 	// changes with every request, so that each question is answered at once.
 	runnerPause = 150 * time.Millisecond
 	// cacheWatchers is up to how many entries the runners' caches are followed.
-	// Each change of a cache goes to every entry. With 64 entries that gained
-	// 0.02 to 0.03 of the credit on calm days and lost 0.13 to 0.27 on days with
-	// losses of hosts, one run of each.
+	// Each change of a cache goes to every entry: with many of them the control hosts
+	// have no time left when hosts are lost.
 	cacheWatchers = 16
 	// adoptEvery is how often it is looked at whom to follow, besides at each
 	// change of the configuration or the roster.
@@ -334,9 +333,8 @@
 
 // askClock asks for the upstreams' clock where it is not known yet. Listings don't
 // tell it, and a question for events is kept open for storeWait: entries that
-// started with all other hosts knew what the stores hold and could permit no fetch.
-// With the clock, and no store told as open before it is listed, 11 in 100 fewer
-// shared tokens were read again, mean of 15 days that end with a restart.
+// started with all other hosts would know what the stores hold and could permit no
+// fetch.
 func (k *shelves) askClock(ctx context.Context, address string, next uint64) {
 	if k.clock(time.Now()) != 0 {
 		return
