quarantine: one beside several that end upstreams is blamed for them, red

Symptom: where a caller varies its request, a request that was repeated to two upstreams of each variant is held in their place, and they are sent on.

--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// A caller varies its request, and each variant ends upstreams of its own. A request
+// beside them was repeated to two of each, so that it stood at more ends than any of them.
+// Blamed first it excused them all: they were sent on, and it alone was held.
+func TestOneBesideSeveralExcusesNone(t *testing.T) {
+	l := NewLedger()
+	for _, e := range []End{
+		endOf("a", "bad", "x"), endOf("b", "bad", "x"), endOf("c", "worse", "x"), endOf("d", "worse", "x"),
+		endOf("e", "bad"), endOf("f", "worse"),
+	} {
+		l.Ended(e)
+	}
+	for name, held := range map[string]bool{"bad": true, "worse": true, "x": false} {
+		if slices.Contains(l.Held(), printOf(name)) != held {
+			t.Errorf("held %q: %t, want %t", name, !held, held)
+		}
+	}
+}
+
 // Two requests end the same upstreams by chance, and then others each. The ends that one
 // explains must not excuse the other for ever: no request may end more than five.
 func TestNoRequestEndsMoreThanFive(t *testing.T) {
