quarantine: who was alone at an end is held, not who stood at the most

Cause: the request at the most ends was blamed first and its ends no longer counted; one beside several variants stands at more than each of them. Change: of the requests at three ends and more, each that was the only such one at some end is held and explains its ends; the others are held for what is left, but for those at just the same three. The bound of five ends goes: a request that another excuses is alone at its next end. Why it holds: the held ones are not sent any more, so whoever still ends upstreams is alone at its next end, the fourth at the latest.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"maps"
 	"slices"
 )
@@ -13,10 +12,6 @@
 	Ends = 3
 	// suspectEnds is the number from which on a request is suspected: one more decides.
 	suspectEnds = Ends - 1
-	// endsMost is the number from which on a request is held whatever else explains its
-	// ends: two that ended the same upstreams would else excuse each other. By chance a
-	// request stands at fewer, for its caller does not repeat it as often.
-	endsMost = 2*Ends - 1
 	// MaxLives bounds the ends that are remembered, and MaxPrints the requests noted
 	// for each: 32,768 prints, 0.5 MB. An upstream runs fewer at a time.
 	MaxLives, MaxPrints = 256, 128
@@ -138,8 +133,8 @@
 
 // judge renews the lists.
 func (l *Ledger) judge() {
-	held, unexplained := l.blame()
-	suspects := unexplained.suspects()
+	held := l.blame()
+	suspects := l.suspect(held)
 	if slices.Equal(held, l.held) && slices.Equal(suspects, l.suspects) {
 		return
 	}
@@ -147,109 +142,99 @@
 	l.revision++
 }
 
-// blame lists the fewest requests that explain the ends, and what they leave
-// unexplained.
-func (l *Ledger) blame() ([]Print, stands) {
-	unexplained := newStands(l.ends, l.counts)
-	open := maps.Clone(unexplained)
-	var held []Print
-	for len(held) < MaxTold {
-		group := open.most()
-		if len(group) == 0 || len(open[group[0]]) < Ends {
-			break
+// blame lists the requests to hold. Of those that stood at enough ends, each that was
+// alone at one of them must have brought it about, and explains all ends at which it
+// stood. The others are blamed for what is left, but for those that stood at just the
+// same few ends: held together, an innocent one would never be served again, and so never
+// cleared; one more end tells them apart.
+func (l *Ledger) blame() []Print {
+	stood := l.standing(Ends)
+	held := alone(stood)
+	explained := endsOf(held, stood)
+	var rest []Print
+	for p, ends := range stood {
+		if !held[p] && slices.ContainsFunc(ends, func(i int) bool { return !explained[i] }) {
+			rest = append(rest, p)
 		}
-		at := open[group[0]]
-		if len(at) == Ends && len(group) > 1 {
-			// They stood at just the same ends. Held together, an innocent one would
-			// never be served again, and so never cleared; one more end tells them apart.
-			for _, p := range group {
-				delete(open, p)
-			}
-			continue
-		}
-		held = append(held, group...)
-		open.explain(at)
-		unexplained.explain(at)
 	}
-	held = append(held, l.excused(held)...)
-	for _, p := range held {
-		delete(unexplained, p)
+	for _, p := range rest {
+		same := func(other Print) bool { return other != p && slices.Equal(stood[other], stood[p]) }
+		if len(stood[p]) > Ends || !slices.ContainsFunc(rest, same) {
+			held[p] = true
+		}
 	}
-	return held[:min(len(held), MaxTold)], unexplained
+	return told(held)
 }
 
-// excused lists further requests that stood at too many ends for any excuse.
-func (l *Ledger) excused(held []Print) []Print {
-	var list []Print
-	for p, n := range l.counts {
-		if n >= endsMost && !slices.Contains(held, p) {
-			list = append(list, p)
+// suspect lists further requests that stood at enough ends which no held one explains.
+func (l *Ledger) suspect(held []Print) []Print {
+	stood := l.standing(suspectEnds)
+	isHeld := make(map[Print]bool, len(held))
+	for _, p := range held {
+		isHeld[p] = true
+	}
+	explained := endsOf(isHeld, stood)
+	suspects := make(map[Print]bool)
+	for p, ends := range stood {
+		left := len(ends)
+		for _, i := range ends {
+			if explained[i] {
+				left--
+			}
+		}
+		if left >= suspectEnds {
+			suspects[p] = true
 		}
 	}
-	sortPrints(list)
-	return list
+	return told(suspects)
 }
 
-// stands are the ends at which requests stood, by the places of the ends.
-type stands map[Print][]int
-
-// newStands lists the requests that may be blamed or suspected.
-func newStands(ends []*End, counts map[Print]int) stands {
-	s := make(stands)
-	for i, e := range ends {
+// standing tells for each request that stood at so many ends which these are, by their
+// places.
+func (l *Ledger) standing(least int) map[Print][]int {
+	stood := make(map[Print][]int)
+	for i, e := range l.ends {
 		for _, p := range e.Prints {
-			if counts[p] >= suspectEnds {
-				s[p] = append(s[p], i)
+			if l.counts[p] >= least {
+				stood[p] = append(stood[p], i)
 			}
 		}
 	}
-	return s
+	return stood
 }
 
-// most lists the requests that stood at the most ends. Of those that stood at as many
-// it lists the ones with the earliest ends, which are the same for all of the list.
-func (s stands) most() []Print {
-	var best []Print
-	var at []int
-	for p, ends := range s {
-		order := cmp.Or(cmp.Compare(len(ends), len(at)), -slices.Compare(ends, at))
-		switch {
-		case order > 0:
-			best, at = []Print{p}, ends
-		case order == 0:
-			best = append(best, p)
+// alone are the requests at one of whose ends no other of them stood.
+func alone(stood map[Print][]int) map[Print]bool {
+	others := make(map[int]int)
+	for _, ends := range stood {
+		for _, i := range ends {
+			others[i]++
 		}
 	}
-	sortPrints(best)
-	return best
-}
-
-// explain takes ends away from all requests that stood there.
-func (s stands) explain(at []int) {
-	for p, ends := range s {
-		rest := slices.DeleteFunc(slices.Clone(ends), func(i int) bool { return slices.Contains(at, i) })
-		if len(rest) == 0 {
-			delete(s, p)
-			continue
+	found := make(map[Print]bool)
+	for p, ends := range stood {
+		if slices.ContainsFunc(ends, func(i int) bool { return others[i] == 1 }) {
+			found[p] = true
 		}
-		s[p] = rest
 	}
+	return found
 }
 
-// suspects lists the requests of which one more end may decide.
-func (s stands) suspects() []Print {
-	var list []Print
-	for p, ends := range s {
-		if len(ends) >= suspectEnds {
-			list = append(list, p)
+// endsOf are the ends at which some requests stood.
+func endsOf(requests map[Print]bool, stood map[Print][]int) map[int]bool {
+	ends := make(map[int]bool)
+	for p := range requests {
+		for _, i := range stood[p] {
+			ends[i] = true
 		}
 	}
-	sortPrints(list)
-	return list[:min(len(list), MaxTold)]
+	return ends
 }
 
-func sortPrints(list []Print) {
-	slices.SortFunc(list, func(a, b Print) int { return bytes.Compare(a[:], b[:]) })
+// told lists requests in one order, as many as are told.
+func told(requests map[Print]bool) []Print {
+	list := slices.SortedFunc(maps.Keys(requests), func(a, b Print) int { return bytes.Compare(a[:], b[:]) })
+	return list[:min(len(list), MaxTold)]
 }
 
 // Saved is a ledger's whole state.
