quorum: a leader tells until when no other host can be elected

Cause: a host that has no time for its part in the group takes itself for the leader after another one was elected: on the whole fleet one led on for 2 s beside three later ones (terms 33 to 36), as Leased is as of the node's latest step. Change: the status tells the end of the lease, which the reader compares with the time.

--- a/internal/port/replica.go
+++ b/internal/port/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/lovagereach/lovagereach/ident"
 )
@@ -43,11 +44,13 @@
 
 // ReplicaStatus describes one group on this host.
 type ReplicaStatus struct {
-	Group     GroupID
-	Term      uint64
-	Leader    ident.Host
-	Self      ident.Host
-	IsLeader  bool
+	Group    GroupID
+	Term     uint64
+	Leader   ident.Host
+	Self     ident.Host
+	IsLeader bool
+	// LeaseEnd is until when no other host can lead, on a leader that knows; else zero.
+	LeaseEnd  time.Time
 	Commit    uint64
 	Applied   uint64
 	Last      uint64
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -137,6 +137,7 @@
 		Leader:    s.Leader,
 		Self:      s.Self,
 		IsLeader:  s.Role == quorum.RoleLeader,
+		LeaseEnd:  s.LeaseEnd,
 		Commit:    s.Commit,
 		Applied:   g.applier.applied.Load(),
 		Last:      s.Last,
--- a/quorum/ready.go
+++ b/quorum/ready.go
@@ -87,6 +87,9 @@
 		Counters:      n.counters,
 		LastMalformed: n.lastMalformed,
 	}
+	if s.Leased {
+		s.LeaseEnd = n.lead.leaseEnd
+	}
 	for _, p := range n.lead.peers {
 		s.Peers = append(s.Peers, PeerStatus{
 			Member:    p.member,
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "github.com/lovagereach/lovagereach/ident"
+import (
+	"time"
+
+	"github.com/lovagereach/lovagereach/ident"
+)
 
 // Status describes a node at one moment.
 type Status struct {
@@ -24,6 +28,10 @@
 	Revoked bool
 	// Leased is set while a leader may answer reads without a round.
 	Leased bool
+	// LeaseEnd is until when no other host can be elected, as far as this leader knows,
+	// zero without a lease. It is on the host's clock: whoever reads the status of a node
+	// that has not been stepped for a while compares it with the time.
+	LeaseEnd time.Time
 	// Transferring is the host that leadership is being handed to, empty for
 	// none.
 	Transferring ident.Host
