--- a/cmd/lovage-fleet/control.go
+++ b/cmd/lovage-fleet/control.go
@@ -138,8 +138,9 @@
 		Seeds: *c.seeds.Load(), Bootstrap: s.Bootstrap, Tolerated: s.ToleratedDisks,
 		Cluster: cluster, Key: []byte(peerKey), Data: s.Data,
 		LoadsAtOnce: loadsAtOnce, VersionTime: s.VersionTime(), HolderLease: s.HolderLease(),
-		DataCentres: slices.Sorted(maps.Keys(s.DataCentres)),
-		Stores:      management, Runners: management, Log: c.env.Log,
+		AnnounceEvery: s.AnnounceEvery(),
+		DataCentres:   slices.Sorted(maps.Keys(s.DataCentres)),
+		Stores:        management, Runners: management, Log: c.env.Log,
 	})
 	if err != nil {
 		return err
--- a/internal/steward/branch.go
+++ b/internal/steward/branch.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,10 @@
 	grants      []warmup.Grant
 	grantsAt    uint64
 	grantsAsked time.Time
+	// below is the list of number belowAt of the entries that ask here, as of belowSince.
+	below      []EntryView
+	belowAt    uint64
+	belowSince time.Time
 	// callers are the entries that asked here, and when they did last.
 	callers map[string]time.Time
 	// lacked is what the leader's state held at least, where this host's was
@@ -61,7 +66,8 @@
 }
 
 func newBranch(machine *Machine, book *sharedBook, log *log.Logger) *branch {
-	return &branch{machine: machine, book: book, watchers: newWatchers(log)}
+	// The number begins anew with each process, and the leader may know the one before.
+	return &branch{belowAt: uint64(time.Now().UnixMicro()), machine: machine, book: book, watchers: newWatchers(log)}
 }
 
 // request returns what this host asks the leader for. While the leader answers
@@ -74,17 +80,37 @@
 	request := &WatchRequest{
 		Term: b.told.Term, Document: held.document, Weights: held.weights, Roster: held.roster,
 		Quarantine: held.quarantine, Evacuation: held.evacuation, Grants: b.grantsAt, Heard: b.hearing.list(now),
+		SilentAt: b.told.SilentAt,
 	}
 	if !b.told.Relaying || !held.cover(b.lacked) {
 		return request
 	}
 	request.Relay = true
-	request.Below = b.watchers.entries(now)
+	b.listBelow(request, now)
 	request.Loads = b.watchers.loads()
 	request.Shelves = b.book.ask()
 	return request
 }
 
+// listBelow tells the entries that ask here. The list goes to the leader 25 times a second,
+// and it is mostly as it was. The caller holds the lock.
+func (b *branch) listBelow(request *WatchRequest, now time.Time) {
+	views := b.watchers.entries(now)
+	if !slices.EqualFunc(b.below, views, sameToLeader) || now.Sub(b.belowSince) >= ratesEvery {
+		b.below, b.belowSince = views, now
+		b.belowAt++
+	}
+	request.BelowAt = b.belowAt
+	if b.told.BelowAt != b.belowAt {
+		request.Below = b.below
+	}
+}
+
+// sameToLeader reports whether two views of an entry differ in its requests only.
+func sameToLeader(a, b EntryView) bool {
+	return sameState(a, b) && a.Evacuation == b.Evacuation && a.Document == b.Document
+}
+
 // take takes in an answer of the leader to a question that was sent at asked.
 func (b *branch) take(answer *WatchAnswer, asked, came time.Time) {
 	b.mu.Lock()
@@ -95,10 +121,13 @@
 	b.takeGrants(answer, asked)
 	b.hearing.told(asked, came)
 	b.lacked = answer.revisions()
-	entries, silent := b.told.Entries, b.told.Silent
-	b.told, b.asked, b.came = *answer, asked, came
+	before := b.told
+	b.told, b.asked, b.came = *answer, asked.Add(-answer.Heard), came
 	if answer.SameLists {
-		b.told.Entries, b.told.Silent = entries, silent
+		b.told.Entries = before.Entries
+	}
+	if answer.SilentAt == before.SilentAt && answer.Term == before.Term {
+		b.told.Silent = before.Silent
 	}
 	b.told.Shelves, b.told.Document, b.told.Weights, b.told.Roster = nil, nil, nil, nil
 	b.told.Quarantine, b.told.Evacuation, b.told.Grants = nil, nil, nil
@@ -124,6 +153,9 @@
 	b.watchers.follow(from, request, now)
 }
 
+// touch implements bulletin.
+func (b *branch) touch(from port.Peer, now time.Time) { b.watchers.touch(from, now) }
+
 // serves reports whether this host may answer a watch: it must have heard from
 // the leader lately, and know no less than the watcher.
 func (b *branch) serves(request *WatchRequest, now time.Time) bool {
@@ -190,12 +222,12 @@
 	answer.Term = told.Term
 	answer.Leader = told.Leader
 	answer.Relaying, answer.Relays = told.Relaying, told.Relays
-	answer.EntryCount = told.EntryCount
-	answer.Silent, answer.Loading, answer.Floor = told.Silent, told.Loading, told.Floor
+	answer.EntryCount, answer.Takers = told.EntryCount, told.Takers
+	answer.Silent, answer.SilentAt, answer.Loading, answer.Floor = told.Silent, told.SilentAt, told.Loading, told.Floor
 	if told.Clock > 0 {
 		answer.Clock = told.Clock + now.Sub(came).Milliseconds()
 	}
-	answer.Loads = b.watchers.loadsBut(from.Host, told.Loads)
+	answer.Loads = b.watchers.loadsBut(from.Host, told.Loads, now)
 }
 
 // tellGrants implements bulletin: it tells nothing that the leader confirmed too long
--- a/internal/steward/enrol.go
+++ b/internal/steward/enrol.go
@@ -183,7 +183,7 @@
 	if !s.machine.wouldChange(*u) {
 		return false, nil
 	}
-	s.options.Log.Info("upstream", "upstream", u.ID, "service", u.Service, "address", u.Address,
+	s.announced.info(time.Now(), "upstream", "upstream", u.ID, "service", u.Service, "address", u.Address,
 		"state", u.State, "sequence", u.Sequence, "born", u.Born)
 	return true, nil
 }
--- a/internal/steward/entry.go
+++ b/internal/steward/entry.go
@@ -1,6 +1,8 @@
 package steward
 
 import (
+	"time"
+
 	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
 
@@ -20,7 +22,10 @@
 	DataCentre ident.DataCentre
 	Seeds      []ident.Host
 	PeerPort   int
-	Log        *log.Logger
+	// ApplyWithin is within what time after its acknowledgement a configuration must be
+	// in force; 0 where that is not told.
+	ApplyWithin time.Duration
+	Log         *log.Logger
 }
 
 // NewEntryFollower returns an entry's follower with connections of its own.
@@ -32,6 +37,7 @@
 		return nil, eris.Wrap(err, "steward: peers")
 	}
 	return NewFollower(FollowerOptions{
-		Transport: transport, Seeds: o.Seeds, PeerPort: o.PeerPort, Self: o.Host, DataCentre: o.DataCentre, Log: o.Log,
+		Transport: transport, Seeds: o.Seeds, PeerPort: o.PeerPort, Self: o.Host, DataCentre: o.DataCentre, ApplyWithin: o.ApplyWithin,
+		Log: o.Log,
 	}), nil
 }
--- a/internal/steward/evacuate.go
+++ b/internal/steward/evacuate.go
@@ -4,20 +4,10 @@
 	"context"
 	"errors"
 	"slices"
-	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/lovagereach/lovagereach/evacuation"
-	"github.com/lovagereach/lovagereach/internal/wait"
-)
-
-const (
-	// inForceWait bounds the wait for the entries. An operator's call turns to
-	// another control host after a second, and proposeTimeout bounds it between hosts.
-	inForceWait = 600 * time.Millisecond
-	// inForcePoll is how often the entries are looked at meanwhile.
-	inForcePoll = 10 * time.Millisecond
 )
 
 // ErrInvalid reports an order that can never be carried out. Nothing was changed.
@@ -62,7 +52,7 @@
 	if o.Withdrawn {
 		m.roster.PresumeCold(o.DataCentre, m.coldMs)
 	}
-	m.notify()
+	m.notifyOrder()
 }
 
 // evacuated returns the evacuations.
@@ -96,34 +86,5 @@
 	if !holds {
 		return eris.Wrap(ErrUnavailable, "another order has come in between, or too many data centres are evacuated")
 	}
-	return l.awaitInForce(ctx, revision)
-}
-
-// awaitInForce waits until each entry that asks for news goes by a revision of the
-// evacuations. An entry that has stopped asking counts for watcherKept. What a new
-// leader was told of the entries by the one before counts for as long: it waits until
-// those that are left have called.
-func (l *leadership) awaitInForce(ctx context.Context, revision uint64) error {
-	for end := time.Now().Add(inForceWait); ; {
-		now := time.Now()
-		behind := l.behind(revision, now)
-		called := now.Sub(l.since) >= watcherKept
-		switch {
-		case behind == 0 && called:
-			return nil
-		case !now.Before(end) || !wait.For(ctx, inForcePoll):
-			return eris.Wrapf(ErrUnavailable, "not in force yet at %d entries; send the order again", behind)
-		}
-	}
-}
-
-// behind counts the entries that don't go by a revision of the evacuations yet.
-func (l *leadership) behind(revision uint64, now time.Time) int {
-	n := 0
-	for _, view := range l.watchers.entries(now) {
-		if view.Evacuation < revision {
-			n++
-		}
-	}
-	return n
+	return l.awaitInForce(ctx, func(v *EntryView) bool { return v.Evacuation < revision })
 }
--- a/internal/steward/evacuate_test.go
+++ b/internal/steward/evacuate_test.go
@@ -98,12 +98,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		now := time.Now()
 		l := &leadership{since: now.Add(-time.Minute), watchers: newWatchers(log.New(io.Discard))}
+		behind := func(revision uint64) func(*EntryView) bool {
+			return func(v *EntryView) bool { return v.Evacuation < revision }
+		}
 		watch := func(host string, held uint64) {
 			l.follow(entryPeer(host), &WatchRequest{Entry: &EntryView{Host: host}, Evacuation: held}, time.Now())
 		}
 		watch("e1", 3)
 		watch("e2", 2)
-		if err := l.awaitInForce(context.Background(), 3); !errors.Is(err, ErrUnavailable) {
+		if err := l.awaitInForce(context.Background(), behind(3)); !errors.Is(err, ErrUnavailable) {
 			t.Errorf("one entry is behind: %v", err)
 		}
 		if took := time.Since(now); took > inForceWait+50*time.Millisecond {
@@ -114,23 +117,23 @@
 			watch("e1", 3)
 			watch("e2", 3)
 		}()
-		if err := l.awaitInForce(context.Background(), 3); err != nil {
+		if err := l.awaitInForce(context.Background(), behind(3)); err != nil {
 			t.Errorf("all have it: %v", err)
 		}
 		watch("e1", 4)
 		time.Sleep(watcherKept + time.Millisecond)
 		watch("e1", 4)
-		if err := l.awaitInForce(context.Background(), 4); err != nil {
+		if err := l.awaitInForce(context.Background(), behind(4)); err != nil {
 			t.Errorf("an entry that has ended: %v", err)
 		}
 		// A relay tells what the entries that ask it hold, and an entry that turned from one to
 		// another is as far as the earlier word.
 		l.follow(entryPeer("c2"), &WatchRequest{Relay: true, Below: []EntryView{{Host: "e1", Evacuation: 3}}}, time.Now())
-		if behind := l.behind(4, time.Now()); behind != 1 {
-			t.Errorf("%d behind", behind)
+		if late := l.watchers.countIf(behind(4), time.Now()); late != 1 {
+			t.Errorf("%d behind", late)
 		}
 		l.since = time.Now()
-		if err := l.awaitInForce(context.Background(), 1); !errors.Is(err, ErrUnavailable) {
+		if err := l.awaitInForce(context.Background(), behind(1)); !errors.Is(err, ErrUnavailable) {
 			t.Errorf("a new leader, before the entries have called: %v", err)
 		}
 	})
--- a/internal/steward/floor_test.go
+++ b/internal/steward/floor_test.go
@@ -21,6 +21,8 @@
 		LoadsAtOnce: 3, VersionTime: 15 * time.Second, Log: log.New(io.Discard),
 	}}
 	s.branch = newBranch(machine, s.book, s.options.Log)
+	var leased port.Replica = &leasedReplica{steward: s}
+	s.opened.Store(&leased)
 	for i, version := range versions {
 		id := string(rune('a' + i))
 		machine.roster.Announce(roster.Upstream{
@@ -31,6 +33,20 @@
 	return newLeadership(s, 2, time.Now())
 }
 
+// leasedReplica is a group in which the host's leadership holds.
+type leasedReplica struct {
+	port.Replica
+	steward *Steward
+}
+
+func (r *leasedReplica) Status() port.ReplicaStatus {
+	l := r.steward.leading.Load()
+	if l == nil {
+		return port.ReplicaStatus{}
+	}
+	return port.ReplicaStatus{Term: l.elected, IsLeader: true, LeaseEnd: time.Now().Add(electionMin)}
+}
+
 // The leadership passes on while the last of many runners still lacks weights. The new
 // leader may give no order for a while, and the bound of those weights ends. Entries
 // send the one runner further prompts, whose callers are answered on weights past
--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -30,6 +30,9 @@
 	// leader is asked for it. Usual is up to 0.25 s, and a configuration must be
 	// in force within 2 s.
 	overdueAfter = 800 * time.Millisecond
+	// idleOverdueAfter is the same for an entry without requests. Its watches are kept open
+	// longer, and it serves nothing by what it was told.
+	idleOverdueAfter = 1400 * time.Millisecond
 	// staleAfter is how old it may be before the log tells. An election may take
 	// 1 s.
 	staleAfter = 1500 * time.Millisecond
@@ -50,6 +53,9 @@
 	// silentFor: hosts behind a cut answer so until it heals, each after a wait, and
 	// would be asked by turns with none left for the others.
 	elsewhereFor = 200 * time.Millisecond
+	// leaderBusyFor is how long, on average, a leader is not asked again that sent this
+	// entry to other hosts. Entries differ in it, so that they don't all come back at once.
+	leaderBusyFor = 500 * time.Millisecond
 	// idlePause is how often a host that need not follow looks again.
 	idlePause = 100 * time.Millisecond
 )
@@ -68,7 +74,10 @@
 	DataCentre ident.DataCentre
 	// LeaderOnly asks no host but the leader.
 	LeaderOnly bool
-	Log        *log.Logger
+	// ApplyWithin is within what time after its acknowledgement a configuration must be
+	// in force; 0 where that is not told.
+	ApplyWithin time.Duration
+	Log         *log.Logger
 }
 
 // Follower keeps watching the leader, or a host that passes on what the leader
@@ -94,6 +103,8 @@
 	entries int
 	next    int
 	lost    bool
+	// idle tells that the latest question was that of an entry without requests.
+	idle bool
 	// spread is this caller's share of firstSpread.
 	spread float64
 	// pause is how long the host of the latest answer asked to wait.
@@ -104,6 +115,8 @@
 	// microseconds since epoch.
 	word  atomic.Int64
 	epoch time.Time
+	// led is when a host last answered that knew of a leader, in microseconds since epoch.
+	led atomic.Int64
 	// stale tells that the log was told of an old word, and oldest how old it was.
 	stale  bool
 	oldest time.Duration
@@ -169,13 +182,18 @@
 // it takes in late answers to earlier ones.
 func (f *Follower) once(ctx context.Context, request *WatchRequest, told func(*WatchAnswer, time.Time)) bool {
 	now := time.Now()
+	f.idle = request.Idle
 	host := f.target(now)
 	if host == "" {
 		return false
 	}
 	f.describe(request, host, now)
 	call := f.send(ctx, host, request)
-	patience := time.NewTimer(watchTimeout)
+	longest := watchTimeout
+	if request.Idle {
+		longest += idleWait - watchWait
+	}
+	patience := time.NewTimer(longest)
 	defer patience.Stop()
 	turn := time.NewTimer(f.overdueIn(now))
 	defer turn.Stop()
@@ -265,6 +283,9 @@
 		f.failed(call.host, call.err)
 		return false
 	}
+	if answer.Leader != "" {
+		f.led.Store(time.Since(f.epoch).Microseconds())
+	}
 	if len(answer.Members) > 0 {
 		f.members = f.members[:0]
 		for _, name := range answer.Members {
@@ -315,7 +336,8 @@
 	}
 	f.term, f.entries, f.pause = answer.Term, answer.EntryCount, answer.Pause
 	answer.Partial = call.after != f.taken
-	if word := call.sent.Add(-answer.Heard); word.After(f.wordTime()) {
+	// What the answer tells was looked up Held after the question came at the earliest.
+	if word := call.sent.Add(answer.Held - answer.Heard); word.After(f.wordTime()) {
 		f.setWord(word)
 	}
 	if !answer.Partial {
@@ -346,6 +368,9 @@
 // are to answer it, and they do not all fall upon the leader at one time.
 func (f *Follower) overdueIn(now time.Time) time.Duration {
 	after := overdueAfter
+	if f.idle {
+		after = idleOverdueAfter
+	}
 	if f.term == 0 {
 		after = relaysWithin + time.Duration(f.spread*float64(firstSpread))
 	}
--- a/internal/steward/heard.go
+++ b/internal/steward/heard.go
@@ -20,6 +20,8 @@
 // leader has been told of them. Announcements that change nothing end here: passed
 // on one by one they take a leader of three thousand upstreams all of its time.
 type hearing struct {
+	announcing announcing
+
 	mu sync.Mutex
 	at map[string]time.Time
 }
@@ -55,7 +57,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, at := range h.at {
-		if at.Before(asked.Add(-toldMargin)) || now.Sub(at) > silentAfter {
+		if at.Before(asked.Add(-toldMargin)) || now.Sub(at) > h.announcing.silentAfter() {
 			delete(h.at, id)
 		}
 	}
--- a/internal/steward/later.go
+++ b/internal/steward/later.go
@@ -18,9 +18,6 @@
 	// laterMost bounds the announcements that wait, some 2 MB. One that finds no room is
 	// answered once the leader has it.
 	laterMost = 8192
-	// laterKept is how long an announcement waits. An upstream that runs says it again within
-	// 1.2 s; taken in later, one that has ended would count as heard at that moment.
-	laterKept = silentAfter
 	// answerWithin is when an announcement is acknowledged that is not taken in yet. Upstreams
 	// turn to another host after a second.
 	answerWithin = 300 * time.Millisecond
@@ -38,6 +35,8 @@
 // turn to the next host on a new connection, and keep every host from electing and
 // following a leader.
 type laterWords struct {
+	announcing announcing
+
 	mu    sync.Mutex
 	words map[string]*laterWord
 }
@@ -82,13 +81,14 @@
 	}
 }
 
-// take returns up to wordsAtOnce announcements, and forgets those that are too old.
+// take returns up to wordsAtOnce announcements, and forgets those that are too old: an
+// upstream that runs has said it again, and one that has ended would count as heard now.
 func (w *laterWords) take() []*laterWord {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	list := make([]*laterWord, 0, min(len(w.words), wordsAtOnce))
 	for id, word := range w.words {
-		if time.Since(word.said) > laterKept {
+		if time.Since(word.said) > w.announcing.silentAfter() {
 			delete(w.words, id)
 			continue
 		}
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +10,6 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wait"
-	"github.com/lovagereach/lovagereach/quorum"
 	"github.com/lovagereach/lovagereach/rollout"
 	"github.com/lovagereach/lovagereach/roster"
 	"github.com/lovagereach/lovagereach/warmup"
@@ -20,9 +18,6 @@
 const (
 	// barrierTimeout bounds the proof that a new leader has applied everything.
 	barrierTimeout = time.Second
-	// silentAfter is when an upstream counts as silent: two announcements and a
-	// half at the usual 1.2 s between two.
-	silentAfter = 3 * time.Second
 	// forgetAfter is when a silent upstream is given up for good. One behind a
 	// cut comes back sooner; a crashed one says nothing any more.
 	forgetAfter = 60 * time.Second
@@ -40,6 +35,7 @@
 	elected  uint64
 	since    time.Time
 	watchers *watchers
+	inUse    takers
 	shelves  *shelves
 	loader   *loader
 
@@ -53,6 +49,8 @@
 	granter   *warmup.Granter
 	grantedAt time.Time
 
+	announcing announcing
+
 	mu    sync.Mutex
 	beats map[string]time.Time
 	// told is the most entries that callers had been told of before.
@@ -61,11 +59,12 @@
 	reports *reportBatch
 	// forgotAt is when ends were last looked for that no longer count.
 	forgotAt time.Time
-	// listsTold is when each control host was told the entries and the silent upstreams.
-	listsTold map[ident.Host]time.Time
-	// silentTold are the silent upstreams as of silentAt.
-	silentTold []string
-	silentAt   time.Time
+	// listsTold is what each control host was told of the entries last.
+	listsTold map[ident.Host]listTold
+	// silentTold are the silent upstreams as of silentAt, of revision silentRevision.
+	silentTold     []string
+	silentAt       time.Time
+	silentRevision uint64
 	// small is since when the group has been below its size, zero when it is
 	// not.
 	small time.Time
@@ -122,7 +121,7 @@
 func newLeadership(s *Steward, term uint64, now time.Time) *leadership {
 	l := &leadership{
 		steward: s, elected: term, since: now, watchers: newWatchers(s.options.Log), beats: make(map[string]time.Time),
-		floor: rollout.NewFloor(), granter: warmup.NewGranter(now),
+		floor: rollout.NewFloor(), granter: warmup.NewGranter(now), announcing: announcing(s.options.AnnounceEvery),
 	}
 	l.shelves = newShelves(l)
 	l.loader = newLoader(l)
@@ -162,10 +161,13 @@
 	namings := s.machine.namedAt()
 	l.floorTold = l.floor.Raise(namings, func() []rollout.Runner {
 		live := s.machine.live()
-		silent := l.silent(live, now)
+		silent := make(map[string]bool)
+		for _, id := range l.silent(live, now) {
+			silent[id] = true
+		}
 		runners := make([]rollout.Runner, len(live))
 		for i := range live {
-			runners[i] = rollout.Runner{Upstream: live[i], Heard: !slices.Contains(silent, live[i].ID)}
+			runners[i] = rollout.Runner{Upstream: live[i], Heard: !silent[live[i].ID]}
 		}
 		return runners
 	}, l.since, s.options.VersionTime, now)
@@ -198,6 +200,9 @@
 	l.watchers.follow(from, request, now)
 }
 
+// touch implements bulletin.
+func (l *leadership) touch(from port.Peer, now time.Time) { l.watchers.touch(from, now) }
+
 // expected is the number of entries that are to call, 0 once all have had the time.
 // After a restart of all control hosts none has called: a leader that took the first
 // ones for all would tell each the shelves, and lose the lead over it.
@@ -251,8 +256,19 @@
 	return request.Document != 0 || now.Sub(l.since) >= relaysWithin || l.entryCount(now) <= entriesAlone
 }
 
-// asOf implements bulletin.
-func (l *leadership) asOf(now time.Time) time.Time { return now }
+// asOf implements bulletin. A host that stood still, or has no time for its part in the
+// group, may still take itself for the leader when another one has acknowledged more:
+// what it knows is all that there is until its lease ends.
+func (l *leadership) asOf(now time.Time) time.Time {
+	status := l.steward.replica().Status()
+	switch {
+	case !status.IsLeader || status.Term != l.elected:
+		return time.Time{}
+	case now.Before(status.LeaseEnd):
+		return now
+	}
+	return status.LeaseEnd
+}
 
 // relays lists the hosts that entries are to ask instead of the leader, none
 // while there are few entries.
@@ -273,21 +289,24 @@
 func (l *leadership) complete(from port.Peer, answer *WatchAnswer, now time.Time) {
 	answer.Term = l.elected
 	answer.Leader = string(l.steward.options.Self)
-	entries := l.watchers.entries(now)
+	entries := l.watchers.recentEntries(now)
 	answer.EntryCount = max(len(entries), l.expected(now))
-	if answer.SameLists = l.toldLists(from, now); !answer.SameLists {
-		answer.Entries, answer.Silent = entries, l.silentNow(now)
+	if answer.SameLists = l.toldLists(from, entries, now); !answer.SameLists {
+		answer.Entries = entries
 	}
+	answer.Silent, answer.SilentAt = l.silentNow(now)
+	answer.Takers = l.takerCount(entries, now)
+	answer.BelowAt = l.watchers.belowAt(from.Host)
 	answer.Relaying = answer.EntryCount > entriesAlone
 	answer.Relays = l.relays(now)
 	answer.Loading = l.loader.loading()
 	answer.Floor = l.raiseFloor(now)
 	answer.Clock = l.shelves.clock(now)
-	answer.Loads = l.watchers.loadsBut(from.Host, nil)
+	answer.Loads = l.watchers.loadsBut(from.Host, nil, now)
 }
 
 // certain reports whether no other host can lead at this moment.
 func (l *leadership) certain() bool {
-	detail, err := l.steward.manager.Detail(group)
-	return err == nil && detail.Role == quorum.RoleLeader && detail.Term == l.elected && detail.Leased
+	status := l.steward.replica().Status()
+	return status.IsLeader && status.Term == l.elected && time.Now().Before(status.LeaseEnd)
 }
--- a/internal/steward/lists_test.go
+++ b/internal/steward/lists_test.go
@@ -30,7 +30,7 @@
 		ask := func(l *leadership, term uint64) {
 			now := time.Now()
 			answer := &WatchAnswer{Term: term}
-			if answer.SameLists = l.toldLists(relay, now); !answer.SameLists {
+			if answer.SameLists = l.toldLists(relay, l.watchers.entries(now), now); !answer.SameLists {
 				answer.Entries = l.watchers.entries(now)
 				told++
 			}
@@ -48,8 +48,45 @@
 			t.Errorf("the entries were told %d times in a second", told)
 		}
 		ask(lead(), 2)
-		if first.toldLists(entryPeer("e1"), time.Now()) {
+		if first.toldLists(entryPeer("e1"), nil, time.Now()) {
 			t.Error("an entry counts as told")
 		}
 	})
 }
+
+// Guards against a leader that loses a host's entries, because the host tells them only
+// when they change: a new leader was told none.
+func TestALeaderIsToldTheEntriesOfAHostOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		quiet := log.New(io.Discard)
+		relay := port.Peer{Host: "c2", Role: "control"}
+		b := newBranch(NewMachine(), newSharedBook(), quiet)
+		leader := newWatchers(quiet)
+		told := 0
+		ask := func() int {
+			now := time.Now()
+			view := readyEntry(1)
+			b.follow(entryPeer("e1"), &WatchRequest{Entry: &view}, now)
+			request := &WatchRequest{Relay: true}
+			b.listBelow(request, now)
+			told += len(request.Below)
+			leader.follow(relay, request, now)
+			b.told.BelowAt = leader.belowAt(relay.Host)
+			time.Sleep(relayWait)
+			return len(leader.entries(now))
+		}
+		for range 20 {
+			if ask() != 1 {
+				t.Fatal("the entry is not known")
+			}
+		}
+		if told > 2 {
+			t.Errorf("told %d times in 20 questions", told)
+		}
+		leader = newWatchers(quiet)
+		ask()
+		if ask() != 1 {
+			t.Error("a new leader does not know the entry")
+		}
+	})
+}
--- a/internal/steward/loads.go
+++ b/internal/steward/loads.go
@@ -47,6 +47,9 @@
 	leadership *leadership
 	mu         sync.Mutex
 	schedule   *rollout.Schedule
+	// looked is how far the state had come at the latest look at the runners, at lookedAt.
+	looked   revisions
+	lookedAt time.Time
 	// accounted is when the account of runners that lack weights was last logged.
 	accounted time.Time
 }
@@ -67,6 +70,9 @@
 	defer tasks.Wait()
 	for wait.For(ctx, loadEvery) {
 		now := time.Now()
+		if o.settled(s.machine.held(), now) {
+			continue
+		}
 		for _, turn := range o.next(o.leadership.heard(s.machine.live(), now), now) {
 			tasks.Go(func() {
 				done := o.load(ctx, turn)
@@ -76,6 +82,26 @@
 	}
 }
 
+// settledLook is how often runners are looked at while all have the named weights and
+// nothing is announced: one may be heard again that lacks them.
+const settledLook = time.Second
+
+// settled reports whether no runner can lack weights, as far as the last look tells.
+func (o *loader) settled(held revisions, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if held.weights == 0 {
+		return true
+	}
+	account := o.schedule.Account()
+	if account.Lacking == 0 && account.Loading == 0 && held.weights == o.looked.weights && held.roster == o.looked.roster &&
+		now.Sub(o.lookedAt) < settledLook {
+		return true
+	}
+	o.looked, o.lookedAt = held, now
+	return false
+}
+
 // next returns the loads whose time has come.
 func (o *loader) next(live []roster.Upstream, now time.Time) []rollout.Turn {
 	namings := o.leadership.steward.machine.namedAt()
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -63,8 +63,10 @@
 	quarantine *quarantine.Ledger
 	seen       quarantine.Seen
 	evacuation *evacuation.Ledger
-	// changed is closed and replaced at each change.
-	changed chan struct{}
+	pages      rosterPages
+	// changed is closed and replaced at each change, and ordered at those of what
+	// operators want.
+	changed, ordered chan struct{}
 }
 
 // NewMachine returns the state before the first command.
@@ -72,7 +74,7 @@
 	return &Machine{
 		weights: make(map[string]uint64), namings: rollout.NewNamings(), lives: make(map[string]uint64),
 		roster: roster.New(), quarantine: quarantine.NewLedger(),
-		evacuation: evacuation.NewLedger(), changed: make(chan struct{}),
+		evacuation: evacuation.NewLedger(), changed: make(chan struct{}), ordered: make(chan struct{}),
 	}
 }
 
@@ -110,7 +112,7 @@
 	v := catalog.Compare(m.document, d)
 	if v == catalog.Accepted {
 		m.document = d
-		m.notify()
+		m.notifyOrder()
 	}
 	return v
 }
@@ -133,7 +135,7 @@
 	m.weights[w.Model] = w.Version
 	m.namings.Note(w.Model, w.Version, time.Now())
 	m.weightsRevision++
-	m.notify()
+	m.notifyOrder()
 }
 
 // notify wakes those who wait for a change. The caller holds the lock.
@@ -142,6 +144,14 @@
 	m.changed = make(chan struct{})
 }
 
+// notifyOrder wakes those who wait for a change, or for one of what operators want. The
+// caller holds the lock.
+func (m *Machine) notifyOrder() {
+	close(m.ordered)
+	m.ordered = make(chan struct{})
+	m.notify()
+}
+
 type savedMachine struct {
 	Document        *catalog.Document `cbor:"1,keyasint,omitempty"`
 	Weights         []roster.Loaded   `cbor:"2,keyasint"`
@@ -185,6 +195,7 @@
 	}
 	m.weightsRevision = saved.WeightsRevision
 	m.roster.Restore(saved.Roster)
+	m.pages = rosterPages{}
 	m.lives = saved.Lives
 	if m.lives == nil {
 		m.lives = make(map[string]uint64)
@@ -192,7 +203,7 @@
 	m.quarantine.Restore(saved.Quarantine)
 	m.evacuation.Restore(saved.Evacuation)
 	m.seen.Follow(m.quarantine.Lives(), time.Now())
-	m.notify()
+	m.notifyOrder()
 	return nil
 }
 
@@ -246,6 +257,13 @@
 	return m.roster.Live()
 }
 
+// liveIDs names the upstreams that are not gone, in no order.
+func (m *Machine) liveIDs() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.LiveIDs()
+}
+
 // news returns a channel that is closed at the next change.
 func (m *Machine) news() <-chan struct{} {
 	m.mu.Lock()
@@ -253,6 +271,13 @@
 	return m.changed
 }
 
+// orders returns a channel that is closed at the next change of what operators want.
+func (m *Machine) orders() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ordered
+}
+
 // fill puts into an answer what the caller of a watch lacks, and reports
 // whether that is anything.
 func (m *Machine) fill(request *WatchRequest, answer *WatchAnswer) bool {
@@ -261,6 +286,9 @@
 	found := false
 	if m.document != nil && m.document.Version > request.Document {
 		answer.Document = m.document.WithoutSource()
+		if request.Entry == nil {
+			answer.Document = &catalog.Document{Version: m.document.Version}
+		}
 		found = true
 	}
 	if m.weightsRevision > request.Weights {
@@ -268,7 +296,7 @@
 		found = true
 	}
 	if m.roster.Revision() > request.Roster {
-		answer.Roster = m.rosterAfter(request.Roster)
+		answer.Roster = m.rosterAfter(request, time.Now())
 		found = true
 	}
 	if m.quarantine.Revision() > request.Quarantine {
@@ -283,15 +311,6 @@
 	return found
 }
 
-// rosterAfter is what a reader lacks that holds a revision of the roster. The caller
-// holds the lock.
-func (m *Machine) rosterAfter(held uint64) *RosterView {
-	if changed, known := m.roster.Since(held); known {
-		return &RosterView{Revision: m.roster.Revision(), Upstreams: changed, Since: held}
-	}
-	return &RosterView{Revision: m.roster.Revision(), Upstreams: m.roster.Live()}
-}
-
 // revisions tell how far a state has come.
 type revisions struct {
 	document   catalog.Version
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -45,8 +45,10 @@
 	// well, 0 if it can't tell.
 	Rate int `cbor:"5,keyasint,omitempty"`
 	Most int `cbor:"6,keyasint,omitempty"`
-	// Evacuation is the revision of the evacuations that it goes by.
-	Evacuation uint64 `cbor:"7,keyasint,omitempty"`
+	// Evacuation is the revision of the evacuations that it goes by, and Document the
+	// version of the configuration, 0 for none.
+	Evacuation uint64          `cbor:"7,keyasint,omitempty"`
+	Document   catalog.Version `cbor:"8,keyasint,omitempty"`
 }
 
 // WatchRequest asks the leader for what the caller lacks.
@@ -64,8 +66,10 @@
 	Term uint64 `cbor:"7,keyasint"`
 	// Relay tells that the caller is a control host that answers watches itself,
 	// Below are the entries that ask it, and Loads their sum.
-	Relay bool        `cbor:"8,keyasint,omitempty"`
-	Below []EntryView `cbor:"9,keyasint,omitempty"`
+	// Below is left out where the leader holds the list of number BelowAt.
+	Relay   bool        `cbor:"8,keyasint,omitempty"`
+	Below   []EntryView `cbor:"9,keyasint,omitempty"`
+	BelowAt uint64      `cbor:"20,keyasint,omitempty"`
 	// Direct tells that the caller, an entry, reaches none of the hosts that it
 	// was told to ask instead of the leader.
 	Direct bool `cbor:"10,keyasint,omitempty"`
@@ -87,6 +91,10 @@
 	// Heard are the upstreams that announced themselves to the caller, a control
 	// host, since its latest question that was answered.
 	Heard []Heard `cbor:"14,keyasint,omitempty"`
+	// SilentAt is the revision of the silent upstreams that the caller was told in Term.
+	SilentAt uint64 `cbor:"19,keyasint,omitempty"`
+	// Listing tells that the caller is being told the whole roster, page by page.
+	Listing bool `cbor:"18,keyasint,omitempty"`
 }
 
 // RelayView is a control host that answers the watches of entries.
@@ -101,12 +109,18 @@
 	Newest   []roster.Loaded `cbor:"2,keyasint"`
 }
 
-// RosterView is the roster without those who are gone or, to who holds revision
-// Since of it, the upstreams that changed after it, those that are gone among them.
+// RosterView is a page of the upstreams that changed after revision Since, up to
+// Revision, those that are gone among them. Pages from 0 on list the whole roster: what
+// none of them names up to the last one is gone. To a control host, which has the roster
+// from the log, only Revision is told.
 type RosterView struct {
 	Revision  uint64            `cbor:"1,keyasint"`
 	Upstreams []roster.Upstream `cbor:"2,keyasint"`
 	Since     uint64            `cbor:"3,keyasint,omitempty"`
+	// More tells that another page follows.
+	More bool `cbor:"4,keyasint,omitempty"`
+	// encoded is the message where several callers are told it.
+	encoded []byte
 }
 
 // QuarantineView is which requests are to be sent to no upstream, and of which further
@@ -147,8 +161,10 @@
 	Document *catalog.Document `cbor:"5,keyasint,omitempty"`
 	Weights  *WeightsView      `cbor:"6,keyasint,omitempty"`
 	Roster   *RosterView       `cbor:"7,keyasint,omitempty"`
-	// Silent are the upstreams that have not announced themselves lately.
-	Silent []string `cbor:"8,keyasint,omitempty"`
+	// Silent are the upstreams that have not announced themselves lately, of revision
+	// SilentAt in Term. They are left out where the caller holds that revision.
+	Silent   []string `cbor:"8,keyasint,omitempty"`
+	SilentAt uint64   `cbor:"30,keyasint,omitempty"`
 	// Loading are the runners that are being ordered to load weights.
 	Loading []string `cbor:"16,keyasint,omitempty"`
 	// Shelves is what the caller lacked of the shelves, and States which stores
@@ -163,6 +179,10 @@
 	// Entries lists the entries, for control hosts; entries get their number.
 	Entries    []EntryView `cbor:"15,keyasint,omitempty"`
 	EntryCount int         `cbor:"17,keyasint"`
+	// BelowAt is the number of the list of entries that the caller, a control host, told.
+	BelowAt uint64 `cbor:"33,keyasint,omitempty"`
+	// Takers is the number of the entries that took requests lately.
+	Takers int `cbor:"32,keyasint,omitempty"`
 	// Relaying tells that there are more entries than the leader answers by
 	// itself, and Relays the hosts that entries are to ask instead.
 	Relaying bool        `cbor:"18,keyasint,omitempty"`
@@ -175,6 +195,8 @@
 	Floor []roster.Loaded `cbor:"21,keyasint,omitempty"`
 	// Heard is the same for Document, Weights, Roster, Quarantine and Evacuation.
 	Heard time.Duration `cbor:"22,keyasint,omitempty"`
+	// Held is for how long the watch was kept open before what it tells was looked up.
+	Held time.Duration `cbor:"31,keyasint,omitempty"`
 	// Pause is how long the caller should wait before it asks again.
 	Pause      time.Duration   `cbor:"23,keyasint,omitempty"`
 	Quarantine *QuarantineView `cbor:"24,keyasint,omitempty"`
@@ -187,8 +209,8 @@
 	GrantsAt uint64         `cbor:"27,keyasint,omitempty"`
 	// GrantsAge is how long before the answer the leader confirmed them, at most.
 	GrantsAge time.Duration `cbor:"28,keyasint,omitempty"`
-	// SameLists tells that Entries and Silent are left out, and as the caller, a control
-	// host, was told them last.
+	// SameLists tells that Entries are left out, and as the caller, a control host, was
+	// told them last.
 	SameLists bool `cbor:"29,keyasint,omitempty"`
 	// Partial answers came after another one was taken in that was asked for
 	// later, or about as late: only Document, Weights, Roster, Quarantine and
@@ -198,6 +220,12 @@
 	waited time.Duration
 }
 
+// orders reports whether the answer tells anything that operators want, or which requests
+// are to be sent to no upstream.
+func (a *WatchAnswer) orders() bool {
+	return a.Document != nil || a.Weights != nil || a.Evacuation != nil || a.Quarantine != nil
+}
+
 // revisions returns how far the parts of the answer have come that the caller
 // lacked; zero for the others.
 func (a *WatchAnswer) revisions() revisions {
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -118,6 +118,9 @@
 	VersionTime time.Duration
 	// HolderLease is how long after one host's orders no other may give any.
 	HolderLease time.Duration
+	// AnnounceEvery is how often upstreams announce themselves, DefaultAnnounceEvery if
+	// zero.
+	AnnounceEvery time.Duration
 	// DataCentres are those of the deployment, none where it does not list them.
 	DataCentres []string
 	Stores      Stores
@@ -136,6 +139,8 @@
 		return eris.New("steward: Data is missing")
 	case o.Tolerated < 0 || o.Tolerated > 5:
 		return eris.Errorf("steward: Tolerated is %d; accepted: 0 to 5", o.Tolerated)
+	case o.AnnounceEvery < 0:
+		return eris.New("steward: AnnounceEvery must not be negative")
 	case o.LoadsAtOnce < 1 || o.VersionTime <= 0:
 		return eris.New("steward: LoadsAtOnce and VersionTime must be above 0")
 	case o.Stores == nil || o.Runners == nil || o.Log == nil:
--- /dev/null
+++ b/internal/steward/overload_test.go
@@ -0,0 +1,101 @@
+package steward
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Guards against a leader that a thousand entries turn to at once, because those that
+// answer in its place are late: it answers as many as it has time for and sends the others
+// back, and none of them asks it again at once.
+func TestALeaderAnswersTheEntriesThatItHasTimeFor(t *testing.T) {
+	const took, length = 2 * time.Millisecond, 5 * time.Second
+	for _, entries := range []int{50, 1000, 4000} {
+		synctest.Test(t, func(t *testing.T) {
+			var p pace
+			for range 1000 {
+				p.note(took)
+			}
+			answered, asked := 0, 0
+			next := make([]time.Time, entries)
+			follower := make([]*Follower, entries)
+			for i := range follower {
+				follower[i] = NewFollower(FollowerOptions{Self: hostName(i)})
+			}
+			time.Sleep(time.Second)
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(followPause) {
+				for i, f := range follower {
+					if time.Now().Before(next[i]) {
+						continue
+					}
+					asked++
+					if p.mayAnswer(time.Now()) {
+						answered++
+						next[i] = time.Now().Add(overdueAfter)
+						continue
+					}
+					f.redirected("c1", &WatchAnswer{Leader: "c1", Relays: []RelayView{{Host: "c2"}}})
+					next[i] = f.avoided["c1"].until
+				}
+			}
+			share := float64(answered) * took.Seconds() / length.Seconds()
+			if share > 1.1*answerShare {
+				t.Errorf("%d entries take %.2f of the leader", entries, share)
+			}
+			if perEntry := float64(asked) / float64(entries) / length.Seconds(); perEntry > 4 {
+				t.Errorf("%d entries ask %.1f times a second each", entries, perEntry)
+			}
+		})
+	}
+}
+
+// Guards against logs that grow with the fleet: hosts and upstreams come and go by the
+// thousand.
+func TestLinesOfOneKindAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		s := sparseLog{log: log.New(&out)}
+		for i := range 5000 {
+			s.info(time.Now(), "upstream", "upstream", fmt.Sprint(i))
+		}
+		if lines := strings.Count(out.String(), "\n"); lines != sparseMost {
+			t.Errorf("%d lines in a moment", lines)
+		}
+		time.Sleep(sparseEvery)
+		s.info(time.Now(), "upstream", "upstream", "last")
+		if !strings.Contains(out.String(), fmt.Sprint("left_out=", 5000-sparseMost)) {
+			t.Error("it is not told how many were left out")
+		}
+	})
+}
+
+// Guards against a leader that looks through thousands of runners twenty times a second
+// while all have the weights that were named.
+func TestALoaderWithNothingToDoLooksSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := testLeadership(1, 1)
+		looks := func(length time.Duration) (n int) {
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(loadEvery) {
+				if !l.loader.settled(l.steward.machine.held(), time.Now()) {
+					n++
+					l.loader.next(l.steward.machine.live(), time.Now())
+				}
+			}
+			return n
+		}
+		if n := looks(time.Minute); n != 0 {
+			t.Errorf("%d looks though nothing was named", n)
+		}
+		manyUpstreams(l.steward.machine, 1)
+		l.steward.machine.weights["m"], l.steward.machine.weightsRevision = 1, 1
+		if n := looks(time.Minute); n < 55 || n > 65 {
+			t.Errorf("%d looks in a minute", n)
+		}
+	})
+}
--- a/internal/steward/report.go
+++ b/internal/steward/report.go
@@ -35,7 +35,7 @@
 	m.quarantine.Served(r.Served...)
 	m.seen.Follow(m.quarantine.Lives(), time.Now())
 	if m.quarantine.Revision() != before {
-		m.notify()
+		m.notifyOrder()
 	}
 }
 
@@ -45,7 +45,7 @@
 	m.quarantine.Forget(lives...)
 	m.seen.Follow(m.quarantine.Lives(), time.Now())
 	if m.quarantine.Revision() != before {
-		m.notify()
+		m.notifyOrder()
 	}
 }
 
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -18,6 +18,8 @@
 	storeWait = 400 * time.Millisecond
 	// storeSilence is when a store that does not answer counts as away.
 	storeSilence = storeWait + 500*time.Millisecond
+	// unreachedAfter is when a store that this leader has never reached counts as lost.
+	unreachedAfter = 3 * time.Second
 	// storeRetry is the pause after a failed question.
 	storeRetry = 100 * time.Millisecond
 	// beliefLasts is how long after a change of a store somebody may still act on
@@ -235,7 +237,7 @@
 		reached = reached || err == nil
 		if err != nil && ctx.Err() == nil {
 			k.lose(address, err)
-			if !reached && time.Since(began) > silentAfter {
+			if !reached && time.Since(began) > unreachedAfter {
 				// Entries may know more of it than this leader, and would be told of
 				// no other store meanwhile.
 				k.book.forget(address)
--- a/internal/steward/silence.go
+++ b/internal/steward/silence.go
@@ -32,33 +32,47 @@
 	defer l.mu.Unlock()
 	var silent []string
 	for i := range live {
-		if now.Sub(l.lastHeard(live[i].ID)) > silentAfter {
+		if now.Sub(l.lastHeard(live[i].ID)) > l.announcing.silentAfter() {
 			silent = append(silent, live[i].ID)
 		}
 	}
 	return silent
 }
 
-// listsEvery is how often a control host is told the entries and the silent upstreams. It
-// asks 25 times a second, and hundreds of entries in each answer take the leader's
-// processor longer than all else that it tells.
-const listsEvery = 200 * time.Millisecond
+const (
+	// listsEvery is how often a control host is told the entries while they come, leave or
+	// become ready. It asks 25 times a second, and hundreds of entries in each answer take
+	// the leader's processor longer than all else that it tells.
+	listsEvery = 200 * time.Millisecond
+	// ratesEvery is how often it is told them while only the requests change that they
+	// serve. Callers keep what they are told of the entries for longer.
+	ratesEvery = time.Second
+)
+
+// listTold is a list of the entries as a control host was told it.
+type listTold struct {
+	at    time.Time
+	views []EntryView
+}
 
-// toldLists reports whether a control host was told the lists lately, and notes it if it
+// toldLists reports whether a control host was told the entries lately, and notes it if it
 // was not.
-func (l *leadership) toldLists(from port.Peer, now time.Time) bool {
+func (l *leadership) toldLists(from port.Peer, views []EntryView, now time.Time) bool {
 	if from.Role == roleEntry {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at, told := l.listsTold[from.Host]; told && now.Sub(at) < listsEvery {
-		return true
+	if told, known := l.listsTold[from.Host]; known {
+		age := now.Sub(told.at)
+		if age < listsEvery || age < ratesEvery && slices.EqualFunc(told.views, views, sameState) {
+			return true
+		}
 	}
 	if l.listsTold == nil {
-		l.listsTold = make(map[ident.Host]time.Time)
+		l.listsTold = make(map[ident.Host]listTold)
 	}
-	l.listsTold[from.Host] = now
+	l.listsTold[from.Host] = listTold{at: now, views: views}
 	return false
 }
 
@@ -66,18 +80,36 @@
 // watch tells them, and a look at thousands takes a host's processor a millisecond.
 const silentEvery = 100 * time.Millisecond
 
-// silentNow lists the silent upstreams, as of silentEvery ago at most.
-func (l *leadership) silentNow(now time.Time) []string {
+// silentNow lists the silent upstreams, as of silentEvery ago at most, and the revision of
+// the list, which is above 0.
+func (l *leadership) silentNow(now time.Time) ([]string, uint64) {
 	l.mu.Lock()
-	told, at := l.silentTold, l.silentAt
+	told, at, revision := l.silentTold, l.silentAt, l.silentRevision
 	l.mu.Unlock()
 	if !at.IsZero() && now.Sub(at) < silentEvery {
-		return told
+		return told, revision
 	}
-	silent := l.silent(l.steward.machine.live(), now)
+	silent := l.silentOf(l.steward.machine.liveIDs(), now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.silentRevision == 0 || !slices.Equal(silent, l.silentTold) {
+		l.silentRevision++
+	}
 	l.silentTold, l.silentAt = silent, now
+	return silent, l.silentRevision
+}
+
+// silentOf lists those of some upstreams that are silent, by name.
+func (l *leadership) silentOf(ids []string, now time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var silent []string
+	for _, id := range ids {
+		if now.Sub(l.lastHeard(id)) > l.announcing.silentAfter() {
+			silent = append(silent, id)
+		}
+	}
+	slices.Sort(silent)
 	return silent
 }
 
@@ -94,7 +126,7 @@
 	}
 	return slices.DeleteFunc(live, func(u roster.Upstream) bool {
 		at := l.lastHeard(u.ID)
-		return now.Sub(at) > silentAfter || at.Before(last[u.Address])
+		return now.Sub(at) > l.announcing.silentAfter() || at.Before(last[u.Address])
 	})
 }
 
@@ -115,12 +147,12 @@
 	defer l.mu.Unlock()
 	taken := make(map[string]bool)
 	for i := range live {
-		if now.Sub(l.lastHeard(live[i].ID)) <= silentAfter {
+		if now.Sub(l.lastHeard(live[i].ID)) <= l.announcing.silentAfter() {
 			taken[live[i].Address] = true
 		}
 	}
 	return slices.DeleteFunc(live, func(u roster.Upstream) bool {
 		silent := now.Sub(l.lastHeard(u.ID))
-		return silent < forgetAfter && (silent <= silentAfter || !taken[u.Address])
+		return silent < forgetAfter && (silent <= l.announcing.silentAfter() || !taken[u.Address])
 	})
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -68,6 +68,8 @@
 	book   *sharedBook
 	branch *branch
 	pace   pace
+	// directory keeps what callers were told.
+	directory directory
 	// enrolling gathers what the leader commits of announcements, and forwarding those
 	// that this host passes on to the leader.
 	enrolling, forwarding *gatherer
@@ -76,6 +78,8 @@
 	later   laterWords
 	started time.Time
 	meter   *meter
+	// announced writes about upstreams that come or change.
+	announced sparseLog
 }
 
 // New puts a control host together; Run serves.
@@ -89,6 +93,9 @@
 		book: book, branch: newBranch(machine, book, options.Log),
 	}
 	s.started = time.Now()
+	s.announced.log = options.Log
+	s.later.announcing = announcing(options.AnnounceEvery)
+	s.branch.hearing.announcing = announcing(options.AnnounceEvery)
 	s.enrolling, s.forwarding = newGatherer(s.commitWords), newGatherer(s.forwardWords)
 	s.seeds.Store(&options.Seeds)
 	s.meter = newMeter(s)
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -147,6 +147,7 @@
 
 func TestLostUpstreamsAreThoseSilentForLongOrDisplaced(t *testing.T) {
 	now := time.Unix(1000, 0)
+	silentAfter := announcing(0).silentAfter()
 	l := &leadership{since: now.Add(-2 * forgetAfter), beats: map[string]time.Time{
 		"new": now, "cut": now.Add(-2 * silentAfter), "old": now.Add(-2 * silentAfter), "young": now.Add(-silentAfter / 2),
 	}}
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -35,8 +35,9 @@
 // was changed by it.
 var ErrForeign = errors.New("steward: not a word of this upstream's own")
 
-// PutDocument commits a configuration. Without an error it is in the log of a
-// quorum, or the log holds it, or a newer one, already.
+// PutDocument commits a configuration. Without an error it, or a newer one, is in the
+// log of a quorum and in force at every entry that asks for news. After ErrUnavailable it
+// may be committed; the same one may be sent again.
 func (s *Steward) PutDocument(ctx context.Context, d *catalog.Document) (catalog.Verdict, error) {
 	answer, err := s.submit(ctx, submission{Command: &command{Document: d}})
 	if err != nil {
@@ -153,11 +154,23 @@
 		return submitted{Words: s.takeWords(ctx, message.Words)}, nil
 	case message.Command != nil:
 		v, err := s.propose(ctx, *message.Command)
+		if err == nil && message.Command.Document != nil && v.Document != catalog.Conflicting {
+			err = s.awaitDocument(ctx, message.Command.Document.Version)
+		}
 		return submitted{Verdict: v}, err
 	}
 	return submitted{}, eris.New("steward: empty message")
 }
 
+// awaitDocument waits until a configuration that was committed is in force.
+func (s *Steward) awaitDocument(ctx context.Context, version catalog.Version) error {
+	l := s.leading.Load()
+	if l == nil {
+		return ErrUnavailable
+	}
+	return l.awaitDocument(ctx, version)
+}
+
 // propose commits a command. A group below its size commits nothing for a
 // while: with two voters of three, the loss of one disk more would leave no
 // quorum, and what was acknowledged could never be read again. The group gets
--- a/internal/steward/virtualnet_test.go
+++ b/internal/steward/virtualnet_test.go
@@ -44,6 +44,10 @@
 	// frozen hosts take in and send nothing until thawed is closed.
 	frozen bool
 	thawed chan struct{}
+	// deposed is the term in which the host led and does not know that it no longer does,
+	// and leaseEnd the end of its lease.
+	deposed  uint64
+	leaseEnd time.Time
 	// steward is nil at entries.
 	steward *Steward
 	log     *virtualLog
@@ -103,6 +107,13 @@
 	r.net.mu.Lock()
 	defer r.net.mu.Unlock()
 	status := port.ReplicaStatus{Self: r.host.name, Term: r.net.term, Leader: r.net.leader, IsLeader: r.net.leader == r.host.name}
+	if status.IsLeader {
+		status.LeaseEnd = time.Now().Add(electionMin)
+	}
+	if r.host.deposed != 0 {
+		// It takes itself for the leader still.
+		status.Term, status.IsLeader, status.LeaseEnd = r.host.deposed, true, r.host.leaseEnd
+	}
 	if r.net.parted(r.host.name, r.net.leader) {
 		// Behind a cut nobody is known to lead.
 		status.Leader = ""
@@ -408,6 +419,9 @@
 			n.part(deposed.name, h.name)
 		}
 	}
+	n.mu.Lock()
+	deposed.deposed, deposed.leaseEnd = n.term, time.Now().Add(electionMin)
+	n.mu.Unlock()
 	time.Sleep(electionMin)
 	n.mu.Lock()
 	n.leader = next
@@ -416,6 +430,9 @@
 	n.mu.Unlock()
 	h.steward.leading.Store(newLeadership(h.steward, term, time.Now()))
 	time.Sleep(electionMax + leaderPoll - electionMin)
+	n.mu.Lock()
+	deposed.deposed = 0
+	n.mu.Unlock()
 	deposed.steward.leading.Store(nil)
 }
 
--- a/internal/steward/warming.go
+++ b/internal/steward/warming.go
@@ -60,7 +60,7 @@
 // has any yet.
 func (l *leadership) takers(now time.Time) []string {
 	var busy, ready []string
-	for _, view := range l.watchers.entries(now) {
+	for _, view := range l.watchers.recentEntries(now) {
 		if !view.Ready {
 			continue
 		}
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -9,7 +9,6 @@
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/internal/wire"
-	"github.com/lovagereach/lovagereach/subset"
 )
 
 const (
@@ -20,10 +19,10 @@
 	// caller is then told at once who does; it would else ask the hosts in turn,
 	// and hear of an election 0.1 s after it on average.
 	electionWait = 200 * time.Millisecond
-	// idleWait is the longest that a watch of an entry without requests is kept open.
-	// Its word stays young enough to serve the first request that comes, and to find
-	// in time that the host it asks is gone.
-	idleWait = 200 * time.Millisecond
+	// idleWait is the longest that a watch of an entry without requests is kept open. It
+	// ends at once when operators want something else; upstreams come and go all the time
+	// in a large fleet, and nearly all of its entries are idle.
+	idleWait = 400 * time.Millisecond
 	// redirectPause is asked of an entry that holds nothing and that nobody can answer
 	// yet. Control hosts that have just started are ready some 0.3 s after an election.
 	redirectPause = 100 * time.Millisecond
@@ -49,6 +48,8 @@
 type bulletin interface {
 	// follow takes in what a watch says of its caller.
 	follow(from port.Peer, request *WatchRequest, now time.Time)
+	// touch notes that a watch of the caller was open until now.
+	touch(from port.Peer, now time.Time)
 	// fill adds what a watcher lacks of the shelves and reports whether that is
 	// anything.
 	fill(request *WatchRequest, answer *WatchAnswer) bool
@@ -69,6 +70,9 @@
 func (s *Steward) bulletin(request *WatchRequest) bulletin {
 	now := time.Now()
 	if l := s.leading.Load(); l != nil && l.serves(request, now) {
+		if len(l.relays(now)) > 0 && request.Entry != nil && !s.pace.mayAnswer(now) {
+			return nil
+		}
 		return l
 	}
 	if request.Entry != nil && s.branch.serves(request, now) {
@@ -95,7 +99,7 @@
 	}
 	b.follow(from, request, time.Now())
 	answer := &WatchAnswer{}
-	machineNews, shelfNews := s.machine.news(), s.book.news()
+	machineNews, orderNews, shelfNews := s.machine.news(), s.machine.orders(), s.book.news()
 	heard, found := s.fill(b, request, answer)
 	if answer.Shelves == nil || request.Idle {
 		// Who is not told the shelves is not woken by them: a leader that lists all
@@ -103,17 +107,26 @@
 		// is told them when it asks.
 		shelfNews = nil
 	}
+	if request.Idle {
+		machineNews = orderNews
+	}
 	if !found && request.Term == b.term() {
 		waiting := time.Now()
 		awaitNews(ctx, waitFor(request), machineNews, shelfNews)
-		waited += time.Since(waiting)
+		answer.Held = time.Since(waiting)
+		waited += answer.Held
 		heard, _ = s.fill(b, request, answer)
+		b.touch(from, time.Now())
 	}
 	now := time.Now()
 	if heard.IsZero() || !b.serves(request, now) {
 		return s.redirect(request, waited)
 	}
 	b.complete(from, answer, now)
+	if request.SilentAt == answer.SilentAt && request.Term == answer.Term {
+		// Thousands may be silent, and each entry asks several times a second.
+		answer.Silent = nil
+	}
 	b.tellGrants(from, request, answer, now)
 	answer.Pause, answer.waited = s.pauseAfter(b, request, answer), waited
 	answer.Heard = now.Sub(heard)
@@ -126,13 +139,16 @@
 }
 
 // pauseAfter is how long a watcher should wait before it asks again. An entry with
-// requests that has been told a part of the shelves asks for the rest at once: until
-// it has all, its prompts are read from the first token.
+// requests that has been told a part of the roster or of the shelves asks for the rest at
+// once: until it has all, it knows a part of the upstreams only, and its prompts are read
+// from the first token.
 func (s *Steward) pauseAfter(b bulletin, request *WatchRequest, answer *WatchAnswer) time.Duration {
 	usual := s.pace.pause(b.busy())
 	switch {
 	case request.Idle:
-		return max(usual, idleWait)
+		return usual
+	case answer.Roster != nil && answer.Roster.More:
+		return 0
 	case answer.Shelves != nil && answer.Shelves.More && len(answer.Shelves.Sheets) > 0:
 		return 0
 	}
@@ -151,6 +167,9 @@
 	}
 	found := s.machine.fill(request, answer)
 	lacks := b.fill(request, answer)
+	if request.Idle && request.Roster != 0 && !request.Listing {
+		return heard, answer.orders()
+	}
 	return heard, found || lacks && !request.Idle
 }
 
@@ -189,9 +208,13 @@
 	if l := s.leading.Load(); l != nil && request.Entry != nil {
 		answer.Relays = l.relays(time.Now())
 	}
-	if len(answer.Relays) == 0 && request.Document == 0 {
+	switch {
+	case len(answer.Relays) == 0 && request.Document == 0:
 		// There is nobody else to ask yet, and hundreds ask that have just started.
 		answer.Pause = redirectPause
+	case request.Overdue || request.Direct:
+		// There is no time for the answer, and hundreds may ask for one.
+		answer.Pause = pauseMost
 	}
 	return answer
 }
@@ -224,30 +247,3 @@
 		s.branch.take(answer, asked, time.Now())
 	})
 }
-
-// entryList returns the entries as this host knows them.
-func (s *Steward) entryList() []EntryView {
-	if l := s.leading.Load(); l != nil {
-		return l.watchers.entries(time.Now())
-	}
-	return s.branch.entries(time.Now())
-}
-
-// Addresses lists the listeners that callers in a data centre are to use, limit at
-// most.
-func (s *Steward) Addresses(dataCentre string, limit int) []string {
-	var ready []subset.Entry
-	var callers []string
-	for _, view := range s.entryList() {
-		if view.Ready {
-			ready = append(ready, subset.Entry{Host: view.Host, DataCentre: view.DataCentre, Rate: view.Rate, Most: view.Most})
-			callers = append(callers, view.Callers)
-		}
-	}
-	places := subset.Choose(ready, dataCentre, limit)
-	addresses := make([]string, len(places))
-	for i, at := range places {
-		addresses[i] = callers[at]
-	}
-	return addresses
-}
--- a/internal/steward/watchers_test.go
+++ b/internal/steward/watchers_test.go
@@ -43,9 +43,9 @@
 		got  []Load
 		want []Load
 	}{
-		{"at the leader", leader.loadsBut("e3", nil), []Load{{Upstream: "a", Requests: 5, Tokens: 20, Unread: 5}}},
-		{"at the relay", relayed.loadsBut("e1", leader.loadsBut("c2", nil)), []Load{{Upstream: "a", Requests: 5}, {Upstream: "b", Requests: 1}}},
-		{"to one that has none", leader.loadsBut("e9", nil), []Load{{Upstream: "a", Requests: 9, Tokens: 20, Unread: 5}, {Upstream: "b", Requests: 1}}},
+		{"at the leader", leader.loadsBut("e3", nil, now), []Load{{Upstream: "a", Requests: 5, Tokens: 20, Unread: 5}}},
+		{"at the relay", relayed.loadsBut("e1", leader.loadsBut("c2", nil, now), now), []Load{{Upstream: "a", Requests: 5}, {Upstream: "b", Requests: 1}}},
+		{"to one that has none", leader.loadsBut("e9", nil, now), []Load{{Upstream: "a", Requests: 9, Tokens: 20, Unread: 5}, {Upstream: "b", Requests: 1}}},
 	}
 	for _, c := range cases {
 		if got := sorted(c.got); !slices.Equal(got, c.want) {
--- a/roster/cold.go
+++ b/roster/cold.go
@@ -28,7 +28,9 @@
 // changed anything.
 func (r *Roster) PresumeCold(dataCentre string, coldMs func(service string) uint64) bool {
 	changed := false
-	for id, held := range r.upstreams {
+	// In order, for all hosts give a change the same revision.
+	for _, id := range slices.Sorted(maps.Keys(r.upstreams)) {
+		held := r.upstreams[id]
 		ms := coldMs(held.Service)
 		if held.DataCentre != dataCentre || held.State == Gone || ms == 0 {
 			continue
@@ -37,11 +39,8 @@
 		presumed.ColdMs, presumed.Doubts = max(held.ColdMs, ms), warmWords
 		r.upstreams[id] = &presumed
 		r.live = nil
-		if !changed {
-			r.revision++
-			changed = true
-		}
-		r.changed[id] = r.revision
+		changed = true
+		r.noteChange(id)
 		r.noteCold(&presumed)
 	}
 	return changed
--- a/roster/cold_test.go
+++ b/roster/cold_test.go
@@ -46,7 +46,7 @@
 	if !r.PresumeCold("north", ms) || r.PresumeCold("west", ms) || r.Revision() == revision {
 		t.Fatal("not presumed")
 	}
-	if changed, known := r.Since(revision); !known || len(changed) != 1 || changed[0].ColdMs != 3000 {
+	if changed, _ := r.Page(revision, 10); len(changed) != 1 || changed[0].ColdMs != 3000 {
 		t.Errorf("told %v", changed)
 	}
 	for i, cold := range []int{1, 0} {
@@ -87,14 +87,14 @@
 	}
 }
 
-// BenchmarkSince is what one reader lacks of three thousand upstreams of which one has
+// BenchmarkPage is what one reader lacks of three thousand upstreams of which one has
 // changed.
-func BenchmarkSince(b *testing.B) {
+func BenchmarkPage(b *testing.B) {
 	r := manyUpstreams()
 	revision := r.Revision()
 	r.Announce(coldWord(1, 0))
 	for b.Loop() {
-		if list, known := r.Since(revision); !known || len(list) != 1 {
+		if list, _ := r.Page(revision, 10); len(list) != 1 {
 			b.Fatal(len(list))
 		}
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -95,9 +95,10 @@
 	revision uint64
 	// births tells that an upstream has told its birth.
 	births bool
-	// changed is the revision of each upstream's latest change, as far as this host
-	// knows: of all that came after revision floor.
+	// changed is the revision of each upstream's latest change, and order lists the
+	// changes by revision. All that came after revision floor are known.
 	changed map[string]uint64
+	order   []change
 	floor   uint64
 	// live is the list of the upstreams that are not gone, nil after a change.
 	live []Upstream
@@ -105,6 +106,12 @@
 	cold map[string]bool
 }
 
+// change is one upstream's change. It is outdated once the upstream has changed again.
+type change struct {
+	revision uint64
+	id       string
+}
+
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{upstreams: make(map[string]*Upstream), changed: make(map[string]uint64), cold: make(map[string]bool)}
@@ -151,8 +158,7 @@
 	r.upstreams[a.ID] = &merged
 	r.live = nil
 	r.noteCold(&merged)
-	r.revision++
-	r.changed[a.ID] = r.revision
+	r.noteChange(a.ID)
 	r.births = r.births || merged.Born != 0
 	switch isGone := merged.State == Gone; {
 	case isGone && !wasGone:
@@ -252,21 +258,15 @@
 	return slices.Clone(r.live)
 }
 
-// Since lists the upstreams that changed after a revision, by name, also those that
-// are gone by now. It reports false where that is not known: a reader is then told
-// all that are live.
-func (r *Roster) Since(revision uint64) ([]Upstream, bool) {
-	if revision == 0 || revision < r.floor || revision > r.revision {
-		return nil, false
-	}
-	var list []Upstream
-	for id, at := range r.changed {
-		if at > revision {
-			list = append(list, *r.upstreams[id])
+// LiveIDs names the upstreams that are not gone, in no order.
+func (r *Roster) LiveIDs() []string {
+	ids := make([]string, 0, len(r.upstreams)-len(r.gone))
+	for id, u := range r.upstreams {
+		if u.State != Gone {
+			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
-	return list, true
+	return ids
 }
 
 // Saved is a roster's whole state.
@@ -274,13 +274,18 @@
 	Upstreams []Upstream `cbor:"1,keyasint"`
 	Gone      []string   `cbor:"2,keyasint"`
 	Revision  uint64     `cbor:"3,keyasint"`
+	// Changed is the revision of each upstream's latest change, in the order of
+	// Upstreams, and Floor the revision after which all changes are known.
+	Changed []uint64 `cbor:"4,keyasint,omitempty"`
+	Floor   uint64   `cbor:"5,keyasint,omitempty"`
 }
 
 // Save returns the state.
 func (r *Roster) Save() Saved {
-	s := Saved{Gone: slices.Clone(r.gone), Revision: r.revision}
+	s := Saved{Gone: slices.Clone(r.gone), Revision: r.revision, Floor: r.floor}
 	for _, id := range slices.Sorted(maps.Keys(r.upstreams)) {
 		s.Upstreams = append(s.Upstreams, *r.upstreams[id])
+		s.Changed = append(s.Changed, r.changed[id])
 	}
 	return s
 }
@@ -298,5 +303,5 @@
 	}
 	r.gone = slices.Clone(s.Gone)
 	r.revision = s.Revision
-	r.changed, r.floor = make(map[string]uint64), s.Revision
+	r.restoreChanges(s)
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -111,6 +111,7 @@
 	r := New()
 	type reader struct {
 		revision uint64
+		listing  bool
 		held     map[string]Upstream
 	}
 	readers := make([]reader, 4)
@@ -127,12 +128,15 @@
 		}
 		reader := &readers[random.IntN(len(readers))]
 		if reader.held == nil || random.IntN(3) > 0 {
-			changed, known := r.Since(reader.revision)
-			if known {
-				parts++
-			} else {
+			if reader.held == nil || !reader.listing && !r.Covers(reader.revision) {
 				whole++
-				changed, reader.held = r.Live(), make(map[string]Upstream)
+				reader.held, reader.revision, reader.listing = make(map[string]Upstream), 0, true
+			} else {
+				parts++
+			}
+			changed, upTo := r.Page(reader.revision, 7)
+			if len(changed) > 7 {
+				t.Fatalf("%d upstreams on a page", len(changed))
 			}
 			for _, u := range changed {
 				reader.held[u.ID] = u
@@ -140,7 +144,10 @@
 					delete(reader.held, u.ID)
 				}
 			}
-			reader.revision = r.Revision()
+			if reader.revision = upTo; upTo < r.Revision() {
+				continue
+			}
+			reader.listing = false
 			live := r.Live()
 			if len(live) != len(reader.held) {
 				t.Fatalf("step %d: holds %d of %d upstreams", step, len(reader.held), len(live))
