steward: who leads and since when, who is behind, what is shed

Cause: of a control group that is overloaded operators saw terms in the log, and nothing of how late announcements are answered or which entries lag. Result: TestOnlyEntriesWithAnOlderConfigurationHoldUpANewerOne names the entries behind.

--- a/internal/steward/inforce_test.go
+++ b/internal/steward/inforce_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,6 +68,11 @@
 		if err := l.awaitDocument(context.Background(), 7); !errors.Is(err, ErrUnavailable) {
 			t.Errorf("one is behind: %v", err)
 		}
+		l.steward.leading.Store(l)
+		l.steward.machine.applyDocument(&catalog.Document{Version: 7})
+		if named := l.steward.behind(time.Now()); !slices.Equal(named, []string{"new", "old"}) {
+			t.Errorf("operators are told that %v are behind", named)
+		}
 		time.Sleep(watcherKept)
 		if err := l.awaitDocument(context.Background(), 7); err != nil {
 			t.Errorf("it has stopped asking: %v", err)
--- a/internal/steward/meter.go
+++ b/internal/steward/meter.go
@@ -26,6 +26,11 @@
 	commits *metrics.Histogram
 	failed  *metrics.Counter
 	orders  *metrics.Counter
+	// announced is the time that announcements took to be answered, and unannounced those
+	// that were not acknowledged. shed counts the entries that a leader sent back for want
+	// of time.
+	announced         *metrics.Histogram
+	unannounced, shed *metrics.Counter
 }
 
 func newMeter(s *Steward) *meter {
@@ -35,7 +40,8 @@
 	m.redirects, m.told, m.led = counter("redirects_total"), counter("parts_told_total"), counter("terms_led_total")
 	m.storesLost, m.listings = counter("stores_lost_total"), counter("store_listings_total")
 	m.commits, m.failed = m.set.NewHistogram("lovagereach_steward_commit_seconds"), counter("commit_failures_total")
-	m.orders = counter("orders_total")
+	m.orders, m.shed = counter("orders_total"), counter("watches_shed_total")
+	m.announced, m.unannounced = m.set.NewHistogram("lovagereach_steward_announcement_seconds"), counter("announcement_failures_total")
 	gauge := func(part string, read func(now time.Time) float64) {
 		m.set.NewGauge("lovagereach_steward_"+part, func() float64 { return read(time.Now()) })
 	}
@@ -45,6 +51,13 @@
 		}
 		return 0
 	})
+	gauge("led_seconds", func(now time.Time) float64 {
+		if l := s.leading.Load(); l != nil {
+			return now.Sub(l.since).Seconds()
+		}
+		return 0
+	})
+	gauge("behind_entries", func(now time.Time) float64 { return float64(len(s.behind(now))) })
 	gauge("config_version", func(time.Time) float64 {
 		if d := s.machine.Document(); d != nil {
 			return float64(d.Version)
@@ -118,7 +131,11 @@
 	Held []string `json:"held_requests"`
 	// Evacuated are the data centres whose upstreams get no new work.
 	Evacuated []string `json:"evacuated_data_centres"`
-	// Heard is the time since the leader was asked with success.
+	// Behind are entries that go by an older configuration, mostBehind of them at most.
+	Behind []string `json:"behind_entries"`
+	// Led is for how long this host has led, and Heard the time since the leader was asked
+	// with success.
+	Led   time.Duration `json:"led_ns"`
 	Heard time.Duration `json:"leader_heard_ns"`
 }
 
@@ -137,6 +154,26 @@
 	Sequence uint64 `json:"sequence"`
 }
 
+// mostBehind bounds the entries that a dump names as behind.
+const mostBehind = 50
+
+// behind names the entries that go by an older configuration than the newest, on the
+// leader.
+func (s *Steward) behind(now time.Time) []string {
+	l := s.leading.Load()
+	if l == nil {
+		return nil
+	}
+	newest := s.machine.held().document
+	var hosts []string
+	for _, view := range l.watchers.recentEntries(now) {
+		if view.Document < newest {
+			hosts = append(hosts, view.Host)
+		}
+	}
+	return hosts
+}
+
 // Dump returns the state for operators.
 func (s *Steward) Dump() Dump {
 	now := time.Now()
@@ -155,7 +192,9 @@
 		d.Held = append(d.Held, p.String())
 	}
 	if l := s.leading.Load(); l != nil {
-		d.Leading = true
+		d.Leading, d.Led = true, now.Sub(l.since)
+		d.Behind = s.behind(now)
+		d.Behind = d.Behind[:min(len(d.Behind), mostBehind)]
 		d.Relays, d.Silent, d.Loading = l.relays(now), l.silent(live, now), l.loader.loading()
 	} else {
 		d.Heard = s.branch.heardAge(now)
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -72,6 +72,15 @@
 // former life is acknowledged and changes nothing.
 func (s *Steward) Announce(ctx context.Context, u roster.Upstream) error {
 	now := time.Now()
+	err := s.announce(ctx, u, now)
+	s.meter.announced.UpdateDuration(now)
+	if err != nil {
+		s.meter.unannounced.Inc()
+	}
+	return err
+}
+
+func (s *Steward) announce(ctx context.Context, u roster.Upstream, now time.Time) error {
 	if s.leading.Load() == nil && s.takesBeat(&u, now) {
 		s.branch.hearing.note(u.ID, now)
 		return nil
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -71,6 +71,7 @@
 	now := time.Now()
 	if l := s.leading.Load(); l != nil && l.serves(request, now) {
 		if len(l.relays(now)) > 0 && request.Entry != nil && !s.pace.mayAnswer(now) {
+			s.meter.shed.Inc()
 			return nil
 		}
 		return l
