steward: only a caller that is shed waits; a leader has half a second of answers to spare

Cause: since entries are sent back by a leader without time, every redirect of an entry whose word was overdue asked for a pause of 0.3 s, also where the host did not lead yet. Change: the answer tells that the caller is shed; only then it pauses and leaves the leader alone.

--- a/internal/steward/follower_hosts.go
+++ b/internal/steward/follower_hosts.go
@@ -34,8 +34,7 @@
 	if answer.Leader != "" {
 		f.leader = ident.Host(answer.Leader)
 	}
-	if host == f.leader {
-		// It has no time for this entry, or others to answer it.
+	if answer.Shed {
 		f.avoided[host] = failure{until: time.Now().Add(time.Duration((0.5 + f.spread) * float64(leaderBusyFor)))}
 	}
 	if len(answer.Relays) > 0 {
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -153,6 +153,8 @@
 	// Elsewhere tells to ask another host: one of Relays or, if there are none,
 	// Leader. The rest is empty then, but for Members.
 	Elsewhere bool `cbor:"1,keyasint,omitempty"`
+	// Shed tells that the host leads and has no time for the caller.
+	Shed bool `cbor:"34,keyasint,omitempty"`
 	// Leader is the host that leads, empty if none is known.
 	Leader string `cbor:"2,keyasint,omitempty"`
 	// Members are the control hosts of the group.
--- a/internal/steward/pace.go
+++ b/internal/steward/pace.go
@@ -14,8 +14,9 @@
 	// pauseMost is the longest pause between two watches that is asked for: words on
 	// loads and stores older than that serve no choice.
 	pauseMost = 300 * time.Millisecond
-	// spareOver is for how long answers that were not asked for are made up.
-	spareOver = 100 * time.Millisecond
+	// spareOver is for how long answers that were not asked for are made up. Entries that
+	// were told nothing yet turn to the leader within a moment after a restart.
+	spareOver = 500 * time.Millisecond
 )
 
 // pace asks watchers to come as often as this host can answer them. Where news come
@@ -47,7 +48,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	perSecond := answerShare / max(p.took, leastTook).Seconds()
-	p.spare = min(p.spare+perSecond*now.Sub(p.spareAt).Seconds(), max(perSecond*spareOver.Seconds(), 1))
+	p.spare = min(p.spare+perSecond*now.Sub(p.spareAt).Seconds(), entriesAlone+perSecond*spareOver.Seconds())
 	p.spareAt = now
 	if p.spare < 1 {
 		return false
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -66,20 +66,21 @@
 	busy() int
 }
 
-// bulletin returns what this host may answer a watch with, nil if nothing.
-func (s *Steward) bulletin(request *WatchRequest) bulletin {
+// bulletin returns what this host may answer a watch with, nil if nothing. shed tells that
+// it leads and has no time for the answer.
+func (s *Steward) bulletin(request *WatchRequest) (b bulletin, shed bool) {
 	now := time.Now()
 	if l := s.leading.Load(); l != nil && l.serves(request, now) {
 		if len(l.relays(now)) > 0 && request.Entry != nil && !s.pace.mayAnswer(now) {
 			s.meter.shed.Inc()
-			return nil
+			return nil, true
 		}
-		return l
+		return l, false
 	}
 	if request.Entry != nil && s.branch.serves(request, now) {
-		return s.branch
+		return s.branch, false
 	}
-	return nil
+	return nil, false
 }
 
 func (s *Steward) watch(ctx context.Context, from port.Peer, request *WatchRequest) *WatchAnswer {
@@ -87,16 +88,16 @@
 	if request.Entry != nil {
 		s.branch.noteCaller(request.Entry.Host, asked)
 	}
-	b := s.bulletin(request)
+	b, shed := s.bulletin(request)
 	for end := time.Now().Add(electionWait); b == nil && s.Leader() == "" && time.Now().Before(end); {
 		if !wait.For(ctx, leaderPoll) {
 			break
 		}
-		b = s.bulletin(request)
+		b, shed = s.bulletin(request)
 	}
 	waited := time.Since(asked)
 	if b == nil {
-		return s.redirect(request, waited)
+		return s.redirect(request, shed, waited)
 	}
 	b.follow(from, request, time.Now())
 	answer := &WatchAnswer{}
@@ -121,7 +122,7 @@
 	}
 	now := time.Now()
 	if heard.IsZero() || !b.serves(request, now) {
-		return s.redirect(request, waited)
+		return s.redirect(request, false, waited)
 	}
 	b.complete(from, answer, now)
 	if request.SilentAt == answer.SilentAt && request.Term == answer.Term {
@@ -202,8 +203,9 @@
 	}
 }
 
-// redirect tells the caller of a watch whom to ask.
-func (s *Steward) redirect(request *WatchRequest, waited time.Duration) *WatchAnswer {
+// redirect tells the caller of a watch whom to ask. A caller that is shed is to wait: there
+// may be hundreds of them.
+func (s *Steward) redirect(request *WatchRequest, shed bool, waited time.Duration) *WatchAnswer {
 	s.meter.redirects.Inc()
 	answer := &WatchAnswer{Elsewhere: true, Leader: s.Leader(), Members: s.memberNames(), waited: waited}
 	if l := s.leading.Load(); l != nil && request.Entry != nil {
@@ -213,9 +215,8 @@
 	case len(answer.Relays) == 0 && request.Document == 0:
 		// There is nobody else to ask yet, and hundreds ask that have just started.
 		answer.Pause = redirectPause
-	case request.Overdue || request.Direct:
-		// There is no time for the answer, and hundreds may ask for one.
-		answer.Pause = pauseMost
+	case shed:
+		answer.Pause, answer.Shed = pauseMost, true
 	}
 	return answer
 }
