platform: the bodies that an entry holds are bounded together

Cause: each body was bounded by the configuration, their sum by nothing: callers that send long bodies at once, or slowly, count toward an entry's 184 MB.

--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -69,7 +69,7 @@
 	metrics.RegisterSet(follower.Metrics())
 	env.Log.Info("started", "role", "entry", "name", s.Name, "host", s.Host, "callers", s.Callers)
 	e := &entry{
-		env: env, gateway: g, callers: platform.NewCallers(g, env.Log), readiness: platform.NewReadiness(g.Ready),
+		env: env, gateway: g, callers: platform.NewCallers(g, s.MemoryMB*mebibyte, env.Log), readiness: platform.NewReadiness(g.Ready),
 		stopWithin: s.StopWithin(),
 	}
 	tasks, ctx := errgroup.WithContext(ctx)
