steward: a configuration is encoded once, and who was told it asks again at once

Cause: a configuration waits for its entries now, and each of 123 entries of a control host had 258 routes written anew; entries then paused before they said what they go by. On the whole fleet version 5, sent at 1.0 s, was acknowledged at the second call, at 2.8 s. Change: the document is encoded once for all who are told it; control hosts, which have it from the log, are told its version only; no pause follows what operators want.

--- a/catalog/document.go
+++ b/catalog/document.go
@@ -7,7 +7,11 @@
 // would otherwise see two configurations.
 package catalog
 
-import "time"
+import (
+	"time"
+
+	"github.com/lovagereach/lovagereach/internal/wire"
+)
 
 // Version is the operator's number of a document.
 type Version uint64
@@ -140,12 +144,26 @@
 	Limits Limits `cbor:"6,keyasint"`
 	// Source is the document as the operator wrote it, for reading back.
 	Source []byte `cbor:"7,keyasint"`
+	// encoded is the message where many readers are told the document.
+	encoded []byte
+}
+
+// Told returns the document as entries are told it: without its source, for they read
+// nothing back to the operator, and encoded once for all of them. It must not be changed.
+func (d *Document) Told() *Document {
+	told := *d
+	told.Source, told.encoded = nil, nil
+	told.encoded = wire.MustMarshal((*plainDocument)(&told))
+	return &told
 }
 
-// WithoutSource returns the document as entries need it: they read nothing back to the
-// operator.
-func (d *Document) WithoutSource() *Document {
-	brief := *d
-	brief.Source = nil
-	return &brief
+// plainDocument is a Document that is encoded field by field.
+type plainDocument Document
+
+// MarshalCBOR implements cbor.Marshaler.
+func (d *Document) MarshalCBOR() ([]byte, error) {
+	if d.encoded != nil {
+		return d.encoded, nil
+	}
+	return wire.Marshal((*plainDocument)(d))
 }
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -49,6 +49,8 @@
 type Machine struct {
 	mu       sync.Mutex
 	document *catalog.Document
+	// told is the document as entries are told it, nil before the first is.
+	told *catalog.Document
 	// weights is the newest version named for each model.
 	weights         map[string]uint64
 	weightsRevision uint64
@@ -187,7 +189,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.document = saved.Document
+	m.document, m.told = saved.Document, nil
 	m.weights = make(map[string]uint64, len(saved.Weights))
 	for _, w := range saved.Weights {
 		m.weights[w.Model] = w.Version
@@ -285,10 +287,7 @@
 	defer m.mu.Unlock()
 	found := false
 	if m.document != nil && m.document.Version > request.Document {
-		answer.Document = m.document.WithoutSource()
-		if request.Entry == nil {
-			answer.Document = &catalog.Document{Version: m.document.Version}
-		}
+		answer.Document = m.documentFor(request)
 		found = true
 	}
 	if m.weightsRevision > request.Weights {
@@ -311,6 +310,18 @@
 	return found
 }
 
+// documentFor is the configuration as the caller of a watch is told it: a control host has
+// it from the log, and only its version is told there. The caller holds the lock.
+func (m *Machine) documentFor(request *WatchRequest) *catalog.Document {
+	if request.Entry == nil {
+		return &catalog.Document{Version: m.document.Version}
+	}
+	if m.told == nil || m.told.Version != m.document.Version {
+		m.told = m.document.Told()
+	}
+	return m.told
+}
+
 // revisions tell how far a state has come.
 type revisions struct {
 	document   catalog.Version
--- a/internal/steward/rosterpage_test.go
+++ b/internal/steward/rosterpage_test.go
@@ -1,8 +1,10 @@
 package steward
 
 import (
+	"reflect"
 	"testing"
 
+	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/wire"
 	"github.com/lovagereach/lovagereach/roster"
 )
@@ -79,3 +81,33 @@
 		t.Errorf("a control host is told %d upstreams", len(answer.Roster.Upstreams))
 	}
 }
+
+// Guards against a configuration that is written anew for each of hundreds of entries: with
+// some hundred routes that takes a host half a second, while an operator waits.
+func TestAConfigurationIsEncodedOnceForAllEntries(t *testing.T) {
+	m := NewMachine()
+	tell := func(version catalog.Version) []byte {
+		m.applyDocument(testDocument(version, "as the operator wrote it"))
+		var first, second WatchAnswer
+		m.fill(&WatchRequest{Entry: &EntryView{Host: "e1"}}, &first)
+		m.fill(&WatchRequest{Entry: &EntryView{Host: "e2"}}, &second)
+		if first.Document != second.Document {
+			t.Errorf("version %d is told twice", version)
+		}
+		return wire.MustMarshal(first)
+	}
+	for _, version := range []catalog.Version{3, 4} {
+		var told WatchAnswer
+		if err := wire.Unmarshal(tell(version), &told); err != nil {
+			t.Fatal(err)
+		}
+		want := testDocument(version, "as the operator wrote it")
+		want.Source = nil
+		if !reflect.DeepEqual(told.Document, want) {
+			t.Errorf("told %+v, want %+v", told.Document, want)
+		}
+	}
+	if m.Document().Source == nil {
+		t.Error("the operator can't read it back")
+	}
+}
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -147,6 +147,9 @@
 func (s *Steward) pauseAfter(b bulletin, request *WatchRequest, answer *WatchAnswer) time.Duration {
 	usual := s.pace.pause(b.busy())
 	switch {
+	case answer.orders():
+		// Operators wait until it says that it goes by what it was told.
+		return 0
 	case request.Idle:
 		return usual
 	case answer.Roster != nil && answer.Roster.More:
