steward: a watch reads in steps

Cause: one function chose who answers, waited, filled in and told. Change: the wait for a host that may answer, and what every answer carries, stand apart; behaviour unchanged. Result: tests of the package pass.

--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -83,18 +83,42 @@
 	return nil, false
 }
 
-func (s *Steward) watch(ctx context.Context, from port.Peer, request *WatchRequest) *WatchAnswer {
-	asked := time.Now()
-	if request.Entry != nil {
-		s.branch.noteCaller(request.Entry.Host, asked)
-	}
-	b, shed := s.bulletin(request)
+// awaitBulletin is bulletin, after a wait while nobody is known to lead.
+func (s *Steward) awaitBulletin(ctx context.Context, request *WatchRequest) (b bulletin, shed bool) {
+	b, shed = s.bulletin(request)
 	for end := time.Now().Add(electionWait); b == nil && s.Leader() == "" && time.Now().Before(end); {
 		if !wait.For(ctx, leaderPoll) {
 			break
 		}
 		b, shed = s.bulletin(request)
 	}
+	return b, shed
+}
+
+// tell adds to an answer what every one carries, as of when the caller is told all.
+func (s *Steward) tell(b bulletin, from port.Peer, request *WatchRequest, answer *WatchAnswer, heard, now time.Time) {
+	b.complete(from, answer, now)
+	if request.SilentAt == answer.SilentAt && request.Term == answer.Term {
+		// Thousands may be silent, and each entry asks several times a second.
+		answer.Silent = nil
+	}
+	b.tellGrants(from, request, answer, now)
+	answer.Pause = s.pauseAfter(b, request, answer)
+	answer.Heard = now.Sub(heard)
+	answer.Members = s.memberNames()
+	if request.Entry != nil {
+		answer.Entries = nil
+	}
+	s.meter.watched(b, answer)
+}
+
+// watch answers a watch, at once or when there is news for its caller.
+func (s *Steward) watch(ctx context.Context, from port.Peer, request *WatchRequest) *WatchAnswer {
+	asked := time.Now()
+	if request.Entry != nil {
+		s.branch.noteCaller(request.Entry.Host, asked)
+	}
+	b, shed := s.awaitBulletin(ctx, request)
 	waited := time.Since(asked)
 	if b == nil {
 		return s.redirect(request, shed, waited)
@@ -124,19 +148,8 @@
 	if heard.IsZero() || !b.serves(request, now) {
 		return s.redirect(request, false, waited)
 	}
-	b.complete(from, answer, now)
-	if request.SilentAt == answer.SilentAt && request.Term == answer.Term {
-		// Thousands may be silent, and each entry asks several times a second.
-		answer.Silent = nil
-	}
-	b.tellGrants(from, request, answer, now)
-	answer.Pause, answer.waited = s.pauseAfter(b, request, answer), waited
-	answer.Heard = now.Sub(heard)
-	answer.Members = s.memberNames()
-	if request.Entry != nil {
-		answer.Entries = nil
-	}
-	s.meter.watched(b, answer)
+	answer.waited = waited
+	s.tell(b, from, request, answer, heard, now)
 	return answer
 }
 
