--- a/internal/gateway/plan_bench_test.go
+++ b/internal/gateway/plan_bench_test.go
@@ -15,9 +15,9 @@
 	"github.com/lovagereach/lovagereach/roster"
 )
 
-// BenchmarkPlan is one decision on a prompt among 72 and 300 runners.
+// BenchmarkPlan is one decision on a prompt among 72, 300 and 12,000 runners.
 func BenchmarkPlan(b *testing.B) {
-	for _, runners := range []int{72, 300} {
+	for _, runners := range []int{72, 300, 12000} {
 		b.Run(fmt.Sprint(runners), func(b *testing.B) {
 			quiet := log.New(io.Discard)
 			g, err := New(Options{Host: "e1", Sender: &scriptedSender{}, Rates: placement.DefaultRates(), Log: quiet, Decisions: decision.New(quiet)})
