steward, peer: the log says why a group has no leader

Callers saw 503 "no leader can be reached" for three different reasons, and the log of a control host said no more: that no leader is known, that the host asked does not lead, or that a leader could not commit. Connections that were refused between control hosts left no line at all, and a group that had lost one voter of three served on unseen.

- Refusals of connections are logged as warnings, once in 10 s for each host and reason.
- "group has no leader", every 5 s, names role, term, whether this disk is revoked, the end of the log, the voters and why each can't be reached; "voter not reached" comes after 3 s also while there is a leader.
- The refusal to an operator or upstream names its reason.
- Metrics: lovagereach_steward_unreached_voters; the sets of connections and of the replica are exported as well.
The dump lists the other voters.

No decision is changed.

--- a/cmd/lovage-fleet/control.go
+++ b/cmd/lovage-fleet/control.go
@@ -147,7 +147,9 @@
 	}
 	c.current.Store(host)
 	defer c.current.Store(nil)
-	metrics.RegisterSet(host.Metrics())
-	defer metrics.UnregisterSet(host.Metrics(), true)
+	for _, set := range host.Metrics() {
+		metrics.RegisterSet(set)
+		defer metrics.UnregisterSet(set, true)
+	}
 	return host.Run(ctx, c.env.Drain)
 }
--- a/internal/adapter/peer/dial.go
+++ b/internal/adapter/peer/dial.go
@@ -72,13 +72,3 @@
 	}
 	return eris.Wrap(err, "peer: dial")
 }
-
-func (t *Transport) logRefusal(address string, err error) error {
-	var refused *RefusedError
-	if errors.As(err, &refused) {
-		t.stats.refusals.Inc()
-		t.options.Log.Warn("peer refused", "address", address, "reason", refused.Reason,
-			"by_remote", refused.ByRemote, "detail", refused.Detail)
-	}
-	return err
-}
--- a/internal/adapter/peer/link.go
+++ b/internal/adapter/peer/link.go
@@ -34,6 +34,8 @@
 	retryAt time.Time
 	lastErr error
 	failed  int
+	// failedAt is when the latest dial failed, or the connection ended early.
+	failedAt time.Time
 }
 
 // get returns the live connection, or a channel that is closed once the dial
@@ -142,7 +144,19 @@
 	l.lastErr = err
 	limit := min(options.BackoffMin<<min(l.failed, maxShift), options.BackoffMax)
 	l.failed++
-	l.retryAt = time.Now().Add(limit/2 + rand.N(limit/2+1))
+	l.failedAt = time.Now()
+	l.retryAt = l.failedAt.Add(limit/2 + rand.N(limit/2+1))
+}
+
+// failureAfter returns why the link has no connection, nil if it has one or has not failed
+// since.
+func (l *link) failureAfter(since time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && l.conn.ctx.Err() == nil || l.failedAt.Before(since) {
+		return nil
+	}
+	return l.lastErr
 }
 
 // idle reports whether the link holds nothing worth keeping.
--- a/internal/adapter/peer/session.go
+++ b/internal/adapter/peer/session.go
@@ -55,6 +55,18 @@
 	}
 }
 
+// Unreached returns why an address can't be reached, nil if it is connected or no dial has
+// failed since.
+func (t *Transport) Unreached(address string, since time.Time) error {
+	t.mu.Lock()
+	l := t.links[address]
+	t.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	return l.failureAfter(since)
+}
+
 type sessionKey struct{}
 
 func withSession(ctx context.Context, c *conn) context.Context {
--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -18,6 +18,7 @@
 	options  Options
 	stats    *stats
 	roster   *roster
+	refused  refusalLog
 	certs    *certificates
 	client   *http.Client
 	handlers map[port.Method]port.PeerHandler
--- a/internal/steward/entry.go
+++ b/internal/steward/entry.go
@@ -30,7 +30,7 @@
 
 // NewEntryFollower returns an entry's follower with connections of its own.
 func NewEntryFollower(o EntryOptions) (*Follower, error) {
-	transport, err := peer.New(peerOptions(o.Cluster, o.Key, port.Peer{
+	transport, err := peer.New(peerOptions(o.Cluster, o.Key, o.Log, port.Peer{
 		Host: o.Host, DataCentre: o.DataCentre, Incarnation: newIncarnation(), Role: roleEntry,
 	}))
 	if err != nil {
--- a/internal/steward/meter.go
+++ b/internal/steward/meter.go
@@ -88,6 +88,7 @@
 		return float64(suspects)
 	})
 	gauge("evacuated_data_centres", func(time.Time) float64 { return float64(len(s.machine.evacuated().DataCentres)) })
+	gauge("unreached_voters", func(now time.Time) float64 { return float64(unreachedVoters(s.voterViews(now))) })
 	gauge("leader_heard_seconds", func(now time.Time) float64 {
 		if s.leading.Load() != nil {
 			return 0
@@ -112,13 +113,16 @@
 	}
 }
 
-// Metrics are the control host's counters.
-func (s *Steward) Metrics() *metrics.Set { return s.meter.set }
+// Metrics are the counters of the control host, its connections and its replica.
+func (s *Steward) Metrics() []*metrics.Set {
+	return []*metrics.Set{s.meter.set, s.transport.Metrics(), s.manager.Metrics()}
+}
 
 // Dump is the state of a control host for operators.
 type Dump struct {
 	Leader   string           `json:"leader"`
 	Members  []string         `json:"members"`
+	Voters   []VoterView      `json:"other_voters"`
 	Leading  bool             `json:"leading"`
 	Document catalog.Version  `json:"config"`
 	Weights  []WeightsOf      `json:"weights"`
@@ -177,7 +181,7 @@
 // Dump returns the state for operators.
 func (s *Steward) Dump() Dump {
 	now := time.Now()
-	d := Dump{Leader: s.Leader(), Members: s.memberNames(), Entries: s.entryList(), Document: s.machine.held().document}
+	d := Dump{Leader: s.Leader(), Members: s.memberNames(), Entries: s.entryList(), Document: s.machine.held().document, Voters: s.voterViews(now)}
 	for _, w := range s.machine.newestWeights() {
 		d.Weights = append(d.Weights, WeightsOf(w))
 	}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
@@ -108,7 +109,7 @@
 func (s *Steward) build() error {
 	o := &s.options
 	var err error
-	s.transport, err = peer.New(peerOptions(o.Cluster, o.Key, port.Peer{
+	s.transport, err = peer.New(peerOptions(o.Cluster, o.Key, o.Log, port.Peer{
 		Host: o.Self, DataCentre: o.DataCentre, Incarnation: newIncarnation(), Role: replica.RoleControl,
 	}))
 	if err != nil {
@@ -167,9 +168,12 @@
 }
 
 // peerOptions are the options that all processes of a deployment share.
-func peerOptions(cluster string, key []byte, self port.Peer) peer.Options {
+func peerOptions(cluster string, key []byte, lines *log.Logger, self port.Peer) peer.Options {
+	// Connections come and go by the thousand; refused ones are what operators must know.
+	warnings := lines.With()
+	warnings.SetLevel(log.WarnLevel)
 	return peer.Options{
-		Cluster: cluster, Key: key, Self: self,
+		Cluster: cluster, Key: key, Self: self, Log: warnings,
 		// A host behind a cut answers nothing; these bounds let a call turn to
 		// another host well within the time for a configuration to be in force.
 		DialTimeout:  700 * time.Millisecond,
@@ -252,6 +256,7 @@
 	tasks.Go(func() error { s.followLeader(ctx); return nil })
 	tasks.Go(func() error { s.askToJoin(ctx); return nil })
 	tasks.Go(func() error { s.takeInLater(ctx); return nil })
+	tasks.Go(func() error { newReachWatch(s).run(ctx); return nil })
 	tasks.Go(func() error { return s.watchDisk(ctx) })
 	return tasks.Wait()
 }
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -111,8 +111,11 @@
 		return s.carryOut(ctx, message)
 	}
 	leader := s.Leader()
-	if leader == "" || leader == string(s.options.Self) {
-		return submitted{}, ErrUnavailable
+	switch leader {
+	case "":
+		return submitted{}, eris.Wrap(ErrUnavailable, "no leader is known")
+	case string(s.options.Self):
+		return submitted{}, eris.Wrap(ErrUnavailable, "this host was elected and has not caught up")
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
@@ -124,8 +127,11 @@
 	if err := wire.Unmarshal(raw, &answer); err != nil {
 		return submitted{}, eris.Wrap(err, "steward: decode the leader's answer")
 	}
-	if answer.NotLeader || answer.Uncertain {
-		return submitted{}, ErrUnavailable
+	switch {
+	case answer.NotLeader:
+		return submitted{}, eris.Wrapf(ErrUnavailable, "%s does not lead", leader)
+	case answer.Uncertain:
+		return submitted{}, eris.Wrapf(ErrUnavailable, "the leader %s could not carry it out", leader)
 	}
 	return answer, nil
 }
