steward: tests of hosts whose clock stepped back, red

Three real control hosts and an entry, whose processes start again under an earlier time of day than before: - a control host is refused by the two others from its second start on. The group serves on; when a disk is lost at another host, no quorum is left, and no host can read back what was acknowledged.

The incarnation of a process becomes an option, so that tests can choose it.

--- /dev/null
+++ b/internal/steward/clockback_test.go
@@ -0,0 +1,131 @@
+package steward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lovagereach/lovagereach/ident"
+)
+
+// recovery is how long a group may take to serve again once a quorum of its disks is back.
+const recovery = 12 * time.Second
+
+// clockOf stands for the incarnation of a process that starts at a time of day.
+func clockOf(seconds int) ident.Incarnation {
+	return ident.Incarnation(time.Duration(seconds) * time.Second / time.Microsecond)
+}
+
+// within fails the test unless something holds in time.
+func (f *fleet) within(limit time.Duration, what string, holds func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(limit); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not within %s: %s", limit, what)
+		}
+	}
+}
+
+// Guards against a control host that is refused by the others for as long as it runs since
+// its clock stepped back before it started again: the next lost disk leaves no quorum.
+func TestAGroupBearsALostDiskAfterAHostsClockSteppedBack(t *testing.T) {
+	f := newFleet(t)
+	for i := 1; i <= 3; i++ {
+		f.incarnations[hostName(i)] = clockOf(100)
+	}
+	f.startThree()
+	f.put(1, "one")
+	f.kill(hostName(3))
+	f.incarnations[hostName(3)] = clockOf(95)
+	f.start(hostName(3), "disk3", false)
+	f.put(2, "two")
+	f.kill(hostName(2))
+	f.incarnations[hostName(2)] = clockOf(130)
+	f.start(hostName(2), "empty", false)
+	f.within(recovery, "every host reads back what was acknowledged", func() bool {
+		for _, s := range f.hosts() {
+			if d, err := s.Document(context.Background()); err != nil || string(d.Source) != "two" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against control hosts that refuse one another for good since their clocks stepped
+// back and two of them started again one after the other.
+func TestControlHostsWhoseClocksSteppedBackElectALeader(t *testing.T) {
+	f := newFleet(t)
+	for i := 1; i <= 3; i++ {
+		f.incarnations[hostName(i)] = clockOf(100)
+	}
+	f.startThree()
+	f.put(1, "one")
+	for i := 1; i <= 2; i++ {
+		f.kill(hostName(i))
+		f.incarnations[hostName(i)] = clockOf(95 + i)
+		f.start(hostName(i), fmt.Sprint("disk", i), false)
+		time.Sleep(2 * electionMax)
+	}
+	f.within(recovery, "a change is acknowledged", func() bool {
+		_, err := f.any().PutDocument(context.Background(), testDocument(2, "two"))
+		return err == nil
+	})
+}
+
+// Guards against entries that no control host answers since their clocks stepped back
+// before they started again.
+func TestAnEntryWhoseClockSteppedBackFollowsTheLeader(t *testing.T) {
+	f := newFleet(t)
+	f.startThree()
+	f.put(1, "one")
+	for _, incarnation := range []ident.Incarnation{clockOf(100), clockOf(99)} {
+		f.followOnce("127.0.0.9", incarnation)
+	}
+}
+
+// followOnce starts an entry, and ends it once it has the configuration.
+func (f *fleet) followOnce(host ident.Host, incarnation ident.Incarnation) {
+	f.t.Helper()
+	follower, err := NewEntryFollower(EntryOptions{
+		Cluster: "test", Key: []byte("a key of the test processes"), Host: host, DataCentre: "north", Incarnation: incarnation,
+		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, PeerPort: f.port, Log: log.New(io.Discard),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	told, done := make(chan struct{}, 1), make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx, func() *WatchRequest { return &WatchRequest{Entry: &EntryView{Host: string(host)}} }, func(answer *WatchAnswer, _ time.Time) {
+			if answer.Document != nil {
+				select {
+				case told <- struct{}{}:
+				default:
+				}
+			}
+		})
+	}()
+	defer func() { cancel(); <-done }()
+	select {
+	case <-told:
+	case <-time.After(recovery):
+		f.t.Fatalf("incarnation %d was told no configuration within %s", incarnation, recovery)
+	}
+}
+
+// hosts lists the running hosts.
+func (f *fleet) hosts() []*Steward {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var hosts []*Steward
+	for _, m := range f.running {
+		hosts = append(hosts, m.steward)
+	}
+	return hosts
+}
--- a/internal/steward/entry.go
+++ b/internal/steward/entry.go
@@ -20,6 +20,8 @@
 	Key        []byte
 	Host       ident.Host
 	DataCentre ident.DataCentre
+	// Incarnation tells this run of the process from others on its host; zero draws one.
+	Incarnation ident.Incarnation
 	Seeds      []ident.Host
 	PeerPort   int
 	// ApplyWithin is within what time after its acknowledgement a configuration must be
@@ -30,8 +32,11 @@
 
 // NewEntryFollower returns an entry's follower with connections of its own.
 func NewEntryFollower(o EntryOptions) (*Follower, error) {
+	if o.Incarnation == 0 {
+		o.Incarnation = newIncarnation()
+	}
 	transport, err := peer.New(peerOptions(o.Cluster, o.Key, o.Log, port.Peer{
-		Host: o.Host, DataCentre: o.DataCentre, Incarnation: newIncarnation(), Role: roleEntry,
+		Host: o.Host, DataCentre: o.DataCentre, Incarnation: o.Incarnation, Role: roleEntry,
 	}))
 	if err != nil {
 		return nil, eris.Wrap(err, "steward: peers")
--- a/internal/steward/fleet_test.go
+++ b/internal/steward/fleet_test.go
@@ -121,6 +121,8 @@
 	runners *fakeRunners
 	mu      sync.Mutex
 	running map[ident.Host]*member
+	// incarnations are those of the next starts, by host, where a test chooses them.
+	incarnations map[ident.Host]ident.Incarnation
 	// files are disks in memory by name, where a test wants faults.
 	files map[string]*disktest.FS
 }
@@ -155,6 +157,7 @@
 	f := &fleet{
 		t: t, dir: t.TempDir(), port: port, stores: &fakeStores{life: 1},
 		runners: &fakeRunners{versions: make(map[string]uint64)}, running: make(map[ident.Host]*member),
+		incarnations: make(map[ident.Host]ident.Incarnation),
 	}
 	t.Cleanup(f.stopAll)
 	return f
@@ -169,7 +172,7 @@
 		return err == nil
 	})
 	s, err := New(Options{
-		Self: host, DataCentre: "north", PeerPort: f.port, Listener: listener,
+		Self: host, DataCentre: "north", Incarnation: f.incarnations[host], PeerPort: f.port, Listener: listener,
 		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, Bootstrap: bootstrap, Tolerated: 1,
 		Cluster: "test", Key: []byte("a key of the test processes"), Data: filepath.Join(f.dir, folder),
 		LoadsAtOnce: 2, VersionTime: 10 * time.Second, HolderLease: 50 * time.Millisecond,
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -94,6 +94,8 @@
 	// Self is this host by its IP number; so are all hosts of the group.
 	Self       ident.Host
 	DataCentre ident.DataCentre
+	// Incarnation tells this run of the process from others on its host; zero draws one.
+	Incarnation ident.Incarnation
 	// PeerPort is the port of all processes' listeners for one another.
 	PeerPort int
 	// Listener accepts the other processes. New takes it over.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -108,9 +108,12 @@
 
 func (s *Steward) build() error {
 	o := &s.options
+	if o.Incarnation == 0 {
+		o.Incarnation = newIncarnation()
+	}
 	var err error
 	s.transport, err = peer.New(peerOptions(o.Cluster, o.Key, o.Log, port.Peer{
-		Host: o.Self, DataCentre: o.DataCentre, Incarnation: newIncarnation(), Role: replica.RoleControl,
+		Host: o.Self, DataCentre: o.DataCentre, Incarnation: o.Incarnation, Role: replica.RoleControl,
 	}))
 	if err != nil {
 		return eris.Wrap(err, "steward: peers")
