peer: a process whose clock stepped back is let in

Callers saw: no configuration could be read back after a disk was lost, or for seconds not one request was served, though every process ran and was connected.

Cause: a process was numbered by the time of day at its start, and each peer refused a number below the highest it had seen from that host, for as long as both ran. A clock that steps back between two starts, by less than the allowed skew, makes the new process its own past. An entry was told nothing any more; a control host had no part in its group, and nothing told so.

Now the order of lives needs no clock: each side numbers the hellos that it writes once a connection stands, and whoever answers a later one was alive later. Lives of one process do not overlap, so that this is exact, also for answers that were held up. Incarnations are drawn at random and compared for equality. A process that comes back beside its successor is refused while that one is connected, and let in once it is gone.

--- a/internal/adapter/peer/hello.go
+++ b/internal/adapter/peer/hello.go
@@ -72,7 +72,7 @@
 
 // client runs the dialling side's part and returns who answered.
 func (h handshake) client(ctx context.Context) (port.Peer, error) {
-	own := h.encodeHello()
+	issued, own := h.challenge()
 	if err := h.write(ctx, turn{Hello: own}); err != nil {
 		return port.Peer{}, err
 	}
@@ -80,7 +80,7 @@
 	if err != nil {
 		return port.Peer{}, err
 	}
-	remote, err := h.check(answer, proof(h.options.Key, serverLabel, own, answer.Hello))
+	remote, err := h.check(answer, proof(h.options.Key, serverLabel, own, answer.Hello), issued)
 	if err != nil {
 		return port.Peer{}, h.refuse(ctx, err)
 	}
@@ -103,7 +103,7 @@
 	if _, err := h.checkHello(first.Hello); err != nil {
 		return port.Peer{}, h.refuse(ctx, err)
 	}
-	own := h.encodeHello()
+	issued, own := h.challenge()
 	mine := proof(h.options.Key, serverLabel, first.Hello, own)
 	if err := h.write(ctx, turn{Hello: own, Proof: mine}); err != nil {
 		return port.Peer{}, err
@@ -113,16 +113,17 @@
 		return port.Peer{}, err
 	}
 	second.Hello = first.Hello
-	remote, err := h.check(second, proof(h.options.Key, clientLabel, first.Hello, own))
+	remote, err := h.check(second, proof(h.options.Key, clientLabel, first.Hello, own), issued)
 	if err != nil {
 		return port.Peer{}, h.refuse(ctx, err)
 	}
 	return remote, h.write(ctx, turn{})
 }
 
-// check verifies the far side's hello and proof, then its incarnation. The
-// incarnation comes last, so that nobody without the key can supersede a peer.
-func (h handshake) check(t turn, want []byte) (port.Peer, error) {
+// check verifies the far side's hello and its proof, which answers a challenge, then
+// which life it is. The life comes last, so that nobody without the key can supersede a
+// peer.
+func (h handshake) check(t turn, want []byte, answered challenge) (port.Peer, error) {
 	remote, err := h.checkHello(t.Hello)
 	if err != nil {
 		return port.Peer{}, err
@@ -130,7 +131,7 @@
 	if !hmac.Equal(t.Proof, want) {
 		return port.Peer{}, h.refused(RefusedKey, "the shared keys of the two processes differ")
 	}
-	if err := h.roster.admit(remote); err != nil {
+	if err := h.roster.admit(remote, answered); err != nil {
 		return port.Peer{}, err
 	}
 	return remote, nil
@@ -190,6 +191,12 @@
 	return err
 }
 
+// challenge returns this side's hello and its number. The connection must stand before.
+func (h handshake) challenge() (challenge, []byte) {
+	issued := h.roster.issue()
+	return issued, h.encodeHello()
+}
+
 func (h handshake) encodeHello() []byte {
 	nonce := make([]byte, nonceSize)
 	if _, err := rand.Read(nonce); err != nil {
--- a/internal/adapter/peer/roster.go
+++ b/internal/adapter/peer/roster.go
@@ -8,7 +8,7 @@
 	"github.com/lovagereach/lovagereach/internal/port"
 )
 
-// maxKnownPeers bounds the processes whose incarnation is remembered.
+// maxKnownPeers bounds the processes whose latest life is remembered.
 const maxKnownPeers = 8192
 
 // RoleControlTool is the role of short-lived operator tools. Several may run
@@ -20,27 +20,49 @@
 	role string
 }
 
+// life is the latest life known of a process.
 type life struct {
 	incarnation ident.Incarnation
-	conns       map[*conn]struct{}
+	// challenge is the latest that this life has answered.
+	challenge challenge
+	// former is the life before, zero if none is known.
+	former ident.Incarnation
+	conns  map[*conn]struct{}
 }
 
-// roster knows the latest incarnation of each process and its connections.
+// challenge numbers the hellos of this process. Each carries a nonce that the far side's
+// proof covers, and is written once the connection stands, so that whoever answers one
+// was alive after all that went before it.
+type challenge uint64
+
+// roster knows the latest life of each process and its connections. The lives of one
+// process follow one another, so that the life which has answered a later challenge is
+// the later one. The time of day says nothing of it: a process that starts again after
+// its clock stepped back would count as its own past for as long as it runs.
 type roster struct {
 	stats *stats
 
-	mu    sync.Mutex
-	lives map[process]*life
+	mu     sync.Mutex
+	issued challenge
+	lives  map[process]*life
 }
 
 func newRoster(s *stats) *roster {
 	return &roster{stats: s, lives: make(map[process]*life)}
 }
 
-// admit checks that p is not an older life of a process already seen. A newer
-// life ends the connections of the older one: otherwise messages of a process
-// that was replaced could still arrive after those of its successor.
-func (r *roster) admit(p port.Peer) error {
+// issue returns the number of the next challenge.
+func (r *roster) issue() challenge {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.issued++
+	return r.issued
+}
+
+// admit takes in that p has answered a challenge. A later life ends the connections of
+// the former one: otherwise messages of a process that was replaced could still arrive
+// after those of its successor. An answer of a former life that comes late is refused.
+func (r *roster) admit(p port.Peer, answered challenge) error {
 	if p.Role == RoleControlTool {
 		return nil
 	}
@@ -48,25 +70,34 @@
 	defer r.mu.Unlock()
 	key := process{host: p.Host, role: p.Role}
 	known, ok := r.lives[key]
-	if !ok {
-		return r.add(key, p.Incarnation)
-	}
-	if p.Incarnation < known.incarnation {
-		detail := fmt.Sprintf("host %q has a later life %d, this is %d", p.Host, known.incarnation, p.Incarnation)
-		return &RefusedError{Reason: RefusedIncarnation, Detail: detail}
-	}
-	if p.Incarnation > known.incarnation {
-		known.incarnation = p.Incarnation
-		r.supersede(known)
+	switch {
+	case !ok:
+		return r.add(key, p.Incarnation, answered)
+	case p.Incarnation == known.incarnation:
+		known.challenge = max(known.challenge, answered)
+		return nil
+	case answered < known.challenge:
+		return superseded("host %q has a later life %d, this is %d", p.Host, known.incarnation, p.Incarnation)
+	case p.Incarnation == known.former && len(known.conns) > 0:
+		// Only a process beside its successor comes back. If each took the other's
+		// place, neither could keep a connection.
+		return superseded("host %q runs another process, %d, beside this one, %d", p.Host, known.incarnation, p.Incarnation)
 	}
+	known.former = known.incarnation
+	known.incarnation, known.challenge = p.Incarnation, answered
+	r.supersede(known)
 	return nil
 }
 
-func (r *roster) add(key process, incarnation ident.Incarnation) error {
+func superseded(format string, args ...any) *RefusedError {
+	return &RefusedError{Reason: RefusedIncarnation, Detail: fmt.Sprintf(format, args...)}
+}
+
+func (r *roster) add(key process, incarnation ident.Incarnation, answered challenge) error {
 	if len(r.lives) >= maxKnownPeers && !r.evict() {
 		return &RefusedError{Reason: RefusedBusy, Detail: "too many peers are connected"}
 	}
-	r.lives[key] = &life{incarnation: incarnation, conns: make(map[*conn]struct{})}
+	r.lives[key] = &life{incarnation: incarnation, challenge: answered, conns: make(map[*conn]struct{})}
 	return nil
 }
 
--- a/internal/port/peer.go
+++ b/internal/port/peer.go
@@ -12,8 +12,10 @@
 
 // Peer identifies a process of this deployment after authentication.
 type Peer struct {
-	Host        ident.Host
-	DataCentre  ident.DataCentre
+	Host       ident.Host
+	DataCentre ident.DataCentre
+	// Incarnation tells this life of the process from others. The transport orders lives
+	// without it.
 	Incarnation ident.Incarnation
 	// Role is "entry", "control" or "ctl".
 	Role string
--- a/internal/steward/entry.go
+++ b/internal/steward/entry.go
@@ -22,8 +22,8 @@
 	DataCentre ident.DataCentre
 	// Incarnation tells this run of the process from others on its host; zero draws one.
 	Incarnation ident.Incarnation
-	Seeds      []ident.Host
-	PeerPort   int
+	Seeds       []ident.Host
+	PeerPort    int
 	// ApplyWithin is within what time after its acknowledgement a configuration must be
 	// in force; 0 where that is not told.
 	ApplyWithin time.Duration
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -189,9 +189,10 @@
 	}
 }
 
-// newIncarnation numbers this life of the process by the time of its start.
+// newIncarnation draws what tells this life of the process from others. It says nothing
+// of their order.
 func newIncarnation() ident.Incarnation {
-	return ident.Incarnation(time.Now().UnixMicro())
+	return ident.Incarnation(rand.Uint64() | 1)
 }
 
 // SetSeeds replaces the control hosts that are asked while no other is known.
