Control: number the lives of entries in the replicated log

What callers see: an entry whose clock steps back by more than its former process lived, so that the new one starts with a lower incarnation, never gets a serving lease while the leader remembers the former: its heartbeats are stale, whatever session they name. Callers that it is asked by get no-serving-lease and the others don't name it. The claims of the former process are not ended either, since only a higher incarnation tells the leader that it was replaced, and duplicates wait for their holds.

Cause: the incarnation is the time of day at the start. It is compared with numbers taken on the same clock before, and a process takes it once.

Change: the config group assigns incarnations from its log, each higher than all before, on all hosts. An entry asks for one before its first watch and renewal (retried, no lease before) and names it in its requests; the number of its connection is an identity only. An entry has no disk, so it can't count its starts. One counter for all hosts needs no table, and a request that is delayed or sent twice only uses up a number. The counter also follows the leader's clock, which keeps it above the times that earlier versions used, and never falls below itself. Raising a number on refusal was weighed: two processes of one host that overlap would outbid one another, and the number of a claim would change under way.

Control hosts must be upgraded before entries; entries of earlier versions keep the incarnation of their connection.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -27,6 +27,8 @@
 	current atomic.Pointer[config.Snapshot]
 	// acked is the revision that Options.Changed has taken.
 	acked atomic.Uint64
+	// incarnation is what the control hosts assigned, zero before.
+	incarnation atomic.Uint64
 	// renewNow asks for a renewal ahead of time.
 	renewNow chan struct{}
 
@@ -73,6 +75,9 @@
 
 // Run works until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
+	if !c.awaitIncarnation(ctx) {
+		return nil
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.watchLoop(ctx) })
 	group.Go(func() error { return c.renewLoop(ctx) })
@@ -82,6 +87,12 @@
 	return group.Wait()
 }
 
+// Incarnation returns the number of this life of the entry, zero until the
+// control hosts have assigned it. No lease is granted before.
+func (c *Client) Incarnation() ident.Incarnation {
+	return ident.Incarnation(c.incarnation.Load())
+}
+
 // Snapshot returns the configuration held; revision zero before the first.
 func (c *Client) Snapshot() *config.Snapshot { return c.current.Load() }
 
@@ -141,7 +152,7 @@
 	c.mu.Unlock()
 	target, _ := c.leader.current()
 	var answer protocol.ReleaseAnswer
-	return c.call(ctx, target, protocol.MethodRelease, protocol.ReleaseRequest{}, &answer)
+	return c.call(ctx, target, protocol.MethodRelease, protocol.ReleaseRequest{Incarnation: c.Incarnation()}, &answer)
 }
 
 // Status describes the client for dumps.
@@ -152,7 +163,9 @@
 	// Refused is why the last renewal brought no lease, empty if it did.
 	Refused lease.RefusalReason `json:"refused,omitempty"`
 	Leader  string              `json:"leader"`
-	Counts  Counts              `json:"counts"`
+	// Incarnation is the one assigned, zero before.
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Counts      Counts            `json:"counts"`
 }
 
 // Status returns the client's state.
@@ -167,6 +180,8 @@
 		Refused:  c.refused,
 		Leader:   target,
 		Counts:   c.counts,
+
+		Incarnation: c.Incarnation(),
 	}
 }
 
--- a/internal/control/client/options.go
+++ b/internal/control/client/options.go
@@ -26,8 +26,9 @@
 // Options configure a Client. Zero durations mean the defaults.
 type Options struct {
 	Peers port.PeerClient
-	// Self is the claim by which the entry becomes a member; host, incarnation
-	// and data centre are those of its connections.
+	// Self is the claim by which the entry becomes a member; host and data
+	// centre are those of its connections. The control hosts replace the
+	// incarnation.
 	Self member.Member
 	// Addresses are the peer addresses of the control hosts.
 	Addresses []string
--- a/internal/control/client/renew.go
+++ b/internal/control/client/renew.go
@@ -74,6 +74,8 @@
 		State:   renewal.State,
 		Claim:   renewal.Claim,
 		Members: renewal.Members,
+
+		Incarnation: renewal.Stamp.Incarnation,
 	}, true
 }
 
--- a/internal/control/client/watch.go
+++ b/internal/control/client/watch.go
@@ -42,6 +42,8 @@
 	request := protocol.WatchRequest{
 		Held:       c.Snapshot().Revision(),
 		WaitMillis: c.opts.WatchWait.Milliseconds(),
+
+		Incarnation: c.Incarnation(),
 	}
 	var answer protocol.WatchAnswer
 	if err := c.call(ctx, target, protocol.MethodWatch, request, &answer); err != nil {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -11,11 +11,13 @@
 	"github.com/lovagereach/lovagereach/lease"
 )
 
-// Machine is the state machine of group port.GroupConfig: configuration and
-// epochs. It implements port.StateMachine.
+// Machine is the state machine of group port.GroupConfig: configuration, epochs
+// and the incarnations of entries. It implements port.StateMachine.
 type Machine struct {
 	config *config.State
 	epochs *lease.Epochs
+	// incarnation is the latest that was assigned to an entry of any host.
+	incarnation ident.Incarnation
 	// current is the latest applied revision, for readers outside of View.
 	current atomic.Pointer[config.Snapshot]
 	changed *broadcast
@@ -32,6 +34,8 @@
 type command struct {
 	Config *config.Command `cbor:"1,keyasint,omitempty"`
 	Epoch  *openEpoch      `cbor:"2,keyasint,omitempty"`
+	// Assign asks for the incarnation of an entry that has just started.
+	Assign *assignIncarnation `cbor:"3,keyasint,omitempty"`
 }
 
 // openEpoch starts the epoch of a new leader.
@@ -40,12 +44,19 @@
 	At     int64      `cbor:"2,keyasint"`
 }
 
+// assignIncarnation carries the proposer's time in Unix microseconds.
+type assignIncarnation struct {
+	At int64 `cbor:"1,keyasint"`
+}
+
 // result answers a command.
 type result struct {
 	Config *config.Result `cbor:"1,keyasint,omitempty"`
 	Epoch  *lease.Epoch   `cbor:"2,keyasint,omitempty"`
 	// Refused tells that the command made no sense to this machine.
 	Refused string `cbor:"3,keyasint,omitempty"`
+	// Assigned is the incarnation given.
+	Assigned ident.Incarnation `cbor:"4,keyasint,omitempty"`
 }
 
 // Apply implements port.StateMachine.
@@ -66,11 +77,20 @@
 	case cmd.Epoch != nil:
 		epoch := m.epochs.Open(cmd.Epoch.Leader, cmd.Epoch.At)
 		return result{Epoch: &epoch}
+	case cmd.Assign != nil:
+		return result{Assigned: m.assign(cmd.Assign.At)}
 	default:
 		return result{Refused: "empty command"}
 	}
 }
 
+// assign returns a higher incarnation than any before. Entries once took their
+// own clock in microseconds; starting from the time keeps above those.
+func (m *Machine) assign(at int64) ident.Incarnation {
+	m.incarnation = max(m.incarnation+1, ident.Incarnation(max(at, 0)))
+	return m.incarnation
+}
+
 func (m *Machine) publish() {
 	if m.current.Load() == m.config.Current() {
 		return
@@ -81,13 +101,14 @@
 
 // image is the machine's snapshot.
 type image struct {
-	Config config.Image `cbor:"1,keyasint"`
-	Epoch  lease.Epoch  `cbor:"2,keyasint"`
+	Config      config.Image      `cbor:"1,keyasint"`
+	Epoch       lease.Epoch       `cbor:"2,keyasint"`
+	Incarnation ident.Incarnation `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot implements port.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
-	data, err := wire.Marshal(image{Config: m.config.Image(), Epoch: m.epochs.Current()})
+	data, err := wire.Marshal(image{Config: m.config.Image(), Epoch: m.epochs.Current(), Incarnation: m.incarnation})
 	return data, eris.Wrap(err, "control: encode snapshot")
 }
 
@@ -103,6 +124,7 @@
 	}
 	m.config = state
 	m.epochs = lease.RestoreEpochs(img.Epoch)
+	m.incarnation = img.Incarnation
 	m.publish()
 	return nil
 }
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -21,13 +21,13 @@
 // Since implements relay.Configs.
 func (c configSource) Since(held config.Revision) config.Update { return c.server.updateSince(held) }
 
-// renew takes an entry's heartbeat and grants its lease. Host and incarnation
-// are the connection's, so that no process can speak for another.
+// renew takes an entry's heartbeat and grants its lease. The host is the
+// connection's, so that no process can speak for another.
 func (l *leadership) renew(now time.Time, from port.Peer, request protocol.RenewRequest) relay.Renewed {
 	renewal := relay.Renewal{
 		Number:  request.Number,
 		Host:    from.Host,
-		Stamp:   member.Stamp{Incarnation: from.Incarnation, Session: request.Session},
+		Stamp:   member.Stamp{Incarnation: incarnationOf(from, request.Incarnation), Session: request.Session},
 		State:   request.State,
 		Held:    request.Acked,
 		InForce: request.Acked,
--- a/internal/control/protocol/protocol.go
+++ b/internal/control/protocol/protocol.go
@@ -23,6 +23,7 @@
 	MethodRenew   port.Method = "lease/renew"
 	MethodRelease port.Method = "lease/release"
 	MethodReport  port.Method = "upstream/report"
+	MethodAssign  port.Method = "lease/assign"
 )
 
 // Bounds of messages.
@@ -44,12 +45,25 @@
 	Address string     `cbor:"2,keyasint,omitempty"`
 }
 
+// AssignRequest asks for the incarnation of an entry that has just started. A
+// copy that is delayed uses up a number that nobody takes.
+type AssignRequest struct{}
+
+// AssignAnswer gives it.
+type AssignAnswer struct {
+	Redirect    *Redirect         `cbor:"1,keyasint,omitempty"`
+	Incarnation ident.Incarnation `cbor:"2,keyasint,omitempty"`
+}
+
 // WatchRequest asks for what follows a revision.
 type WatchRequest struct {
 	// Held is the revision the entry serves by, which it thereby acknowledges.
 	Held config.Revision `cbor:"1,keyasint"`
 	// WaitMillis is how long the leader may hold the call open.
 	WaitMillis int64 `cbor:"2,keyasint"`
+	// Incarnation is the one assigned, as in all requests that have the field.
+	// Zero, from an earlier version, means that of the connection.
+	Incarnation ident.Incarnation `cbor:"3,keyasint,omitempty"`
 }
 
 // WatchAnswer brings a delta, announces a whole configuration to fetch in
@@ -77,7 +91,7 @@
 }
 
 // RenewRequest asks for a serving lease and is the heartbeat of an entry. The
-// connection tells the entry's host and incarnation.
+// connection tells the entry's host.
 type RenewRequest struct {
 	// Number is repeated by the answer.
 	Number uint64 `cbor:"1,keyasint"`
@@ -89,7 +103,8 @@
 	State   member.State   `cbor:"4,keyasint"`
 	Claim   *member.Member `cbor:"5,keyasint,omitempty"`
 	// Members is the membership that the entry knows.
-	Members member.Version `cbor:"6,keyasint"`
+	Members     member.Version    `cbor:"6,keyasint"`
+	Incarnation ident.Incarnation `cbor:"7,keyasint,omitempty"`
 }
 
 // RenewAnswer grants a lease or tells why not.
@@ -100,7 +115,9 @@
 
 // ReleaseRequest gives the serving lease up. The entry has stopped serving new
 // requests before it sends this.
-type ReleaseRequest struct{}
+type ReleaseRequest struct {
+	Incarnation ident.Incarnation `cbor:"1,keyasint,omitempty"`
+}
 
 // ReleaseAnswer confirms it.
 type ReleaseAnswer struct {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -97,6 +97,7 @@
 	registry.Handle(protocol.MethodRenew, handler(s.renew))
 	registry.Handle(protocol.MethodRelease, handler(s.release))
 	registry.Handle(protocol.MethodReport, handler(s.report))
+	registry.Handle(protocol.MethodAssign, handler(s.assign))
 }
 
 // Run follows the leadership of this host until ctx ends.
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"time"
 
 	"github.com/lovagereach/lovagereach/config"
@@ -12,8 +14,31 @@
 	"github.com/lovagereach/lovagereach/relay"
 )
 
-func holderID(from port.Peer) lease.HolderID {
-	return lease.HolderID{Host: from.Host, Incarnation: from.Incarnation}
+// incarnationOf is the incarnation that an entry was assigned. Entries of
+// earlier versions have none but their connection's.
+func incarnationOf(from port.Peer, assigned ident.Incarnation) ident.Incarnation {
+	return cmp.Or(assigned, from.Incarnation)
+}
+
+// assign numbers the life of an entry that has just started. The order of
+// lives, by which all others tell late messages of a dead process from those of
+// its successor, is the order of the log.
+func (s *Server) assign(ctx context.Context, _ port.Peer, _ protocol.AssignRequest) (protocol.AssignAnswer, error) {
+	if !s.opts.Replica.Status().IsLeader {
+		return protocol.AssignAnswer{Redirect: s.redirect()}, nil
+	}
+	answer, err := s.propose(ctx, command{Assign: &assignIncarnation{At: time.Now().UnixMicro()}})
+	var notLeader *port.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return protocol.AssignAnswer{Redirect: s.redirect()}, nil
+	}
+	if err != nil {
+		return protocol.AssignAnswer{}, err
+	}
+	if answer.Assigned == 0 {
+		return protocol.AssignAnswer{}, &refusedCommandError{reason: answer.Refused}
+	}
+	return protocol.AssignAnswer{Incarnation: answer.Assigned}, nil
 }
 
 // watch takes the acknowledgement that the request carries and answers once
@@ -24,7 +49,7 @@
 	var current *leadership
 	err := s.leading(func(l *leadership, _ time.Time) {
 		current = l
-		l.parent.Ack(relay.Ack{Host: from.Host, Incarnation: from.Incarnation, InForce: request.Held})
+		l.parent.Ack(relay.Ack{Host: from.Host, Incarnation: incarnationOf(from, request.Incarnation), InForce: request.Held})
 	})
 	if err != nil {
 		return protocol.WatchAnswer{Redirect: s.redirect()}, nil
@@ -95,7 +120,7 @@
 	var renewed relay.Renewed
 	var former ident.Incarnation
 	err := s.leading(func(l *leadership, now time.Time) {
-		former = l.noteIncarnation(from)
+		former = l.noteIncarnation(from.Host, incarnationOf(from, request.Incarnation))
 		renewed = l.renew(now, from, request)
 	})
 	if err != nil {
@@ -113,18 +138,18 @@
 
 // noteIncarnation notes an entry's incarnation and returns the former one that it
 // replaces, zero for none. A process starts again only after its former run ended.
-func (l *leadership) noteIncarnation(from port.Peer) ident.Incarnation {
-	known, found := l.incarnations[from.Host]
-	if from.Incarnation <= known || !found && len(l.incarnations) >= lease.MaxHolders {
+func (l *leadership) noteIncarnation(host ident.Host, incarnation ident.Incarnation) ident.Incarnation {
+	known, found := l.incarnations[host]
+	if incarnation <= known || !found && len(l.incarnations) >= lease.MaxHolders {
 		return 0
 	}
-	l.incarnations[from.Host] = from.Incarnation
+	l.incarnations[host] = incarnation
 	return known
 }
 
-func (s *Server) release(_ context.Context, from port.Peer, _ protocol.ReleaseRequest) (protocol.ReleaseAnswer, error) {
+func (s *Server) release(_ context.Context, from port.Peer, request protocol.ReleaseRequest) (protocol.ReleaseAnswer, error) {
 	err := s.leading(func(l *leadership, _ time.Time) {
-		l.parent.Release(holderID(from))
+		l.parent.Release(lease.HolderID{Host: from.Host, Incarnation: incarnationOf(from, request.Incarnation)})
 		l.progress.signal()
 	})
 	if err != nil {
--- a/relay/child.go
+++ b/relay/child.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/config"
+	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/lease"
 	"github.com/lovagereach/lovagereach/member"
 )
@@ -25,6 +26,12 @@
 	return &Child{self: self, configs: config.NewFeed(), members: member.NewFeed()}
 }
 
+// Assign sets the incarnation in the child's claim. It comes before the first
+// renewal.
+func (c *Child) Assign(incarnation ident.Incarnation) {
+	c.self.Stamp.Incarnation = incarnation
+}
+
 // Attach begins a session with another parent, or again with the same one after
 // it refused the last. The lease held stays valid until it runs out: whoever
 // granted it waits for it.
