Ledger: claim and trace under the incarnation that was assigned

What callers see: after an entry's clock stepped back between two starts, by more than the former process lived, every call that may not be repeated is answered unknown (ledger-unavailable: a later incarnation of this entry host is known), and every fully audited request or declared batch is refused, for as long as the process lives. The ledger and the trace are replicated and on disk, so neither a new leader nor a restart of all control hosts ends it. Calls that the former process left in flight are not ended either: resends wait for the hold (the caller's deadline and 10 s) instead of being told at once.

Cause: the ledger's owner and the trace's source carry the time of day at the start. once refuses claims, and audit.Trace reports, below the number that it knows of the host; Lost for the start's time less one reaches none of the former life's claims.

Change: ledger.Client asks for its owner when it first needs it and gets the incarnation that the control group's log assigned. It does not change afterwards, so a claim has one number from its first copy to its settlement. Every earlier life's number is lower, on every group, whether the group has seen it or not: a claim delayed from a dead process is refused as before, once the new life has said that the earlier ones are over. once and audit stay as they are.

Evidence: TestLedgerTakesClaimsAfterClockStepsBack runs a control host and two lives of an entry over files and sockets, the second with the earlier time, the control host started again between them.

--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -145,7 +145,7 @@
 func (h *Host) buildAudit() error {
 	var err error
 	h.ledger, err = ledger.NewClient(h.transport, ledger.Options{
-		Self:    once.Owner{Host: h.options.Host, Incarnation: h.options.Incarnation},
+		Self:    func() once.Owner { return once.Owner{Host: h.options.Host} },
 		Control: h.options.Control,
 		Shards:  func() once.Shards { return once.Shards{uint32(max(1, h.config.Current().LedgerShards()))} },
 		Now:     time.Now,
--- a/internal/entryhost/ledger.go
+++ b/internal/entryhost/ledger.go
@@ -15,7 +15,7 @@
 	o := h.options
 	var err error
 	h.ledger, err = ledger.NewClient(h.transport, ledger.Options{
-		Self:    once.Owner{Host: o.Host, Incarnation: o.Incarnation},
+		Self:    func() once.Owner { return once.Owner{Host: o.Host, Incarnation: h.control.Incarnation()} },
 		Control: o.Control,
 		Shards:  h.shards,
 		Now:     time.Now,
--- /dev/null
+++ b/internal/entryhost/lives_test.go
@@ -0,0 +1,154 @@
+package entryhost
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lovagereach/lovagereach/audit"
+	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/controlhost"
+	"github.com/lovagereach/lovagereach/internal/ledger"
+	"github.com/lovagereach/lovagereach/once"
+	"github.com/lovagereach/lovagereach/outcome"
+)
+
+var livesKey = []byte("a-peer-key-of-thirty-two-bytes-x")
+
+// livesWait ends a test that hangs; nothing depends on its length.
+const livesWait = 30 * time.Second
+
+// runControl runs a control host until the returned function is called.
+func runControl(t *testing.T, address, folder string) (stop func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	host, err := controlhost.New(controlhost.Options{
+		Host: "control-1", DataCentre: "hall-north", Cluster: "test", Data: folder, Peer: listener,
+		Control: map[ident.Host]string{"control-1": address}, LedgerGroups: 1, PeerKey: livesKey, Log: log.New(io.Discard),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return runUntil(t, func(ctx context.Context) error { return host.Run(ctx, nil) })
+}
+
+func runUntil(t *testing.T, run func(context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- run(ctx) }()
+	return func() {
+		cancel()
+		if err := <-ended; err != nil && ctx.Err() == nil {
+			t.Error(err)
+		}
+	}
+}
+
+// runLife runs one life of entry-1 whose clock shows identity at its start.
+func runLife(t *testing.T, control string, identity ident.Incarnation) (host *Host, stop func()) {
+	t.Helper()
+	host, err := New(Options{
+		Host: "entry-1", DataCentre: "hall-north", Cluster: "test", Incarnation: identity,
+		Listeners: Listeners{Callers: benchListener(t), Announce: benchListener(t), Peer: benchListener(t)},
+		Operators: "127.0.0.1:0", Control: map[ident.Host]string{"control-1": control}, PeerKey: livesKey, Log: log.New(io.Discard),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return host, runUntil(t, func(ctx context.Context) error { return host.Run(ctx, nil) })
+}
+
+func bidCall(text string) ledger.Call {
+	call := ledger.Call{
+		Key:    once.Key{Team: "florists", Service: "clock-app", Text: text},
+		Digest: once.DigestCall("POST", "/bid", nil),
+	}
+	copy(call.Request[:], text)
+	return call
+}
+
+// hold claims a key whose call has no answer yet when the host ends.
+func hold(t *testing.T, host *Host, text string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), livesWait)
+	sending, release, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = host.ledger.Do(ctx, bidCall(text), func(context.Context) (once.Answer, error) {
+			close(sending)
+			<-release
+			return once.Answer{}, context.Canceled
+		})
+	}()
+	t.Cleanup(func() {
+		close(release)
+		<-ended
+		cancel()
+	})
+	select {
+	case <-sending:
+	case <-ended:
+		t.Fatalf("%s is not claimed", text)
+	}
+}
+
+// bid runs one call that may not be repeated, and traces one request.
+func bid(t *testing.T, host *Host, text string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), livesWait)
+	defer cancel()
+	call := bidCall(text)
+	_, err := host.ledger.Do(ctx, call, func(context.Context) (once.Answer, error) {
+		return once.Answer{Status: 201}, nil
+	})
+	if err != nil {
+		t.Errorf("%s is not run: %v", text, err)
+	}
+	tracer := ledger.NewTracer(host.ledger)
+	stop := runUntil(t, func(ctx context.Context) error { tracer.Run(ctx); return nil })
+	defer stop()
+	if err := tracer.Open(ctx, audit.Opening{Request: call.Request, Team: "florists", Accepted: time.Now(), Deadline: time.Now().Add(time.Minute)}); err != nil {
+		t.Errorf("%s is refused by the trace: %v", text, err)
+	}
+}
+
+// All processes start again, and the entry's clock has stepped back. The ledger
+// and the trace, which are on disk, must take the claims and reports of its new
+// life, and end the claims of the former.
+func TestLedgerTakesClaimsAfterClockStepsBack(t *testing.T) {
+	address, folder := "", t.TempDir()
+	listener := benchListener(t)
+	address = listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	stopControl := runControl(t, address, folder)
+	host, stop := runLife(t, address, 9_000_000)
+	bid(t, host, "first")
+	hold(t, host, "held")
+	stop()
+	stopControl()
+	stopControl = runControl(t, address, folder)
+	defer stopControl()
+	host, stop = runLife(t, address, 4_000_000)
+	defer stop()
+	bid(t, host, "second")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := host.ledger.Do(ctx, bidCall("held"), func(context.Context) (once.Answer, error) {
+		t.Error("a call of the former life is sent again")
+		return once.Answer{}, nil
+	})
+	var unknown *outcome.Unknown
+	if !errors.As(err, &unknown) || unknown.Reason != outcome.ReasonOwnerLost {
+		t.Errorf("a call of the former life ends as %v, want unknown with its owner lost", err)
+	}
+}
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -21,8 +21,9 @@
 
 // Options of a Client.
 type Options struct {
-	// Self is this incarnation of the entry host.
-	Self once.Owner
+	// Self returns this incarnation of the entry host. It is zero until it has
+	// been assigned and never changes after; nothing is claimed or traced before.
+	Self func() once.Owner
 	// Control gives the addresses of the control hosts.
 	Control map[ident.Host]string
 	// Shards returns the history of the number of ledger shards in force.
@@ -89,7 +90,7 @@
 		return nil, eris.New("ledger client: no control hosts")
 	case options.Shards == nil || options.Now == nil:
 		return nil, eris.New("ledger client: shards and clock are required")
-	case options.Self.Host == "" || options.Self.Incarnation == 0:
+	case options.Self == nil || options.Self().Host == "":
 		return nil, eris.New("ledger client: the entry host's own identity is required")
 	}
 	c := &Client{
@@ -105,6 +106,19 @@
 	return c, nil
 }
 
+// awaitSelf returns the owner that claims and reports name. It reports false
+// when ctx ends before the incarnation is assigned.
+func (c *Client) awaitSelf(ctx context.Context) (once.Owner, bool) {
+	for {
+		if self := c.options.Self(); self.Incarnation != 0 {
+			return self, true
+		}
+		if !wait.For(ctx, minPause) {
+			return once.Owner{}, false
+		}
+	}
+}
+
 // errNoAnswer reports that no control host gave a definite answer in time.
 var errNoAnswer = errors.New("the ledger gave no answer in time")
 
--- a/internal/ledger/do.go
+++ b/internal/ledger/do.go
@@ -47,8 +47,12 @@
 func (c *Client) Do(ctx context.Context, call Call, send SendFunc) (Done, error) {
 	c.unsettled.Add(1)
 	defer c.unsettled.Add(-1)
+	self, assigned := c.awaitSelf(ctx)
+	if !assigned {
+		return Done{}, unavailable(errNoAnswer)
+	}
 	claim := once.Claim{
-		Key: call.Key, Digest: call.Digest, Owner: c.options.Self, ID: newClaimID(),
+		Key: call.Key, Digest: call.Digest, Owner: self, ID: newClaimID(),
 		HoldMillis: c.hold(ctx), Request: call.Request, Class: call.Class,
 	}
 	last, err := c.claim(ctx, claim)
--- a/internal/ledger/fake_test.go
+++ b/internal/ledger/fake_test.go
@@ -210,7 +210,7 @@
 		control[hostName(i)] = string(hostName(i))
 	}
 	client, err := NewClient(net, Options{
-		Self:    once.Owner{Host: name, Incarnation: incarnation},
+		Self:    func() once.Owner { return once.Owner{Host: name, Incarnation: incarnation} },
 		Control: control,
 		Shards:  func() once.Shards { return once.Shards{shards} },
 		Now:     time.Now,
--- a/internal/ledger/history_test.go
+++ b/internal/ledger/history_test.go
@@ -164,7 +164,7 @@
 func (h *history) call(client int, entry *fakeEntry, op ledgerOp) (out ledgerOut, doubtful bool) {
 	key := once.Key{Team: "t", Service: "s", Text: op.key}
 	digest := once.Digest{op.digest}
-	owner := entry.options.Self
+	owner := entry.options.Self()
 	req := Request{Group: GroupOf(0)}
 	switch op.kind {
 	case MethodClaim:
--- a/internal/ledger/real_test.go
+++ b/internal/ledger/real_test.go
@@ -190,7 +190,7 @@
 	self := port.Peer{Host: name, DataCentre: "hall", Incarnation: incarnation, Role: "entry"}
 	transport := must(peer.New(peer.Options{Cluster: "test", Self: self, Key: realKey}))
 	client := must(NewClient(transport, Options{
-		Self:    once.Owner{Host: name, Incarnation: incarnation},
+		Self:    func() once.Owner { return once.Owner{Host: name, Incarnation: incarnation} },
 		Control: c.addresses,
 		Shards:  func() once.Shards { return once.Shards{uint32(c.groups)} },
 		Now:     time.Now,
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -77,7 +77,11 @@
 const groupsEvery = time.Second
 
 func (c *Client) endEarlierIncarnations(ctx context.Context) {
-	earlier := once.Owner{Host: c.options.Self.Host, Incarnation: c.options.Self.Incarnation - 1}
+	self, assigned := c.awaitSelf(ctx)
+	if !assigned {
+		return
+	}
+	earlier := once.Owner{Host: self.Host, Incarnation: self.Incarnation - 1}
 	told := 0
 	for {
 		for _, group := range c.groups()[told:] {
@@ -121,7 +125,10 @@
 			return
 		}
 	}
-	self := c.options.Self
+	self := c.options.Self()
+	if self.Incarnation == 0 {
+		return
+	}
 	for _, group := range c.groups() {
 		if _, _, err := c.call(ctx, MethodLost, Request{Group: group, Lost: &self}); err != nil {
 			return
--- a/internal/ledger/tracer.go
+++ b/internal/ledger/tracer.go
@@ -263,10 +263,14 @@
 }
 
 func (t *Tracer) reportOnce(ctx context.Context, queue *traceQueue) {
-	self := t.client.options.Self
-	r := queue.take(audit.Source{Host: self.Host, Incarnation: self.Incarnation})
 	bounded, cancel := context.WithTimeout(ctx, traceTimeout)
 	defer cancel()
+	self, assigned := t.client.awaitSelf(bounded)
+	r := queue.take(audit.Source{Host: self.Host, Incarnation: self.Incarnation})
+	if !assigned {
+		t.putBack(queue, r)
+		return
+	}
 	reply, _, err := t.client.call(bounded, MethodTrace, Request{Group: queue.group, Trace: &r.command})
 	if err == nil && reply.Trace != nil && reply.Trace.Applied {
 		t.unreported.Add(-int64(len(r.command.Close)))
