Upstream: take the present life of an upstream whose clock stepped back

What callers see: an engine, store or service that starts again with an earlier time than its former life announced gets no work. After a crash it is refused until the former life's lease ends (the upstream's own, up to an hour), after a departure for the two minutes for which the word is kept, at every entry. Its callers go to the others, or to nobody when it was the only one.

Cause: an upstream's incarnation is its own, mostly the time of its start. The registry refused every lower one than it knew, and every lower one than had left.

Change: a lower incarnation is refused only while the known one was heard within the silence after which it gets no work anyway (4.5 s, or its lease if shorter), and for 4.5 s after a departure. The incarnation that left stays refused for the whole two minutes. A word about another life drains an upstream only until it announces itself after that time. Words of a former life come late by seconds at most, so what still announces itself then is the present life. If a stale word gets through all the same, the present life's next announcement, being higher, replaces it at once. Departures are kept by life: two lives that both left would otherwise overwrite one another and be news again each second.

Evidence: TestUpstreamStartedAgainWithEarlierClockIsOffered, its four cases before: refused at 5 s under a lease of a minute, at 6 s after its word (twice), and at 6 s when the former life's word arrives late.

--- a/upstream/departures.go
+++ b/upstream/departures.go
@@ -11,8 +11,10 @@
 
 // departures remembers which incarnations have left.
 type departures struct {
-	left  map[ident.Upstream]ident.Incarnation
-	queue []departedAt
+	left map[Departure]struct{}
+	// latest are the highest incarnations that have left not long ago.
+	latest map[ident.Upstream]departedAt
+	queue  []departedAt
 }
 
 type departedAt struct {
@@ -21,24 +23,37 @@
 }
 
 func newDepartures() departures {
-	return departures{left: make(map[ident.Upstream]ident.Incarnation)}
+	return departures{left: make(map[Departure]struct{}), latest: make(map[ident.Upstream]departedAt)}
 }
 
-// has tells whether this or a later incarnation has left.
-func (d *departures) has(upstream ident.Upstream, incarnation ident.Incarnation) bool {
-	left, ok := d.left[upstream]
-	return ok && incarnation <= left
+// has tells whether an incarnation has left.
+func (d *departures) has(word Departure) bool {
+	_, left := d.left[word]
+	return left
 }
 
-func (d *departures) add(now time.Time, word Departure, life time.Duration) {
-	if d.has(word.Upstream, word.Incarnation) {
+// refuses tells whether an announcement comes from an incarnation that has left
+// or, as long as such words may still be on their way, from an earlier one.
+func (d *departures) refuses(now time.Time, word Departure) bool {
+	latest, recent := d.latest[word.Upstream]
+	earlier := recent && word.Incarnation < latest.word.Incarnation && now.Before(latest.end)
+	return earlier || d.has(word)
+}
+
+// add remembers a word for life; for late it also tells of earlier incarnations.
+func (d *departures) add(now time.Time, word Departure, life, late time.Duration) {
+	if d.has(word) {
 		return
 	}
 	if len(d.queue) >= MaxDepartures {
 		d.drop()
 	}
-	d.left[word.Upstream] = word.Incarnation
+	d.left[word] = struct{}{}
 	d.queue = append(d.queue, departedAt{word: word, end: now.Add(life)})
+	latest, known := d.latest[word.Upstream]
+	if !known || word.Incarnation > latest.word.Incarnation || !now.Before(latest.end) {
+		d.latest[word.Upstream] = departedAt{word: word, end: now.Add(late)}
+	}
 }
 
 func (d *departures) expire(now time.Time) {
@@ -50,14 +65,15 @@
 func (d *departures) drop() {
 	word := d.queue[0].word
 	d.queue = d.queue[1:]
-	if d.left[word.Upstream] == word.Incarnation {
-		delete(d.left, word.Upstream)
+	delete(d.left, word)
+	if d.latest[word.Upstream].word == word {
+		delete(d.latest, word.Upstream)
 	}
 }
 
 func (d *departures) list(out []Departure) []Departure {
-	for upstream, incarnation := range d.left {
-		out = append(out, Departure{Upstream: upstream, Incarnation: incarnation})
+	for word := range d.left {
+		out = append(out, word)
 	}
 	return out
 }
--- a/upstream/faults_test.go
+++ b/upstream/faults_test.go
@@ -141,6 +141,79 @@
 	}
 }
 
+// An upstream starts again after its clock stepped back, so that its new life
+// has the lower incarnation. Words of a former life come late by seconds at
+// most: what goes on announcing itself for longer is the present life, and must
+// get work again within the silence after which the former gets none.
+func TestUpstreamStartedAgainWithEarlierClockIsOffered(t *testing.T) {
+	const second = time.Second
+	again := leased(engine("a", 4), time.Minute)
+	cases := map[string][]step{
+		"after it died": {
+			{0, says(leased(engine("a", 9), time.Minute), Registered)},
+			{4 * second, says(again, Refused)},
+			{5 * second, says(again, Registered)},
+			{5 * second, isOffered(true)},
+		},
+		"after its word": {
+			{0, says(leased(engine("a", 9), time.Minute), Registered)},
+			{second, says(leaving(engine("a", 9)), Departed)},
+			{2 * second, says(again, Refused)},
+			{5 * second, says(again, Refused)},
+			{6 * second, says(again, Registered)},
+			{6 * second, isOffered(true)},
+			{7 * second, word(9)},
+			{7 * second, isOffered(true)},
+			{8 * second, says(engine("a", 9), Refused)},
+			{8 * second, isOffered(true)},
+		},
+		"and leaves in its turn": {
+			{0, says(leased(engine("a", 9), time.Minute), Registered)},
+			{second, says(leaving(engine("a", 9)), Departed)},
+			{6 * second, says(again, Registered)},
+			{7 * second, says(leaving(engine("a", 4)), Departed)},
+			{7 * second, isOffered(false)},
+			{20 * second, says(again, Refused)},
+		},
+		"before the former's word arrives": {
+			{0, says(again, Registered)},
+			{second, word(9)},
+			{second, isOffered(false)},
+			{5 * second, says(again, Refused)},
+			{6 * second, says(again, Renewed)},
+			{6 * second, isOffered(true)},
+		},
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := testRegistry(t, Options{})
+			for _, s := range steps {
+				s.do(t, r, epoch.Add(s.at))
+			}
+		})
+	}
+}
+
+// Two lives of one upstream have left, and entries repeat both words in turn.
+// Each is news once; else the words would go round for ever.
+func TestDeparturesOfTwoLivesAreNewsOnce(t *testing.T) {
+	r := testRegistry(t, Options{})
+	words := []Departure{{Upstream: "a", Incarnation: 9}, {Upstream: "a", Incarnation: 4}}
+	news := 0
+	for i := range 10 {
+		now := epoch.Add(time.Duration(i) * time.Second)
+		news += len(r.Depart(now, words[i%2:i%2+1]))
+	}
+	if news > len(words) {
+		t.Errorf("%d words are news, want at most %d", news, len(words))
+	}
+	for _, w := range words {
+		if got := announce(t, r, epoch.Add(20*time.Second), engine("a", w.Incarnation)); got != Refused {
+			t.Errorf("life %d is taken after its word: result %d", w.Incarnation, got)
+		}
+	}
+}
+
 func attempt(n uint32) Attempt { return Attempt{Number: n} }
 
 func dispatch(n uint32) func(*testing.T, *Registry, time.Time) {
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -79,7 +79,8 @@
 	Renewed
 	// Departed means that the upstream is leaving; tell the other entries.
 	Departed
-	// Refused means that the incarnation is older than one known or has left.
+	// Refused means that the incarnation has left, or is older than one heard
+	// of not long ago.
 	Refused
 	// Full means that MaxUpstreams are followed already.
 	Full
@@ -94,17 +95,20 @@
 		return Invalid, err
 	}
 	a.Slots = max(a.Slots, 1)
-	if r.departures.has(a.Upstream, a.Incarnation) && !a.Leaving {
+	word := Departure{Upstream: a.Upstream, Incarnation: a.Incarnation}
+	if !a.Leaving && r.departures.refuses(now, word) {
 		r.stats.Refused++
 		return Refused, nil
 	}
 	i, known := r.index[a.Upstream]
-	if known && a.Incarnation < r.slots[i].announced.Incarnation {
+	// An upstream's clock may step back between its lives. The words of an
+	// earlier one stop while those of the present one go on.
+	if known && a.Incarnation < r.slots[i].announced.Incarnation && now.Before(r.quietAt(&r.slots[i])) {
 		r.stats.Refused++
 		return Refused, nil
 	}
 	if a.Leaving {
-		r.depart(now, Departure{Upstream: a.Upstream, Incarnation: a.Incarnation})
+		r.depart(now, word)
 		return Departed, nil
 	}
 	if known && a.Incarnation == r.slots[i].announced.Incarnation {
@@ -128,7 +132,7 @@
 	r.Advance(now)
 	var news []Departure
 	for _, word := range words {
-		if r.departures.has(word.Upstream, word.Incarnation) {
+		if r.departures.has(word) {
 			continue
 		}
 		if i, ok := r.index[word.Upstream]; ok && r.slots[i].announced.Incarnation > word.Incarnation {
@@ -149,7 +153,7 @@
 // depart takes an upstream out of its pools at once. It stays registered
 // until its lease runs out, so that work in flight keeps its address.
 func (r *Registry) depart(now time.Time, word Departure) {
-	r.departures.add(now, word, r.opts.DepartureLife)
+	r.departures.add(now, word, r.opts.DepartureLife, r.opts.Silence)
 	i, ok := r.index[word.Upstream]
 	if !ok || r.slots[i].announced.Incarnation > word.Incarnation {
 		return
@@ -182,6 +186,8 @@
 	}
 	s.announced = a
 	s.heard = now
+	// What drained it was the word of another life.
+	s.draining = false
 	r.refresh(now, i)
 }
 
