Entry: follow the caches of a life that the registry has taken

What callers see: an engine or store host that starts again with a lower incarnation gets requests again, but the entry goes on believing what the former life held. Prompts are sent for a cache that is empty, readers to slots that are gone, the present life's cache events are dropped, and prompts are not kept on it, until the entry has forgotten the upstream (about 7 s after its last word) or, when a late batch or use of the former life comes after that, for as long as the present one lives.

Cause: prefix.Directory and keep.Manager order lives by incarnation and refuse a lower one. The registry decides which life is present; they were not told.

Change: when the registry has taken a lower incarnation the entry forgets the upstream in both before it follows the new life. The packages keep their order for what comes late, which is right for clocks that go forward.

--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -119,6 +119,7 @@
 	// exportErr and exportNothing make exports fail.
 	exportErr     error
 	exportNothing bool
+	life          life
 	closed        int
 	total         int // tokens of a whole answer
 }
@@ -165,9 +166,14 @@
 	return port.EngineState{}, nil
 }
 func (f *fakeEngine) Blocks(context.Context) (port.BlockSnapshot, error) {
-	return port.BlockSnapshot{Incarnation: 1}, nil
+	return port.BlockSnapshot{Incarnation: f.life.get()}, nil
 }
 
+// life is the incarnation of a fake upstream, 1 unless set.
+type life struct{ number atomic.Uint64 }
+
+func (l *life) get() ident.Incarnation { return max(ident.Incarnation(l.number.Load()), 1) }
+
 type fakeStream struct {
 	engine  *fakeEngine
 	step    step
--- a/internal/entry/keeper_test.go
+++ b/internal/entry/keeper_test.go
@@ -26,6 +26,7 @@
 	commitErr error
 	// other makes a commit describe another slot than was written.
 	other    bool
+	life     life
 	reserved []port.ReserveRequest
 	commits  []port.CommitRequest
 }
@@ -55,10 +56,10 @@
 func (f *fakeStore) Stat(context.Context, []port.BlockID) ([]port.SlotState, error) { return nil, nil }
 func (f *fakeStore) Free(context.Context, port.BlockID, uint64) error               { return nil }
 func (f *fakeStore) Status(context.Context) (port.StoreStatus, error) {
-	return port.StoreStatus{Incarnation: 1, LinkBytesPerSecond: 1 << 30, Tiers: []port.TierStatus{{Tier: port.TierMemory, Capacity: 1 << 30}}}, nil
+	return port.StoreStatus{Incarnation: f.life.get(), LinkBytesPerSecond: 1 << 30, Tiers: []port.TierStatus{{Tier: port.TierMemory, Capacity: 1 << 30}}}, nil
 }
 func (f *fakeStore) Blocks(context.Context) (port.BlockSnapshot, error) {
-	return port.BlockSnapshot{Incarnation: 1}, nil
+	return port.BlockSnapshot{Incarnation: f.life.get()}, nil
 }
 
 // store announces a fake store host.
--- a/internal/entry/keepwork.go
+++ b/internal/entry/keepwork.go
@@ -157,8 +157,10 @@
 		seen.Capacity[at], seen.Used[at] = tier.Capacity, tier.Used
 	}
 	e.mu.Lock()
-	k.manager.StoreSeen(time.Now(), seen)
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	if e.followed[id] == f && f.incarnation == seen.Incarnation {
+		k.manager.StoreSeen(time.Now(), seen)
+	}
 }
 
 func tierOf(tier port.Tier) prefix.Tier {
--- a/internal/entry/repair.go
+++ b/internal/entry/repair.go
@@ -70,6 +70,9 @@
 		e.options.Log.Warn("snapshot not read", "upstream", string(id), "err", err)
 		return
 	}
+	if e.followed[id] != f || snapshot.Incarnation != f.incarnation {
+		return
+	}
 	repaired := snapshotOf(id, snapshot)
 	e.directories(f, func(directory *prefix.Directory) { directory.Repair(repaired) })
 	e.counts.repairs.Inc()
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -118,6 +118,12 @@
 // caller holds the mutex.
 func (e *Entry) follow(message port.Announcement) {
 	f := e.followed[message.Upstream]
+	if f != nil && message.Incarnation < f.incarnation {
+		// The registry has taken it for the present life all the same. The
+		// directories and the keeper would refuse its words as outdated.
+		e.forget(message.Upstream, f)
+		f = nil
+	}
 	if f == nil {
 		f = &followed{}
 		e.followed[message.Upstream] = f
@@ -143,6 +149,7 @@
 		e.addCentre(poolKey{service: message.Service}, message.DataCentre)
 	case port.KindEngine:
 		e.followEngine(f, message)
+		e.keeper.manager.RunnerSeen(message.Upstream, message.Incarnation)
 	}
 	if fresh && message.Kind != port.KindService {
 		e.requestRepair(message.Upstream, f)
@@ -246,7 +253,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	f := e.followed[message.Upstream]
-	if f == nil {
+	if f == nil || f.incarnation != message.Incarnation {
+		// Those of a life that is not announced yet come with its snapshot.
 		return false, nil
 	}
 	e.noteRemovals(f, batch)
--- a/keep/runner.go
+++ b/keep/runner.go
@@ -36,6 +36,14 @@
 	r.incarnation = max(r.incarnation, incarnation)
 }
 
+// RunnerSeen takes the word that an engine is in a life. It stands above what
+// uses say, which may come late and from a life with a higher number.
+func (m *Manager) RunnerSeen(runner ident.Upstream, incarnation ident.Incarnation) {
+	if r := m.runners[runner]; r != nil {
+		r.incarnation = incarnation
+	}
+}
+
 // RunnerGone forgets an engine whose lease ran out. The blocks it held cannot
 // be exported any more.
 func (m *Manager) RunnerGone(runner ident.Upstream, incarnation ident.Incarnation) {
