Upstream: load reports count again after the upstream's clock stepped back

What callers see: after an upstream's clock stepped back while it lived, an entry goes on with the last load it reported before the step until the clock has caught up: an idle upstream is avoided as busy, or a busy one filled.

Cause: reports are ordered by the upstream's clock alone.

Change: a report that seems older counts when the last one arrived longer ago than reports can be late (Options.Silence, 4.5 s, after which a silent upstream gets no work either). A resent copy of the last report is still refused.

Evidence: TestLoadReportsCountAfterClockStepsBack steps back by an hour. Before, all reports from 5 to 20 s are refused: "the load is 7 requests, want the reported 2". Within the first 4 s, and for reports that overtake one another, the order is as before.

--- a/upstream/faults_test.go
+++ b/upstream/faults_test.go
@@ -194,6 +194,44 @@
 	}
 }
 
+// An upstream's clock steps back by an hour while it lives. Its reports must
+// count again once none from before the step can still be on its way; its load
+// would stay as it was for the hour otherwise. One that overtakes another on the
+// way must change nothing before and after.
+func TestLoadReportsCountAfterClockStepsBack(t *testing.T) {
+	const second, step = time.Second, -time.Hour
+	r := testRegistry(t, Options{Entries: 1})
+	running := func(at time.Duration) int {
+		t.Helper()
+		got, known := r.Candidate(epoch.Add(at), testPool, "a")
+		if !known {
+			t.Fatalf("not offered at %v", at)
+		}
+		return int(got.Load.Requests + 0.5)
+	}
+	stepped := func(at time.Duration, running int) Report {
+		return Report{Upstream: "a", Incarnation: 1, MeasuredAt: epoch.Add(at + step), Running: running}
+	}
+	for at := time.Duration(0); at <= 20*second; at += second {
+		announce(t, r, epoch.Add(at), engine("a", 1))
+		switch {
+		case at == 0:
+			report(at, 7, 1)(t, r, epoch.Add(at))
+		case at <= 4*second:
+			r.Report(epoch.Add(at), stepped(at, 2))
+			if got := running(at); got != 7 {
+				t.Errorf("at %v a report that may be late counts: %d requests", at, got)
+			}
+		default:
+			r.Report(epoch.Add(at), stepped(at, 2))
+			r.Report(epoch.Add(at), stepped(at-second/2, 5))
+			if got := running(at); got != 2 {
+				t.Errorf("at %v the load is %d requests, want the reported 2", at, got)
+			}
+		}
+	}
+}
+
 // Two lives of one upstream have left, and entries repeat both words in turn.
 // Each is news once; else the words would go round for ever.
 func TestDeparturesOfTwoLivesAreNewsOnce(t *testing.T) {
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -54,8 +54,10 @@
 type loadState struct {
 	report   Report
 	reported bool
-	// measured is when the report was measured, on this process's clock.
+	// measured is when the report was measured and taken when it arrived, both
+	// on this process's clock.
 	measured time.Time
+	taken    time.Time
 	flights  []*flight
 	recent   []landing
 	// added are flights that the report does not include, landed those that
@@ -65,12 +67,16 @@
 	addedTokens int64
 }
 
-// take replaces the report. It returns false for one that is not newer.
-func (l *loadState) take(report Report, now time.Time, transit time.Duration) bool {
-	if l.reported && !report.MeasuredAt.After(l.report.MeasuredAt) {
+// take replaces the report. It returns false for one that is not newer. Reports
+// come late by less than late, so that one which seems older after that was
+// measured on a clock that has stepped back.
+func (l *loadState) take(report Report, now time.Time, transit, late time.Duration) bool {
+	order := report.MeasuredAt.Compare(l.report.MeasuredAt)
+	if l.reported && (order == 0 || order < 0 && now.Sub(l.taken) < late) {
 		return false
 	}
 	l.report = report
+	l.taken = now
 	l.reported = true
 	l.measured = now.Add(-max(report.Age, 0))
 	l.recount(l.measured.Add(-transit))
--- a/upstream/types.go
+++ b/upstream/types.go
@@ -134,7 +134,8 @@
 type Report struct {
 	Upstream    ident.Upstream
 	Incarnation ident.Incarnation
-	// MeasuredAt is on the upstream's own clock and only orders its reports.
+	// MeasuredAt is on the upstream's own clock and only orders reports that
+	// arrive within Options.Silence of one another.
 	MeasuredAt time.Time
 	// Age is how old the measurement was when it arrived.
 	Age     time.Duration
