Ledger: a claim delayed from a former life is granted to nobody, tested

A claim of a dead process that arrives after its successor took a lower incarnation was granted, with nobody left to send the call, and made the successor's open claims unknown. The incarnations that the control group assigns end that; TestLedgerTakesClaimsAfterClockStepsBack now sends such a claim.

--- a/internal/entryhost/lives_test.go
+++ b/internal/entryhost/lives_test.go
@@ -14,6 +14,7 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/controlhost"
 	"github.com/lovagereach/lovagereach/internal/ledger"
+	"github.com/lovagereach/lovagereach/internal/wire"
 	"github.com/lovagereach/lovagereach/once"
 	"github.com/lovagereach/lovagereach/outcome"
 )
@@ -122,7 +123,7 @@
 
 // All processes start again, and the entry's clock has stepped back. The ledger
 // and the trace, which are on disk, must take the claims and reports of its new
-// life, and end the claims of the former.
+// life, end the claims of the former, and grant none that comes from it late.
 func TestLedgerTakesClaimsAfterClockStepsBack(t *testing.T) {
 	address, folder := "", t.TempDir()
 	listener := benchListener(t)
@@ -134,6 +135,7 @@
 	host, stop := runLife(t, address, 9_000_000)
 	bid(t, host, "first")
 	hold(t, host, "held")
+	former := host.control.Incarnation()
 	stop()
 	stopControl()
 	stopControl = runControl(t, address, folder)
@@ -143,7 +145,19 @@
 	bid(t, host, "second")
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	_, err := host.ledger.Do(ctx, bidCall("held"), func(context.Context) (once.Answer, error) {
+	delayed := bidCall("delayed")
+	request := ledger.Request{Group: ledger.GroupOf(0), Claim: &once.Claim{
+		Key: delayed.Key, Digest: delayed.Digest, Owner: once.Owner{Host: "entry-1", Incarnation: former}, ID: once.ClaimID{1}, HoldMillis: 1000,
+	}}
+	data, err := host.transport.Call(ctx, address, ledger.MethodClaim, wire.MustMarshal(request))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var reply ledger.Reply
+	if err := wire.Unmarshal(data, &reply); err != nil || reply.Result == nil || reply.Result.Status != once.StatusStaleOwner {
+		t.Errorf("a claim delayed from the former life gets %+v, %v; want it refused as stale", reply.Result, err)
+	}
+	_, err = host.ledger.Do(ctx, bidCall("held"), func(context.Context) (once.Answer, error) {
 		t.Error("a call of the former life is sent again")
 		return once.Answer{}, nil
 	})
