Hosts: a process's connections name a random run

What callers see: an entry or control host whose clock stepped back before it started is refused by every process that knew the former one, for as long as both live (superseded-incarnation). An entry serves nothing.

Cause: entryhost and controlhost take the time of day as the incarnation that their connections name.

Change: it is random. What needs an order of an entry's lives takes the number that the control group assigns; a control host's connections need none, and its replicas count their starts on disk.

Evidence: TestEntryStartsAgainWithEarlierClock runs three lives of an entry beside one control host, the second with the earlier time, the third with the default.

--- a/ident/ident.go
+++ b/ident/ident.go
@@ -57,8 +57,9 @@
 	return fmt.Sprintf("%s@%s/%d", c.Model, c.DataCentre, c.Shard)
 }
 
-// Incarnation distinguishes successive lives of one process or upstream. A
-// larger value is a later life.
+// Incarnation distinguishes successive lives of one process or upstream. Those
+// of entries, as the control group assigns them, grow; those of connections are
+// random; upstreams choose their own, which mostly grow.
 type Incarnation uint64
 
 // RequestSize is the length of a request identity in bytes.
--- a/internal/controlhost/options.go
+++ b/internal/controlhost/options.go
@@ -8,6 +8,8 @@
 	"cmp"
 	"errors"
 	"maps"
+	"math"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -32,7 +34,8 @@
 type Options struct {
 	Host       ident.Host
 	DataCentre ident.DataCentre
-	// Incarnation grows with each start. Zero takes the time in microseconds.
+	// Incarnation tells this run's connections from those of others; it has no
+	// order. Zero takes a random one.
 	Incarnation ident.Incarnation
 	// Cluster names the deployment; processes of another one are refused.
 	Cluster string
@@ -98,7 +101,7 @@
 	o.StopTimeout = cmp.Or(o.StopTimeout, DefaultStopTimeout)
 	o.Quorum.MaxCommandBytes = cmp.Or(o.Quorum.MaxCommandBytes, maxCommandBytes)
 	if o.Incarnation == 0 {
-		o.Incarnation = ident.Incarnation(time.Now().UnixMicro())
+		o.Incarnation = ident.Incarnation(rand.Uint64N(math.MaxInt64) + 1)
 	}
 	return o
 }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -49,7 +50,7 @@
 		return nil, err
 	}
 	setDefault(&options.DrainTimeout, DefaultDrainTimeout)
-	setDefault(&options.Incarnation, ident.Incarnation(time.Now().UnixMicro()))
+	setDefault(&options.Incarnation, ident.Incarnation(rand.Uint64N(math.MaxInt64)+1))
 	h := &Host{options: options, metrics: metrics.NewSet()}
 	for _, build := range []func() error{h.buildPeers, h.buildControl, h.buildLedger, h.buildEntry, h.buildListeners} {
 		if err := build(); err != nil {
--- a/internal/entryhost/lives_test.go
+++ b/internal/entryhost/lives_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -121,6 +122,23 @@
 	}
 }
 
+// An entry starts again with an earlier time than before, while everything else
+// goes on. It must be admitted and its calls must run.
+func TestEntryStartsAgainWithEarlierClock(t *testing.T) {
+	listener := benchListener(t)
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	stopControl := runControl(t, address, t.TempDir())
+	defer stopControl()
+	for _, identity := range []ident.Incarnation{9_000_000, 4_000_000, 0} {
+		host, stop := runLife(t, address, identity)
+		bid(t, host, fmt.Sprint("life-", identity))
+		stop()
+	}
+}
+
 // All processes start again, and the entry's clock has stepped back. The ledger
 // and the trace, which are on disk, must take the claims and reports of its new
 // life, end the claims of the former, and grant none that comes from it late.
--- a/internal/entryhost/options.go
+++ b/internal/entryhost/options.go
@@ -38,8 +38,10 @@
 // Options configure a Host. Zero times take the defaults of the packages that
 // use them.
 type Options struct {
-	Host        ident.Host
-	DataCentre  ident.DataCentre
+	Host       ident.Host
+	DataCentre ident.DataCentre
+	// Incarnation tells this run's connections from those of others; it has no
+	// order. Zero takes a random one.
 	Incarnation ident.Incarnation
 	// Cluster names the deployment; processes of another one are refused.
 	Cluster   string
