Roster: an earlier birth that keeps announcing itself is the present life

What callers see: a runner whose host's clock stepped back, and which starts again under its name, gets no new work of its own for as long as it lives. Its birth, the time of day of its start, is lower than the known one, so every word of it counts as a late word of a former life: acknowledged, changes nothing, no sign of life. The record of the former life stays, silent after 3 s and with that life's weights and address, is given up after 60 s, and where the former life was leaving or gone the new one is never listed. Reports that tell its birth are "of another life", so it is not ordered to load weights either. A step by 5 s matters where the start follows within 5 s of the former one; a step by an hour holds it off for an hour of restarts.

Cause: an order between lives taken from the time of day.

Why it works: the leader observes the words of an earlier birth (roster.Successions). Its life is the present one once words with a growing count have come for more than 10 s with no pause above 2.5 intervals, four at least, and nothing of the known birth was heard meanwhile. Late words of a life that ended before the known one come within seconds of that, and can't go on for so long; words with the known birth, of a farewell or of a leave begin the observation anew. Who forges such words gains nothing: a forged later birth is taken in at once as before, and a known life that runs is heard every interval. The judgement is the leader's, with the time as an argument; the command names the life that it judged over, so every host applies it alike, and not at all if the record has changed since. The record keeps that birth, so that its late words, and what the leader was about to record or give up of it, change nothing. Hosts that don't lead pass late words on to the leader instead of ending them. At most 4,096 lives are observed, one of each upstream.

--- a/internal/steward/enrol.go
+++ b/internal/steward/enrol.go
@@ -171,19 +171,25 @@
 	if l == nil {
 		return false, ErrUnavailable
 	}
+	now := time.Now()
 	switch s.machine.hear(*u) {
 	case lateWord:
-		return false, nil
+		if !l.follows(u, now) {
+			return false, nil
+		}
+		s.options.Log.Warn("earlier birth is the present life", "upstream", u.ID, "born", u.Born, "follows", u.Follows)
 	case foreignWord:
 		return false, eris.Wrap(ErrForeign, u.ID)
 	}
 	if u.State == roster.Serving {
-		l.beat(u.ID, time.Now())
+		l.beat(u.ID, now)
+	} else {
+		l.left(u.ID)
 	}
 	if !s.machine.wouldChange(*u) {
 		return false, nil
 	}
-	s.announced.info(time.Now(), "upstream", "upstream", u.ID, "service", u.Service, "address", u.Address,
+	s.announced.info(now, "upstream", "upstream", u.ID, "service", u.Service, "address", u.Address,
 		"state", u.State, "sequence", u.Sequence, "born", u.Born)
 	return true, nil
 }
--- a/internal/steward/later.go
+++ b/internal/steward/later.go
@@ -115,13 +115,13 @@
 // takeLater has an announcement that an upstream serves taken in, and acknowledges it
 // after answerWithin also if it is not yet. It reports false where there is no room.
 func (s *Steward) takeLater(ctx context.Context, u roster.Upstream) (bool, error) {
-	switch s.machine.hear(u) {
-	case lateWord:
-		return true, nil
-	case foreignWord:
+	// The leader hears late words too: they may be those of an earlier-born life that
+	// follows the known one.
+	judged := s.machine.hear(u)
+	if judged == foreignWord {
 		return true, ErrForeign
 	}
-	if l := s.leading.Load(); l != nil && !s.machine.wouldChange(u) {
+	if l := s.leading.Load(); l != nil && judged == ownWord && !s.machine.wouldChange(u) {
 		// Most words change nothing, and need not wait for a batch at the leader.
 		l.beat(u.ID, time.Now())
 		return true, nil
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -53,6 +53,8 @@
 
 	mu    sync.Mutex
 	beats map[string]time.Time
+	// successions are the earlier-born lives that announce themselves.
+	successions roster.Successions
 	// told is the most entries that callers had been told of before.
 	told int
 	// reports are being gathered for a command, nil if none are.
--- a/internal/steward/silence.go
+++ b/internal/steward/silence.go
@@ -18,6 +18,26 @@
 	}
 }
 
+// follows reports whether a word of an earlier-born life is of the present one, and marks
+// it so.
+func (l *leadership) follows(u *roster.Upstream, now time.Time) bool {
+	held, known := l.steward.machine.upstream(u.ID)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !known || !l.successions.Hear(*u, held, l.lastHeard(u.ID), now, l.announcing.silentAfter()) {
+		return false
+	}
+	u.Follows = held.Born
+	return true
+}
+
+// left notes that an upstream has said that it leaves or is gone.
+func (l *leadership) left(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.successions.Drop(id)
+}
+
 // lastHeard returns when an upstream was last heard; a new leader gives
 // everyone the time since its election.
 func (l *leadership) lastHeard(id string) time.Time {
--- a/internal/steward/words.go
+++ b/internal/steward/words.go
@@ -33,7 +33,7 @@
 	held, known := m.roster.Get(u.ID)
 	displaces := known && held.State != roster.Gone && held.Service != u.Service && m.names(held.Service)
 	switch {
-	case m.roster.Outdated(u) || displaces && u.Born != 0 && u.Born < held.Born:
+	case m.roster.Outdated(u) || displaces && m.roster.Precedes(u):
 		return lateWord
 	case u.State == roster.Gone:
 		return ownWord
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -11,6 +11,10 @@
 // later life replaces all that is known of the former one, also that it left,
 // and a word of a former life changes nothing. A farewell that names no birth
 // ends the life that is known.
+//
+// A birth is a time of day, which may step back between two lives. An earlier birth
+// is therefore taken for the present life once Successions finds that no late words
+// could sound like it.
 package roster
 
 import (
@@ -69,6 +73,11 @@
 	// Doubts is how many more announcements must call the upstream warm before it
 	// counts as warm.
 	Doubts uint8 `cbor:"11,keyasint,omitempty"`
+	// Follows is, in a word of a life that follows a later-born one, the birth of that
+	// one, as judged by whoever takes the word in.
+	Follows uint64 `cbor:"12,keyasint,omitempty"`
+	// Former is the birth of a later-born life that this one followed, 0 for none.
+	Former uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // VersionOf returns the loaded version of a model, 0 when it is not loaded.
@@ -136,7 +145,17 @@
 // Outdated reports whether a is a word of a former life of its upstream.
 func (r *Roster) Outdated(a Upstream) bool {
 	held := r.upstreams[a.ID]
-	return held != nil && a.Born != 0 && a.Born < held.Born && !replaces(held, a)
+	return held != nil && precedes(a, held) && !replaces(held, a)
+}
+
+// Precedes reports whether a is of a life before the known one, as far as births tell.
+func (r *Roster) Precedes(a Upstream) bool {
+	held := r.upstreams[a.ID]
+	return held != nil && precedes(a, held)
+}
+
+func precedes(a Upstream, held *Upstream) bool {
+	return a.Born != 0 && (a.Born < held.Born || a.Born == held.Former)
 }
 
 // TellsBirths reports whether upstreams tell their births here. A word without
@@ -174,7 +193,7 @@
 // the two is not its own word; whoever takes in a has judged which. A record
 // without a birth goes on under the first that is told.
 func replaces(held *Upstream, a Upstream) bool {
-	if held.Born != 0 && a.Born > held.Born {
+	if held.Born != 0 && (a.Born > held.Born && a.Born != held.Former || a.Follows == held.Born) {
 		return true
 	}
 	return held.State != Gone && a.State != Gone && held.Service != "" && a.Service != "" && held.Service != a.Service
@@ -183,11 +202,16 @@
 // merge returns held with what a adds. Within one life states only move on; a
 // later life owes nothing to the former.
 func merge(held *Upstream, a Upstream) Upstream {
+	former := max(held.Former, a.Follows)
 	if replaces(held, a) {
 		held = &Upstream{}
 	}
 	merged := a
 	merged.Born = max(held.Born, a.Born)
+	merged.Follows, merged.Former = 0, 0
+	if former > merged.Born {
+		merged.Former = former
+	}
 	merged.State = max(held.State, a.State)
 	merged.Sequence = max(held.Sequence, a.Sequence)
 	if a.Service == "" {
