Peers: idle time of a connection by the steady clock

What callers see: when a host's time of day steps forward by more than ten minutes, each of its peer connections that carries nothing up to the next ping, a second at most, ends as idle, dialled and accepted ones alike. Calls on them end without a known outcome and their watches are asked again. After a step back, unused connections stay open for that much longer. Steps of some seconds do neither; the dump shows a wrong idle time after any.

Cause: a duration taken from the time of day: the last use was kept as Unix nanoseconds.

Why it works: the last use is kept as the time since the connection began, of which the steady reading is kept, and compared with readings of the steady clock.

--- a/internal/adapter/peer/conn.go
+++ b/internal/adapter/peer/conn.go
@@ -33,8 +33,10 @@
 	unwritten atomic.Int64
 	// leaving is set once the far side has said goodbye.
 	leaving atomic.Bool
-	// lastUsed is the Unix time in nanoseconds of the last frame either way.
+	// lastUsed is how long after began the last frame came either way, in nanoseconds.
+	// The time of day may step, and would end connections in use.
 	lastUsed atomic.Int64
+	began    time.Time
 
 	mu      sync.Mutex
 	pending map[uint64]*outgoing
@@ -54,6 +56,7 @@
 		remote:    remote,
 		ctx:       ctx,
 		cancel:    cancel,
+		began:     time.Now(),
 		out:       make(chan *outgoing, t.options.QueueLength),
 		bytes:     semaphore.NewWeighted(int64(t.options.MaxQueuedBytes)),
 		pending:   make(map[uint64]*outgoing),
@@ -91,7 +94,12 @@
 }
 
 func (c *conn) touch() {
-	c.lastUsed.Store(time.Now().UnixNano())
+	c.lastUsed.Store(int64(time.Since(c.began)))
+}
+
+// idle returns for how long no frame has come either way.
+func (c *conn) idle(now time.Time) time.Duration {
+	return now.Sub(c.began) - time.Duration(c.lastUsed.Load())
 }
 
 // enqueue queues o, waiting for room until ctx ends.
@@ -261,7 +269,7 @@
 			if !c.expires.IsZero() && now.After(c.expires) {
 				return eris.New("peer: certificate has expired")
 			}
-			if now.UnixNano()-c.lastUsed.Load() > int64(options.LinkIdle) {
+			if c.idle(now) > options.LinkIdle {
 				return eris.New("peer: connection idle")
 			}
 		}
--- a/internal/adapter/peer/session.go
+++ b/internal/adapter/peer/session.go
@@ -51,7 +51,7 @@
 		Peer:       c.remote,
 		Waiting:    c.unwritten.Load(),
 		Unanswered: len(c.pending),
-		Idle:       time.Since(time.Unix(0, c.lastUsed.Load())),
+		Idle:       c.idle(time.Now()),
 	}
 }
 
