Steward: lists of entries are numbered from a random start

What callers see: next to nothing. A control host numbers the list of entries that ask it, so that the leader need not be told it 25 times a second. The numbers of a process began at the microsecond of its start. Where the clock of its host stepped back by the right amount, or comes up at the same time of day at each start, two processes give different lists one number, and the leader goes by the former process's list, for up to a second: the directory names entries that ask elsewhere or have ended, and counts too few or too many.

Cause: an identity taken from the time of day.

Evidence: TestListsOfTwoProcessesAreNumberedApart, two processes at one time of day, failed before: "the leader lists [{Host:e1 ...}], e2 asks".

Why it works: numbers are only compared for being the same, so that a random start of 63 bits does what the time of day was to do.

--- a/internal/steward/branch.go
+++ b/internal/steward/branch.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -67,7 +68,7 @@
 
 func newBranch(machine *Machine, book *sharedBook, log *log.Logger) *branch {
 	// The number begins anew with each process, and the leader may know the one before.
-	return &branch{belowAt: uint64(time.Now().UnixMicro()), machine: machine, book: book, watchers: newWatchers(log)}
+	return &branch{belowAt: rand.Uint64() >> 1, machine: machine, book: book, watchers: newWatchers(log)}
 }
 
 // request returns what this host asks the leader for. While the leader answers
