Steward: no promise to a life in doubt that its record's requests would break

What callers see: an upstream that was answered that it gets no more work gets it. It started again under its name after the clock of its host stepped back, says that it leaves, and is acknowledged as a late word of a former life; the record of the known life still serves at the same address. Work reaches it past the time that it waits for, and breaks off when it exits.

Cause: the same order between lives taken from the time of day: a leave under an earlier birth always counted as late, whose acknowledgement promises nothing to anybody.

Evidence: TestLeaveOfAnEarlierBirthIsNotPromisedInVain failed before: "after 1.2s: acknowledged, and known is {... State:serving ... Born:9000 ...}".

Why it works: while a life of an earlier birth is under observation (it has announced itself twice, with a growing count and no pause), its leave or farewell gets no acknowledgement as long as the record serves. An upstream asks the next host then, and exits without one at last. Once its life is known to be the present one, its leave is taken in. A late leave of a life that says nothing else is acknowledged as before, and changes nothing. A farewell that tells such a birth ends the observation for good as long as words go on.

Left: a leave that comes before the second announcement of its life is still acknowledged.

--- a/internal/steward/enrol.go
+++ b/internal/steward/enrol.go
@@ -174,8 +174,9 @@
 	now := time.Now()
 	switch s.machine.hear(*u) {
 	case lateWord:
-		if !l.follows(u, now) {
-			return false, nil
+		follows, err := l.follows(u, now)
+		if !follows {
+			return false, err
 		}
 		s.options.Log.Warn("earlier birth is the present life", "upstream", u.ID, "born", u.Born, "follows", u.Follows)
 	case foreignWord:
--- a/internal/steward/silence.go
+++ b/internal/steward/silence.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/roster"
@@ -19,16 +21,25 @@
 }
 
 // follows reports whether a word of an earlier-born life is of the present one, and marks
-// it so.
-func (l *leadership) follows(u *roster.Upstream, now time.Time) bool {
+// it so. While that is in doubt, nobody may be promised no more work that the record of
+// the known life brings it.
+func (l *leadership) follows(u *roster.Upstream, now time.Time) (bool, error) {
 	held, known := l.steward.machine.upstream(u.ID)
+	if !known {
+		return false, nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !known || !l.successions.Hear(*u, held, l.lastHeard(u.ID), now, l.announcing.silentAfter()) {
-		return false
+	pause := l.announcing.silentAfter()
+	observed := l.successions.Observes(*u, now, pause)
+	switch {
+	case l.successions.Hear(*u, held, l.lastHeard(u.ID), now, pause):
+		u.Follows = held.Born
+		return true, nil
+	case observed && u.State != roster.Serving && held.State == roster.Serving:
+		return false, eris.Wrapf(ErrUnavailable, "%s: which of its lives is the present one is in doubt", u.ID)
 	}
-	u.Follows = held.Born
-	return true
+	return false, nil
 }
 
 // left notes that an upstream has said that it leaves or is gone.
--- a/internal/steward/succession_test.go
+++ b/internal/steward/succession_test.go
@@ -86,6 +86,40 @@
 	}
 }
 
+// Guards against a runner that is answered that it gets no more work, and gets it under
+// the record of its former life, which its clock put later.
+func TestLeaveOfAnEarlierBirthIsNotPromisedInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := judgingLeader()
+		takeIn(t, s, runner(9000, 70, 5))
+		leave := func(sequence uint64) wordVerdict {
+			u := runner(4000, sequence, 1)
+			u.State = roster.Leaving
+			return s.takeWords(context.Background(), []roster.Upstream{u})[0]
+		}
+		if leave(70) != wordTaken {
+			t.Error("a late leave of a former life is not acknowledged")
+		}
+		time.Sleep(time.Minute)
+		takeIn(t, s, runner(4000, 1, 1))
+		time.Sleep(DefaultAnnounceEvery)
+		takeIn(t, s, runner(4000, 2, 1))
+		began := time.Now()
+		for sequence := uint64(3); time.Since(began) < 15*time.Second; sequence++ {
+			time.Sleep(DefaultAnnounceEvery)
+			verdict := leave(sequence)
+			u, _ := s.machine.upstream("i-1")
+			if u.State == roster.Serving && verdict == wordTaken {
+				t.Fatalf("after %v: acknowledged, and known is %+v", time.Since(began), u)
+			}
+			if u.State == roster.Leaving && verdict == wordTaken {
+				return
+			}
+		}
+		t.Error("never acknowledged")
+	})
+}
+
 // Guards against an earlier-born life that announces itself to a host that does not
 // lead, of which the leader never hears.
 func TestWordsOfAnEarlierBirthReachTheLeader(t *testing.T) {
--- a/roster/succession.go
+++ b/roster/succession.go
@@ -56,7 +56,7 @@
 		return false
 	case a.State == Gone:
 		if c != nil && c.born == a.Born {
-			s.Drop(a.ID)
+			c.state, c.last = Gone, now
 		}
 		return false
 	case c != nil && c.over == held.Born && c.born != a.Born && now.Sub(c.last) <= pause:
@@ -68,7 +68,7 @@
 		}
 		*c = successor{born: a.Born, over: held.Born, since: now}
 	case a.State < c.state:
-		// Leaving is for good, as long as the life is observed.
+		// Leaving is for good, as long as words go on.
 		c.last = now
 		return false
 	case a.Sequence <= c.sequence:
@@ -85,6 +85,13 @@
 	return true
 }
 
+// Observes reports whether the life of a word has announced itself more than once, without
+// a pause up to now: it may be the present one.
+func (s *Successions) Observes(a Upstream, now time.Time, pause time.Duration) bool {
+	c := s.successors[a.ID]
+	return c != nil && c.born == a.Born && c.words > 1 && now.Sub(c.last) <= pause
+}
+
 // Drop ends the observation of an upstream that has said that it leaves or is gone.
 func (s *Successions) Drop(id string) { delete(s.successors, id) }
 
