Steward: a part outlasts permits that a step back of the upstreams' clock has prolonged

What callers see: a prompt may be read from a part of a store that is freed meanwhile. Fetches are permitted until a time on the upstreams' clock, 2.5 s on. When that clock steps back by 5 s, those permitted before last 7.5 s; a part of former weights is freed 3.9 s after it was retired, and a store that has restarted opens again after as long. A fetch that waits for so long behind others on its link, or with its request in a runner's queue, meets the free.

Cause: a deadline that passes between hosts as a time of day. The wait on this side is by the steady clock, and took the other for as steady.

Evidence: TestNoPartIsFreedUnderAPermitThatAStepBackHasProlonged failed before: "timeout 1m0s: freed 4s after it was retired, a fetch may last for 8.5s". Worked out from the two clocks; no fetch was seen to meet a free.

Why it works: the leader knows what that clock should show, and finds a step back of more than 0.5 s, the most that an answer's clock may be older than the answer, with the next word of a store. Until all permits of before have run out it waits longer by the step, at most by the longest timeout of a route, for a runner stops work at its request's deadline.

Left: a step that only a leader before saw, one that comes after a store's pause has begun, and clocks that differ among the upstreams, as far as none is asked.

--- a/internal/steward/retire.go
+++ b/internal/steward/retire.go
@@ -40,6 +40,8 @@
 	leadership *leadership
 	// since is when each part was retired, by store.
 	since map[string]map[holdings.Key]time.Time
+	// linger is how much longer than usual fetches last that an entry has permitted.
+	linger time.Duration
 }
 
 func newRetirer(l *leadership) *retirer {
@@ -89,6 +91,7 @@
 	s := o.leadership.steward
 	parts, life := s.book.list(store.Address)
 	now := time.Now()
+	o.linger = o.leadership.shelves.lingering(now)
 	due := o.due(store.Address, parts, now)
 	if len(due) > 0 {
 		o.free(ctx, store.Address, life, due)
@@ -124,7 +127,7 @@
 			at = now
 		}
 		since[part.Key] = at
-		if now.Sub(at) >= retirePause && len(due) < freeAtOnce {
+		if now.Sub(at) >= retirePause+o.linger && len(due) < freeAtOnce {
 			due = append(due, part.Key)
 		}
 	}
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -18,6 +18,8 @@
 	storeWait = 400 * time.Millisecond
 	// storeSilence is when a store that does not answer counts as away.
 	storeSilence = storeWait + 500*time.Millisecond
+	// clockLag is how much older than its answer the clock in it may be.
+	clockLag = storeWait + 100*time.Millisecond
 	// unreachedAfter is when a store that this leader has never reached counts as lost.
 	unreachedAfter = 3 * time.Second
 	// storeRetry is the pause after a failed question.
@@ -66,6 +68,9 @@
 	// clockTold is the upstreams' clock in milliseconds as told at clockAt.
 	clockTold int64
 	clockAt   time.Time
+	// stepped is by how much that clock was last found to have stepped back, at steppedAt.
+	stepped   time.Duration
+	steppedAt time.Time
 }
 
 // following is what follows one address, in one life of a runner.
@@ -324,7 +329,7 @@
 	s := k.leadership.steward
 	pause := time.Duration(0)
 	if s.machine.lifeOf(address) != life {
-		pause = shelfPause
+		pause = shelfPause + k.lingering(time.Now())
 		if _, err := s.propose(ctx, command{Life: &storeLife{Address: address, Life: life}}); err != nil {
 			s.options.Log.Warn("store's life not recorded", "store", address, "err", err)
 		}
@@ -351,11 +356,47 @@
 
 // noteClock keeps what is known of the upstreams' clock.
 func (k *shelves) noteClock(told int64) {
+	if told <= 0 {
+		return
+	}
+	longest := longestTimeout(k.leadership.steward.machine.Document())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	back := time.Duration(k.clockTold+now.Sub(k.clockAt).Milliseconds()-told) * time.Millisecond
+	if k.clockTold > 0 && back > clockLag {
+		// No request, and so none of its fetches, outlasts its route's timeout.
+		if back = min(back, longest); back >= k.lingeringAt(now) {
+			k.stepped, k.steppedAt = back, now
+		}
+	}
+	k.clockTold, k.clockAt = told, now
+}
+
+// lingering is how much longer than FetchPermit fetches may last that were permitted
+// before the upstreams' clock stepped back.
+func (k *shelves) lingering(now time.Time) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if told > 0 {
-		k.clockTold, k.clockAt = told, time.Now()
+	return k.lingeringAt(now)
+}
+
+// lingeringAt is lingering for a caller that holds the lock.
+func (k *shelves) lingeringAt(now time.Time) time.Duration {
+	if now.Sub(k.steppedAt) >= beliefLasts+k.stepped {
+		return 0
+	}
+	return k.stepped
+}
+
+func longestTimeout(d *catalog.Document) time.Duration {
+	longest := time.Duration(0)
+	if d != nil {
+		for i := range d.Routes {
+			longest = max(longest, d.Routes[i].Timeout)
+		}
 	}
+	return longest
 }
 
 // clock returns the earliest that the upstreams' clock can show, 0 if unknown.
--- /dev/null
+++ b/internal/steward/stepped_test.go
@@ -0,0 +1,65 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/holdings"
+	"github.com/lovagereach/lovagereach/internal/port"
+)
+
+// refusingReplica commits nothing, and counts what it was to commit.
+type refusingReplica struct {
+	leasedReplica
+	proposed int
+}
+
+func (r *refusingReplica) Propose(context.Context, []byte) ([]byte, error) {
+	r.proposed++
+	return nil, errors.New("not in this test")
+}
+
+// Guards against a part that is freed while a runner fetches it: the upstreams' clock has
+// stepped back, and the fetch was permitted until a time that the clock reaches later.
+func TestNoPartIsFreedUnderAPermitThatAStepBackHasProlonged(t *testing.T) {
+	const step, retiredBefore = 5 * time.Second, time.Second
+	for timeout, least := range map[time.Duration]time.Duration{
+		time.Minute: retiredBefore + step + FetchPermit,
+		// The request, and with it the fetch, has ended.
+		2 * time.Second: retiredBefore + 2*time.Second + FetchPermit,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			l := testLeadership(2)
+			replica := &refusingReplica{leasedReplica: leasedReplica{steward: l.steward}}
+			var opened port.Replica = replica
+			l.steward.opened.Store(&opened)
+			l.steward.meter = newMeter(l.steward)
+			store := &catalog.Store{Address: "store:1", CapacityTokens: 100, Managed: true}
+			l.steward.machine.applyDocument(&catalog.Document{
+				Version: 1, Routes: []catalog.Route{{Name: "r", Timeout: timeout}}, Services: []catalog.Service{{Name: "store", Store: store}},
+			})
+			old := holdings.Change{Key: holdings.Key{Salt: holdings.Salt("m", 1, ""), Part: "old"}, Tokens: 90}
+			l.steward.book.replace(store.Address, StoreEvents{Life: 1, Next: 1, Changes: []holdings.Change{old}})
+			l.steward.book.reopen(store.Address, time.Now(), 0)
+			clock := int64(100_000)
+			l.shelves.noteClock(clock)
+			o := newRetirer(l)
+			passed := passedBy(l.steward.machine.live())
+			o.tend(t.Context(), store, passed)
+			retired := time.Now()
+			time.Sleep(retiredBefore)
+			l.shelves.noteClock(clock + retiredBefore.Milliseconds() - step.Milliseconds())
+			for replica.proposed == 0 && time.Since(retired) < time.Minute {
+				time.Sleep(retireEvery)
+				o.tend(t.Context(), store, passed)
+			}
+			if freed := time.Since(retired); freed < least || freed > least+2*time.Second {
+				t.Errorf("timeout %v: freed %v after it was retired, a fetch may last for %v", timeout, freed, least)
+			}
+		})
+	}
+}
