peer: incarnations that earlier versions don't refuse

Callers of a fleet that is upgraded host by host would have seen processes refused for as long as their peers run: incarnations were drawn from 63 bits, and hosts of earlier versions still order lives by them.

Hosts of this version compare it for equality only.

--- a/internal/controlhost/options.go
+++ b/internal/controlhost/options.go
@@ -8,8 +8,6 @@
 	"cmp"
 	"errors"
 	"maps"
-	"math"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -35,7 +33,7 @@
 	Host       ident.Host
 	DataCentre ident.DataCentre
 	// Incarnation tells this run's connections from those of others; it has no
-	// order. Zero takes a random one.
+	// order. Zero takes a new one.
 	Incarnation ident.Incarnation
 	// Cluster names the deployment; processes of another one are refused.
 	Cluster string
@@ -101,7 +99,7 @@
 	o.StopTimeout = cmp.Or(o.StopTimeout, DefaultStopTimeout)
 	o.Quorum.MaxCommandBytes = cmp.Or(o.Quorum.MaxCommandBytes, maxCommandBytes)
 	if o.Incarnation == 0 {
-		o.Incarnation = ident.Incarnation(rand.Uint64N(math.MaxInt64) + 1)
+		o.Incarnation = peer.NewIncarnation()
 	}
 	return o
 }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -15,7 +14,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lovagereach/lovagereach/audit"
-	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/adapter/announce"
 	"github.com/lovagereach/lovagereach/internal/adapter/callers"
 	"github.com/lovagereach/lovagereach/internal/adapter/peer"
@@ -50,7 +48,7 @@
 		return nil, err
 	}
 	setDefault(&options.DrainTimeout, DefaultDrainTimeout)
-	setDefault(&options.Incarnation, ident.Incarnation(rand.Uint64N(math.MaxInt64)+1))
+	setDefault(&options.Incarnation, peer.NewIncarnation())
 	h := &Host{options: options, metrics: metrics.NewSet()}
 	for _, build := range []func() error{h.buildPeers, h.buildControl, h.buildLedger, h.buildEntry, h.buildListeners} {
 		if err := build(); err != nil {
--- a/internal/entryhost/options.go
+++ b/internal/entryhost/options.go
@@ -41,7 +41,7 @@
 	Host       ident.Host
 	DataCentre ident.DataCentre
 	// Incarnation tells this run's connections from those of others; it has no
-	// order. Zero takes a random one.
+	// order. Zero takes a new one.
 	Incarnation ident.Incarnation
 	// Cluster names the deployment; processes of another one are refused.
 	Cluster   string
--- a/internal/steward/entry.go
+++ b/internal/steward/entry.go
@@ -33,7 +33,7 @@
 // NewEntryFollower returns an entry's follower with connections of its own.
 func NewEntryFollower(o EntryOptions) (*Follower, error) {
 	if o.Incarnation == 0 {
-		o.Incarnation = newIncarnation()
+		o.Incarnation = peer.NewIncarnation()
 	}
 	transport, err := peer.New(peerOptions(o.Cluster, o.Key, o.Log, port.Peer{
 		Host: o.Host, DataCentre: o.DataCentre, Incarnation: o.Incarnation, Role: roleEntry,
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -109,7 +109,7 @@
 func (s *Steward) build() error {
 	o := &s.options
 	if o.Incarnation == 0 {
-		o.Incarnation = newIncarnation()
+		o.Incarnation = peer.NewIncarnation()
 	}
 	var err error
 	s.transport, err = peer.New(peerOptions(o.Cluster, o.Key, o.Log, port.Peer{
@@ -171,9 +171,9 @@
 }
 
 // peerOptions are the options that all processes of a deployment share.
-func peerOptions(cluster string, key []byte, lines *log.Logger, self port.Peer) peer.Options {
+func peerOptions(cluster string, key []byte, logger *log.Logger, self port.Peer) peer.Options {
 	// Connections come and go by the thousand; refused ones are what operators must know.
-	warnings := lines.With()
+	warnings := logger.With()
 	warnings.SetLevel(log.WarnLevel)
 	return peer.Options{
 		Cluster: cluster, Key: key, Self: self, Log: warnings,
@@ -189,12 +189,6 @@
 	}
 }
 
-// newIncarnation draws what tells this life of the process from others. It says nothing
-// of their order.
-func newIncarnation() ident.Incarnation {
-	return ident.Incarnation(rand.Uint64() | 1)
-}
-
 // SetSeeds replaces the control hosts that are asked while no other is known.
 func (s *Steward) SetSeeds(seeds []ident.Host) {
 	s.seeds.Store(&seeds)
