--- a/internal/adapter/peer/refusals.go
+++ b/internal/adapter/peer/refusals.go
@@ -11,8 +11,9 @@
 	// refusalEvery is how often a refusal of one host for one reason is logged. A link
 	// dials again every 0.2 s for as long as it is refused.
 	refusalEvery = 10 * time.Second
-	// maxRefusalsTold bounds the refusals that are remembered as logged.
-	maxRefusalsTold = 1024
+	// refusalsMost bounds the lines about refusals within refusalEvery. With a wrong key
+	// a fleet of a thousand hosts is refused 5,000 times a second.
+	refusalsMost = 100
 )
 
 // refusalKey is what refusals have in common that are logged once.
@@ -22,35 +23,30 @@
 	byRemote bool
 }
 
-type refusalTold struct {
-	at      time.Time
-	leftOut int
-}
-
-// refusalLog bounds the lines about refused connections.
+// refusalLog bounds the lines about refused connections: one for each host and reason
+// within refusalEvery, refusalsMost in all.
 type refusalLog struct {
-	mu   sync.Mutex
-	told map[refusalKey]*refusalTold
+	mu    sync.Mutex
+	since time.Time
+	// told are the refusals that were logged since then.
+	told map[refusalKey]struct{}
+	// leftOut counts those that were not logged since the line before.
+	leftOut int
 }
 
 // take reports whether a refusal is to be logged, and how many were left out before.
 func (r *refusalLog) take(now time.Time, key refusalKey) (leftOut int, logged bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.told[key]
-	if known != nil && now.Sub(known.at) < refusalEvery {
-		known.leftOut++
-		return 0, false
+	if r.told == nil || now.Sub(r.since) >= refusalEvery {
+		r.since, r.told = now, make(map[refusalKey]struct{})
 	}
-	if known == nil {
-		if r.told == nil || len(r.told) >= maxRefusalsTold {
-			r.told = make(map[refusalKey]*refusalTold)
-		}
-		known = &refusalTold{}
-		r.told[key] = known
+	if _, known := r.told[key]; known || len(r.told) >= refusalsMost {
+		r.leftOut++
+		return 0, false
 	}
-	leftOut = known.leftOut
-	known.at, known.leftOut = now, 0
+	r.told[key] = struct{}{}
+	leftOut, r.leftOut = r.leftOut, 0
 	return leftOut, true
 }
 
