peer: what an ended connection had read is dropped

A process that is replaced: messages that had been read in one batch before its connection was ended were still handed on, also after messages of its successor. The reader checks before each message now, and a request before its handler runs; answers still reach their callers. TestWhatAnEndedConnectionHadReadIsDropped fails without the check.

--- a/internal/adapter/peer/read.go
+++ b/internal/adapter/peer/read.go
@@ -55,7 +55,12 @@
 	return frames, nil
 }
 
+// dispatch hands a message on. Of what was read before the connection ended only answers
+// count: a later life of the far side may have been heard since.
 func (c *conn) dispatch(f frame) {
+	if c.ctx.Err() != nil && f.Kind != frameAnswer {
+		return
+	}
 	switch f.Kind {
 	case frameRequest:
 		c.acceptRequest(f)
@@ -103,6 +108,9 @@
 	defer func() { <-c.slots }()
 	ctx, cancel := context.WithTimeout(c.ctx, c.handlerTimeout(f))
 	defer cancel()
+	if ctx.Err() != nil {
+		return
+	}
 	answer := c.handle(ctx, f)
 	queueing, stop := context.WithTimeout(c.ctx, c.transport.options.WriteTimeout)
 	defer stop()
