peer: a concurrent process has a refusal of its own; tests of both sides

A process that still runs beside its successor was refused with the reason of a late answer, so that operators could not tell a mistake of the deployment from a harmless message.

--- a/internal/adapter/peer/errors.go
+++ b/internal/adapter/peer/errors.go
@@ -19,6 +19,7 @@
 	RefusedKey         RefusalReason = "wrong-key"
 	RefusedCertificate RefusalReason = "wrong-certificate"
 	RefusedIncarnation RefusalReason = "superseded-incarnation"
+	RefusedConcurrent  RefusalReason = "concurrent-process"
 	RefusedDraining    RefusalReason = "draining"
 	RefusedBusy        RefusalReason = "too-many-peers"
 	RefusedBadHello    RefusalReason = "bad-hello"
--- a/internal/adapter/peer/hello.go
+++ b/internal/adapter/peer/hello.go
@@ -72,7 +72,7 @@
 
 // client runs the dialling side's part and returns who answered.
 func (h handshake) client(ctx context.Context) (port.Peer, error) {
-	issued, own := h.challenge()
+	seq, own := h.nextHello()
 	if err := h.write(ctx, turn{Hello: own}); err != nil {
 		return port.Peer{}, err
 	}
@@ -80,7 +80,7 @@
 	if err != nil {
 		return port.Peer{}, err
 	}
-	remote, err := h.check(answer, proof(h.options.Key, serverLabel, own, answer.Hello), issued)
+	remote, err := h.check(answer, proof(h.options.Key, serverLabel, own, answer.Hello), seq)
 	if err != nil {
 		return port.Peer{}, h.refuse(ctx, err)
 	}
@@ -103,7 +103,7 @@
 	if _, err := h.checkHello(first.Hello); err != nil {
 		return port.Peer{}, h.refuse(ctx, err)
 	}
-	issued, own := h.challenge()
+	seq, own := h.nextHello()
 	mine := proof(h.options.Key, serverLabel, first.Hello, own)
 	if err := h.write(ctx, turn{Hello: own, Proof: mine}); err != nil {
 		return port.Peer{}, err
@@ -113,17 +113,17 @@
 		return port.Peer{}, err
 	}
 	second.Hello = first.Hello
-	remote, err := h.check(second, proof(h.options.Key, clientLabel, first.Hello, own), issued)
+	remote, err := h.check(second, proof(h.options.Key, clientLabel, first.Hello, own), seq)
 	if err != nil {
 		return port.Peer{}, h.refuse(ctx, err)
 	}
 	return remote, h.write(ctx, turn{})
 }
 
-// check verifies the far side's hello and its proof, which answers a challenge, then
+// check verifies the far side's hello and its proof, which answers a hello of ours, then
 // which life it is. The life comes last, so that nobody without the key can supersede a
 // peer.
-func (h handshake) check(t turn, want []byte, answered challenge) (port.Peer, error) {
+func (h handshake) check(t turn, want []byte, answered helloSeq) (port.Peer, error) {
 	remote, err := h.checkHello(t.Hello)
 	if err != nil {
 		return port.Peer{}, err
@@ -191,10 +191,10 @@
 	return err
 }
 
-// challenge returns this side's hello and its number. The connection must stand before.
-func (h handshake) challenge() (challenge, []byte) {
-	issued := h.roster.issue()
-	return issued, h.encodeHello()
+// nextHello returns this side's hello and its number. The connection must stand before.
+func (h handshake) nextHello() (helloSeq, []byte) {
+	seq := h.roster.issue()
+	return seq, h.encodeHello()
 }
 
 func (h handshake) encodeHello() []byte {
--- a/internal/adapter/peer/hello_test.go
+++ b/internal/adapter/peer/hello_test.go
@@ -11,8 +11,8 @@
 	"github.com/lovagereach/lovagereach/internal/port"
 )
 
-// A process of another deployment, with another key or that runs beside its
-// successor dials us. It must learn why in a typed reason, our log must name the
+// A process of another deployment, with another key or that runs
+// concurrently with its successor dials us. It must learn why in a typed reason, our log must name the
 // same reason, and no message may pass.
 func TestRefusals(t *testing.T) {
 	cases := map[string]struct {
@@ -29,9 +29,9 @@
 			change: func(o *Options) { o.Key = []byte("guess") },
 			reason: RefusedKey,
 		},
-		"former life beside its successor": {
+		"concurrent process": {
 			change: func(o *Options) { o.Self.Incarnation = 4 },
-			reason: RefusedIncarnation,
+			reason: RefusedConcurrent,
 			remote: true,
 		},
 	}
@@ -94,7 +94,7 @@
 		time.Sleep(DefaultBackoffMax)
 		_, err = old.Call(within(time.Second), "b", methodEcho, nil)
 		var refused *RefusedError
-		if !errors.As(err, &refused) || refused.Reason != RefusedIncarnation {
+		if !errors.As(err, &refused) || refused.Reason != RefusedConcurrent {
 			t.Fatalf("the older life got %v", err)
 		}
 	})
--- a/internal/adapter/peer/helpers_test.go
+++ b/internal/adapter/peer/helpers_test.go
@@ -155,16 +155,24 @@
 func rogue(t *testing.T, n *memNet, address string, script func(ws *websocket.Conn)) {
 	t.Helper()
 	options := testOptions(n, self("rogue", 1)).withDefaults()
+	serveRaw(t, n, address, func(ctx context.Context, ws *websocket.Conn) {
+		h := handshake{options: options, roster: newRoster(newStats()), ws: ws}
+		if _, err := h.server(ctx); err == nil {
+			script(ws)
+		}
+	})
+}
+
+// serveRaw serves address with a far side that follows a script from the hello on.
+func serveRaw(t *testing.T, n *memNet, address string, script func(ctx context.Context, ws *websocket.Conn)) {
+	t.Helper()
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		ws, err := websocket.Accept(w, r, nil)
 		if err != nil {
 			return
 		}
 		defer func() { _ = ws.CloseNow() }()
-		h := handshake{options: options, roster: newRoster(newStats()), ws: ws}
-		if _, err := h.server(r.Context()); err == nil {
-			script(ws)
-		}
+		script(r.Context(), ws)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(handler)}
 	listener := n.listen(address)
--- a/internal/adapter/peer/lives_test.go
+++ b/internal/adapter/peer/lives_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"testing"
@@ -16,7 +17,7 @@
 
 // Guards against a process that is refused for as long as it runs since its number is
 // below that of its former life, as after a clock stepped back.
-func TestAProcessNumberedBelowItsFormerLifeIsLetIn(t *testing.T) {
+func TestAProcessNumberedBelowItsFormerLifeIsAdmitted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newMemNet()
 		handlers := map[port.Method]port.PeerHandlerFunc{methodEcho: echo}
@@ -60,6 +61,7 @@
 		if err != nil || wire.Unmarshal(raw, &verdict) != nil || verdict.Refusal == nil || verdict.Refusal.Reason != RefusedIncarnation {
 			t.Fatalf("the late answer got %+v, %v", verdict, err)
 		}
+		synctest.Wait()
 		select {
 		case <-session.Done():
 			t.Fatal("the late answer ended the connection of the later life")
@@ -90,7 +92,7 @@
 }
 
 // Guards against a process that stays refused when the one which took its place is gone.
-func TestAProcessIsLetInAgainOnceTheOneBesideItIsGone(t *testing.T) {
+func TestAProcessIsAdmittedAgainOnceAConcurrentOneIsGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newMemNet()
 		start(t, n, "b", testOptions(n, self("b", 1)), map[port.Method]port.PeerHandlerFunc{methodEcho: echo})
@@ -103,7 +105,7 @@
 		}
 		time.Sleep(DefaultBackoffMax)
 		var refused *RefusedError
-		if _, err := first.Call(within(time.Second), "b", methodEcho, nil); !errors.As(err, &refused) || refused.Reason != RefusedIncarnation {
+		if _, err := first.Call(within(time.Second), "b", methodEcho, nil); !errors.As(err, &refused) || refused.Reason != RefusedConcurrent {
 			t.Fatalf("beside its successor it got %v", err)
 		}
 		_ = second.Close(within(time.Second))
@@ -114,8 +116,83 @@
 	})
 }
 
+// Guards against the same where the former life was dialled and answers late.
+func TestALateAnswerOfADialledFormerLifeChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newMemNet()
+		b := start(t, n, "b", testOptions(n, self("b", 1)), map[port.Method]port.PeerHandlerFunc{methodEcho: echo})
+		dialled, release := make(chan struct{}), make(chan struct{})
+		serveRaw(t, n, "a", func(ctx context.Context, ws *websocket.Conn) {
+			_, raw, err := ws.Read(ctx)
+			var first turn
+			if err != nil || wire.Unmarshal(raw, &first) != nil {
+				return
+			}
+			close(dialled)
+			<-release
+			own := handshake{options: testOptions(n, self("a", 9))}.encodeHello()
+			answer := turn{Hello: own, Proof: proof(testKey, serverLabel, first.Hello, own)}
+			_ = ws.Write(ctx, websocket.MessageBinary, wire.MustMarshal(answer))
+			_, _, _ = ws.Read(ctx)
+		})
+		failed := make(chan error, 1)
+		go func() {
+			_, err := b.Call(within(time.Second), "a", methodEcho, nil)
+			failed <- err
+		}()
+		<-dialled
+		later := start(t, n, "", testOptions(n, self("a", 3)), nil)
+		session, err := later.Session(within(time.Second), "b")
+		if err != nil {
+			t.Fatal(err)
+		}
+		close(release)
+		var refused *RefusedError
+		if err := <-failed; !errors.As(err, &refused) || refused.Reason != RefusedIncarnation {
+			t.Errorf("the late answer got %v", err)
+		}
+		synctest.Wait()
+		select {
+		case <-session.Done():
+			t.Fatal("the late answer ended the connection of the later life")
+		default:
+		}
+	})
+}
+
+// Guards against a connection of a former life that is attached after its successor was
+// admitted, and against a process without the key that ends a connection.
+func TestNoConnectionOutlivesTheAdmissionOfALaterLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newMemNet()
+		b := start(t, n, "b", testOptions(n, self("b", 1)), map[port.Method]port.PeerHandlerFunc{methodEcho: echo})
+		current := start(t, n, "", testOptions(n, self("a", 2)), nil)
+		session, err := current.Session(within(time.Second), "b")
+		if err != nil {
+			t.Fatal(err)
+		}
+		stranger, hello, answer := challenged(t, n, "b", self("a", 3))
+		guess := turn{Proof: proof([]byte("guess"), clientLabel, hello, answer.Hello)}
+		_ = stranger.Write(t.Context(), websocket.MessageBinary, wire.MustMarshal(guess))
+		_, raw, err := stranger.Read(within(time.Second))
+		var verdict turn
+		if err != nil || wire.Unmarshal(raw, &verdict) != nil || verdict.Refusal == nil || verdict.Refusal.Reason != RefusedKey {
+			t.Fatalf("a process without the key got %+v, %v", verdict, err)
+		}
+		synctest.Wait()
+		select {
+		case <-session.Done():
+			t.Fatal("a process without the key ended a connection")
+		default:
+		}
+		if b.roster.attach(&conn{remote: self("a", 1)}) {
+			t.Fatal("a connection of another life was attached")
+		}
+	})
+}
+
 // Guards against an order of lives that depends on their numbers or on when their answers
-// come: lives follow one another, are numbered at random, and answer challenges late.
+// come: lives follow one another, are numbered at random, and answer hellos late.
 func TestTheLifeThatRunsIsTheOneKnown(t *testing.T) {
 	for seed := range uint64(300) {
 		random := rand.New(rand.NewPCG(seed, 1))
@@ -123,7 +200,7 @@
 		who := func(life ident.Incarnation) port.Peer { return port.Peer{Host: "a", Role: "entry", Incarnation: life} }
 		type held struct {
 			life   ident.Incarnation
-			issued challenge
+			issued helloSeq
 		}
 		var late []held
 		for range 30 {
--- a/internal/adapter/peer/roster.go
+++ b/internal/adapter/peer/roster.go
@@ -23,27 +23,27 @@
 // life is the latest life known of a process.
 type life struct {
 	incarnation ident.Incarnation
-	// challenge is the latest that this life has answered.
-	challenge challenge
+	// answered is the latest hello of ours that this life has answered.
+	answered helloSeq
 	// former is the life before, zero if none is known.
 	former ident.Incarnation
 	conns  map[*conn]struct{}
 }
 
-// challenge numbers the hellos of this process. Each carries a nonce that the far side's
-// proof covers, and is written once the connection stands, so that whoever answers one
-// was alive after all that went before it.
-type challenge uint64
+// helloSeq numbers the hellos that this process writes. Each carries a nonce that the
+// far side's proof covers, and is written once the connection stands, so that whoever
+// answers one was alive after all that went before it.
+type helloSeq uint64
 
 // roster knows the latest life of each process and its connections. The lives of one
-// process follow one another, so that the life which has answered a later challenge is
-// the later one. The time of day says nothing of it: a process that starts again after
-// its clock stepped back would count as its own past for as long as it runs.
+// process follow one another, so that the life which has answered a later hello is the
+// later one. The time of day says nothing of it: a process that starts again after its
+// clock stepped back would count as its own past for as long as it runs.
 type roster struct {
 	stats *stats
 
 	mu     sync.Mutex
-	issued challenge
+	issued helloSeq
 	lives  map[process]*life
 }
 
@@ -51,18 +51,18 @@
 	return &roster{stats: s, lives: make(map[process]*life)}
 }
 
-// issue returns the number of the next challenge.
-func (r *roster) issue() challenge {
+// issue returns the number of the next hello.
+func (r *roster) issue() helloSeq {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.issued++
 	return r.issued
 }
 
-// admit takes in that p has answered a challenge. A later life ends the connections of
+// admit takes in that p has answered a hello. A later life ends the connections of
 // the former one: otherwise messages of a process that was replaced could still arrive
 // after those of its successor. An answer of a former life that comes late is refused.
-func (r *roster) admit(p port.Peer, answered challenge) error {
+func (r *roster) admit(p port.Peer, answered helloSeq) error {
 	if p.Role == RoleControlTool {
 		return nil
 	}
@@ -74,30 +74,28 @@
 	case !ok:
 		return r.add(key, p.Incarnation, answered)
 	case p.Incarnation == known.incarnation:
-		known.challenge = max(known.challenge, answered)
+		known.answered = max(known.answered, answered)
 		return nil
-	case answered < known.challenge:
-		return superseded("host %q has a later life %d, this is %d", p.Host, known.incarnation, p.Incarnation)
+	case answered < known.answered:
+		detail := fmt.Sprintf("host %q has a later life %d, this is %d", p.Host, known.incarnation, p.Incarnation)
+		return &RefusedError{Reason: RefusedIncarnation, Detail: detail}
 	case p.Incarnation == known.former && len(known.conns) > 0:
-		// Only a process beside its successor comes back. If each took the other's
-		// place, neither could keep a connection.
-		return superseded("host %q runs another process, %d, beside this one, %d", p.Host, known.incarnation, p.Incarnation)
+		// Only a process that still runs comes back. If each took the other's place,
+		// neither could keep a connection.
+		detail := fmt.Sprintf("two processes run as %s of host %q, %d and %d; stop one", p.Role, p.Host, known.incarnation, p.Incarnation)
+		return &RefusedError{Reason: RefusedConcurrent, Detail: detail}
 	}
 	known.former = known.incarnation
-	known.incarnation, known.challenge = p.Incarnation, answered
+	known.incarnation, known.answered = p.Incarnation, answered
 	r.supersede(known)
 	return nil
 }
 
-func superseded(format string, args ...any) *RefusedError {
-	return &RefusedError{Reason: RefusedIncarnation, Detail: fmt.Sprintf(format, args...)}
-}
-
-func (r *roster) add(key process, incarnation ident.Incarnation, answered challenge) error {
+func (r *roster) add(key process, incarnation ident.Incarnation, answered helloSeq) error {
 	if len(r.lives) >= maxKnownPeers && !r.evict() {
 		return &RefusedError{Reason: RefusedBusy, Detail: "too many peers are connected"}
 	}
-	r.lives[key] = &life{incarnation: incarnation, challenge: answered, conns: make(map[*conn]struct{})}
+	r.lives[key] = &life{incarnation: incarnation, answered: answered, conns: make(map[*conn]struct{})}
 	return nil
 }
 
