steward, platform: what was still not told of a group without a leader

"leader does not commit" tells of a leader whose entries no quorum takes. Starts name the incarnation, so that refusals can be matched with them. No decision is changed.

--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/adapter/peer"
 	"github.com/lovagereach/lovagereach/internal/adapter/telemetry"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/gateway"
@@ -42,8 +43,9 @@
 	if err != nil {
 		return errors.Join(process.ErrUsage, eris.Wrap(err, "readiness: listen"))
 	}
+	incarnation := peer.NewIncarnation()
 	follower, err := steward.NewEntryFollower(steward.EntryOptions{
-		Cluster: cluster, Key: []byte(peerKey), Host: ident.Host(s.Host), DataCentre: s.DataCentre,
+		Cluster: cluster, Key: []byte(peerKey), Host: ident.Host(s.Host), DataCentre: s.DataCentre, Incarnation: incarnation,
 		Seeds: s.SeedHosts(), PeerPort: s.PeerPorts[0], ApplyWithin: s.ConfigWithin(), Log: env.Log,
 	})
 	if err != nil {
@@ -67,7 +69,7 @@
 	}
 	metrics.RegisterSet(g.Metrics())
 	metrics.RegisterSet(follower.Metrics())
-	env.Log.Info("started", "role", "entry", "name", s.Name, "host", s.Host, "callers", s.Callers)
+	env.Log.Info("started", "role", "entry", "name", s.Name, "host", s.Host, "callers", s.Callers, "incarnation", uint64(incarnation))
 	e := &entry{
 		env: env, gateway: g, callers: platform.NewCallers(g, s.MemoryMB*mebibyte, env.Log), readiness: platform.NewReadiness(g.Ready),
 		stopWithin: s.StopWithin(),
--- a/internal/steward/enrol.go
+++ b/internal/steward/enrol.go
@@ -110,6 +110,7 @@
 func (s *Steward) forwardWords(ctx context.Context, words []roster.Upstream) []wordVerdict {
 	answer, err := s.submit(ctx, submission{Words: words})
 	if err != nil {
+		s.unforwarded.info(time.Now(), "announcements not passed on", "announcements", len(words), "cause", err)
 		return nil
 	}
 	return answer.Words
--- a/internal/steward/formation.go
+++ b/internal/steward/formation.go
@@ -60,7 +60,7 @@
 		return err
 	}
 	s.opened.Store(&opened)
-	o.Log.Info("group open", "stored", stored, "formed", forms)
+	o.Log.Info("group open", "stored", stored, "formed", forms, "incarnation", uint64(o.Incarnation))
 	return nil
 }
 
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -270,8 +270,13 @@
 	Document  *catalog.Document `cbor:"4,keyasint,omitempty"`
 	// Words are what became of the announcements, in their order.
 	Words []wordVerdict `cbor:"5,keyasint,omitempty"`
+	// Reason is why it is uncertain, maxReason bytes at most.
+	Reason string `cbor:"6,keyasint,omitempty"`
 }
 
+// maxReason bounds the reason that a leader sends along.
+const maxReason = 200
+
 // joinRequest asks the leader to take a control host in.
 type joinRequest struct {
 	Host string `cbor:"1,keyasint"`
--- a/internal/steward/reach.go
+++ b/internal/steward/reach.go
@@ -71,6 +71,10 @@
 	// leaderless is since when no leader is known, zero while one is, and told when
 	// the log was last told.
 	leaderless, told time.Time
+	// commit is the latest that a leader committed at, with entries waiting since
+	// waiting, zero when none wait.
+	commit  uint64
+	waiting time.Time
 	// unreached is since when each voter is, and reported the voters told of.
 	unreached map[ident.Host]time.Time
 	reported  map[ident.Host]bool
@@ -89,6 +93,7 @@
 		now := time.Now()
 		views := w.steward.voterViews(now)
 		w.noteLeader(now, &detail, views)
+		w.noteCommits(now, &detail, views)
 		w.noteVoters(now, views)
 	}
 }
@@ -114,6 +119,23 @@
 		"voters", describeVoters(detail.Members.Voters), "unreached", describeUnreached(views))
 }
 
+// noteCommits tells the log of a leader whose entries no quorum takes.
+func (w *reachWatch) noteCommits(now time.Time, detail *quorum.Status, views []VoterView) {
+	if detail.Role != quorum.RoleLeader || detail.Last <= detail.Commit || detail.Commit != w.commit {
+		w.commit, w.waiting = detail.Commit, time.Time{}
+		return
+	}
+	if w.waiting.IsZero() {
+		w.waiting = now
+	}
+	if now.Sub(w.waiting) < leaderlessAfter {
+		return
+	}
+	w.waiting = now.Add(leaderlessEvery - leaderlessAfter)
+	w.steward.options.Log.Warn("leader does not commit", "term", detail.Term, "last", detail.Last, "commit", detail.Commit,
+		"voters", describeVoters(detail.Members.Voters), "unreached", describeUnreached(views))
+}
+
 func (w *reachWatch) noteVoters(now time.Time, views []VoterView) {
 	log := w.steward.options.Log
 	for _, view := range views {
--- a/internal/steward/reach_test.go
+++ b/internal/steward/reach_test.go
@@ -28,6 +28,14 @@
 			t.Errorf("%q is not told once in %s", want, lines.String())
 		}
 	}
+	stuck := quorum.Status{Role: quorum.RoleLeader, Leader: "10.0.0.1", Last: 9, Commit: 7}
+	for range 10 {
+		w.noteCommits(now, &stuck, refused)
+		now = now.Add(reachEvery)
+	}
+	if strings.Count(lines.String(), "leader does not commit") != 1 {
+		t.Errorf("a leader that does not commit is not told once in %s", lines.String())
+	}
 	detail.Leader = "10.0.0.3"
 	w.noteLeader(now, &detail, refused)
 	w.noteVoters(now, []VoterView{{Host: "10.0.0.2"}, {Host: "10.0.0.3"}})
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -81,6 +81,8 @@
 	meter   *meter
 	// announced writes about upstreams that come or change.
 	announced sparseLog
+	// unforwarded writes about announcements that did not reach the leader.
+	unforwarded sparseLog
 }
 
 // New puts a control host together; Run serves.
@@ -94,7 +96,7 @@
 		book: book, branch: newBranch(machine, book, options.Log),
 	}
 	s.started = time.Now()
-	s.announced.log = options.Log
+	s.announced.log, s.unforwarded.log = options.Log, options.Log
 	s.later.announcing = announcing(options.AnnounceEvery)
 	s.branch.hearing.announcing = announcing(options.AnnounceEvery)
 	s.enrolling, s.forwarding = newGatherer(s.commitWords), newGatherer(s.forwardWords)
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -131,7 +131,7 @@
 	case answer.NotLeader:
 		return submitted{}, eris.Wrapf(ErrUnavailable, "%s does not lead", leader)
 	case answer.Uncertain:
-		return submitted{}, eris.Wrapf(ErrUnavailable, "the leader %s could not carry it out", leader)
+		return submitted{}, eris.Wrapf(ErrUnavailable, "the leader %s could not carry it out (%s)", leader, answer.Reason)
 	}
 	return answer, nil
 }
@@ -146,7 +146,8 @@
 	}
 	answer, err := s.carryOut(ctx, message)
 	if err != nil {
-		return wire.MustMarshal(submitted{Uncertain: true}), nil
+		reason := err.Error()
+		return wire.MustMarshal(submitted{Uncertain: true, Reason: reason[:min(len(reason), maxReason)]}), nil
 	}
 	return wire.MustMarshal(answer), nil
 }
