replica: a disk that is revoked without a fault fails the random schedules

The comparison of the hosts passes over those that are suspended, so a host that took no part any more, though its disk never went back, was not noticed.

--- a/internal/replica/random_test.go
+++ b/internal/replica/random_test.go
@@ -134,9 +134,22 @@
 	if differs != "" {
 		return differs
 	}
+	if reason := c.suspended(); reason != "" {
+		return reason
+	}
 	return missing(applied, acked)
 }
 
+// suspended names a host that takes no part any more although its disk never failed.
+func (c *testCluster) suspended() string {
+	for _, host := range c.hosts {
+		if reason := host.replicas[0].Status().Suspended; reason != "" {
+			return fmt.Sprintf("host %s is suspended: %s", host.name, reason)
+		}
+	}
+	return ""
+}
+
 func (c *testCluster) anyLeader() bool {
 	for range 1000 {
 		for _, host := range c.hosts {
