--- a/internal/adapter/disk/disktest/fs.go
+++ b/internal/adapter/disk/disktest/fs.go
@@ -130,6 +130,29 @@
 	return f.crash(f.lasting, torn)
 }
 
+// Kill ends the life that uses f and returns the disk as the next life of the process
+// finds it: nothing is gone, and what was not synced can still be lost.
+func (f *FS) Kill() *FS {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashed = true
+	next := New()
+	next.syncTime = f.syncTime
+	copies := make(map[*file]*file)
+	again := func(names map[string]*file) map[string]*file {
+		copied := make(map[string]*file, len(names))
+		for name, old := range names {
+			if copies[old] == nil {
+				copies[old] = &file{data: bytes.Clone(old.data), durable: bytes.Clone(old.durable), dirty: old.dirty, lost: old.lost}
+			}
+			copied[name] = copies[old]
+		}
+		return copied
+	}
+	next.names, next.lasting = again(f.names), again(f.lasting)
+	return next
+}
+
 // CrashKeepingNames is Crash on a file system that had written the names, but
 // not the data, of its own accord.
 func (f *FS) CrashKeepingNames(torn int) *FS {
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -128,6 +128,9 @@
 	Stores      Stores
 	Runners     Runners
 	Log         *log.Logger
+
+	// dial replaces the TCP dialler.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Validate reports the first option that cannot work.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -114,9 +114,11 @@
 		o.Incarnation = peer.NewIncarnation()
 	}
 	var err error
-	s.transport, err = peer.New(peerOptions(o.Cluster, o.Key, o.Log, port.Peer{
+	peers := peerOptions(o.Cluster, o.Key, o.Log, port.Peer{
 		Host: o.Self, DataCentre: o.DataCentre, Incarnation: o.Incarnation, Role: replica.RoleControl,
-	}))
+	})
+	peers.Dial = o.dial
+	s.transport, err = peer.New(peers)
 	if err != nil {
 		return eris.Wrap(err, "steward: peers")
 	}
