steward: a host whose clock went back between two starts, with a lost disk

Host A starts while its clock is ahead, the clock goes back, and A starts again before it has caught up: the others refuse it for as long as they run. Nothing is seen of it while they serve. Then - B's disk is lost, without a restart of C: A and C are the only voters left and don't talk, B's new disk has no vote; or - A had lost its disk between the two starts: it never gets its vote back, and once a second disk is lost, however much later and whatever else restarts, one voter of three is left.

--- a/internal/steward/trouble_test.go
+++ b/internal/steward/trouble_test.go
@@ -568,6 +568,9 @@
 // no leader, or the one they have can't commit.
 func TestGroupIsLedSoonAfterTrouble(t *testing.T) { playDays(t, false) }
 
+// The same where clocks are ahead for a while, and a host starts then and again later.
+func TestGroupIsLedSoonAfterClocksStep(t *testing.T) { playDays(t, true) }
+
 func playDays(t *testing.T, clocks bool) {
 	for i := range *troubleSeeds {
 		seed := uint64(*troubleFirst + i)
@@ -584,3 +587,61 @@
 		})
 	}
 }
+
+// Callers get no answer from any control host once a disk is lost: the others refuse a
+// host that started while its clock was ahead, and again after the clock had gone back.
+func TestHostWhoseClockWentBackVotesOnceADiskIsLost(t *testing.T) {
+	playClockBack(t, func(g *troubledGroup, stepped *troubledHost) { g.restart(stepped, false) }, func(g *troubledGroup) {
+		lost := g.hosts[0]
+		lost.end(true)
+		lost.wipe()
+		lost.start(false)
+	})
+}
+
+// What was acknowledged is gone once a second disk is lost, long after the first: the
+// others refuse the host with the empty disk, whose clock had gone back, and it never
+// gets its vote.
+func TestHostWithEmptyDiskWhoseClockWentBackVotesAgain(t *testing.T) {
+	playClockBack(t, func(g *troubledGroup, stepped *troubledHost) {
+		stepped.end(true)
+		stepped.wipe()
+		stepped.start(false)
+	}, func(g *troubledGroup) {
+		for _, h := range g.hosts {
+			h.end(true)
+		}
+		g.hosts[0].wipe()
+		for _, h := range g.hosts {
+			h.start(false)
+		}
+	})
+}
+
+// playClockBack has a host start while its clock is ahead, then again once it is back,
+// and in the end a disk be lost.
+func playClockBack(t *testing.T, again func(*troubledGroup, *troubledHost), lose func(*troubledGroup)) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTroubledGroup(t, rand.New(rand.NewPCG(1, 1)))
+		expect := func(when string) {
+			t.Helper()
+			if wrong := g.check(); wrong != "" {
+				t.Errorf("%s: %s", when, wrong)
+			}
+		}
+		expect("at first")
+		stepped := g.hosts[2]
+		stepped.ahead.Store(int64(4 * time.Second))
+		g.restart(stepped, false)
+		expect("with the clock ahead")
+		stepped.ahead.Store(0)
+		again(g, stepped)
+		expect("with the clock back")
+		lose(g)
+		expect("with a disk lost")
+		if t.Failed() {
+			t.Log(g.logs.String() + g.describe())
+		}
+		g.close()
+	})
+}
