Steward: a relay's word ages while its machine is suspended

What callers see: a control host that passes on what the leader told it, and whose machine was suspended for seconds, answered entries for up to 0.5 s after it woke with the configuration from before, and told that its word was fresh. An entry in touch went on by that for as long as a fresh word lets it.

Cause: the ages of what the leader told were counted by Go's steady clock, which does not count the time for which a machine is suspended.

The branch is consistent in it: each bulletin names the clock by which it is given times, and what other parts note by the steady clock (upstreams heard here) stays on that. The upstreams' clock that a relay passes on is still advanced by the steady clock, on purpose: it must never run ahead of the word on the shelves. A nil clock means time.Now in tests that build the parts; New takes CLOCK_BOOTTIME, and refuses a system without one (control hosts build for Linux only).

--- /dev/null
+++ b/internal/boottime/clock_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package boottime
+
+import "time"
+
+func sinceBoot() (time.Duration, bool) { return 0, false }
--- a/internal/steward/branch.go
+++ b/internal/steward/branch.go
@@ -37,15 +37,19 @@
 	machine  *Machine
 	watchers *watchers
 	book     *sharedBook
+	// clock is that of the times kept here, nil for time.Now: what was told before a
+	// suspension of the machine is old after it.
+	clock func() time.Time
 
 	// hearing are the upstreams heard here.
 	hearing hearing
 
 	mu sync.Mutex
-	// told is the leader's latest answer, which was asked for at asked and came
-	// at came.
-	told        WatchAnswer
-	asked, came time.Time
+	// told is the leader's latest answer, which was asked for at asked, and came at
+	// came by the steady clock.
+	told  WatchAnswer
+	asked time.Time
+	came  time.Time
 	// states are which stores may be used, as of shelvesAsked, when the
 	// shelves were last complete.
 	states       []ShelfState
@@ -71,6 +75,12 @@
 	return &branch{belowAt: rand.Uint64() >> 1, machine: machine, book: book, watchers: newWatchers(log)}
 }
 
+// now implements bulletin.
+func (b *branch) now() time.Time { return readClock(b.clock) }
+
+// at is what the branch's clock shows at a time of the steady clock, or later.
+func (b *branch) at(steady time.Time) time.Time { return b.now().Add(time.Until(steady)) }
+
 // request returns what this host asks the leader for. While the leader answers
 // the entries by itself, or this host's own log is behind, it asks for the list
 // of entries only.
@@ -80,7 +90,7 @@
 	held := b.machine.held()
 	request := &WatchRequest{
 		Term: b.told.Term, Document: held.document, Weights: held.weights, Roster: held.roster,
-		Quarantine: held.quarantine, Evacuation: held.evacuation, Grants: b.grantsAt, Heard: b.hearing.list(now),
+		Quarantine: held.quarantine, Evacuation: held.evacuation, Grants: b.grantsAt, Heard: b.hearing.list(time.Now()),
 		SilentAt: b.told.SilentAt,
 	}
 	if !b.told.Relaying || !held.cover(b.lacked) {
@@ -120,10 +130,11 @@
 		b.states, b.shelvesAsked = answer.States, asked
 	}
 	b.takeGrants(answer, asked)
-	b.hearing.told(asked, came)
+	steady := time.Now()
+	b.hearing.told(steady.Add(-came.Sub(asked)), steady)
 	b.lacked = answer.revisions()
 	before := b.told
-	b.told, b.asked, b.came = *answer, asked.Add(-answer.Heard), came
+	b.told, b.asked, b.came = *answer, asked.Add(-answer.Heard), steady
 	if answer.SameLists {
 		b.told.Entries = before.Entries
 	}
@@ -211,7 +222,7 @@
 	answer.States = b.states
 	// Told with the shelves, under one lock: taken later it could be that of the
 	// next word, and make this one look younger than it is.
-	answer.Age = time.Since(b.shelvesAsked)
+	answer.Age = b.now().Sub(b.shelvesAsked)
 	return found
 }
 
@@ -226,7 +237,9 @@
 	answer.EntryCount, answer.Takers = told.EntryCount, told.Takers
 	answer.Silent, answer.SilentAt, answer.Loading, answer.Floor = told.Silent, told.SilentAt, told.Loading, told.Floor
 	if told.Clock > 0 {
-		answer.Clock = told.Clock + now.Sub(came).Milliseconds()
+		// Were a suspension counted here, fetches could be permitted for longer by a
+		// word on the shelves that was looked up before it.
+		answer.Clock = told.Clock + time.Since(came).Milliseconds()
 	}
 	answer.Loads = b.watchers.loadsBut(from.Host, told.Loads, now)
 }
--- a/internal/steward/directory.go
+++ b/internal/steward/directory.go
@@ -20,7 +20,7 @@
 	if l := s.leading.Load(); l != nil {
 		return l.watchers.recentEntries(time.Now())
 	}
-	return s.branch.entries(time.Now())
+	return s.branch.entries(s.branch.now())
 }
 
 // directory keeps the answers that callers are given, by data centre.
--- a/internal/steward/fleet_test.go
+++ b/internal/steward/fleet_test.go
@@ -125,6 +125,8 @@
 	incarnations map[ident.Host]ident.Incarnation
 	// files are disks in memory by name, where a test wants faults.
 	files map[string]*disktest.FS
+	// clock is that of all hosts, nil for the usual one.
+	clock func() time.Time
 }
 
 func (f *fleet) filesOf(name string) func(string) (disk.FS, error) {
@@ -176,7 +178,7 @@
 		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, Bootstrap: bootstrap, Tolerated: 1,
 		Cluster: "test", Key: []byte("a key of the test processes"), Data: filepath.Join(f.dir, folder),
 		LoadsAtOnce: 2, VersionTime: 10 * time.Second, HolderLease: 50 * time.Millisecond,
-		Stores: f.stores, Runners: f.runners, Log: log.New(io.Discard), Files: f.filesOf(folder),
+		Stores: f.stores, Runners: f.runners, Log: log.New(io.Discard), Files: f.filesOf(folder), Clock: f.clock,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -77,7 +77,9 @@
 	// ApplyWithin is within what time after its acknowledgement a configuration must be
 	// in force; 0 where that is not told.
 	ApplyWithin time.Duration
-	Log         *log.Logger
+	// Clock tells the time by which the age of what is told counts, nil means time.Now.
+	Clock func() time.Time
+	Log   *log.Logger
 }
 
 // Follower keeps watching the leader, or a host that passes on what the leader
@@ -146,7 +148,7 @@
 // NewFollower returns a follower; Run starts it.
 func NewFollower(options FollowerOptions) *Follower {
 	f := &Follower{
-		options: options, avoided: make(map[ident.Host]failure), elsewhere: make(map[ident.Host]int), results: make(chan *watched), epoch: time.Now(),
+		options: options, avoided: make(map[ident.Host]failure), elsewhere: make(map[ident.Host]int), results: make(chan *watched), epoch: readClock(options.Clock),
 		spread: float64(xxhash.Sum64String(string(options.Self))>>11) / (1 << 53),
 	}
 	f.meter = newFollowMeter(f)
@@ -154,6 +156,8 @@
 	return f
 }
 
+func (f *Follower) now() time.Time { return readClock(f.options.Clock) }
+
 // SetSeeds replaces the control hosts that are asked while no other is known.
 func (f *Follower) SetSeeds(seeds []ident.Host) { f.seeds.Store(&seeds) }
 
@@ -166,11 +170,11 @@
 		if request == nil {
 			// What was asked for before the pause no longer fits what is held.
 			f.taken++
-			f.setWord(time.Now())
+			f.setWord(f.now())
 			wait.For(ctx, idlePause)
 			continue
 		}
-		f.noteAge(time.Now())
+		f.noteAge(f.now())
 		if !f.once(ctx, request, told) {
 			wait.For(ctx, followPause)
 		}
@@ -181,7 +185,7 @@
 // once makes one call and reports whether it was answered by a leader. Meanwhile
 // it takes in late answers to earlier ones.
 func (f *Follower) once(ctx context.Context, request *WatchRequest, told func(*WatchAnswer, time.Time)) bool {
-	now := time.Now()
+	now := f.now()
 	f.idle = request.Idle
 	host := f.target(now)
 	if host == "" {
@@ -206,7 +210,7 @@
 			f.takeLate(result, told)
 		case <-turn.C:
 			// The call stays open; its answer is taken in when it comes.
-			if !request.Overdue && host != f.leader && f.mustAskLeader(time.Now()) {
+			if !request.Overdue && host != f.leader && f.mustAskLeader(f.now()) {
 				return false
 			}
 		case <-patience.C:
@@ -257,7 +261,7 @@
 
 // send makes a call, whose end comes as one of the results.
 func (f *Follower) send(ctx context.Context, host ident.Host, request *WatchRequest) *watched {
-	call := &watched{host: host, sent: time.Now(), after: f.taken}
+	call := &watched{host: host, sent: f.now(), after: f.taken}
 	address := net.JoinHostPort(string(host), strconv.Itoa(f.options.PeerPort))
 	body := wire.MustMarshal(request)
 	go func() {
@@ -284,7 +288,7 @@
 		return false
 	}
 	if answer.Leader != "" {
-		f.led.Store(time.Since(f.epoch).Microseconds())
+		f.led.Store(f.now().Sub(f.epoch).Microseconds())
 	}
 	if len(answer.Members) > 0 {
 		f.members = f.members[:0]
@@ -410,7 +414,7 @@
 
 func newFollowMeter(f *Follower) *followMeter {
 	set := metrics.NewSet()
-	set.NewGauge("lovagereach_follower_config_age_seconds", func() float64 { return time.Since(f.wordTime()).Seconds() })
+	set.NewGauge("lovagereach_follower_config_age_seconds", func() float64 { return f.now().Sub(f.wordTime()).Seconds() })
 	return &followMeter{
 		set: set, overdue: set.NewCounter("lovagereach_follower_overdue_total"), late: set.NewCounter("lovagereach_follower_late_answers_total"),
 	}
--- a/internal/steward/follower_hosts.go
+++ b/internal/steward/follower_hosts.go
@@ -28,14 +28,14 @@
 func (f *Follower) redirected(host ident.Host, answer *WatchAnswer) {
 	if slices.Contains(f.relays, host) {
 		wait := min(elsewhereFor<<min(f.elsewhere[host], 8), silentFor)
-		f.avoided[host] = failure{until: time.Now().Add(wait)}
+		f.avoided[host] = failure{until: f.now().Add(wait)}
 		f.elsewhere[host]++
 	}
 	if answer.Leader != "" {
 		f.leader = ident.Host(answer.Leader)
 	}
 	if answer.Shed {
-		f.avoided[host] = failure{until: time.Now().Add(time.Duration((0.5 + f.spread) * float64(leaderBusyFor)))}
+		f.avoided[host] = failure{until: f.now().Add(time.Duration((0.5 + f.spread) * float64(leaderBusyFor)))}
 	}
 	if len(answer.Relays) > 0 {
 		f.relays = f.order(answer.Relays)
@@ -70,7 +70,7 @@
 		f.lost = true
 		f.options.Log.Warn("leader lost", "host", host, "cause", err)
 	}
-	f.avoided[host] = failure{until: time.Now().Add(silentFor), silent: true}
+	f.avoided[host] = failure{until: f.now().Add(silentFor), silent: true}
 	if f.leader == host {
 		f.leader = ""
 	}
--- a/internal/steward/heard.go
+++ b/internal/steward/heard.go
@@ -67,7 +67,7 @@
 // lead: it tells nothing new, as far as a word of the leader says that is young
 // enough to answer watches by.
 func (s *Steward) takesBeat(u *roster.Upstream, now time.Time) bool {
-	return u.State == roster.Serving && s.branch.fresh(now) && s.machine.hear(*u) == ownWord && !s.machine.wouldChange(*u)
+	return u.State == roster.Serving && s.branch.fresh(s.branch.at(now)) && s.machine.hear(*u) == ownWord && !s.machine.wouldChange(*u)
 }
 
 // AnnounceTo is the host that an upstream should announce itself to: one that answers
--- a/internal/steward/later.go
+++ b/internal/steward/later.go
@@ -109,7 +109,7 @@
 	if !s.branch.hasHeard() {
 		return now.Sub(s.started) < formingFor
 	}
-	return s.branch.heardAge(now) <= leaderless
+	return s.branch.heardAge(s.branch.at(now)) <= leaderless
 }
 
 // takeLater has an announcement that an upstream serves taken in, and acknowledges it
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -202,6 +202,9 @@
 	l.watchers.follow(from, request, now)
 }
 
+// now implements bulletin.
+func (l *leadership) now() time.Time { return time.Now() }
+
 // touch implements bulletin.
 func (l *leadership) touch(from port.Peer, now time.Time) { l.watchers.touch(from, now) }
 
--- a/internal/steward/meter.go
+++ b/internal/steward/meter.go
@@ -93,7 +93,7 @@
 		if s.leading.Load() != nil {
 			return 0
 		}
-		return s.branch.heardAge(now).Seconds()
+		return s.branch.heardAge(s.branch.now()).Seconds()
 	})
 	return m
 }
@@ -201,7 +201,7 @@
 		d.Behind = d.Behind[:min(len(d.Behind), mostBehind)]
 		d.Relays, d.Silent, d.Loading = l.relays(now), l.silent(live, now), l.loader.loading()
 	} else {
-		d.Heard = s.branch.heardAge(now)
+		d.Heard = s.branch.heardAge(s.branch.now())
 	}
 	return d
 }
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -127,7 +127,10 @@
 	DataCentres []string
 	Stores      Stores
 	Runners     Runners
-	Log         *log.Logger
+	// Clock tells the time by which the age of the leader's word counts, boottime.Now if
+	// nil. It must be steady and go on while the machine is suspended.
+	Clock func() time.Time
+	Log   *log.Logger
 
 	// dial replaces the TCP dialler.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -16,6 +16,7 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/adapter/disk"
 	"github.com/lovagereach/lovagereach/internal/adapter/peer"
+	"github.com/lovagereach/lovagereach/internal/boottime"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/replica"
 	"github.com/lovagereach/lovagereach/internal/wait"
@@ -90,11 +91,18 @@
 	if err := options.Validate(); err != nil {
 		return nil, err
 	}
+	if options.Clock == nil {
+		if !boottime.CountsSuspension() {
+			return nil, eris.New("steward: this system has no clock that goes on while it is suspended")
+		}
+		options.Clock = boottime.Now
+	}
 	machine, book := NewMachine(), newSharedBook()
 	s := &Steward{
 		options: options, machine: machine, joining: newJoinQueue(),
 		book: book, branch: newBranch(machine, book, options.Log),
 	}
+	s.branch.clock = options.Clock
 	s.started = time.Now()
 	s.announced.log, s.unforwarded.log = options.Log, options.Log
 	s.later.announcing = announcing(options.AnnounceEvery)
@@ -155,6 +163,7 @@
 	}
 	s.follower = NewFollower(FollowerOptions{
 		Transport: s.transport, Seeds: o.Seeds, PeerPort: o.PeerPort, Log: o.Log, Self: o.Self, LeaderOnly: true,
+		Clock: o.Clock,
 	})
 	s.transport.Handle(methodWatch, port.PeerHandlerFunc(s.handleWatch))
 	s.transport.Handle(methodSubmit, port.PeerHandlerFunc(s.handleSubmit))
@@ -203,6 +212,13 @@
 	return net.JoinHostPort(string(host), strconv.Itoa(s.options.PeerPort))
 }
 
+func readClock(clock func() time.Time) time.Time {
+	if clock == nil {
+		return time.Now()
+	}
+	return clock()
+}
+
 // replica returns the group on this host, nil before it is open.
 func (s *Steward) replica() port.Replica {
 	if r := s.opened.Load(); r != nil {
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -46,6 +46,9 @@
 // bulletin is what a host tells those who watch it: the leader what it knows
 // itself, another control host what the leader told it.
 type bulletin interface {
+	// now is the time that the others are given: a leader's by the steady clock, that
+	// of other hosts by the clock that counts suspensions.
+	now() time.Time
 	// follow takes in what a watch says of its caller.
 	follow(from port.Peer, request *WatchRequest, now time.Time)
 	// touch notes that a watch of the caller was open until now.
@@ -77,7 +80,7 @@
 		}
 		return l, false
 	}
-	if request.Entry != nil && s.branch.serves(request, now) {
+	if request.Entry != nil && s.branch.serves(request, s.branch.now()) {
 		return s.branch, false
 	}
 	return nil, false
@@ -116,14 +119,14 @@
 func (s *Steward) watch(ctx context.Context, from port.Peer, request *WatchRequest) *WatchAnswer {
 	asked := time.Now()
 	if request.Entry != nil {
-		s.branch.noteCaller(request.Entry.Host, asked)
+		s.branch.noteCaller(request.Entry.Host, s.branch.now())
 	}
 	b, shed := s.awaitBulletin(ctx, request)
 	waited := time.Since(asked)
 	if b == nil {
 		return s.redirect(request, shed, waited)
 	}
-	b.follow(from, request, time.Now())
+	b.follow(from, request, b.now())
 	answer := &WatchAnswer{}
 	machineNews, orderNews, shelfNews := s.machine.news(), s.machine.orders(), s.book.news()
 	heard, found := s.fill(b, request, answer)
@@ -142,9 +145,9 @@
 		answer.Held = time.Since(waiting)
 		waited += answer.Held
 		heard, _ = s.fill(b, request, answer)
-		b.touch(from, time.Now())
+		b.touch(from, b.now())
 	}
-	now := time.Now()
+	now := b.now()
 	if heard.IsZero() || !b.serves(request, now) {
 		return s.redirect(request, false, waited)
 	}
@@ -178,7 +181,7 @@
 func (s *Steward) fill(b bulletin, request *WatchRequest, answer *WatchAnswer) (time.Time, bool) {
 	// Noted before the look: the leader's next word may come in between, and what
 	// was filled in without it would look younger than it is.
-	now := time.Now()
+	now := b.now()
 	heard := b.asOf(now)
 	if !b.serves(request, now) {
 		return time.Time{}, false
@@ -260,8 +263,8 @@
 		if s.leading.Load() != nil {
 			return nil
 		}
-		return s.branch.request(time.Now())
+		return s.branch.request(s.branch.now())
 	}, func(answer *WatchAnswer, asked time.Time) {
-		s.branch.take(answer, asked, time.Now())
+		s.branch.take(answer, asked, s.branch.now())
 	})
 }
