Replica, steward: leases count the time of a suspension

What callers see: a leader whose machine is suspended within its lease, and which wakes after others have elected a leader and acknowledged a newer configuration, answers reads of the configuration with the old one, tells entries that its word is fresh, tells grants and gives orders, for the rest of its lease (up to 0.35 s) or until it hears of the higher term.

Cause: package quorum goes by the time that it is given, which must go on while the host stands still. internal/replica gave it time.Now, whose steady part stands still while the machine is suspended; internal/steward compared LeaseEnd with the same.

Why it works: replica.Options.Clock (nil: time.Now) is read once a turn, after the turn's events were taken, and LeaseEnd is on it. The steward and the native control hosts give it CLOCK_BOOTTIME; the steward reads the same clock after the status and at the moment of each check: certain, and the age of its word, which is now told as of the answer. What is compared with deadlines of contexts stays on time.Now.

--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -15,6 +15,7 @@
 	"github.com/lovagereach/lovagereach/internal/adapter/engine"
 	"github.com/lovagereach/lovagereach/internal/adapter/peer"
 	"github.com/lovagereach/lovagereach/internal/adapter/telemetry"
+	"github.com/lovagereach/lovagereach/internal/boottime"
 	"github.com/lovagereach/lovagereach/internal/control"
 	"github.com/lovagereach/lovagereach/internal/ledger"
 	"github.com/lovagereach/lovagereach/internal/port"
@@ -83,6 +84,7 @@
 	if h.folder, err = disk.Open(disk.Options{FS: files, Cluster: o.Cluster, Host: o.Host}); err != nil {
 		return eris.Wrapf(err, "control: data folder %s", o.Data)
 	}
+	o.Quorum.NoLeaseReads = o.Quorum.NoLeaseReads || !boottime.CountsSuspension()
 	h.manager, err = replica.New(replica.Options{
 		Self:     o.Host,
 		Storage:  h.folder,
@@ -90,6 +92,7 @@
 		Registry: h.transport,
 		Address:  addressOf(o.Control),
 		Quorum:   o.Quorum,
+		Clock:    boottime.Now,
 		Log:      o.Log,
 	})
 	if err != nil {
--- a/internal/port/replica.go
+++ b/internal/port/replica.go
@@ -49,7 +49,8 @@
 	Leader   ident.Host
 	Self     ident.Host
 	IsLeader bool
-	// LeaseEnd is until when no other host can lead, on a leader that knows; else zero.
+	// LeaseEnd is until when no other host can lead, on a leader that knows; else zero. It
+	// is compared with the clock that the group goes by, read after the status.
 	LeaseEnd  time.Time
 	Commit    uint64
 	Applied   uint64
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -128,7 +128,8 @@
 		return
 	}
 	g.node.Tick(now)
-	g.reads.expire(now)
+	// The deadlines are those of contexts.
+	g.reads.expire(time.Now())
 	g.settleTransfers(now)
 	if g.ticks++; g.ticks%ticksPerHeartbeat == 0 {
 		g.noteLeader()
--- a/internal/replica/manager.go
+++ b/internal/replica/manager.go
@@ -198,7 +198,7 @@
 	options := m.options.Quorum
 	options.Self = m.options.Self
 	options.Rand = newRand()
-	node, err := quorum.NewNode(options, stored, time.Now())
+	node, err := quorum.NewNode(options, stored, m.options.Clock())
 	if err != nil {
 		return nil, eris.Wrapf(err, "replica: group %d", id)
 	}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -60,6 +60,10 @@
 	// CallTimeout bounds proposals and reads whose context has no deadline,
 	// and the messages to other hosts about membership.
 	CallTimeout time.Duration
+	// Clock tells the time by which groups count leases and elections, nil means
+	// time.Now. It must be steady and go on while this process, or the machine as a
+	// whole, stands still. ReplicaStatus.LeaseEnd is on it.
+	Clock func() time.Time
 	// Log receives one line for each event; nil discards them.
 	Log *log.Logger
 }
@@ -88,6 +92,9 @@
 	setDefault(&o.CallTimeout, DefaultCallTimeout)
 	setDefault(&o.Quorum.Heartbeat, quorum.DefaultHeartbeat)
 	setDefault(&o.Quorum.ElectionMax, quorum.DefaultElectionMax)
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
 	if o.Log == nil {
 		o.Log = log.New(io.Discard)
 	}
--- a/internal/replica/worker.go
+++ b/internal/replica/worker.go
@@ -65,7 +65,9 @@
 func (w *worker) turn(events []event, ticked bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := time.Now()
+	// Read after the events were taken: a machine that was suspended before them
+	// must not answer by a lease that has ended meanwhile.
+	now := w.manager.options.Clock()
 	for i := range events {
 		w.touch(events[i].group)
 		events[i].group.handle(now, &events[i])
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -313,5 +313,5 @@
 // certain reports whether no other host can lead at this moment.
 func (l *leadership) certain() bool {
 	status := l.steward.replica().Status()
-	return status.IsLeader && status.Term == l.elected && time.Now().Before(status.LeaseEnd)
+	return status.IsLeader && status.Term == l.elected && l.steward.leaseNow().Before(status.LeaseEnd)
 }
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -127,8 +127,8 @@
 	DataCentres []string
 	Stores      Stores
 	Runners     Runners
-	// Clock tells the time by which the age of the leader's word counts, boottime.Now if
-	// nil. It must be steady and go on while the machine is suspended.
+	// Clock tells the time by which leases count, boottime.Now if nil. It must be steady
+	// and go on while the machine is suspended.
 	Clock func() time.Time
 	Log   *log.Logger
 
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -156,7 +156,8 @@
 		Quorum: quorum.Options{
 			Heartbeat: heartbeat, ElectionMin: electionMin, ElectionMax: electionMax,
 		},
-		Log: o.Log,
+		Clock: o.Clock,
+		Log:   o.Log,
 	})
 	if err != nil {
 		return err
@@ -212,6 +213,10 @@
 	return net.JoinHostPort(string(host), strconv.Itoa(s.options.PeerPort))
 }
 
+// leaseNow is the time by which leases count. It is read at the moment of a check, and
+// compared with other readings of it only.
+func (s *Steward) leaseNow() time.Time { return readClock(s.options.Clock) }
+
 func readClock(clock func() time.Time) time.Time {
 	if clock == nil {
 		return time.Now()
--- a/internal/steward/suspended_test.go
+++ b/internal/steward/suspended_test.go
@@ -8,9 +8,37 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
+// Guards against a leader whose machine was suspended within its lease, and that tells
+// entries after it woke that its word is fresh, or gives orders, though another host has
+// acknowledged a later configuration meanwhile.
+func TestALeaderThatWasSuspendedIsNotCertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const away = 3 * time.Second
+		suspended := time.Duration(0)
+		l := testLeadership(1)
+		l.steward.options.Clock = func() time.Time { return time.Now().Add(suspended) }
+		l.steward.meter = newMeter(l.steward)
+		l.steward.leading.Store(l)
+		var replica port.Replica = &stoodStill{term: l.elected, end: time.Now().Add(electionMin)}
+		l.steward.opened.Store(&replica)
+		heard := func() time.Duration {
+			request := &WatchRequest{Entry: &EntryView{Host: "e1"}, Direct: true}
+			return l.steward.watch(t.Context(), entryPeer("e1"), request).Heard
+		}
+		if age := heard(); !l.certain() || age != 0 {
+			t.Fatalf("within its lease: certain %v, word %v old", l.certain(), age)
+		}
+		suspended = away
+		if age, least := heard(), away-electionMin; l.certain() || age < least {
+			t.Errorf("after %v: certain %v, word %v old, want %v at least", away, l.certain(), age, least)
+		}
+	})
+}
+
 // Guards against a control host that passes on, after its machine was suspended, what the
 // leader told it before as if it were fresh.
 func TestWhatWasToldBeforeASuspensionIsNotPassedOn(t *testing.T) {
@@ -36,3 +64,38 @@
 		}
 	})
 }
+
+// Guards against parts of one host that go by different clocks: a lease that is counted on
+// one and checked by another may never be held, or never end.
+func TestAHostCountsAndChecksItsLeaseByOneClock(t *testing.T) {
+	f := newFleet(t)
+	const ahead = time.Hour
+	f.clock = func() time.Time { return time.Now().Add(ahead) }
+	f.startThree()
+	f.put(1, "one")
+	f.await("a leader is certain, and its lease is on its clock", func() bool {
+		lead := f.leader()
+		if lead == nil {
+			return false
+		}
+		l := lead.leading.Load()
+		if l == nil || !l.certain() {
+			return false
+		}
+		left := time.Until(l.steward.replica().Status().LeaseEnd) - ahead
+		if left > electionMin || left < -time.Minute {
+			t.Fatalf("the lease ends %v from now", left+ahead)
+		}
+		return true
+	})
+	f.await("another host follows it by that clock", func() bool {
+		for _, m := range f.running {
+			b := m.steward.branch
+			if m.steward.leading.Load() == nil && b.hasHeard() && b.fresh(b.now()) {
+				age := b.heardAge(b.now())
+				return age >= 0 && age < time.Minute
+			}
+		}
+		return false
+	})
+}
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -62,7 +62,8 @@
 	tellGrants(from port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time)
 	// serves reports whether the watch may still be answered here.
 	serves(request *WatchRequest, now time.Time) bool
-	// asOf is the time as of which this host has everything that the leader had.
+	// asOf is the time as of which this host has everything that the leader had. It and
+	// now are on the clock by which leases count.
 	asOf(now time.Time) time.Time
 	term() uint64
 	// busy is the number of watchers that ask often.
@@ -107,7 +108,7 @@
 	}
 	b.tellGrants(from, request, answer, now)
 	answer.Pause = s.pauseAfter(b, request, answer)
-	answer.Heard = now.Sub(heard)
+	answer.Heard = s.leaseNow().Sub(heard)
 	answer.Members = s.memberNames()
 	if request.Entry != nil {
 		answer.Entries = nil
@@ -181,9 +182,8 @@
 func (s *Steward) fill(b bulletin, request *WatchRequest, answer *WatchAnswer) (time.Time, bool) {
 	// Noted before the look: the leader's next word may come in between, and what
 	// was filled in without it would look younger than it is.
-	now := b.now()
-	heard := b.asOf(now)
-	if !b.serves(request, now) {
+	heard := b.asOf(s.leaseNow())
+	if !b.serves(request, b.now()) {
 		return time.Time{}, false
 	}
 	found := s.machine.fill(request, answer)
--- a/quorum/options.go
+++ b/quorum/options.go
@@ -44,7 +44,8 @@
 	// clock that shows d has run between d/(1+ClockDrift) and
 	// d/(1-ClockDrift). The leader's lease is ElectionMin shortened by it.
 	ClockDrift float64
-	// NoLeaseReads makes every linearizable read take a round of heartbeats.
+	// NoLeaseReads makes every linearizable read take a round of heartbeats. It is for
+	// hosts whose clock stands still while the machine is suspended.
 	NoLeaseReads bool
 	// MaxCommandBytes bounds one command.
 	MaxCommandBytes int
