Control client: a serving lease counts the time of a suspension

What callers see: a native entry whose machine was suspended serves, for what was left of its lease by its own clock (up to 3 s), by a configuration that operators have been told was replaced everywhere: its granter saw the lease end and reported the change in force.

Cause: the holder's side counts the lease by time.Now, whose steady part stands still while the machine is suspended; the granter's clock goes on.

The client takes a clock as an option (nil: time.Now), reads it at each renewal and each check, and entries give it CLOCK_BOOTTIME. A granter whose own machine is suspended counts leases as longer than they are, which is safe, and stays on time.Now. On systems other than Linux the clock falls back to time.Now: entries must not be suspended there.

--- a/internal/control/client/client.go
+++ b/internal/control/client/client.go
@@ -101,7 +101,7 @@
 func (c *Client) Serving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.child.Serving(time.Now())
+	return c.child.Serving(c.opts.Clock())
 }
 
 // LeaseExpiry returns when the serving lease ends unless it is renewed.
@@ -175,7 +175,7 @@
 	defer c.mu.Unlock()
 	return Status{
 		Revision: c.Snapshot().Revision(),
-		Serving:  c.child.Serving(time.Now()),
+		Serving:  c.child.Serving(c.opts.Clock()),
 		Expiry:   c.child.Expiry(),
 		Refused:  c.refused,
 		Leader:   target,
--- a/internal/control/client/options.go
+++ b/internal/control/client/options.go
@@ -40,6 +40,10 @@
 	// Upstreams returns the engines that the entry follows. It may be nil.
 	Upstreams func() []protocol.Upstream
 
+	// Clock tells the time by which the serving lease counts, nil means time.Now. It must
+	// be steady and go on while the machine is suspended.
+	Clock func() time.Time
+
 	// RenewEvery is how often the serving lease is renewed, which is also how
 	// often the others hear that the entry lives.
 	RenewEvery time.Duration
@@ -68,6 +72,9 @@
 }
 
 func (o Options) withDefaults() Options {
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
 	o.RenewEvery = cmp.Or(o.RenewEvery, DefaultRenewEvery)
 	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
 	o.WatchWait = cmp.Or(o.WatchWait, DefaultWatchWait)
--- a/internal/control/client/renew.go
+++ b/internal/control/client/renew.go
@@ -66,7 +66,7 @@
 		return protocol.RenewRequest{}, false
 	}
 	c.counts.Renewals++
-	renewal := c.child.Renewal(time.Now(), config.Revision(c.acked.Load()))
+	renewal := c.child.Renewal(c.opts.Clock(), config.Revision(c.acked.Load()))
 	return protocol.RenewRequest{
 		Number:  renewal.Number,
 		Acked:   renewal.InForce,
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -18,6 +18,7 @@
 	"github.com/lovagereach/lovagereach/internal/adapter/callers"
 	"github.com/lovagereach/lovagereach/internal/adapter/peer"
 	"github.com/lovagereach/lovagereach/internal/audited"
+	"github.com/lovagereach/lovagereach/internal/boottime"
 	"github.com/lovagereach/lovagereach/internal/control/client"
 	"github.com/lovagereach/lovagereach/internal/control/protocol"
 	"github.com/lovagereach/lovagereach/internal/entry"
@@ -94,6 +95,7 @@
 		Self:      h.claim(),
 		Addresses: addresses,
 		Log:       o.Log,
+		Clock:     boottime.Now,
 		Upstreams: func() []protocol.Upstream { return reportOf(h.entry.Engines()) },
 	})
 	return eris.Wrap(err, "entry: control client")
