Control: orders wait for a new proof after a suspension

What callers see: a native control host whose machine is suspended between its proof of leadership and its orders sends them when it wakes. Another leader may have given orders meanwhile; an engine that checks no fencing tokens carries out the late one and undoes it.

Cause: the age of the proof was taken once, before the first order, and by time.Now, which does not count a suspension. The orders of one plan also wait for one another.

Each order is checked right before it is sent, by CLOCK_BOOTTIME, against order.Lease from the beginning of the proof, which is what a new leader waits for. One that is held back is planned again in the next round.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 	// Concurrency bounds the engines that are read or ordered at once.
 	Concurrency int
 	Planner     order.Options
+	// Clock tells the time since the proof of leadership, nil means time.Now. It must be
+	// steady and go on while the machine is suspended.
+	Clock func() time.Time
 }
 
 // Orderer gives engines the orders that order.Planner decides while its
@@ -56,6 +60,9 @@
 // NewOrderer returns an orderer; Run starts it.
 func NewOrderer(opts OrderOptions) *Orderer {
 	opts.Every = cmp.Or(opts.Every, DefaultOrderEvery)
+	if opts.Clock == nil {
+		opts.Clock = time.Now
+	}
 	opts.Concurrency = cmp.Or(opts.Concurrency, DefaultOrderConcurrency)
 	return &Orderer{opts: opts}
 }
@@ -120,8 +127,10 @@
 	o.mu.Lock()
 	o.status.Held = plan.Held
 	o.mu.Unlock()
-	if len(plan.Orders) > 0 && o.maySend(ctx, e) {
-		o.each(len(plan.Orders), func(i int) { o.send(ctx, plan.Orders[i]) })
+	if len(plan.Orders) > 0 {
+		if until, ok := o.maySend(ctx, e); ok {
+			o.each(len(plan.Orders), func(i int) { o.send(ctx, plan.Orders[i], until) })
+		}
 	}
 	read := plan.Read
 	for _, sent := range plan.Orders {
@@ -130,14 +139,15 @@
 	o.readStates(ctx, e, upstreams, read)
 }
 
-// maySend proves that this host still leads. The orders go out at once, well
-// within order.Lease of the proof.
-func (o *Orderer) maySend(ctx context.Context, e *orderEpoch) bool {
-	began := time.Now()
-	if o.opts.Server.barrier(ctx) != nil || time.Since(began) > order.Lease/2 {
-		return false
+// maySend proves that this host still leads, and returns until when orders may be
+// sent by the proof.
+func (o *Orderer) maySend(ctx context.Context, e *orderEpoch) (until time.Time, ok bool) {
+	began := o.opts.Clock()
+	if o.opts.Server.barrier(ctx) != nil || o.opts.Clock().Sub(began) > order.Lease/2 {
+		return time.Time{}, false
 	}
-	return o.opts.Server.leading(func(*leadership, time.Time) {}) == nil && e.leadership.done.Err() == nil
+	ok = o.opts.Server.leading(func(*leadership, time.Time) {}) == nil && e.leadership.done.Err() == nil
+	return began.Add(order.Lease), ok
 }
 
 func (o *Orderer) each(n int, f func(int)) {
@@ -153,10 +163,17 @@
 	_ = group.Wait()
 }
 
-func (o *Orderer) send(ctx context.Context, next order.Order) {
-	result, err := o.deliver(ctx, next)
+// errLate reports an order that was not sent, for the proof of leadership is too old.
+var errLate = errors.New("the proof of leadership is too old")
+
+func (o *Orderer) send(ctx context.Context, next order.Order, until time.Time) {
+	result, err := o.deliver(ctx, next, until)
 	fields := []any{"upstream", next.Upstream, "kind", next.Kind, "model", next.Model, "version", next.Version,
 		"adapter", next.Adapter, "role", next.Role, "fence", next.Fence}
+	if errors.Is(err, errLate) {
+		o.opts.Log.Warn("order held back", append(fields, "cause", err)...)
+		return
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.status.Sent++
@@ -173,13 +190,17 @@
 	}
 }
 
-func (o *Orderer) deliver(ctx context.Context, next order.Order) (port.OrderResult, error) {
+func (o *Orderer) deliver(ctx context.Context, next order.Order, until time.Time) (port.OrderResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, order.SendTimeout)
 	defer cancel()
 	engine, err := o.opts.Dial(next.Address)
 	if err != nil {
 		return port.OrderResult{}, eris.Wrapf(err, "dial engine %s", next.Upstream)
 	}
+	// Orders wait for one another, and the machine may have been suspended.
+	if !o.opts.Clock().Before(until) {
+		return port.OrderResult{}, errLate
+	}
 	return engine.Order(ctx, port.Order{
 		ID:      next.ID(),
 		Fence:   uint64(next.Fence),
--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -140,6 +140,7 @@
 	h.orderer = control.NewOrderer(control.OrderOptions{
 		Server: h.server,
 		Dial:   func(address string) (port.Engine, error) { return engine.New(address, engines), nil },
+		Clock:  boottime.Now,
 		Log:    o.Log,
 	})
 	return nil
