Steward: shelves are told as old as the leader's lease

What callers see: a prompt may be read from a part of a store that is freed meanwhile. A host that leads no more and does not know, for it was suspended, stood still or is cut off, tells entries what the stores hold as if it were fresh; another leader may have retired and freed parts that it tells of as whole.

Cause: the word on the configuration ends with the lease (Heard); that on the shelves was told without an age.

Evidence: TestShelvesAreToldAsOldAsTheLease failed before: "400ms past its lease: shelves 0s old, the rest 400ms". Worked out from the code; no fetch was seen to meet a free.

Why it works: no other leader is elected before the lease ends, so none has retired anything by then. Entries rely on the shelves for 1 s from there, and a fetch that they permit lasts 2.5 s; a part is freed 3.9 s after it was retired. Control hosts that follow take the age for the shelves only, the rest has its own.

--- a/internal/steward/branch.go
+++ b/internal/steward/branch.go
@@ -122,12 +122,14 @@
 	return sameState(a, b) && a.Evacuation == b.Evacuation && a.Document == b.Document
 }
 
-// take takes in an answer of the leader to a question that was sent at asked.
-func (b *branch) take(answer *WatchAnswer, asked, came time.Time) {
+// take takes in an answer of the leader to a question that was sent answer.Age after
+// shelvesAsked.
+func (b *branch) take(answer *WatchAnswer, shelvesAsked, came time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	asked := shelvesAsked.Add(answer.Age)
 	if answer.Shelves != nil && b.book.take(answer.Shelves) {
-		b.states, b.shelvesAsked = answer.States, asked
+		b.states, b.shelvesAsked = answer.States, shelvesAsked
 	}
 	b.takeGrants(answer, asked)
 	steady := time.Now()
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -240,7 +240,16 @@
 	if request.Entry != nil && l.entryCount(now) > entriesAlone && (now.Sub(l.since) < relaysWithin || len(l.relays(now)) > 0) {
 		return false
 	}
-	return l.shelves.fill(request, answer)
+	// Past its lease another host may lead and retire parts: an entry must not rely for
+	// longer on what is told here.
+	asked := l.steward.leaseNow()
+	heard := l.asOf(asked)
+	if heard.IsZero() {
+		return false
+	}
+	found := l.shelves.fill(request, answer)
+	answer.Age = asked.Sub(heard)
+	return found
 }
 
 // serves reports whether the leader answers a watch by itself: not an entry's,
--- a/internal/steward/suspended_test.go
+++ b/internal/steward/suspended_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/lovagereach/lovagereach/holdings"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/roster"
 )
@@ -65,6 +66,31 @@
 	})
 }
 
+// Guards against entries that rely on the shelves of a host past its lease: another one
+// may lead, and free parts of which this one tells that they stand whole.
+func TestShelvesAreToldAsOldAsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := testLeadership(1)
+		l.steward.meter = newMeter(l.steward)
+		l.steward.leading.Store(l)
+		var replica port.Replica = &stoodStill{term: l.elected, end: time.Now().Add(electionMin)}
+		l.steward.opened.Store(&replica)
+		for _, past := range []time.Duration{0, 400 * time.Millisecond} {
+			time.Sleep(time.Until(replica.Status().LeaseEnd.Add(past)))
+			request := &WatchRequest{Entry: &EntryView{Host: "e1"}, Direct: true, Shelves: &holdings.Question{}}
+			answer := l.steward.watch(t.Context(), entryPeer("e1"), request)
+			if answer.Elsewhere || answer.Age != past || answer.Heard != past {
+				t.Errorf("%v past its lease: shelves %v old, the rest %v", past, answer.Age, answer.Heard)
+			}
+			b := newBranch(NewMachine(), newSharedBook(), log.New(io.Discard))
+			b.take(answer, time.Now().Add(-answer.Age), time.Now())
+			if age := b.heardAge(b.now()); age != past {
+				t.Errorf("%v past its lease another host takes its word as %v old", past, age)
+			}
+		}
+	})
+}
+
 // Guards against parts of one host that go by different clocks: a lease that is counted on
 // one and checked by another may never be held, or never end.
 func TestAHostCountsAndChecksItsLeaseByOneClock(t *testing.T) {
