Gateway: the upstreams' clock is taken with the shelves only

What callers see: a prompt may be read from a part of a store that is freed meanwhile, at an entry whose machine was suspended.

Cause: an entry trusts its word on the stores for 1 s of the steady clock, which a suspension does not use up. That is made good by the end of each fetch, 2.5 s on by the upstreams' clock as it was told, plus steady time. An answer without shelves, as of a leader that has others tell them, renewed that clock alone: fetches by the word from before the suspension were then permitted from the present.

Evidence: TestTheUpstreamsClockIsAsOldAsTheShelves failed before: "the clock shows 6000 by an answer without shelves, 1000 with the last ones". Worked out from the code; no fetch was seen to meet a free.

Why it works: the clock is never younger than the word by which it is used, so a fetch ends at most 3.5 s after the word, whatever the entry slept through; freeing waits 3.9 s.

--- a/internal/gateway/told.go
+++ b/internal/gateway/told.go
@@ -106,9 +106,6 @@
 }
 
 func (s *state) noteShelves(answer *steward.WatchAnswer, sent time.Time) {
-	if answer.Clock > 0 {
-		s.clock, s.clockAt = answer.Clock, time.Now()
-	}
 	if answer.Shelves == nil {
 		return
 	}
@@ -126,6 +123,12 @@
 		return
 	}
 	s.shelvesAt = sent
+	if answer.Clock > 0 {
+		// Taken with the shelves only: the steady clock, by which they are trusted, stands
+		// still while the machine is suspended, and a later reading would permit fetches
+		// by them that end later than freeing waits for.
+		s.clock, s.clockAt = answer.Clock, time.Now()
+	}
 	for _, store := range s.stores {
 		store.open = false
 	}
