Steward: fewer readings of the clock for each watch

One reading serves all checks that follow it at once; the last is right before the answer is made, as it was.

--- a/internal/steward/branch.go
+++ b/internal/steward/branch.go
@@ -78,6 +78,9 @@
 // now implements bulletin.
 func (b *branch) now() time.Time { return readClock(b.clock) }
 
+// timeAt implements bulletin.
+func (b *branch) timeAt(lease time.Time) time.Time { return lease }
+
 // at is what the branch's clock shows at a time of the steady clock, or later.
 func (b *branch) at(steady time.Time) time.Time { return b.now().Add(time.Until(steady)) }
 
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -205,6 +205,9 @@
 // now implements bulletin.
 func (l *leadership) now() time.Time { return time.Now() }
 
+// timeAt implements bulletin.
+func (l *leadership) timeAt(time.Time) time.Time { return time.Now() }
+
 // touch implements bulletin.
 func (l *leadership) touch(from port.Peer, now time.Time) { l.watchers.touch(from, now) }
 
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -49,6 +49,9 @@
 	// now is the time that the others are given: a leader's by the steady clock, that
 	// of other hosts by the clock that counts suspensions.
 	now() time.Time
+	// timeAt is now where leases are at a time that was just read: it reads their clock
+	// no second time, which is a system call.
+	timeAt(lease time.Time) time.Time
 	// follow takes in what a watch says of its caller.
 	follow(from port.Peer, request *WatchRequest, now time.Time)
 	// touch notes that a watch of the caller was open until now.
@@ -99,8 +102,8 @@
 	return b, shed
 }
 
-// tell adds to an answer what every one carries, as of when the caller is told all.
-func (s *Steward) tell(b bulletin, from port.Peer, request *WatchRequest, answer *WatchAnswer, heard, now time.Time) {
+// tell adds to an answer what every one carries.
+func (s *Steward) tell(b bulletin, from port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time) {
 	b.complete(from, answer, now)
 	if request.SilentAt == answer.SilentAt && request.Term == answer.Term {
 		// Thousands may be silent, and each entry asks several times a second.
@@ -108,7 +111,6 @@
 	}
 	b.tellGrants(from, request, answer, now)
 	answer.Pause = s.pauseAfter(b, request, answer)
-	answer.Heard = s.leaseNow().Sub(heard)
 	answer.Members = s.memberNames()
 	if request.Entry != nil {
 		answer.Entries = nil
@@ -148,12 +150,14 @@
 		heard, _ = s.fill(b, request, answer)
 		b.touch(from, b.now())
 	}
-	now := b.now()
+	lease := s.leaseNow()
+	now := b.timeAt(lease)
 	if heard.IsZero() || !b.serves(request, now) {
 		return s.redirect(request, false, waited)
 	}
 	answer.waited = waited
-	s.tell(b, from, request, answer, heard, now)
+	answer.Heard = lease.Sub(heard)
+	s.tell(b, from, request, answer, now)
 	return answer
 }
 
@@ -182,8 +186,9 @@
 func (s *Steward) fill(b bulletin, request *WatchRequest, answer *WatchAnswer) (time.Time, bool) {
 	// Noted before the look: the leader's next word may come in between, and what
 	// was filled in without it would look younger than it is.
-	heard := b.asOf(s.leaseNow())
-	if !b.serves(request, b.now()) {
+	lease := s.leaseNow()
+	heard := b.asOf(lease)
+	if !b.serves(request, b.timeAt(lease)) {
 		return time.Time{}, false
 	}
 	found := s.machine.fill(request, answer)
