steward: no caches are read before the size of the fleet is known

Callers see: after a kill of all processes of a fleet of hundreds of entries before thousands of upstreams, answers late or none for five seconds and more, while one control host after the other leads for one to three seconds.

Cause: a leader follows the caches of all runners in a fleet of up to 16 entries. It took the first entries that called for all of them. What guards against that after a restart of all control hosts, that each entry tells how many it was told of, says nothing when the entries have started again as well: the leader began to ask 2,571 runners for their caches, each on a connection of its own, and stopped when it looked again, up to a second later.

Change: the size counts as known once a caller was told it by a leader that knew it, or this host knew the entries when it came to lead, or all had 2 s to call. A leader that does not know it says so, so that entries don't pass on its count as known. The log tells when the caches of runners begin or cease to be followed.

In a small fleet whose processes all start again, caches are followed 2 s after the election in place of at the first call.

The test failed before: with 64 entries, a runner's cache was asked for.

--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -100,7 +100,7 @@
 	// asked is the host of the latest answer.
 	asked ident.Host
 	// term is the highest of all answers, and entries the number of entries that
-	// the latest told.
+	// the latest told of a leader that knew it.
 	term    uint64
 	entries int
 	next    int
@@ -338,7 +338,10 @@
 		// kept away from those would all have the leader answer them.
 		clear(f.avoided)
 	}
-	f.term, f.entries, f.pause = answer.Term, answer.EntryCount, answer.Pause
+	f.term, f.pause = answer.Term, answer.Pause
+	if !answer.Counting {
+		f.entries = answer.EntryCount
+	}
 	answer.Partial = call.after != f.taken
 	// What the answer tells was looked up Held after the question came at the earliest.
 	if word := call.sent.Add(answer.Held - answer.Heard); word.After(f.wordTime()) {
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -55,8 +55,10 @@
 	beats map[string]time.Time
 	// successions are the earlier-born lives that announce themselves.
 	successions roster.Successions
-	// told is the most entries that callers had been told of before.
-	told int
+	// told is the most entries that callers had been told of before, and sized tells that
+	// they, or this host, know how many there are.
+	told  int
+	sized bool
 	// reports are being gathered for a command, nil if none are.
 	reports *reportBatch
 	// forgotAt is when ends were last looked for that no longer count.
@@ -132,6 +134,7 @@
 	// leader before keeps callers supplied with addresses.
 	for _, view := range s.entryList() {
 		l.watchers.expect(view, now)
+		l.sized = true
 	}
 	return l
 }
@@ -195,6 +198,7 @@
 func (l *leadership) follow(from port.Peer, request *WatchRequest, now time.Time) {
 	l.mu.Lock()
 	l.told = max(l.told, request.Entries)
+	l.sized = l.sized || request.Entries > 0
 	l.mu.Unlock()
 	for _, heard := range request.Heard {
 		l.beat(heard.Upstream, now.Add(-heard.Age))
@@ -223,9 +227,13 @@
 	return l.told
 }
 
-// knowsSize reports whether an entry has called, or none will.
+// knowsSize reports whether it is known how many entries there are, or all have had the
+// time to call. After a restart of all hosts, entries included, the first ones that call
+// were told of no others, and tell nothing of the hundreds that may follow.
 func (l *leadership) knowsSize(now time.Time) bool {
-	return l.watchers.count() > 0 || now.Sub(l.since) >= relaysWithin
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sized || now.Sub(l.since) >= relaysWithin
 }
 
 // entryCount is the number of entries, those that are to call among them.
@@ -307,7 +315,7 @@
 	answer.Term = l.elected
 	answer.Leader = string(l.steward.options.Self)
 	entries := l.watchers.recentEntries(now)
-	answer.EntryCount = max(len(entries), l.expected(now))
+	answer.EntryCount, answer.Counting = max(len(entries), l.expected(now)), !l.knowsSize(now)
 	if answer.SameLists = l.toldLists(from, entries, now); !answer.SameLists {
 		answer.Entries = entries
 	}
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -178,9 +178,11 @@
 	Clock int64 `cbor:"13,keyasint,omitempty"`
 	// Loads are the other entries' work under way.
 	Loads []Load `cbor:"14,keyasint,omitempty"`
-	// Entries lists the entries, for control hosts; entries get their number.
+	// Entries lists the entries, for control hosts; entries get their number. Counting
+	// tells that the leader does not know yet how many there are.
 	Entries    []EntryView `cbor:"15,keyasint,omitempty"`
 	EntryCount int         `cbor:"17,keyasint"`
+	Counting   bool        `cbor:"35,keyasint,omitempty"`
 	// BelowAt is the number of the list of entries that the caller, a control host, told.
 	BelowAt uint64 `cbor:"33,keyasint,omitempty"`
 	// Takers is the number of the entries that took requests lately.
--- a/internal/steward/restarted_test.go
+++ b/internal/steward/restarted_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/holdings"
+	"github.com/lovagereach/lovagereach/ident"
 )
 
 // restartedLeader leads after a restart of all control hosts: it knows a store with
@@ -205,3 +206,48 @@
 		})
 	}
 }
+
+// The same after a restart of all hosts, entries included: nobody was told how many there
+// are, and the first that call are some of hundreds.
+func TestRunnersCachesAreNotReadForTheFirstEntriesAfterARestartOfEverything(t *testing.T) {
+	for _, entries := range []int{64, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			l := restartedLeader()
+			l.steward.machine.applyDocument(&catalog.Document{Version: 2, Source: []byte("x"), Services: []catalog.Service{
+				{Name: "llm", Engine: &catalog.Engine{Slots: 4, MemoryTokens: 50000}},
+				{Name: "store", Store: &catalog.Store{Address: "store:1", CapacityTokens: 1000000}},
+			}})
+			sources := &askedSources{asked: make(map[string]int)}
+			l.steward.options.Stores = sources
+			l.steward.machine.lives["store:1"] = 1
+			ctx, cancel := context.WithCancel(t.Context())
+			go l.shelves.run(ctx)
+			began := time.Now()
+			var calling sync.WaitGroup
+			for i := range entries {
+				calling.Go(func() {
+					name := fmt.Sprint("e", i)
+					time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+					follower := NewFollower(FollowerOptions{Self: ident.Host(name)})
+					for ; time.Since(began) < relaysWithin+time.Second; time.Sleep(watchWait) {
+						// Those that were answered tell how many they were told of.
+						sent := time.Now()
+						request := askOf(name, 0, holdings.Question{Listed: true})
+						follower.describe(request, "c1", sent)
+						if answer := l.steward.watch(ctx, entryPeer(name), request); !answer.Elsewhere {
+							follower.take(&watched{answer: *answer, sent: sent}, func(*WatchAnswer, time.Time) {})
+						}
+					}
+				})
+			}
+			calling.Wait()
+			sources.mu.Lock()
+			if small := entries <= cacheWatchers; (sources.asked["a:1"] > 0) != small {
+				t.Errorf("with %d entries: asked %v", entries, sources.asked)
+			}
+			sources.mu.Unlock()
+			cancel()
+			time.Sleep(2 * time.Second)
+		})
+	}
+}
--- a/internal/steward/shelves.go
+++ b/internal/steward/shelves.go
@@ -114,7 +114,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.follow(ctx, k.byStore, stores, k.followStore)
+	before := len(k.byRunner)
 	k.follow(ctx, k.byRunner, runners, k.followRunner)
+	if len(k.byRunner) > 0 != (before > 0) {
+		k.leadership.steward.options.Log.Info("runners' caches", "followed", len(k.byRunner), "entries", k.leadership.entryCount(time.Now()))
+	}
 	k.book.keepOnly(func(address string) bool {
 		_, store := stores[address]
 		_, runner := runners[address]
