replica: a group is opened without the lock that its worker may wait for

A host with several groups stood still for good, with all that asks it of a group, when it opened one while another on the same worker committed: opening took the worker's lock within the manager's, a turn the manager's within the worker's. Found by reading, while the control group was looked through for ways to have no leader. Hosts of routed deployments have one group and don't reach it; native control hosts open one for each ledger shard.

--- a/internal/replica/manager.go
+++ b/internal/replica/manager.go
@@ -212,16 +212,25 @@
 	}
 	g.applier = applier{group: g, machine: machine, waiters: make(map[uint64]*proposal)}
 	g.applier.applied.Store(stored.Snapshot.Index)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if _, ok := m.groups[id]; ok {
+	if !m.register(g) {
 		return nil, eris.Errorf("replica: group %d is open already", id)
 	}
-	m.groups[id] = g
 	g.worker.add(g)
 	return g, nil
 }
 
+// register reports false if a group of the same number is open. It must not be called by
+// a worker, nor call one: workers take the manager's lock within their own.
+func (m *Manager) register(g *group) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.groups[g.id]; ok {
+		return false
+	}
+	m.groups[g.id] = g
+	return true
+}
+
 // Groups lists the open groups.
 func (m *Manager) Groups() []groupID {
 	m.mu.Lock()
