--- a/ident/ident.go
+++ b/ident/ident.go
@@ -58,8 +58,8 @@
 }
 
 // Incarnation distinguishes successive lives of one process or upstream. Those
-// of entries, as the control group assigns them, grow; those of connections are
-// random; upstreams choose their own, which mostly grow.
+// of entries, as the control group assigns them, grow. Those of connections say
+// nothing of their order. Upstreams choose their own, which mostly grow.
 type Incarnation uint64
 
 // RequestSize is the length of a request identity in bytes.
