Leader: wait for entries to which an older configuration is on its way

What callers would see: an entry that has just started handles requests by a configuration whose successor was acknowledged up to 0.8 s longer ago than the bound allows.

Cause: an entry stops serving at ApplyWithin plus watcherTTL after its latest state, since the leader waits watcherTTL for an entry that has stopped watching. For an entry without a configuration it did not wait at all, although an answer with the older one might be on its way to it, from the leader or from a relay of whose new entry the leader had not heard.

Fix: a watch without a configuration is recorded with the one that its answer carries, and a relay that still has an older one is waited for like an entry.

Evidence: TestEntryIsAwaitedOnceConfigurationIsOnItsWay and TestRelaysWithOlderConfigurationDelayAcknowledgement, both failed before with an acknowledgement at once ("version 1 is on its way to an entry: <nil>").

--- a/internal/steward/inforce.go
+++ b/internal/steward/inforce.go
@@ -22,21 +22,30 @@
 // entry that has stopped watching counts for watcherTTL. The entries that a new leader has from
 // its predecessor count for as long: it waits until those that are still running have called.
 func (l *leadership) awaitInForce(ctx context.Context, behind func(*EntryView) bool) error {
+	return l.awaitNone(ctx, func(now time.Time) int { return l.watchers.countIf(behind, now) })
+}
+
+// awaitNone is awaitInForce with a function that returns the number of hosts that are behind.
+func (l *leadership) awaitNone(ctx context.Context, behind func(now time.Time) int) error {
 	for end := time.Now().Add(inForceWait); ; {
 		now := time.Now()
-		late := l.watchers.countIf(behind, now)
+		late := behind(now)
 		called := now.Sub(l.since) >= watcherTTL
 		switch {
 		case late == 0 && called:
 			return nil
 		case !now.Before(end) || !wait.For(ctx, inForcePoll):
-			return eris.Wrapf(ErrUnavailable, "not in force yet at %d entries; send the order again", late)
+			return eris.Wrapf(ErrUnavailable, "not in force yet at %d hosts; send the order again", late)
 		}
 	}
 }
 
-// awaitDocument waits until a configuration, or a later one, is in force. An entry without a
-// configuration serves nothing by an older one, and isn't waited for.
+// awaitDocument waits until a configuration, or a later one, is in force. An entry that has none
+// and is sent none serves nothing, and isn't waited for. A relay with an older one may be sending
+// it to entries of which this host doesn't know yet.
 func (l *leadership) awaitDocument(ctx context.Context, version catalog.Version) error {
-	return l.awaitInForce(ctx, func(v *EntryView) bool { return v.Document != 0 && v.Document < version })
+	older := func(v *EntryView) bool { return v.Document != 0 && v.Document < version }
+	return l.awaitNone(ctx, func(now time.Time) int {
+		return l.watchers.countIf(older, now) + l.watchers.relaysBefore(version, now)
+	})
 }
--- a/internal/steward/inforce_test.go
+++ b/internal/steward/inforce_test.go
@@ -202,3 +202,50 @@
 		t.Errorf("an answer requested a minute ago counts as requested %v ago", age)
 	}
 }
+
+// Guards against an acknowledgement while an answer with an older configuration is on its way to
+// an entry that had none: the entry would serve by it for longer than the bound.
+func TestEntryIsAwaitedOnceConfigurationIsOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := testLeadership(1)
+		machine := l.steward.machine
+		machine.applyDocument(&catalog.Document{Version: 1})
+		time.Sleep(watcherTTL)
+		started := &WatchRequest{Entry: &EntryView{Host: "e1"}}
+		l.recordWatcher(entryPeer("e1"), started, time.Now())
+		machine.applyDocument(&catalog.Document{Version: 2})
+		if err := l.awaitDocument(context.Background(), 2); !errors.Is(err, ErrUnavailable) {
+			t.Errorf("version 1 is on its way to an entry: %v", err)
+		}
+		l.recordWatcher(entryPeer("e1"), started, time.Now())
+		if err := l.awaitDocument(context.Background(), 2); err != nil {
+			t.Errorf("the entry has asked again and gets version 2: %v", err)
+		}
+		relayed := newRelayState(machine, l.steward.index, l.steward.options.Log)
+		relayed.recordWatcher(entryPeer("e2"), &WatchRequest{Entry: &EntryView{Host: "e2"}}, time.Now())
+		if views := relayed.watchers.entries(time.Now()); views[0].Document != 2 {
+			t.Errorf("a relay reports version %d of an entry to which it sends version 2", views[0].Document)
+		}
+	})
+}
+
+// Guards against an acknowledgement while a relay still sends an older configuration to entries
+// that the leader doesn't know yet.
+func TestRelaysWithOlderConfigurationDelayAcknowledgement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := testLeadership(1)
+		time.Sleep(watcherTTL)
+		l.recordWatcher(controlPeer("c2"), &WatchRequest{Relay: true, Document: 1}, time.Now())
+		if err := l.awaitDocument(context.Background(), 2); !errors.Is(err, ErrUnavailable) {
+			t.Errorf("a relay has version 1: %v", err)
+		}
+		l.recordWatcher(controlPeer("c2"), &WatchRequest{Relay: true, Document: 2}, time.Now())
+		if err := l.awaitDocument(context.Background(), 2); err != nil {
+			t.Errorf("the relay has version 2: %v", err)
+		}
+		l.recordWatcher(controlPeer("c2"), &WatchRequest{Document: 1}, time.Now())
+		if err := l.awaitDocument(context.Background(), 2); err != nil {
+			t.Errorf("the host is no relay: %v", err)
+		}
+	})
+}
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -128,6 +128,7 @@
 		steward: s, elected: term, since: now, watchers: newWatchers(s.options.Log), lastContacts: make(map[string]time.Time),
 		minVersions: rollout.NewMinimumVersions(), granter: warmup.NewGranter(now), announceEvery: announceInterval(s.options.AnnounceEvery),
 	}
+	l.watchers.newest = s.machine.documentVersion
 	l.inventories = newInventoryFollower(l)
 	l.loader = newLoader(l)
 	s.index.lead(term)
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -308,6 +308,16 @@
 	return found
 }
 
+// documentVersion returns the version of the current configuration, 0 before the first.
+func (m *Machine) documentVersion() catalog.Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.document == nil {
+		return 0
+	}
+	return m.document.Version
+}
+
 // documentFor returns the configuration in the form for the caller of a watch: a control host
 // has it from the log and receives its version only. The caller holds the lock.
 func (m *Machine) documentFor(request *WatchRequest) *catalog.Document {
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -44,7 +44,7 @@
 	Rate int `cbor:"5,keyasint,omitempty"`
 	Most int `cbor:"6,keyasint,omitempty"`
 	// Evacuation is the revision of the evacuations in force at the entry, and Document the
-	// version of its configuration, 0 for none.
+	// version of the oldest configuration that it may serve by, 0 for none.
 	Evacuation uint64          `cbor:"7,keyasint,omitempty"`
 	Document   catalog.Version `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/steward/relaystate.go
+++ b/internal/steward/relaystate.go
@@ -74,7 +74,9 @@
 func newRelayState(machine *Machine, index *sharedIndex, log *log.Logger) *relayState {
 	// The revision starts at a random number: the leader may still hold the list of the
 	// previous incarnation.
-	return &relayState{relayedRevision: rand.Uint64() >> 1, machine: machine, index: index, watchers: newWatchers(log)}
+	b := &relayState{relayedRevision: rand.Uint64() >> 1, machine: machine, index: index, watchers: newWatchers(log)}
+	b.watchers.newest = machine.documentVersion
+	return b
 }
 
 // now implements watchSource.
--- a/internal/steward/watchers.go
+++ b/internal/steward/watchers.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 )
@@ -27,6 +28,8 @@
 type watchers struct {
 	// arrivals logs entries that come or change, and losses watchers that are silent.
 	arrivals, losses throttledLog
+	// newest returns the version of this host's configuration, 0 for none; nil means 0.
+	newest func() catalog.Version
 
 	mu     sync.Mutex
 	byHost map[ident.Host]*watcher
@@ -46,25 +49,31 @@
 	// idle entries send requests rarely.
 	idle bool
 	// relay is set for a control host that answers watches itself. relayedRevision is the
-	// revision of its list of entries.
+	// revision of its list of entries, and document the version of its configuration.
 	relay           *RelayView
 	relayedRevision uint64
+	document        catalog.Version
 }
 
 func newWatchers(log *log.Logger) *watchers {
 	return &watchers{arrivals: throttledLog{log: log}, losses: throttledLog{log: log}, byHost: make(map[ident.Host]*watcher), totals: make(map[string]Load)}
 }
 
-// record records the caller's state in a watch.
+// record records the caller's state in a watch, before the watch is answered. An entry without
+// a configuration is recorded with this host's, which its answer carries: it may serve by that
+// one from then on.
 func (w *watchers) record(from port.Peer, request *WatchRequest, now time.Time) {
 	next := &watcher{views: request.RelayedEntries, loads: request.Loads, seen: now, idle: request.Idle}
 	switch {
 	case request.Entry != nil:
 		view := *request.Entry
 		view.Evacuation, view.Document = request.Evacuation, request.Document
+		if view.Document == 0 && w.newest != nil {
+			view.Document = w.newest()
+		}
 		next.views = []EntryView{view}
 	case request.Relay:
-		next.relay = &RelayView{Host: string(from.Host), DataCentre: string(from.DataCentre)}
+		next.relay, next.document = &RelayView{Host: string(from.Host), DataCentre: string(from.DataCentre)}, request.Document
 		if len(request.RelayedEntries) > 0 {
 			next.relayedRevision = request.RelayedRevision
 		}
@@ -224,6 +233,20 @@
 	return n
 }
 
+// relaysBefore returns the number of recent relays with an older configuration.
+func (w *watchers) relaysBefore(version catalog.Version, now time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire(now)
+	n := 0
+	for _, known := range w.byHost {
+		if known.relay != nil && known.document < version {
+			n++
+		}
+	}
+	return n
+}
+
 // count returns the number of recent entries; an entry that two watchers report counts twice.
 func (w *watchers) count() int {
 	w.mu.Lock()
