Entries: a host is silent only if this process ran to hear it

What callers saw: after a stall of an entry, it took all control hosts that it had asked for silent and avoided them for 2 s, so that it got its next configuration from hosts that redirect, in turn.

Cause: the timeout of a watch counts the time in which the entry itself did not run; its timer fires as soon as it runs again, when the answer waits in its buffers.

Fix: what remains of the timeout without stalls is waited for. A call whose connection was closed meanwhile still ends at once.

Evidence: TestStallIsNoSilenceOfHosts, failed before with "avoided after a stall: map[c1...]".

--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -202,6 +202,7 @@
 	}
 	f.addCallerState(request, host, now)
 	call := f.send(ctx, host, request)
+	sentAt := f.running(now)
 	longest := watchTimeout
 	if request.Idle {
 		longest += idleWait - watchWait
@@ -223,6 +224,11 @@
 				return false
 			}
 		case <-timeout.C:
+			// The answer to a process that didn't run may be waiting in its buffers.
+			if left := longest - (f.running(f.Now()) - sentAt); left > 0 {
+				timeout.Reset(left)
+				continue
+			}
 			f.markSilent(host, errNoAnswer)
 			return false
 		case <-ctx.Done():
--- a/internal/steward/follower_test.go
+++ b/internal/steward/follower_test.go
@@ -254,3 +254,27 @@
 		}
 	})
 }
+
+// Guards against an entry that was stopped and finds all control hosts silent afterwards, though
+// their answers have arrived: it avoids them for seconds.
+func TestStallIsNoSilenceOfHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := slowFollower(&slowHosts{
+			after:  map[string]time.Duration{"c1": watchTimeout + 50*time.Millisecond},
+			answer: func(string, *WatchRequest) WatchAnswer { return WatchAnswer{Term: 1, Leader: "c1"} },
+		})
+		answered := func() bool {
+			return f.once(t.Context(), &WatchRequest{Entry: &EntryView{Host: "e1"}}, func(*WatchAnswer, time.Time) {})
+		}
+		f.stalls.Beat(time.Now())
+		if !answered() || len(f.avoided) > 0 {
+			t.Errorf("avoided after a stall: %v", f.avoided)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go f.stalls.Run(ctx, time.Now)
+		if answered() || len(f.avoided) != 1 {
+			t.Errorf("avoided without a stall: %v", f.avoided)
+		}
+	})
+}
