quorum, replica: stalls of a host don't end its leader's term

What callers saw: no leader, and changes and restarts that wait for one without an end, while all hosts run for a part of the time.

Cause: a host that has not run for an election timeout finds its leader silent, and a leader its quorum, as soon as it runs again, before it has read a message. A host that stalls again and again for longer than that ends each term when it wakes, however much time it has in between. With the default of 400 ms, stalls of 450 ms are enough.

Fix: a worker that runs late defers the timeouts of its nodes by the time by which it was late (Node.DeferTimeouts). Leases and votes keep the real time, so that safety rests on nothing new; the simulated hosts of all randomized tests defer too.

--- a/internal/replica/stats.go
+++ b/internal/replica/stats.go
@@ -17,6 +17,10 @@
 	installs      *metrics.Counter
 	readRounds    *metrics.Counter
 	leaderChanges *metrics.Counter
+	// stalls counts the iterations of workers that began over a heartbeat interval late, and
+	// stalled is the time by which they were late, in seconds.
+	stalls  *metrics.Counter
+	stalled *metrics.FloatCounter
 }
 
 func newStats() *stats {
@@ -39,5 +43,7 @@
 		installs:      counter("installed_snapshots"),
 		readRounds:    counter("read_rounds"),
 		leaderChanges: counter("leader_changes"),
+		stalls:        counter("stalls"),
+		stalled:       set.NewFloatCounter("lovagereach_replica_stalled_seconds_total"),
 	}
 }
--- a/internal/replica/worker.go
+++ b/internal/replica/worker.go
@@ -16,6 +16,10 @@
 	inbox   *inbox
 	outbox  outbox
 
+	// ranAt is the time of the previous iteration, zero if there was no group then. Only the loop
+	// uses it.
+	ranAt time.Time
+
 	mu     sync.Mutex
 	groups []*group
 	// active lists the groups that the current iteration has to process.
@@ -40,7 +44,7 @@
 		ticks := ticker.C
 		if w.empty() {
 			// A worker without groups blocks until one is added.
-			ticks = nil
+			ticks, w.ranAt = nil, time.Time{}
 		}
 		ticked := false
 		select {
@@ -68,6 +72,7 @@
 	// The clock is read after the events were dequeued: a machine that was suspended
 	// before that must not serve reads by a lease that has expired meanwhile.
 	now := w.manager.options.Clock()
+	w.deferTimeouts(now)
 	for i := range events {
 		w.markActive(events[i].group)
 		events[i].group.handle(now, &events[i])
@@ -86,6 +91,23 @@
 	w.outbox.flush()
 }
 
+// deferTimeouts defers the timeouts of all nodes by the time for which this worker did not run.
+// An iteration counts as at most one heartbeat interval, which bounds how much later a worker
+// that always runs late notices a lost leader.
+func (w *worker) deferTimeouts(now time.Time) {
+	stalled := now.Sub(w.ranAt) - w.manager.options.Quorum.Heartbeat
+	first := w.ranAt.IsZero()
+	w.ranAt = now
+	if first || stalled <= 0 {
+		return
+	}
+	w.manager.stats.stalls.Inc()
+	w.manager.stats.stalled.Add(stalled.Seconds())
+	for _, g := range w.groups {
+		g.node.DeferTimeouts(stalled)
+	}
+}
+
 func (w *worker) markActive(g *group) {
 	if !g.active {
 		g.active = true
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -86,7 +86,7 @@
 }
 
 // Tick advances the node's clock to now. The runtime must call it at least
-// every Heartbeat/4.
+// every Heartbeat/4, and DeferTimeouts after it could not.
 func (n *Node) Tick(now time.Time) {
 	n.now = now
 	if n.role == RoleLeader {
@@ -103,6 +103,16 @@
 	}
 }
 
+// DeferTimeouts defers by d the times at which this node takes its leader, or as leader its
+// quorum, for lost. The runtime calls it after it has not run for a time: the others may have
+// sent messages meanwhile that it has not handled yet, and a host that stalls for longer than an
+// election timeout, again and again, would otherwise end each term as soon as it runs. Leases
+// and votes are not affected.
+func (n *Node) DeferTimeouts(d time.Duration) {
+	n.electionDeadline = n.electionDeadline.Add(d)
+	n.lead.lastQuorumContact = n.lead.lastQuorumContact.Add(d)
+}
+
 // mayCampaign reports whether this disk is a voter and is not revoked.
 func (n *Node) mayCampaign() bool {
 	return !n.hard.Revoked && n.members.isVoter(n.opts.Self, n.hard.Disk)
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -132,6 +132,10 @@
 		}
 		if !s.now.Before(h.tickAt) {
 			h.tickAt = s.now.Add(simTick)
+			if late := s.now.Sub(h.tickedAt) - h.node.opts.Heartbeat; !h.tickedAt.IsZero() && late > 0 {
+				h.node.DeferTimeouts(late)
+			}
+			h.tickedAt = s.now
 			h.node.Tick(s.local(h))
 			s.drain(h)
 		}
--- a/quorum/simhost_test.go
+++ b/quorum/simhost_test.go
@@ -9,14 +9,16 @@
 )
 
 type simHost struct {
-	host        ident.Host
-	node        *Node
-	disk        StoredState
-	wipedDisks  []StoredState // disks replaced by wipe
-	data        []byte        // snapshot data on disk
-	drift       float64
-	clock       time.Duration // time elapsed on the host's clock
-	paused      time.Time
+	host       ident.Host
+	node       *Node
+	disk       StoredState
+	wipedDisks []StoredState // disks replaced by wipe
+	data       []byte        // snapshot data on disk
+	drift      float64
+	clock      time.Duration // time elapsed on the host's clock
+	paused     time.Time
+	// tickedAt is the time of the latest tick, zero after a start.
+	tickedAt    time.Time
 	tickAt      time.Time
 	writing     *Ready
 	syncAt      time.Time
@@ -39,7 +41,7 @@
 		s.t.Fatal(err)
 	}
 	node.faults = s.faults
-	h.node, h.writing, h.reads, h.paused = node, nil, nil, time.Time{}
+	h.node, h.writing, h.reads, h.paused, h.tickedAt = node, nil, nil, time.Time{}, time.Time{}
 	h.starts++
 	h.state = newStateMachine()
 	if len(h.data) > 0 {
