Control hosts: a watcher or upstream is silent only if this host ran to hear it

What callers saw: after a stall of the whole group a leader that still leads listed no entry, so that callers were given no address, and took all upstreams for silent.

Fix: watches and contacts are timed by a clock that stops while the host does not run. An entry or upstream counts for longer, never for less time than before, so that no configuration is acknowledged earlier.

Evidence: TestStalledLeaderKeepsWatchersAndUpstreams; without the leader's meter it fails with "after a stall: silent upstreams [a], want 0" and no entry listed.

--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -33,12 +33,15 @@
 type leadership struct {
 	steward *Steward
 	// elected is the term in which this host leads.
-	elected     uint64
-	since       time.Time
-	watchers    *watchers
-	active      activeEntries
-	inventories *inventoryFollower
-	loader      *loader
+	elected uint64
+	since   time.Time
+	clock   listeningClock
+	// stalledBefore is the time for which this host did not run until since.
+	stalledBefore time.Duration
+	watchers      *watchers
+	active        activeEntries
+	inventories   *inventoryFollower
+	loader        *loader
 
 	minVersionsMu sync.Mutex
 	minVersions   *rollout.MinimumVersions
@@ -52,7 +55,8 @@
 
 	announceEvery announceInterval
 
-	mu           sync.Mutex
+	mu sync.Mutex
+	// lastContacts holds the time of each upstream's latest contact, by the listening clock.
 	lastContacts map[string]time.Time
 	// successions tracks announcements of incarnations with earlier start times.
 	successions roster.Successions
@@ -128,7 +132,8 @@
 		steward: s, elected: term, since: now, watchers: newWatchers(s.options.Log), lastContacts: make(map[string]time.Time),
 		minVersions: rollout.NewMinimumVersions(), granter: warmup.NewGranter(now), announceEvery: announceInterval(s.options.AnnounceEvery),
 	}
-	l.watchers.newest = s.machine.documentVersion
+	l.clock, l.stalledBefore = s.stalls.Total, s.stalls.Total(now)
+	l.watchers.newest, l.watchers.clock = s.machine.documentVersion, l.clock
 	l.inventories = newInventoryFollower(l)
 	l.loader = newLoader(l)
 	s.index.lead(term)
--- a/internal/steward/silent.go
+++ b/internal/steward/silent.go
@@ -13,6 +13,7 @@
 
 // recordContact records a contact of an upstream, with this or another host.
 func (l *leadership) recordContact(id string, at time.Time) {
+	at = l.clock.at(at)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if at.After(l.lastContacts[id]) {
@@ -24,6 +25,7 @@
 // incarnation, and marks it so. While that is undecided, a departure can't be acknowledged: the
 // record of the other incarnation still attracts work to the upstream.
 func (l *leadership) follows(u *roster.Upstream, now time.Time) (bool, error) {
+	now = l.clock.at(now)
 	held, known := l.steward.machine.upstream(u.ID)
 	if !known {
 		return false, nil
@@ -56,10 +58,11 @@
 	if at, known := l.lastContacts[id]; known {
 		return at
 	}
-	return l.since
+	return l.since.Add(-l.stalledBefore)
 }
 
 func (l *leadership) silent(live []roster.Upstream, now time.Time) []string {
+	now = l.clock.at(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var silent []string
@@ -133,6 +136,7 @@
 
 // silentOf lists those of the given upstreams that are silent, by ID.
 func (l *leadership) silentOf(ids []string, now time.Time) []string {
+	now = l.clock.at(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var silent []string
@@ -148,6 +152,7 @@
 // current lists the upstreams that are not silent, and of those with the same address only the
 // one with the latest contact. The others have ended: a query to them would be answered by it.
 func (l *leadership) current(live []roster.Upstream, now time.Time) []roster.Upstream {
+	now = l.clock.at(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	last := make(map[string]time.Time, len(live))
@@ -174,6 +179,7 @@
 // lost lists the upstreams to remove: those that have been silent for forgetAfter, and the
 // silent ones whose address has another upstream in contact.
 func (l *leadership) lost(live []roster.Upstream, now time.Time) []roster.Upstream {
+	now = l.clock.at(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	inUse := make(map[string]bool)
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -19,6 +19,7 @@
 	"github.com/lovagereach/lovagereach/internal/boottime"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/replica"
+	"github.com/lovagereach/lovagereach/internal/stall"
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/quorum"
 )
@@ -69,6 +70,8 @@
 	index *sharedIndex
 	relay *relayState
 	pacer pacer
+	// stalls measures for how long this process did not run, by the monotonic clock.
+	stalls stall.Meter
 	// directory caches the answers to callers.
 	directory directory
 	// commitBatcher gathers the announcements that the leader commits, and forwardBatcher those
@@ -165,6 +168,7 @@
 		Transport: s.transport, Seeds: o.Seeds, PeerPort: o.PeerPort, Log: o.Log, Self: o.Self, LeaderOnly: true,
 		Clock: o.Clock,
 	})
+	s.relay.watchers.clock = s.follower.stalls.Total
 	s.transport.Handle(methodWatch, port.PeerHandlerFunc(s.handleWatch))
 	s.transport.Handle(methodSubmit, port.PeerHandlerFunc(s.handleSubmit))
 	s.transport.Handle(methodReport, port.PeerHandlerFunc(s.handleReport))
@@ -238,6 +242,7 @@
 	tasks, ctx := errgroup.WithContext(ctx)
 	tasks.Go(func() error { return s.transport.Serve(s.options.Listener) })
 	tasks.Go(func() error { s.manager.Run(ctx); return nil })
+	tasks.Go(func() error { s.stalls.Run(ctx, time.Now); return nil })
 	tasks.Go(func() error { return s.openAndFollow(ctx) })
 	tasks.Go(func() error {
 		select {
--- a/internal/steward/suspended_test.go
+++ b/internal/steward/suspended_test.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"context"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -125,3 +126,35 @@
 		return false
 	})
 }
+
+// Guards against a leader that was stopped together with its group and finds all entries and
+// upstreams silent afterwards, though it could not have heard them: callers are given no address,
+// and entries send nothing to the upstreams.
+func TestStalledLeaderKeepsWatchersAndUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := testLeadership(1)
+		ready := &WatchRequest{Entry: &EntryView{Host: "e1", Callers: "e1:80", Ready: true}}
+		l.recordWatcher(entryPeer("e1"), ready, time.Now())
+		l.recordContact("a", time.Now())
+		check := func(when string, entries, silent int) {
+			t.Helper()
+			now := time.Now()
+			if got := l.watchers.entries(now); len(got) != entries {
+				t.Errorf("%s: entries %v, want %d", when, got, entries)
+			}
+			if got := l.silentOf([]string{"a"}, now); len(got) != silent {
+				t.Errorf("%s: silent upstreams %v, want %d", when, got, silent)
+			}
+		}
+		l.steward.stalls.Beat(time.Now())
+		time.Sleep(time.Minute)
+		check("after a stall", 1, 0)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go l.steward.stalls.Run(ctx, time.Now)
+		time.Sleep(watcherTTL)
+		check("silent while the leader runs", 0, 0)
+		time.Sleep(l.announceEvery.silentAfter())
+		check("silent for longer", 0, 1)
+	})
+}
--- a/internal/steward/watchers.go
+++ b/internal/steward/watchers.go
@@ -30,6 +30,7 @@
 	arrivals, losses throttledLog
 	// newest returns the version of this host's configuration, 0 for none; nil means 0.
 	newest func() catalog.Version
+	clock  listeningClock
 
 	mu     sync.Mutex
 	byHost map[ident.Host]*watcher
@@ -45,7 +46,8 @@
 type watcher struct {
 	views []EntryView
 	loads []Load
-	seen  time.Time
+	// seen is the time of the latest watch, by the listening clock.
+	seen time.Time
 	// idle entries send requests rarely.
 	idle bool
 	// relay is set for a control host that answers watches itself. relayedRevision is the
@@ -63,6 +65,7 @@
 // a configuration is recorded with this host's, which its answer carries: it may serve by that
 // one from then on.
 func (w *watchers) record(from port.Peer, request *WatchRequest, now time.Time) {
+	now = w.clock.at(now)
 	next := &watcher{views: request.RelayedEntries, loads: request.Loads, seen: now, idle: request.Idle}
 	switch {
 	case request.Entry != nil:
@@ -114,7 +117,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if known := w.byHost[from.Host]; known != nil {
-		known.seen = now
+		known.seen = w.clock.at(now)
 	}
 }
 
@@ -142,7 +145,7 @@
 func (w *watchers) expect(view EntryView, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.byHost[ident.Host(view.Host)] = &watcher{views: []EntryView{view}, seen: now}
+	w.byHost[ident.Host(view.Host)] = &watcher{views: []EntryView{view}, seen: w.clock.at(now)}
 	w.cachedViewsAt = time.Time{}
 }
 
@@ -160,6 +163,7 @@
 
 // expire drops the watchers that have not called within watcherTTL. The caller holds the lock.
 func (w *watchers) expire(now time.Time) {
+	now = w.clock.at(now)
 	for host, known := range w.byHost {
 		if silent := now.Sub(known.seen); silent > watcherTTL {
 			w.losses.info(now, "watcher lost", "host", host, "silent", silent)
@@ -262,6 +266,7 @@
 func (w *watchers) relays(now time.Time) []RelayView {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now = w.clock.at(now)
 	var list []RelayView
 	for _, known := range w.byHost {
 		if known.relay != nil && now.Sub(known.seen) <= relayTTL {
