Control hosts: a voter is lost only if the leader ran to hear it

What callers would see: nothing at once; a group that replaces a live voter for its leader's own stall of over 5 s, now that a leader may outlast one.

Evidence: TestStalledLeaderLosesNoVoter; without the clock it fails with "lost after a stall: [c2]".

--- a/internal/steward/formation.go
+++ b/internal/steward/formation.go
@@ -174,7 +174,9 @@
 // members keeps the group at its size while this host leads.
 type members struct {
 	steward *Steward
-	silent  map[ident.Host]time.Time
+	clock   listeningClock
+	// silent holds the time since which a member is silent, by the listening clock.
+	silent map[ident.Host]time.Time
 }
 
 func (m *members) run(ctx context.Context) {
@@ -216,6 +218,7 @@
 }
 
 func (m *members) observe(detail quorum.Status, now time.Time) {
+	now = m.clock.at(now)
 	present := make(map[ident.Host]bool)
 	for _, p := range detail.Peers {
 		present[p.Member.Host] = true
@@ -230,6 +233,7 @@
 
 // lost lists the members that have been silent for lostAfter.
 func (m *members) lost(now time.Time) []ident.Host {
+	now = m.clock.at(now)
 	var hosts []ident.Host
 	for host, since := range m.silent {
 		if now.Sub(since) >= lostAfter {
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -107,7 +107,10 @@
 	s.counters.termsLed.Inc()
 	s.options.Log.Info("leading", "term", term)
 	var tasks errgroup.Group
-	tasks.Go(func() error { (&members{steward: s, silent: make(map[ident.Host]time.Time)}).run(ctx); return nil })
+	tasks.Go(func() error {
+		(&members{steward: s, clock: l.clock, silent: make(map[ident.Host]time.Time)}).run(ctx)
+		return nil
+	})
 	tasks.Go(func() error { l.inventories.run(ctx); return nil })
 	tasks.Go(func() error { l.housekeep(ctx); return nil })
 	tasks.Go(func() error { l.loader.run(ctx); return nil })
--- a/internal/steward/suspended_test.go
+++ b/internal/steward/suspended_test.go
@@ -10,7 +10,10 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/lovagereach/lovagereach/cacheindex"
+	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
+	"github.com/lovagereach/lovagereach/internal/stall"
+	"github.com/lovagereach/lovagereach/quorum"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -158,3 +161,23 @@
 		check("silent for longer", 0, 1)
 	})
 }
+
+// Guards against a leader that replaces a voter for a silence during its own stall.
+func TestStalledLeaderLosesNoVoter(t *testing.T) {
+	var stalls stall.Meter
+	m := &members{clock: stalls.Total, silent: make(map[ident.Host]time.Time)}
+	start := time.Now()
+	m.observe(quorum.Status{Peers: []quorum.PeerStatus{{Member: quorum.Member{Host: "c2"}}}}, start)
+	stalls.Beat(start)
+	end := start.Add(time.Minute)
+	if lost := m.lost(end); len(lost) > 0 {
+		t.Errorf("lost after a stall: %v", lost)
+	}
+	stalls.Beat(end)
+	for now := end; now.Before(end.Add(lostAfter)); now = now.Add(100 * time.Millisecond) {
+		stalls.Beat(now)
+	}
+	if lost := m.lost(end.Add(lostAfter)); len(lost) != 1 {
+		t.Errorf("lost after %v of silence: %v", lostAfter, lost)
+	}
+}
