--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -56,7 +56,10 @@
 		Host: s.Host, DataCentre: string(s.DataCentre), Callers: s.Callers, Sender: upstreams,
 		Budget: gateway.BudgetLimits{Ratio: s.RetryRatio, Extra: s.RetryExtra},
 		Rates:  placement.DefaultRates(), Capacity: gateway.HostCapacity{Cores: s.ProcessorShare * s.ProcessorSpeed, LinkMbps: s.LinkMbps},
-		AnnounceEvery: s.AnnounceEvery(), ConfigExpired: func(time.Time) bool { return follower.ConfigExpired(follower.Now()) }, Log: env.Log, Decisions: decision.New(env.Log),
+		AnnounceEvery: s.AnnounceEvery(),
+		// The follower's clock counts suspensions of the machine.
+		ConfigExpired: func(time.Time) bool { return follower.ConfigExpired(follower.Now()) },
+		Log:           env.Log, Decisions: decision.New(env.Log),
 	})
 	if err != nil {
 		return err
