quorum: a round from before a stall is no newer contact

What callers would see: the same as before DeferTimeouts, now and then: a leader that ends its term after a stall of all hosts.

Cause: an acknowledgement of a round begun before the stall, handled after it, set the time of the leader's latest contact back to before the stall. Found in review.

--- a/quorum/read.go
+++ b/quorum/read.go
@@ -79,7 +79,10 @@
 		return
 	}
 	if at, ok := r.confirm(round); ok {
-		n.lead.lastQuorumContact = at
+		if at.After(n.lead.lastQuorumContact) {
+			// A round from before a stall confirms no later contact than was deferred to.
+			n.lead.lastQuorumContact = at
+		}
 		n.lead.leaseEnd = at.Add(n.opts.lease())
 	}
 	n.serveReads()
--- a/quorum/sim_test.go
+++ b/quorum/sim_test.go
@@ -132,10 +132,7 @@
 		}
 		if !s.now.Before(h.tickAt) {
 			h.tickAt = s.now.Add(simTick)
-			if late := s.now.Sub(h.tickedAt) - h.node.opts.Heartbeat; !h.tickedAt.IsZero() && late > 0 {
-				h.node.DeferTimeouts(late)
-			}
-			h.tickedAt = s.now
+			s.deferTimeouts(h)
 			h.node.Tick(s.local(h))
 			s.drain(h)
 		}
@@ -148,6 +145,14 @@
 	}
 }
 
+// deferTimeouts is called before each step of a host's node, as a runtime does.
+func (s *sim) deferTimeouts(h *simHost) {
+	if late := s.now.Sub(h.ranAt) - h.node.opts.Heartbeat; !h.ranAt.IsZero() && late > 0 {
+		h.node.DeferTimeouts(late)
+	}
+	h.ranAt = s.now
+}
+
 // drain performs the host's effects in the order given in the package comment.
 func (s *sim) drain(h *simHost) {
 	for {
--- a/quorum/simhost_test.go
+++ b/quorum/simhost_test.go
@@ -17,8 +17,8 @@
 	drift      float64
 	clock      time.Duration // time elapsed on the host's clock
 	paused     time.Time
-	// tickedAt is the time of the latest tick, zero after a start.
-	tickedAt    time.Time
+	// ranAt is the time at which the host last ran, zero after a start.
+	ranAt       time.Time
 	tickAt      time.Time
 	writing     *Ready
 	syncAt      time.Time
@@ -41,7 +41,7 @@
 		s.t.Fatal(err)
 	}
 	node.faults = s.faults
-	h.node, h.writing, h.reads, h.paused, h.tickedAt = node, nil, nil, time.Time{}, time.Time{}
+	h.node, h.writing, h.reads, h.paused, h.ranAt = node, nil, nil, time.Time{}, time.Time{}
 	h.starts++
 	h.state = newStateMachine()
 	if len(h.data) > 0 {
--- a/quorum/simnetwork_test.go
+++ b/quorum/simnetwork_test.go
@@ -31,6 +31,7 @@
 	case !s.running(h):
 		s.enqueue(h.paused, m)
 	default:
+		s.deferTimeouts(h)
 		h.node.Step(s.local(h), m)
 		s.drain(h)
 	}
--- a/quorum/stalls_test.go
+++ b/quorum/stalls_test.go
@@ -30,7 +30,8 @@
 				l := s.awaitLeader()
 				term := l.node.hard.Term
 				for range 20 {
-					s.run(runs)
+					// The stalls begin at different times within a heartbeat interval.
+					s.run(runs + time.Duration(seed)*time.Millisecond)
 					if s.leader() != l || l.node.hard.Term != term {
 						t.Fatalf("seed %d: %s no longer leads in term %d", seed, l.host, term)
 					}
