--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,8 +32,8 @@
 func TestRunCountsSuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var m Meter
-		suspended := time.Duration(0)
-		clock := func() time.Time { return time.Now().Add(suspended) }
+		var suspended atomic.Int64
+		clock := func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		go m.Run(ctx, clock)
@@ -40,7 +41,7 @@
 		if got := m.Total(clock()); got != 0 {
 			t.Errorf("stalled for %v without a suspension", got)
 		}
-		suspended = 5 * time.Second
+		suspended.Store(int64(5 * time.Second))
 		time.Sleep(time.Second)
 		if got := m.Total(clock()); got < 5*time.Second-maxBeat || got > 5*time.Second {
 			t.Errorf("stalled for %v, want about 5 s", got)
