gateway: tests of simulated fleets run in parallel

Cause: the package takes 145 to 180 s of a processor under the race detector, 160 of them in four tests that ran one after the other; with half of a processor that is the limit. Change: those four run in parallel, checks as they were.

--- a/internal/gateway/fleet_cold_test.go
+++ b/internal/gateway/fleet_cold_test.go
@@ -131,6 +131,7 @@
 // entries, and against runners that get no requests until they are warm. As a control, entries
 // without the limit exceed the bound under the same load.
 func TestColdRunnersGetNoMoreThanTheySustain(t *testing.T) {
+	t.Parallel()
 	const bound = 22*1.5 + 5
 	unguarded, _ := coldBurst(t, 9, false)
 	if most, _ := unguarded.maxPerSecond(); most <= bound {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -21,6 +21,7 @@
 // Load: callers of 291 entries need half of the prefill rate of 130 runners, with each shared
 // part for the first time.
 func TestLargeFleetDoesNotOverloadOneRunner(t *testing.T) {
+	t.Parallel()
 	large, late := largeFleet(), largeFleet()
 	large.length, late.length = 3*time.Second, 3*time.Second
 	late.answerInterval, late.answerLag = 400*time.Millisecond, 300*time.Millisecond
@@ -49,6 +50,7 @@
 // the shared tokens, the recomputed share is at most twice that of a fleet of a nineteenth, or
 // one in fifty. All shared parts of long prompts are in stores, which have capacity for them.
 func TestLargeFleetDoesNotRecomputeStoredParts(t *testing.T) {
+	t.Parallel()
 	large, small := largeFleet(), smallFleet()
 	large.stored, small.stored = true, true
 	large.longParts, small.longParts = 2400, 126
@@ -68,6 +70,7 @@
 // under way. Both fleets run for the same first seconds, in which every shared part is
 // computed for the first time. The large fleet has to come within 0.08 of the small one.
 func TestLargeFleetAtFourFifthsMatchesSmallFleet(t *testing.T) {
+	t.Parallel()
 	const plays = 12
 	large, small := largeFleet(), smallFleet()
 	large.prefillPerMs, small.prefillPerMs = 72, 72
