Tests of what the mends of stalls rest on: workers, late answers, meters

Cause: seeding a fault into each line of the mends showed seven that no test missed: the worker's deferral of its nodes' timeouts (the simulated group defers by itself), the deferral of a follower's election, late answers that name a leader, and the meters of entries, leaders and relays. Change: TestStallOfAllHostsEndsNoTerm (replica), TestStalledFollowerWaitsForItsLeader (quorum), TestLateAnswersAreNoSilence and TestProcessesMeasureTheirStalls (steward). No other code.

--- a/internal/replica/suspended_test.go
+++ b/internal/replica/suspended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,3 +81,29 @@
 		})
 	}
 }
+
+// Guards against workers that don't defer their nodes' timeouts after a stall: if all hosts stall
+// together for longer than an election timeout, the term ends though no host was lost.
+func TestStallOfAllHostsEndsNoTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var stalled atomic.Int64
+		c := newCluster(t, 3, 1, func(o *Options) {
+			o.Clock = func() time.Time { return time.Now().Add(time.Duration(stalled.Load())) }
+		})
+		l := c.leader()
+		propose(t, l, "one")
+		term := l.replicas[0].Status().Term
+		for range 10 {
+			time.Sleep(137 * time.Millisecond)
+			stalled.Add(int64(2 * time.Second))
+			time.Sleep(250 * time.Millisecond)
+			if status := l.replicas[0].Status(); !status.IsLeader || status.Term != term {
+				t.Fatalf("leads %v in term %d, want term %d", status.IsLeader, status.Term, term)
+			}
+		}
+		propose(t, l, "two")
+		if l.manager.stats.stalls.Get() < 10 || l.manager.stats.stalled.Get() < 15 {
+			t.Errorf("measured %d stalls of %v s, want 10 of about 20 s", l.manager.stats.stalls.Get(), l.manager.stats.stalled.Get())
+		}
+	})
+}
--- a/internal/steward/inforce_test.go
+++ b/internal/steward/inforce_test.go
@@ -249,3 +249,48 @@
 		}
 	})
 }
+
+// Guards against an entry that takes late answers for silence: it would be cut off in its own
+// view, and serve by its configuration without a bound.
+func TestLateAnswersAreNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFollower(FollowerOptions{Self: "e1", ApplyWithin: 2 * time.Second})
+		f.setConfigTime(time.Now())
+		time.Sleep(4 * time.Second)
+		if f.ConfigExpired(time.Now()) {
+			t.Fatal("expired although it is cut off")
+		}
+		f.applyLate(&watchCall{host: "c1", answer: WatchAnswer{Redirect: true, Leader: "c2"}}, nil)
+		if !f.ConfigExpired(time.Now()) {
+			t.Error("not expired although a control host that knows a leader answers late")
+		}
+	})
+}
+
+// Guards against processes that don't measure their stalls, so that nothing accounts for them.
+func TestProcessesMeasureTheirStalls(t *testing.T) {
+	g := newTestGroup(t)
+	g.startThree()
+	s := g.any()
+	follower, err := NewEntryFollower(EntryOptions{
+		Cluster: "test", Key: []byte("a key of the test processes"), Host: "e1", DataCentre: "north",
+		Seeds: []ident.Host{hostName(1)}, PeerPort: g.port, Log: log.New(io.Discard),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go follower.Run(ctx, func() *WatchRequest { return nil }, nil)
+	const stalled = time.Minute
+	for name, at := range map[string]func(now time.Time) time.Time{
+		"entry":             func(now time.Time) time.Time { return now.Add(-follower.stalls.Total(now)) },
+		"leader":            listeningClock(s.stalls.Total).at,
+		"relay of watchers": s.relay.watchers.clock.at,
+	} {
+		g.await(name+" measures its stalls", func() bool {
+			later := time.Now().Add(stalled)
+			return later.Sub(at(later)) > stalled/2
+		})
+	}
+}
--- a/quorum/stalls_test.go
+++ b/quorum/stalls_test.go
@@ -66,3 +66,25 @@
 		s.requireInvariants()
 	}
 }
+
+// Guards against pre-votes of a follower that runs again and whose messages have not been read
+// yet: they cost the others work, and a message of the leader is due anyway.
+func TestStalledFollowerWaitsForItsLeader(t *testing.T) {
+	const stalls = 450 * time.Millisecond
+	for seed := range uint64(50) {
+		s := newSim(t, seed, 3, 3, nil)
+		l := s.awaitLeader()
+		s.run(time.Second + time.Duration(seed)*time.Millisecond)
+		follower := others(s, l)[0]
+		before := follower.node.counters.PreVotes
+		s.pause(stalls, follower)
+		s.partition([]*simHost{follower}, others(s, follower))
+		s.run(stalls - simStep)
+		s.heal()
+		s.run(time.Second)
+		if after := follower.node.counters.PreVotes; after != before {
+			t.Errorf("seed %d: %d pre-votes after a stall", seed, after-before)
+		}
+		s.requireInvariants()
+	}
+}
