Limits of upstreams: read them from answers, and log what is sent beside them

Nothing is decided by the limit yet. New: the log line 'upstream limit' at each change and once a second while requests go to a limited upstream, with the entry's sends of the last 4 s; the counter limited_sends, the gauge upstreams_limited, two fields of the state dump.

--- a/internal/decision/state_changes.go
+++ b/internal/decision/state_changes.go
@@ -50,6 +50,28 @@
 	return []any{"upstream", e.Upstream, "avoided", e.Ejected, "in_row", e.ConsecutiveFailures, "failures", e.FailureRate, "cause", e.Cause}
 }
 
+// UpstreamLimit is logged when an entry learns that an upstream's limit began, changed or ended,
+// and once a second while the entry sends requests to a limited upstream.
+type UpstreamLimit struct {
+	Upstream string
+	Limited  bool
+	// PerSecond is the number of requests a second from all entries together.
+	PerSecond float64
+	// Sent is the number of requests that this entry sent to it in the last 4 s.
+	Sent int
+}
+
+// Class implements Event.
+func (e *UpstreamLimit) Class() Class { return StateChange }
+
+// Message implements Event.
+func (e *UpstreamLimit) Message() string { return "upstream limit" }
+
+// Fields implements Event.
+func (e *UpstreamLimit) Fields() []any {
+	return []any{"upstream", e.Upstream, "limited", e.Limited, "per_s", e.PerSecond, "sent_4s", e.Sent}
+}
+
 // UpstreamLost is logged when the connections of requests to an upstream were lost. Crashed
 // is true if the upstream crashed, false if only the requests failed.
 type UpstreamLost struct {
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -57,6 +57,10 @@
 	Failures   float64       `json:"failures"`
 	InRow      int           `json:"in_row"`
 	EjectedFor time.Duration `json:"avoided_for_ns"`
+	// Limit is the number of requests a second that the upstream takes from all entries
+	// together, nil if it names none. Sent is the number that this entry sent in the last 4 s.
+	Limit *float64 `json:"limit_per_s,omitempty"`
+	Sent  int      `json:"sent_4s"`
 }
 
 // DumpedStore is an entry's view of a store or of a runner's cache.
@@ -91,6 +95,7 @@
 			ID: id, Service: u.record.Service, Address: u.record.Address, State: u.record.State.String(),
 			Silent: u.silent, Loading: u.loading, Cold: u.cold(now), Own: u.own, Others: u.others,
 			Failures: u.health.share(now), InRow: u.health.consecutive, EjectedFor: max(u.health.ejectedUntil.Sub(now), 0),
+			Limit: namedLimit(u.limit), Sent: u.sentCount.total(now),
 		})
 	}
 	for _, address := range slices.Sorted(maps.Keys(s.stores)) {
--- /dev/null
+++ b/internal/gateway/limits.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/lovagereach/lovagereach/internal/decision"
+	"github.com/lovagereach/lovagereach/ratelimit"
+)
+
+// sentSlots is the number of seconds in which the sends to an upstream are counted.
+const sentSlots = 4
+
+// sentCount counts the requests sent to an upstream in the last sentSlots seconds.
+type sentCount struct {
+	slots [sentSlots]struct{ second, requests int64 }
+	// began is the time of the first request, loggedAt that of the latest log line.
+	began, loggedAt time.Time
+}
+
+// second returns the number of the current second. Numbers start at sentSlots, so that the zero
+// slot does not count.
+func (c *sentCount) second(now time.Time) int64 {
+	return sentSlots + int64(now.Sub(c.began)/time.Second)
+}
+
+func (c *sentCount) add(now time.Time) {
+	if c.began.IsZero() {
+		c.began = now
+	}
+	second := c.second(now)
+	slot := &c.slots[second%sentSlots]
+	if slot.second != second {
+		slot.second, slot.requests = second, 0
+	}
+	slot.requests++
+}
+
+func (c *sentCount) total(now time.Time) int {
+	if c.began.IsZero() {
+		return 0
+	}
+	total := int64(0)
+	for _, slot := range c.slots {
+		if c.second(now)-slot.second < sentSlots {
+			total += slot.requests
+		}
+	}
+	return int(total)
+}
+
+// recordLimit records what an upstream stated in an answer about its limit.
+func (r *run) recordLimit(p *plan, limit *ratelimit.Limit) {
+	if limit == nil {
+		return
+	}
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u := p.upstream; u.limit != *limit {
+		u.limit = *limit
+		r.gateway.logLimit(u, time.Now())
+	}
+}
+
+// countSent counts a send to an upstream. The caller holds the lock.
+func (g *Gateway) countSent(u *upstreamState, now time.Time) {
+	u.sentCount.add(now)
+	if !u.limit.Limited {
+		return
+	}
+	g.meter.limitedSends.Inc()
+	if now.Sub(u.sentCount.loggedAt) >= time.Second {
+		g.logLimit(u, now)
+	}
+}
+
+func (g *Gateway) logLimit(u *upstreamState, now time.Time) {
+	u.sentCount.loggedAt = now
+	g.options.Decisions.Emit(&decision.UpstreamLimit{
+		Upstream: u.record.ID, Limited: u.limit.Limited, PerSecond: u.limit.PerSecond, Sent: u.sentCount.total(now),
+	})
+}
+
+// namedLimit returns the requests a second of a limit, nil if there is none.
+func namedLimit(limit ratelimit.Limit) *float64 {
+	if !limit.Limited {
+		return nil
+	}
+	return &limit.PerSecond
+}
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -28,6 +28,8 @@
 	sends, retried, resumed *metrics.Counter
 	// budgetRefusals counts retries that the shared budget didn't allow.
 	budgetRefusals *metrics.Counter
+	// limitedSends counts sends to upstreams that name a limit.
+	limitedSends *metrics.Counter
 	// crashes counts upstreams that were found to have crashed under requests.
 	crashes *metrics.Counter
 	// quarantined counts requests that were sent to no upstream because they crash upstreams.
@@ -59,6 +61,7 @@
 	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_gateway_" + part + "_total") }
 	m.late, m.sends, m.retried = counter("late"), counter("sends"), counter("sent_again")
 	m.resumed, m.budgetRefusals = counter("resumed"), counter("budget_refusals")
+	m.limitedSends = counter("limited_sends")
 	m.crashes, m.quarantined = counter("upstream_ends"), counter("held")
 	for _, reason := range countedReasons {
 		m.notRun[reason] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_not_run_total{reason=%q}`, reason))
@@ -81,6 +84,7 @@
 	gauge("slowest_reading_tokens_per_ms", func(s *state, _ time.Time) float64 { return s.slowestPrefill() })
 	gauge("largest_light_tokens", func(s *state, _ time.Time) float64 { return s.largestSmallSize() })
 	gauge("upstreams_cold", func(s *state, now time.Time) float64 { return float64(s.coldCount(now)) })
+	gauge("upstreams_limited", func(s *state, _ time.Time) float64 { return float64(s.limitedCount()) })
 	gauge("evacuated_data_centres", func(s *state, _ time.Time) float64 { return float64(len(s.evacuation.DataCentres)) })
 	gauge("held_requests", func(s *state, _ time.Time) float64 { return float64(len(s.verdicts.quarantined)) })
 	gauge("view_age_seconds", func(s *state, now time.Time) float64 { return now.Sub(s.inventoriesAt).Seconds() })
@@ -152,6 +156,16 @@
 	return n
 }
 
+func (s *state) limitedCount() int {
+	n := 0
+	for _, u := range s.upstreams {
+		if u.limit.Limited {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *state) ejectedCount(now time.Time) int {
 	n := 0
 	for _, u := range s.upstreams {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -105,6 +105,7 @@
 	p.sent = now
 	s.commit(p, now)
 	s.recordSent(p.upstream, now)
+	r.gateway.countSent(p.upstream, now)
 	p.upstream.own.Requests++
 	s.activeUpstreams[p.upstream.record.ID] = p.upstream
 	p.upstream.own.Tokens += p.tokens
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -173,6 +173,7 @@
 	r.sends++
 	defer answer.Body.Close()
 	r.recordLoad(p, answer.Load)
+	r.recordLimit(p, answer.Limit)
 	if answer.Refusal != NotRefused {
 		return r.handleRefusal(p, answer)
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -11,6 +11,7 @@
 	"github.com/lovagereach/lovagereach/evacuation"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/quarantine"
+	"github.com/lovagereach/lovagereach/ratelimit"
 	"github.com/lovagereach/lovagereach/roster"
 	"github.com/lovagereach/lovagereach/warmup"
 )
@@ -39,6 +40,9 @@
 	// upstream was lost, nextProbe is the time of the next request that may be tried, and
 	// answeredAt the time of its first answer since.
 	coldUntil, nextProbe, answeredAt time.Time
+	// limit is the newest limit that the upstream named in an answer to this entry.
+	limit     ratelimit.Limit
+	sentCount sentCount
 	// version holds weight versions confirmed by the runner itself, by model; they count if
 	// newer than the roster's.
 	version map[string]uint64
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -7,6 +7,7 @@
 
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/placement"
+	"github.com/lovagereach/lovagereach/ratelimit"
 )
 
 // Reasons for refusals in addition to those of package outcome.
@@ -143,6 +144,8 @@
 	Refusal Refusal
 	// Load is nil if the upstream reported none.
 	Load *Load
+	// Limit is the upstream's statement about a rate limit, nil if it can't be read.
+	Limit *ratelimit.Limit
 	// Length is the body's length, -1 if unknown.
 	Length int64
 	Body   Body
