Failing test: limited upstreams get more requests than they name

A simulated fleet in virtual time: 9 runners, of which two name limits of 5.8 and 6.7 requests a second after the first second, 300 requests a second at 7 and at 64 entries.

--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -115,6 +115,7 @@
 	saves    sync.WaitGroup
 	result   fleetResult
 	cold     *coldRestart
+	limits   *namedLimits
 }
 
 type modelStore struct {
@@ -146,7 +147,7 @@
 	quiet := log.New(io.Discard)
 	for i := range shape.entries {
 		g, err := New(Options{
-			Host: fmt.Sprintf("e%d", i), DataCentre: f.zone(i), Sender: f,
+			Host: fmt.Sprintf("e%d", i), DataCentre: f.zone(i), Sender: &modelSender{fleet: f, entry: fmt.Sprintf("e%d", i)},
 			Budget: BudgetLimits{Ratio: 0.2, Extra: 200}, Rates: placement.DefaultRates(), Log: quiet, Decisions: decision.New(quiet),
 		})
 		if err != nil {
@@ -295,13 +296,25 @@
 	return store.free
 }
 
+// modelSender sends the requests of one entry.
+type modelSender struct {
+	fleet *modelFleet
+	entry string
+}
+
 // Send implements Sender.
-func (f *modelFleet) Send(ctx context.Context, s *Send) (*Answer, error) {
-	return f.runners[s.Upstream].send(ctx, s)
+func (m *modelSender) Send(ctx context.Context, s *Send) (*Answer, error) {
+	f := m.fleet
+	f.limits.arrive(s.Upstream, m.entry)
+	answer, err := f.runners[s.Upstream].send(ctx, s)
+	if err == nil {
+		answer.Limit = f.limits.named(s.Upstream, m.entry)
+	}
+	return answer, err
 }
 
 // Crashed implements Sender.
-func (f *modelFleet) Crashed(context.Context, *Send) bool { return false }
+func (m *modelSender) Crashed(context.Context, *Send) bool { return false }
 
 func (f *modelFleet) count(record func(*fleetResult)) {
 	f.result.mu.Lock()
