ratelimit: limits that upstreams name hold over all entries together

Callers saw nothing yet, but upstreams in need got two to three times what they had named, and who overloads such an upstream loses it. Cause: the limit in an answer was passed to the caller and forgotten. Class: a bound on a sum that no process knows; each entry decides alone, and with 64 entries and 6 requests a second an entry's part is a tenth of a request.

Entries report limits to the control group with their watches, relays pass them on; the leader divides each limit by the rates that the entries serve, among no more entries than the limit has requests a second (ratelimit.Divider). Shares are confirmed like the grants for cold upstreams and valid for a second; a lowered share counts in full until then. An entry without confirmed shares falls back to a small fixed part. The newest statement counts; that there is no limit counts as stated when the request was sent. Requests that all limits of their service leave no room for are refused at once. Retries draw on the same shares, since they pass through the same choice.

Idle entries count in the number that the fallback is divided by.

--- a/internal/decision/state_changes.go
+++ b/internal/decision/state_changes.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"math"
 	"strings"
 	"time"
 )
@@ -55,8 +56,9 @@
 type UpstreamLimit struct {
 	Upstream string
 	Limited  bool
-	// PerSecond is the number of requests a second from all entries together.
-	PerSecond float64
+	// PerSecond is the number of requests a second from all entries together, Share that of this
+	// entry.
+	PerSecond, Share float64
 	// Sent is the number of requests that this entry sent to it in the last 4 s.
 	Sent int
 }
@@ -69,7 +71,7 @@
 
 // Fields implements Event.
 func (e *UpstreamLimit) Fields() []any {
-	return []any{"upstream", e.Upstream, "limited", e.Limited, "per_s", e.PerSecond, "sent_4s", e.Sent}
+	return []any{"upstream", e.Upstream, "limited", e.Limited, "per_s", e.PerSecond, "share_per_s", math.Round(e.Share*100) / 100, "sent_4s", e.Sent}
 }
 
 // UpstreamLost is logged when the connections of requests to an upstream were lost. Crashed
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -38,15 +38,18 @@
 		return adopted
 	}
 	s.applySilent(answer)
+	s.applyLimits(answer, sent)
 	s.term = answer.Term
 	if answer.GrantsRevision > 0 {
 		s.allowance.SetGrants(answer.Grants, sent.Add(-answer.GrantsAge))
+		s.limits.SetShares(answer.Shares, sent.Add(-answer.GrantsAge), time.Now())
 	}
 	s.applyLoads(answer)
 	s.loadsAt = time.Now().Add(-answer.StateAge)
 	s.applyInventories(answer, sent)
 	s.checkInventoriesReady(time.Now())
 	s.entries, s.activeEntries = answer.EntryCount, answer.ActiveEntries
+	s.limits.SetEntries(s.entries)
 	s.dispatch(time.Now())
 	return adopted
 }
@@ -82,6 +85,19 @@
 	}
 }
 
+// applyLimits applies the control hosts' list of limits, if it has changed.
+func (s *state) applyLimits(answer *steward.WatchAnswer, sent time.Time) {
+	if answer.LimitsRevision == 0 {
+		return
+	}
+	if answer.LimitsRevision == s.limitsRevision && answer.Term == s.term && answer.Limits == nil {
+		s.limits.ConfirmList(time.Now())
+		return
+	}
+	s.limits.SetList(answer.Limits, sent, time.Now())
+	s.limitsRevision = answer.LimitsRevision
+}
+
 func (s *state) applyLoads(answer *steward.WatchAnswer) {
 	for u := range s.loadedByOthers {
 		u.loading = false
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -163,7 +163,7 @@
 		s.mu.Unlock()
 		return p, err
 	}
-	if len(s.waiting) >= maxWaiting || !s.mayWait(r) {
+	if len(s.waiting) >= maxWaiting || !s.mayWait(r) || r.cannotWait(s, now) {
 		after := r.retryAfter(s, now)
 		s.mu.Unlock()
 		return nil, r.refusal(outcome.ReasonOverloaded, after, "too many requests wait for an upstream with room")
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -95,7 +95,7 @@
 			ID: id, Service: u.record.Service, Address: u.record.Address, State: u.record.State.String(),
 			Silent: u.silent, Loading: u.loading, Cold: u.cold(now), Own: u.own, Others: u.others,
 			Failures: u.health.share(now), InRow: u.health.consecutive, EjectedFor: max(u.health.ejectedUntil.Sub(now), 0),
-			Limit: namedLimit(u.limit), Sent: u.sentCount.total(now),
+			Limit: namedLimit(s.limits.Limit(id)), Sent: u.sentCount.total(now),
 		})
 	}
 	for _, address := range slices.Sorted(maps.Keys(s.stores)) {
--- a/internal/gateway/fleet_limit_test.go
+++ b/internal/gateway/fleet_limit_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/ratelimit"
 )
 
@@ -38,6 +39,33 @@
 	// begin, by runner.
 	arrivals map[string][]time.Time
 	counted  map[string]int
+	// known and divider are the leader's.
+	known   *ratelimit.Observations
+	divider *ratelimit.Divider
+	rates   map[string]float64
+}
+
+// exchange models the control hosts: it records what an entry reports and adds the list of limits
+// and the entry's shares to the answer.
+func (l *namedLimits) exchange(request *steward.WatchRequest, answer *steward.WatchAnswer, entries int) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for _, o := range request.Limits {
+		l.known.Record(o.Upstream, o.StartedMs, o.Limit, now.Add(-o.Age), now)
+	}
+	l.rates[request.Entry.Host] = float64(request.Entry.Rate)
+	var list []ratelimit.Entry
+	for host, rate := range l.rates {
+		list = append(list, ratelimit.Entry{Host: host, Rate: rate})
+	}
+	l.divider.Update(l.known.List(now), list, now)
+	shares, revision := l.divider.Shares()
+	answer.GrantsRevision, answer.Shares = revision, ratelimit.SharesFor(shares, request.Entry.Host)
+	answer.LimitsRevision, answer.Limits = l.known.Revision()+1, l.known.List(now)
 }
 
 // arrive counts a request.
@@ -92,6 +120,7 @@
 	l := &namedLimits{
 		perSecond: make(map[string]float64), told: make(map[[2]string]time.Time),
 		arrivals: make(map[string][]time.Time), counted: make(map[string]int),
+		known: ratelimit.NewObservations(), rates: make(map[string]float64),
 	}
 	var result *fleetResult
 	synctest.Test(t, func(t *testing.T) {
@@ -101,7 +130,7 @@
 				l.perSecond[runner] = perSecond[i]
 			}
 		}
-		l.begin = time.Now().Add(time.Second)
+		l.begin, l.divider = time.Now().Add(time.Second), ratelimit.NewDivider(time.Now().Add(-time.Minute))
 		f.limits = l
 		result = f.run()
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,7 +79,7 @@
 	if options.Sender == nil || options.Log == nil || options.Decisions == nil {
 		return nil, eris.New("gateway: Sender, Log and Decisions are required")
 	}
-	g := &Gateway{options: options, state: newState(options.Rates.PrefillPerMs), reports: newReports()}
+	g := &Gateway{options: options, state: newState(options.Host, options.Rates.PrefillPerMs), reports: newReports()}
 	g.state.budgets.limits = options.Budget
 	if options.AnnounceEvery > 0 {
 		g.state.announceWithin = options.AnnounceEvery + announceDelay
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -48,24 +48,33 @@
 	return int(total)
 }
 
-// recordLimit records what an upstream stated in an answer about its limit.
+// recordLimit records what an upstream stated in an answer about its limit. That there is none
+// counts as stated when the request was sent: an answer that was delayed on its way must not end
+// a limit that was named after it.
 func (r *run) recordLimit(p *plan, limit *ratelimit.Limit) {
 	if limit == nil {
 		return
 	}
-	s := r.gateway.state
+	s, now := r.gateway.state, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if u := p.upstream; u.limit != *limit {
-		u.limit = *limit
-		r.gateway.logLimit(u, time.Now())
+	record := &p.upstream.record
+	if s.upstreams[record.ID] != p.upstream {
+		return
+	}
+	stated := now
+	if !limit.Limited {
+		stated = p.sent
+	}
+	if s.limits.Record(record.ID, record.StartedMs, *limit, stated, now) {
+		r.gateway.logLimit(p.upstream, now)
 	}
 }
 
 // countSent counts a send to an upstream. The caller holds the lock.
 func (g *Gateway) countSent(u *upstreamState, now time.Time) {
 	u.sentCount.add(now)
-	if !u.limit.Limited {
+	if !g.state.limits.Limit(u.record.ID).Limited {
 		return
 	}
 	g.meter.limitedSends.Inc()
@@ -76,11 +85,34 @@
 
 func (g *Gateway) logLimit(u *upstreamState, now time.Time) {
 	u.sentCount.loggedAt = now
+	limit := g.state.limits.Limit(u.record.ID)
 	g.options.Decisions.Emit(&decision.UpstreamLimit{
-		Upstream: u.record.ID, Limited: u.limit.Limited, PerSecond: u.limit.PerSecond, Sent: u.sentCount.total(now),
+		Upstream: u.record.ID, Limited: limit.Limited, PerSecond: limit.PerSecond, Share: g.state.limits.Rate(u.record.ID, now), Sent: u.sentCount.total(now),
 	})
 }
 
+// cannotWait reports whether a request would wait in vain, because all upstreams of its service
+// name limits and this entry's shares of them are too small for the requests that wait already.
+func (r *run) cannotWait(s *state, now time.Time) bool {
+	if len(s.serving[r.service]) == 0 {
+		return false
+	}
+	perSecond := 0.0
+	for _, u := range s.serving[r.service] {
+		if !s.limits.Limit(u.record.ID).Limited {
+			return false
+		}
+		perSecond += s.limits.Rate(u.record.ID, now)
+	}
+	ahead := 1
+	for _, w := range s.waiting {
+		if w.run.service == r.service && !r.precedes(w.run) {
+			ahead++
+		}
+	}
+	return float64(ahead) > perSecond*r.longestWait(s.waitLimits, now).Seconds()
+}
+
 // namedLimit returns the requests a second of a limit, nil if there is none.
 func namedLimit(limit ratelimit.Limit) *float64 {
 	if !limit.Limited {
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -159,7 +159,7 @@
 func (s *state) limitedCount() int {
 	n := 0
 	for _, u := range s.upstreams {
-		if u.limit.Limited {
+		if s.limits.Limit(u.record.ID).Limited {
 			n++
 		}
 	}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -105,6 +105,7 @@
 	p.sent = now
 	s.commit(p, now)
 	s.recordSent(p.upstream, now)
+	s.limits.RecordSent(p.upstream.record.ID, now)
 	r.gateway.countSent(p.upstream, now)
 	p.upstream.own.Requests++
 	s.activeUpstreams[p.upstream.record.ID] = p.upstream
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -89,6 +89,7 @@
 // removeUpstream removes an upstream.
 func (s *state) removeUpstream(u *upstreamState) {
 	s.removeServing(u)
+	s.limits.Forget(u.record.ID)
 	delete(s.upstreams, u.record.ID)
 }
 
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -69,7 +69,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return stream(io.EOF, "1"), nil })
 		full := testAnswer()
-		g.state = newState(placement.DefaultRates().PrefillPerMs)
+		g.state = newState("e1", placement.DefaultRates().PrefillPerMs)
 		bare := testAnswer()
 		bare.Inventories = nil
 		g.ApplyAnswer(bare, time.Now())
@@ -100,7 +100,7 @@
 func TestStaleFirstInventoriesAreNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return stream(io.EOF, "1"), nil })
-		g.state = newState(placement.DefaultRates().PrefillPerMs)
+		g.state = newState("e1", placement.DefaultRates().PrefillPerMs)
 		requested := time.Now()
 		time.Sleep(1100 * time.Millisecond)
 		g.ApplyAnswer(testAnswer(), requested)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -40,9 +40,7 @@
 	// upstream was lost, nextProbe is the time of the next request that may be tried, and
 	// answeredAt the time of its first answer since.
 	coldUntil, nextProbe, answeredAt time.Time
-	// limit is the newest limit that the upstream named in an answer to this entry.
-	limit     ratelimit.Limit
-	sentCount sentCount
+	sentCount                        sentCount
 	// version holds weight versions confirmed by the runner itself, by model; they count if
 	// newer than the roster's.
 	version map[string]uint64
@@ -114,6 +112,10 @@
 	evacuation evacuation.View
 	// allowance is what this entry may send to cold upstreams.
 	allowance *warmup.Allowance
+	// limits is what this entry may send to upstreams that name a limit. limitsRevision is the
+	// revision of the control hosts' list of limits.
+	limits         *ratelimit.Allowance
+	limitsRevision uint64
 	// served holds the requests that were served lately: they are not considered the cause of
 	// a crash.
 	served quarantine.RecentlyServed
@@ -148,7 +150,7 @@
 	until  time.Time
 }
 
-func newState(startPerMs float64) *state {
+func newState(host string, startPerMs float64) *state {
 	return &state{
 		learned:    make(map[string]*learned),
 		startPerMs: startPerMs,
@@ -167,6 +169,7 @@
 		recent:           newRecentParts(),
 		budgets:          newBudgets(),
 		allowance:        warmup.NewAllowance(time.Now()),
+		limits:           ratelimit.NewAllowance(host),
 
 		announceWithin: steward.DefaultAnnounceEvery + announceDelay,
 
@@ -188,6 +191,7 @@
 	request := &steward.WatchRequest{
 		Entry: &view, Weights: s.weightsRevision, Roster: s.rosterRevision, Term: s.term,
 		Quarantine: s.verdicts.revision, Evacuation: s.evacuation.Revision, ReadingRoster: s.rosterListed != nil, SilentRevision: s.silentRevision,
+		Limits: s.limits.Unlisted(time.Now()), LimitsRevision: s.limitsRevision,
 	}
 	if time.Since(s.inventoriesAt) > inventoryRefreshAge {
 		// A control host answers immediately if the term differs from its own.
--- a/internal/steward/grants.go
+++ b/internal/steward/grants.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/internal/port"
+	"github.com/lovagereach/lovagereach/ratelimit"
 	"github.com/lovagereach/lovagereach/warmup"
 )
 
@@ -42,31 +43,52 @@
 	return 0
 }
 
-// grants lists what entries may send to cold upstreams, and its revision. The caller confirms
-// the grants only while it is certain to lead: another leader may have granted the same rates.
-func (l *leadership) grants(now time.Time) ([]warmup.Grant, uint64) {
+// permits are what entries may send to cold and to limited upstreams.
+type permits struct {
+	grants []warmup.Grant
+	shares []ratelimit.Share
+	// revision changes with each change of either, 0 before the first.
+	revision uint64
+}
+
+// permits returns what entries may send. The caller confirms the permits only while it is certain
+// to lead: another leader may have granted the same rates.
+func (l *leadership) permits(now time.Time) permits {
 	l.grantMu.Lock()
 	defer l.grantMu.Unlock()
-	if now.Sub(l.grantedAt) < grantEvery {
-		return l.granter.Grants()
+	if now.Sub(l.grantedAt) >= grantEvery {
+		l.grantedAt = now
+		l.granter.Update(l.steward.machine.coldUpstreams(), l.grantees(now), now)
+		l.divideLimits(now)
 	}
-	l.grantedAt = now
-	cold := l.steward.machine.coldUpstreams()
-	l.granter.Update(cold, l.grantees(now), now)
-	return l.granter.Grants()
+	var p permits
+	var granted, divided uint64
+	p.grants, granted = l.granter.Grants()
+	p.shares, divided = l.divider.Shares()
+	p.revision = granted + divided
+	return p
 }
 
 // grantees returns the entries that receive callers' requests, or all that are ready if none
 // does yet.
 func (l *leadership) grantees(now time.Time) []string {
-	var busy, ready []string
+	views := l.granteeViews(now)
+	hosts := make([]string, len(views))
+	for i, view := range views {
+		hosts[i] = view.Host
+	}
+	return hosts
+}
+
+func (l *leadership) granteeViews(now time.Time) []EntryView {
+	var busy, ready []EntryView
 	for _, view := range l.watchers.recentEntries(now) {
 		if !view.Ready {
 			continue
 		}
-		ready = append(ready, view.Host)
+		ready = append(ready, view)
 		if view.Rate > 0 {
-			busy = append(busy, view.Host)
+			busy = append(busy, view)
 		}
 	}
 	if len(busy) > 0 {
@@ -75,18 +97,19 @@
 	return ready
 }
 
-// addGrants implements watchSource: entries receive their own grants, and control hosts that
+// addGrants implements watchSource: entries receive their own permits, and control hosts that
 // hold another revision receive all of them.
 func (l *leadership) addGrants(from port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time) {
-	grants, revision := l.grants(now)
-	if revision == 0 || !l.certain() {
+	permits := l.permits(now)
+	if permits.revision == 0 || !l.certain() {
 		return
 	}
-	answer.GrantsRevision = revision
+	answer.GrantsRevision = permits.revision
 	switch {
 	case from.Role == roleEntry:
-		answer.Grants = warmup.GrantsFor(grants, string(from.Host))
-	case request.Grants != revision || request.Term != l.elected:
-		answer.Grants = grants
+		answer.Grants = warmup.GrantsFor(permits.grants, string(from.Host))
+		answer.Shares = ratelimit.SharesFor(permits.shares, string(from.Host))
+	case request.Grants != permits.revision || request.Term != l.elected:
+		answer.Grants, answer.Shares = permits.grants, permits.shares
 	}
 }
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -10,6 +10,7 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wait"
+	"github.com/lovagereach/lovagereach/ratelimit"
 	"github.com/lovagereach/lovagereach/rollout"
 	"github.com/lovagereach/lovagereach/roster"
 	"github.com/lovagereach/lovagereach/warmup"
@@ -51,6 +52,8 @@
 
 	grantMu   sync.Mutex
 	granter   *warmup.Granter
+	limits    *ratelimit.Observations
+	divider   *ratelimit.Divider
 	grantedAt time.Time
 
 	announceEvery announceInterval
@@ -133,7 +136,8 @@
 func newLeadership(s *Steward, term uint64, now time.Time) *leadership {
 	l := &leadership{
 		steward: s, elected: term, since: now, watchers: newWatchers(s.options.Log), lastContacts: make(map[string]time.Time),
-		minVersions: rollout.NewMinimumVersions(), granter: warmup.NewGranter(now), announceEvery: announceInterval(s.options.AnnounceEvery),
+		minVersions: rollout.NewMinimumVersions(), granter: warmup.NewGranter(now),
+		limits: ratelimit.NewObservations(), divider: ratelimit.NewDivider(now), announceEvery: announceInterval(s.options.AnnounceEvery),
 	}
 	l.clock, l.stalledBefore = s.stalls.Total, s.stalls.Total(now)
 	l.watchers.newest, l.watchers.clock = s.machine.documentVersion, l.clock
@@ -213,6 +217,7 @@
 	for _, contact := range request.LastContacts {
 		l.recordContact(contact.Upstream, now.Add(-contact.Age))
 	}
+	l.recordLimits(request.Limits, now)
 	l.watchers.record(from, request, now)
 }
 
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -8,6 +8,7 @@
 	"github.com/lovagereach/lovagereach/evacuation"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/quarantine"
+	"github.com/lovagereach/lovagereach/ratelimit"
 	"github.com/lovagereach/lovagereach/roster"
 	"github.com/lovagereach/lovagereach/warmup"
 )
@@ -83,7 +84,7 @@
 	Quarantine uint64 `cbor:"15,keyasint,omitempty"`
 	// Evacuation is the revision of the evacuations that the caller holds.
 	Evacuation uint64 `cbor:"16,keyasint,omitempty"`
-	// Grants is the revision of the grants that the caller, a control host, holds.
+	// Grants is the revision of the grants and shares that the caller, a control host, holds.
 	Grants uint64 `cbor:"17,keyasint,omitempty"`
 	// LastContacts are the upstreams that announced themselves to the caller, a control host,
 	// since its latest answered request.
@@ -91,6 +92,10 @@
 	// SilentRevision is the revision of the list of silent upstreams that the caller received in
 	// Term.
 	SilentRevision uint64 `cbor:"19,keyasint,omitempty"`
+	// Limits are limits of upstreams that the caller knows and that the list of revision
+	// LimitsRevision, received in Term, lacks.
+	Limits         []ratelimit.Observation `cbor:"21,keyasint,omitempty"`
+	LimitsRevision uint64                  `cbor:"22,keyasint,omitempty"`
 	// ReadingRoster is set while the caller receives the complete roster, page by page.
 	ReadingRoster bool `cbor:"18,keyasint,omitempty"`
 }
@@ -209,13 +214,20 @@
 	// Evacuation lists the data centres whose upstreams get no new work.
 	Evacuation *evacuation.View `cbor:"25,keyasint,omitempty"`
 	// Grants are the caller's permits for cold upstreams or, for a control host that holds
-	// another revision, those of all entries. GrantsRevision is their revision, 0 if none are
-	// confirmed.
+	// another revision, those of all entries. GrantsRevision is the revision of the grants and
+	// shares, 0 if none are confirmed.
 	Grants         []warmup.Grant `cbor:"26,keyasint,omitempty"`
 	GrantsRevision uint64         `cbor:"27,keyasint,omitempty"`
 	// GrantsAge is the maximum time between the leader's confirmation of the grants and the
 	// answer.
 	GrantsAge time.Duration `cbor:"28,keyasint,omitempty"`
+	// Shares are the caller's shares of upstreams' limits or, for a control host that holds
+	// another revision, those of all entries. They are confirmed together with the grants.
+	Shares []ratelimit.Share `cbor:"36,keyasint,omitempty"`
+	// Limits are the limits that upstreams named, of revision LimitsRevision in Term. They are
+	// left out if the caller holds that revision.
+	Limits         []ratelimit.Observation `cbor:"37,keyasint,omitempty"`
+	LimitsRevision uint64                  `cbor:"38,keyasint,omitempty"`
 	// EntriesUnchanged is set if Entries is left out because the list last sent to the caller,
 	// a control host, still holds.
 	EntriesUnchanged bool `cbor:"29,keyasint,omitempty"`
--- a/internal/steward/relaystate.go
+++ b/internal/steward/relaystate.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/lovagereach/lovagereach/internal/port"
+	"github.com/lovagereach/lovagereach/ratelimit"
 	"github.com/lovagereach/lovagereach/warmup"
 )
 
@@ -53,12 +54,17 @@
 	// inventories were last complete.
 	storeStates   []StoreState
 	inventoriesAt time.Time
-	// grants are the rates at which entries may send to cold upstreams, of revision
-	// grantsRevision. grantsConfirmedAt is the time of the latest request to the leader that
+	// grants and shares are the rates at which entries may send to cold and to limited
+	// upstreams, of revision grantsRevision. grantsConfirmedAt is the time of the latest request to the leader that
 	// confirmed them.
 	grants            []warmup.Grant
+	shares            []ratelimit.Share
 	grantsRevision    uint64
 	grantsConfirmedAt time.Time
+	// limits are the limits that upstreams named, by the leader's list of revision
+	// limitsRevision and by the reports of entries.
+	limits         *ratelimit.Observations
+	limitsRevision uint64
 	// relayedEntries is the list of entries that watch this host, of revision relayedRevision,
 	// as of relayedSince.
 	relayedEntries  []EntryView
@@ -74,7 +80,7 @@
 func newRelayState(machine *Machine, index *sharedIndex, log *log.Logger) *relayState {
 	// The revision starts at a random number: the leader may still hold the list of the
 	// previous incarnation.
-	b := &relayState{relayedRevision: rand.Uint64() >> 1, machine: machine, index: index, watchers: newWatchers(log)}
+	b := &relayState{relayedRevision: rand.Uint64() >> 1, machine: machine, index: index, watchers: newWatchers(log), limits: ratelimit.NewObservations()}
 	b.watchers.newest = machine.documentVersion
 	return b
 }
@@ -98,7 +104,7 @@
 	request := &WatchRequest{
 		Term: b.latest.Term, Document: revisions.document, Weights: revisions.weights, Roster: revisions.roster,
 		Quarantine: revisions.quarantine, Evacuation: revisions.evacuation, Grants: b.grantsRevision, LastContacts: b.contacts.list(time.Now()),
-		SilentRevision: b.latest.SilentRevision,
+		SilentRevision: b.latest.SilentRevision, LimitsRevision: b.limitsRevision, Limits: b.limits.Unlisted(now),
 	}
 	if !b.latest.Relaying || !revisions.covers(b.required) {
 		return request
@@ -141,6 +147,7 @@
 		b.storeStates, b.inventoriesAt = answer.StoreStates, inventoriesAt
 	}
 	b.applyGrants(answer, requestedAt)
+	b.applyLimits(answer, requestedAt)
 	steady := time.Now()
 	b.contacts.acknowledge(steady.Add(-receivedAt.Sub(requestedAt)), steady)
 	b.required = answer.revisions()
@@ -153,26 +160,52 @@
 		b.latest.Silent = before.Silent
 	}
 	b.latest.Inventories, b.latest.Document, b.latest.Weights, b.latest.Roster = nil, nil, nil, nil
-	b.latest.Quarantine, b.latest.Evacuation, b.latest.Grants = nil, nil, nil
+	b.latest.Quarantine, b.latest.Evacuation, b.latest.Grants, b.latest.Shares, b.latest.Limits = nil, nil, nil, nil, nil
 }
 
 // applyGrants applies the grants, which are valid from the time of the request to the leader.
 // The revisions of another leader start from the beginning. The caller holds the lock.
 func (b *relayState) applyGrants(answer *WatchAnswer, requestedAt time.Time) {
 	if answer.Term != b.latest.Term {
-		b.grants, b.grantsRevision = nil, 0
+		b.grants, b.shares, b.grantsRevision = nil, nil, 0
 	}
 	if answer.GrantsRevision == 0 {
 		return
 	}
 	if answer.GrantsRevision != b.grantsRevision {
-		b.grants, b.grantsRevision = answer.Grants, answer.GrantsRevision
+		b.grants, b.shares, b.grantsRevision = answer.Grants, answer.Shares, answer.GrantsRevision
 	}
 	b.grantsConfirmedAt = requestedAt
 }
 
+// applyLimits applies the leader's list of limits. The caller holds the lock.
+func (b *relayState) applyLimits(answer *WatchAnswer, requestedAt time.Time) {
+	if answer.LimitsRevision == 0 {
+		return
+	}
+	now := b.now()
+	if answer.LimitsRevision == b.limitsRevision && answer.Term == b.latest.Term && answer.Limits == nil {
+		b.limits.ConfirmList(now)
+		return
+	}
+	b.limits.SetList(answer.Limits, requestedAt, now)
+	b.limitsRevision = answer.LimitsRevision
+}
+
+// addLimits implements watchSource.
+func (b *relayState) addLimits(_ port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	addLimits(b.limits, b.limitsRevision, b.latest.Term, request, answer, now)
+}
+
 // recordWatcher implements watchSource.
 func (b *relayState) recordWatcher(from port.Peer, request *WatchRequest, now time.Time) {
+	b.mu.Lock()
+	for _, o := range request.Limits {
+		b.limits.Record(o.Upstream, o.StartedMs, o.Limit, now.Add(-o.Age), now)
+	}
+	b.mu.Unlock()
 	b.watchers.record(from, request, now)
 }
 
@@ -264,6 +297,7 @@
 		return
 	}
 	answer.Grants, answer.GrantsRevision, answer.GrantsAge = warmup.GrantsFor(b.grants, string(from.Host)), b.grantsRevision, age
+	answer.Shares = ratelimit.SharesFor(b.shares, string(from.Host))
 }
 
 const (
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -60,8 +60,10 @@
 	fill(request *WatchRequest, answer *WatchAnswer) bool
 	// addCommon adds the content of every answer.
 	addCommon(from port.Peer, answer *WatchAnswer, now time.Time)
-	// addGrants adds the permits for cold upstreams.
+	// addGrants adds the permits for cold and limited upstreams, addLimits the limits that
+	// upstreams named.
 	addGrants(from port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time)
+	addLimits(from port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time)
 	// serves reports whether the watch may still be answered here.
 	serves(request *WatchRequest, now time.Time) bool
 	// asOf returns the time as of which this host has the leader's complete state. It and its
@@ -109,6 +111,7 @@
 		answer.Silent = nil
 	}
 	b.addGrants(from, request, answer, now)
+	b.addLimits(from, request, answer, now)
 	answer.Pause = s.pauseAfter(b, request, answer)
 	answer.Members = s.memberNames()
 	if request.Entry != nil {
