reach: which upstreams an entry reaches, probed and logged

Hypotheses 1 and 2 of docs/incidents/entries-without-upstreams.md could not be told apart: no line said how many upstreams an entry reaches at a moment, and without new connections an entry does not know (connections that hang show no error before their callers leave). New: a tracker of paths that names upstreams to probe by a connection, no request, once several are silent or one could not be connected to; the log line 'upstreams reached', the gauge upstreams_unreached_percent, two fields of the state dump. Nothing is decided by it yet. A send for which all connections of the entry's share are in use has a reason of its own (connections-in-use): it says nothing about the path.

--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -90,6 +90,7 @@
 		return nil
 	})
 	tasks.Go(func() error { g.Report(ctx, follower.Report); return nil })
+	tasks.Go(func() error { g.ProbeUpstreams(ctx); return nil })
 	tasks.Go(func() error { runTelemetry(ctx, env, telemetryServer); return nil })
 	tasks.Go(func() error { watchSettings(ctx, env, follower.SetSeeds); return nil })
 	tasks.Go(func() error {
--- a/internal/decision/state_changes.go
+++ b/internal/decision/state_changes.go
@@ -51,6 +51,21 @@
 	return []any{"upstream", e.Upstream, "avoided", e.Ejected, "in_row", e.ConsecutiveFailures, "failures", e.FailureRate, "cause", e.Cause}
 }
 
+// UpstreamsReached is logged when the share of the upstreams that an entry reaches changes.
+type UpstreamsReached struct {
+	// Unreached is the share of the upstreams that it doesn't reach, in percent.
+	Unreached int
+}
+
+// Class implements Event.
+func (e *UpstreamsReached) Class() Class { return StateChange }
+
+// Message implements Event.
+func (e *UpstreamsReached) Message() string { return "upstreams reached" }
+
+// Fields implements Event.
+func (e *UpstreamsReached) Fields() []any { return []any{"unreached_percent", e.Unreached} }
+
 // UpstreamLimit is logged when an entry learns that an upstream's limit began, changed or ended,
 // and once a second while the entry sends requests to a limited upstream.
 type UpstreamLimit struct {
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -25,6 +25,7 @@
 	}
 	p.released = true
 	p.upstream.own.Requests--
+	s.reach.Ended(p.upstream.record.ID)
 	p.upstream.own.Tokens -= p.tokens
 	if id := p.upstream.record.ID; p.upstream.own.Requests == 0 && s.activeUpstreams[id] == p.upstream {
 		delete(s.activeUpstreams, id)
@@ -87,6 +88,7 @@
 	s := r.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reach.Received(p.upstream.record.ID, time.Now())
 	if !p.answerStarted && !p.released {
 		p.answerStarted = true
 		s.prefillDone(p)
@@ -113,6 +115,9 @@
 	now := time.Now()
 	p.upstream.health.failed(now)
 	s.recordBrokenSend(p.upstream, cause, now)
+	if ctx.Err() == nil {
+		s.recordPathFailure(p.upstream, cause, now)
+	}
 	if sent {
 		r.recordLost(p)
 	}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -11,14 +11,16 @@
 
 // Dump is the state of an entry for operators.
 type Dump struct {
-	Config    catalog.Version   `json:"config"`
-	Term      uint64            `json:"term"`
-	ViewAge   time.Duration     `json:"view_age_ns"`
-	Complete  bool              `json:"shelves_complete"`
-	Entries   int               `json:"entries"`
-	Waiting   int               `json:"waiting"`
-	Open      int64             `json:"open"`
-	Leaving   bool              `json:"leaving"`
+	Config   catalog.Version `json:"config"`
+	Term     uint64          `json:"term"`
+	ViewAge  time.Duration   `json:"view_age_ns"`
+	Complete bool            `json:"shelves_complete"`
+	Entries  int             `json:"entries"`
+	Waiting  int             `json:"waiting"`
+	Open     int64           `json:"open"`
+	Leaving  bool            `json:"leaving"`
+	// Unreached is the share of the upstreams that this entry doesn't reach, in percent.
+	Unreached int               `json:"upstreams_unreached_percent"`
 	Weights   map[string]uint64 `json:"weights"`
 	Upstreams []DumpedUpstream  `json:"upstreams"`
 	Stores    []DumpedStore     `json:"stores"`
@@ -57,6 +59,8 @@
 	Failures   float64       `json:"failures"`
 	InRow      int           `json:"in_row"`
 	EjectedFor time.Duration `json:"avoided_for_ns"`
+	// Lost indicates that the latest new connection to the upstream failed.
+	Lost bool `json:"lost"`
 	// Limit is the number of requests a second that the upstream takes from all entries
 	// together, nil if it names none. Sent is the number that this entry sent in the last 4 s.
 	Limit *float64 `json:"limit_per_s,omitempty"`
@@ -82,7 +86,7 @@
 	defer s.mu.Unlock()
 	d := Dump{
 		Config: s.version(), Term: s.term, ViewAge: now.Sub(s.inventoriesAt), Complete: s.caches.Complete(),
-		Entries: s.entries, Waiting: len(s.waiting), Open: g.open.Load(), Leaving: g.leaving.Load(), Weights: maps.Clone(s.weights),
+		Entries: s.entries, Waiting: len(s.waiting), Open: g.open.Load(), Leaving: g.leaving.Load(), Unreached: s.unreached, Weights: maps.Clone(s.weights),
 	}
 	for p := range s.verdicts.quarantined {
 		d.Quarantined = append(d.Quarantined, p.String())
@@ -95,7 +99,7 @@
 			ID: id, Service: u.record.Service, Address: u.record.Address, State: u.record.State.String(),
 			Silent: u.silent, Loading: u.loading, Cold: u.cold(now), Own: u.own, Others: u.others,
 			Failures: u.health.share(now), InRow: u.health.consecutive, EjectedFor: max(u.health.ejectedUntil.Sub(now), 0),
-			Limit: namedLimit(s.limits.Limit(id)), Sent: u.sentCount.total(now),
+			Lost: s.reach.Lost(id), Limit: namedLimit(s.limits.Limit(id)), Sent: u.sentCount.total(now),
 		})
 	}
 	for _, address := range slices.Sorted(maps.Keys(s.stores)) {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -27,6 +27,8 @@
 	script func(n int, s *Send) (*Answer, error)
 	// crashed holds the upstreams whose processes have crashed.
 	crashed map[string]bool
+	// unreachable holds the upstreams to which no connection can be established.
+	unreachable map[string]bool
 }
 
 func (f *scriptedSender) Send(_ context.Context, s *Send) (*Answer, error) {
@@ -37,6 +39,13 @@
 	return f.script(n, s)
 }
 
+// Connects implements Sender.
+func (f *scriptedSender) Connects(_ context.Context, s *Send) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.unreachable[s.Upstream]
+}
+
 // Crashed implements Sender.
 func (f *scriptedSender) Crashed(_ context.Context, s *Send) bool {
 	f.mu.Lock()
--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -314,6 +314,9 @@
 	return answer, err
 }
 
+// Connects implements Sender.
+func (m *modelSender) Connects(context.Context, *Send) bool { return true }
+
 // Crashed implements Sender.
 func (m *modelSender) Crashed(context.Context, *Send) bool { return false }
 
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -42,7 +42,7 @@
 // countedReasons are the reasons with a counter of their own.
 var countedReasons = []outcome.Reason{
 	ReasonNoConfig, ReasonNoRoute, ReasonTooLong, outcome.ReasonUnauthorized, outcome.ReasonOverloaded, outcome.ReasonNoUpstream,
-	outcome.ReasonDial, outcome.ReasonRefused, outcome.ReasonDeadline,
+	outcome.ReasonDial, ReasonConnections, outcome.ReasonRefused, outcome.ReasonDeadline,
 }
 
 func newMeter(s *state, open func() float64) *meter {
@@ -84,6 +84,7 @@
 	gauge("slowest_reading_tokens_per_ms", func(s *state, _ time.Time) float64 { return s.slowestPrefill() })
 	gauge("largest_light_tokens", func(s *state, _ time.Time) float64 { return s.largestSmallSize() })
 	gauge("upstreams_cold", func(s *state, now time.Time) float64 { return float64(s.coldCount(now)) })
+	gauge("upstreams_unreached_percent", func(s *state, _ time.Time) float64 { return float64(s.unreached) })
 	gauge("upstreams_limited", func(s *state, _ time.Time) float64 { return float64(s.limitedCount()) })
 	gauge("evacuated_data_centres", func(s *state, _ time.Time) float64 { return float64(len(s.evacuation.DataCentres)) })
 	gauge("held_requests", func(s *state, _ time.Time) float64 { return float64(len(s.verdicts.quarantined)) })
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -106,6 +106,7 @@
 	s.commit(p, now)
 	s.recordSent(p.upstream, now)
 	s.limits.RecordSent(p.upstream.record.ID, now)
+	s.reach.Sent(p.upstream.record.ID, now)
 	r.gateway.countSent(p.upstream, now)
 	p.upstream.own.Requests++
 	s.activeUpstreams[p.upstream.record.ID] = p.upstream
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -90,6 +90,7 @@
 func (s *state) removeUpstream(u *upstreamState) {
 	s.removeServing(u)
 	s.limits.Forget(u.record.ID)
+	s.reach.Forget(u.record.ID)
 	delete(s.upstreams, u.record.ID)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -71,7 +71,7 @@
 		return false, &outcome.Unknown{Reason: outcome.ReasonCallerGone, Detail: err.Error()}
 	case r.deadline.Sub(now) < minWait:
 		return false, r.deadlineError(err)
-	case isUnsent && unsent.Reason != outcome.ReasonDial:
+	case isUnsent && unsent.Reason != outcome.ReasonDial && unsent.Reason != ReasonConnections:
 		// Nothing was tried: no upstream is known, or none had capacity.
 		return false, r.refusal(unsent.Reason, unsent.RetryAfter, unsent.Detail)
 	case isUnsent:
@@ -172,6 +172,7 @@
 	}
 	r.sends++
 	defer answer.Body.Close()
+	r.recordReceived(p)
 	r.recordLoad(p, answer.Load)
 	r.recordLimit(p, answer.Limit)
 	if answer.Refusal != NotRefused {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -12,6 +12,7 @@
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/ratelimit"
+	"github.com/lovagereach/lovagereach/reach"
 	"github.com/lovagereach/lovagereach/roster"
 	"github.com/lovagereach/lovagereach/warmup"
 )
@@ -116,6 +117,10 @@
 	// revision of the control hosts' list of limits.
 	limits         *ratelimit.Allowance
 	limitsRevision uint64
+	// reach is what this entry knows of its paths to upstreams. unreached is the share of the
+	// upstreams that it doesn't reach, in steps of unreachedStep percent.
+	reach     *reach.Tracker
+	unreached int
 	// served holds the requests that were served lately: they are not considered the cause of
 	// a crash.
 	served quarantine.RecentlyServed
@@ -170,6 +175,7 @@
 		budgets:          newBudgets(),
 		allowance:        warmup.NewAllowance(time.Now()),
 		limits:           ratelimit.NewAllowance(host),
+		reach:            reach.NewTracker(),
 
 		announceWithin: steward.DefaultAnnounceEvery + announceDelay,
 
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -20,6 +20,8 @@
 	ReasonOldConfig outcome.Reason = "configuration-may-be-old"
 	// ReasonTooLong indicates that the body is longer than the configuration's limit.
 	ReasonTooLong outcome.Reason = "body-too-long"
+	// ReasonConnections indicates that this entry's share of an upstream's connections is in use.
+	ReasonConnections outcome.Reason = "connections-in-use"
 	// ReasonBudget indicates that no further attempt is allowed at present.
 	ReasonBudget outcome.Reason = "retry-budget"
 )
@@ -155,6 +157,8 @@
 // the upstream, else *outcome.Unknown.
 type Sender interface {
 	Send(ctx context.Context, send *Send) (*Answer, error)
+	// Connects reports whether a connection to a send's upstream can be established.
+	Connects(ctx context.Context, send *Send) bool
 	// Crashed reports whether the process of a send's upstream has crashed: no process listens
 	// at its address. If the result is unclear, it reports false.
 	Crashed(ctx context.Context, send *Send) bool
