Failing test: callers of entries that reach no upstream are refused

A simulated fleet in virtual time: 9 runners, 300 requests a second, 4 or 6 of 7 or 22 of 64 entries partitioned from all runners for 8 s (connections hang, are reset, or live on while new ones are refused). From 3 s after the cut on, first attempts served at the cut entries: 0 of 957 (hanging), 0 of 865 (reset), 446 of 866 (refused), 0 of 1486 (6 of 7 cut), 0 of 596 (22 of 64); 702 to 979 of 702 to 980 at the others.

--- a/internal/gateway/fleet_callers_test.go
+++ b/internal/gateway/fleet_callers_test.go
@@ -44,6 +44,9 @@
 			Prompt: &Prompt{Model: "m", Parts: parts, Output: output},
 		}
 		f.gateways[(entry+try*7)%len(f.gateways)].Serve(context.Background(), r, c)
+		if try == 0 {
+			f.cut.count(f.gateways[entry].options.Host, c.end == "done")
+		}
 		var refused *outcome.NotRun
 		if c.end == "done" || !errors.As(c.cause, &refused) || refused.RetryAfter <= 0 || refused.RetryAfter > (wait-time.Since(began))/3 {
 			break
@@ -75,6 +78,7 @@
 	var watches, callers sync.WaitGroup
 	for i := range f.gateways {
 		watches.Go(func() { f.watch(ctx, i) })
+		watches.Go(func() { f.gateways[i].ProbeUpstreams(ctx) })
 	}
 	random := rand.New(rand.NewPCG(1+f.shape.seed, 2))
 	sizes := func(n int, mean, spread float64, most int) []int {
--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -116,6 +116,7 @@
 	result   fleetResult
 	cold     *coldRestart
 	limits   *namedLimits
+	cut      *cutEntries
 }
 
 type modelStore struct {
@@ -306,6 +307,9 @@
 // Send implements Sender.
 func (m *modelSender) Send(ctx context.Context, s *Send) (*Answer, error) {
 	f := m.fleet
+	if err := f.cut.send(ctx, m.entry, s.Upstream); err != nil {
+		return nil, err
+	}
 	f.limits.arrive(s.Upstream, m.entry)
 	answer, err := f.runners[s.Upstream].send(ctx, s)
 	if err == nil {
@@ -315,7 +319,9 @@
 }
 
 // Connects implements Sender.
-func (m *modelSender) Connects(context.Context, *Send) bool { return true }
+func (m *modelSender) Connects(ctx context.Context, s *Send) bool {
+	return m.fleet.cut.dial(ctx, m.entry, s.Upstream) == nil
+}
 
 // Crashed implements Sender.
 func (m *modelSender) Crashed(context.Context, *Send) bool { return false }
