Entries that reach no upstream forward requests to entries that do

Callers of an entry that was partitioned from all upstreams got 503 after three connections of 400 ms that were not established, or waited until their deadlines, although other entries, which they and the cut one reached, served. Cause: each entry judged each upstream by itself; nothing concluded from all of them that the entry is cut, callers were still given its address, and a request had one way only. Class: a fault of one's own path that is booked on everybody at its other end.

An entry tells the control hosts which share of the upstreams it does not reach (reach.Tracker). They leave it out of the address answers while others reach clearly more, and name up to eight of those to it; it forwards requests there, in proportion to the upstreams that it does not reach, once below half. The peer serves a forwarded request as its own, checks key and route, and does not forward it again. A peer's refusal is passed on as not run with its time to retry; after anything else the request may have run and is not sent again by either. The caller's leaving cancels it at the peer. If no connection to any upstream of the service can be established and no peer is known, the request is refused after the first attempt to connect.

--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -51,9 +51,9 @@
 	if err != nil {
 		return err
 	}
-	upstreams := platform.NewUpstreams()
+	upstreams, peers := platform.NewUpstreams(), platform.NewPeers(s.Host)
 	g, err := gateway.New(gateway.Options{
-		Host: s.Host, DataCentre: string(s.DataCentre), Callers: s.Callers, Sender: upstreams,
+		Host: s.Host, DataCentre: string(s.DataCentre), Callers: s.Callers, Sender: upstreams, Peers: peers, Regions: s.DataCentres,
 		Budget: gateway.BudgetLimits{Ratio: s.RetryRatio, Extra: s.RetryExtra},
 		Rates:  placement.DefaultRates(), Capacity: gateway.HostCapacity{Cores: s.ProcessorShare * s.ProcessorSpeed, LinkMbps: s.LinkMbps},
 		AnnounceEvery: s.AnnounceEvery(),
@@ -83,6 +83,7 @@
 	tasks.Go(func() error { return e.callers.Serve(callers) })
 	tasks.Go(func() error { return serve(e.readiness, readiness) })
 	tasks.Go(func() error { upstreams.Run(ctx); return nil })
+	tasks.Go(func() error { peers.Run(ctx); return nil })
 	tasks.Go(func() error {
 		follower.Run(ctx, g.NextRequest, func(answer *steward.WatchAnswer, sent time.Time) {
 			g.ApplyAnswer(answer, follower.Monotonic(sent))
--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -60,8 +60,10 @@
 	// forwarded.
 	Started   bool
 	LastEvent string
-	Choice    Choice
-	View      View
+	// ForwardedTo is the entry that the request was forwarded to, empty if it was not.
+	ForwardedTo string
+	Choice      Choice
+	View        View
 }
 
 // Class implements Event.
@@ -84,6 +86,9 @@
 		"request", e.Request, "route", e.Route, "team", e.Team, "outcome", e.Outcome, "status", e.Status,
 		"first_ms", ms(e.First), "total_ms", ms(e.Total), "target_ms", ms(e.Target), "waited_ms", ms(e.Waited), "sends", e.Sends, "unsent", e.Unsent,
 	}
+	if e.ForwardedTo != "" {
+		fields = append(fields, "forwarded_to", e.ForwardedTo)
+	}
 	if e.Cause != nil {
 		fields = append(fields, "cause", e.Cause, "begun", e.Started, "last_event", e.LastEvent)
 	}
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -39,6 +39,7 @@
 	}
 	s.applySilent(answer)
 	s.applyLimits(answer, sent)
+	s.peers = answer.Peers
 	s.term = answer.Term
 	if answer.GrantsRevision > 0 {
 		s.allowance.SetGrants(answer.Grants, sent.Add(-answer.GrantsAge))
--- a/internal/gateway/fleet_cut_test.go
+++ b/internal/gateway/fleet_cut_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
@@ -50,8 +52,98 @@
 	sent, served map[bool]int
 	// open counts the requests of cut entries.
 	open int
+	// unreached holds what the entries report.
+	unreached map[string]int
 }
 
+// exchange models the control hosts, which name entries that reach more upstreams.
+func (c *cutEntries) exchange(request *steward.WatchRequest, answer *steward.WatchAnswer) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unreached[request.Entry.Host] = request.Entry.Unreached
+	for host, unreached := range c.unreached {
+		if unreached+30 <= request.Entry.Unreached {
+			answer.Peers = append(answer.Peers, steward.PeerView{Host: host, Callers: host})
+		}
+	}
+}
+
+// Forward implements Peers: it passes a request to another entry of the model.
+func (f *modelFleet) Forward(ctx context.Context, forward *Forward) (*Answer, error) {
+	for _, g := range f.gateways {
+		if g.options.Host != forward.Host {
+			continue
+		}
+		copied := *forward.Request
+		copied.Forwarded, copied.Arrived, copied.Wait, copied.ResumeAfter = true, time.Now(), forward.Wait, forward.ResumeAfter
+		ctx, cancel := context.WithCancel(ctx)
+		p := &passedAnswer{began: make(chan *Answer, 1), pieces: make(chan Piece), ended: make(chan struct{}), cancel: cancel}
+		go g.Serve(ctx, &copied, p)
+		select {
+		case answer := <-p.began:
+			return answer, nil
+		case <-p.ended:
+			if p.cause != nil {
+				return nil, p.cause
+			}
+			return <-p.began, nil
+		}
+	}
+	return nil, &outcome.NotRun{Reason: outcome.ReasonDial}
+}
+
+// passedAnswer passes an answer from one entry to another. It is the Responder of the one and the
+// Body of the other.
+type passedAnswer struct {
+	began  chan *Answer
+	pieces chan Piece
+	ended  chan struct{}
+	cancel func()
+	cause  error
+	broken bool
+}
+
+func (p *passedAnswer) Begin(answer *Answer) error {
+	passed := *answer
+	passed.Body = p
+	p.began <- &passed
+	return nil
+}
+
+func (p *passedAnswer) Piece(data []byte) error {
+	p.pieces <- Piece{Data: data, ID: "1"}
+	return nil
+}
+
+func (p *passedAnswer) Done() { close(p.ended) }
+
+func (p *passedAnswer) Abort() {
+	p.broken = true
+	close(p.ended)
+}
+
+func (p *passedAnswer) Refuse(cause error) {
+	p.cause = cause
+	close(p.ended)
+}
+
+func (p *passedAnswer) Next() (Piece, error) {
+	select {
+	case piece := <-p.pieces:
+		return piece, nil
+	case <-p.ended:
+		if p.broken {
+			return Piece{}, io.ErrUnexpectedEOF
+		}
+		return Piece{}, io.EOF
+	}
+}
+
+func (p *passedAnswer) Close() { p.cancel() }
+
 func (c *cutEntries) active() bool {
 	now := time.Now()
 	return c != nil && !now.Before(c.begin) && now.Before(c.end)
@@ -125,7 +217,7 @@
 	} {
 		t.Run(fmt.Sprintf("%s, %d of %d entries, %d upstreams reached", test.kind, test.cut, test.entries, test.reached), func(t *testing.T) {
 			t.Parallel()
-			c := &cutEntries{kind: test.kind, entries: make(map[string]bool), reached: make(map[string]bool), sent: make(map[bool]int), served: make(map[bool]int)}
+			c := &cutEntries{kind: test.kind, entries: make(map[string]bool), reached: make(map[string]bool), sent: make(map[bool]int), served: make(map[bool]int), unreached: make(map[string]int)}
 			synctest.Test(t, func(t *testing.T) {
 				f := newModelFleet(t, migrationFleet(test.entries))
 				for i := range test.cut {
--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -148,7 +148,7 @@
 	quiet := log.New(io.Discard)
 	for i := range shape.entries {
 		g, err := New(Options{
-			Host: fmt.Sprintf("e%d", i), DataCentre: f.zone(i), Sender: &modelSender{fleet: f, entry: fmt.Sprintf("e%d", i)},
+			Host: fmt.Sprintf("e%d", i), DataCentre: f.zone(i), Sender: &modelSender{fleet: f, entry: fmt.Sprintf("e%d", i)}, Peers: f,
 			Budget: BudgetLimits{Ratio: 0.2, Extra: 200}, Rates: placement.DefaultRates(), Log: quiet, Decisions: decision.New(quiet),
 		})
 		if err != nil {
@@ -242,6 +242,7 @@
 			f.cold.addTo(answer, g.options.Host)
 		}
 		f.limits.exchange(request, answer, f.shape.entries)
+		f.cut.exchange(request, answer)
 		time.Sleep(f.shape.answerLag)
 		answer.StateAge = f.shape.answerLag
 		g.ApplyAnswer(answer, sent)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,12 @@
 	// Callers is the address of the listener for callers.
 	Callers string
 	Sender  Sender
+	// Peers forwards requests while this entry doesn't reach the upstreams; nil if requests are
+	// never forwarded.
+	Peers Peers
+	// Regions maps each data centre to its region; requests are forwarded within a region. Data
+	// centres that it lacks count as one region.
+	Regions map[string]string
 	Budget  BudgetLimits
 	Rates   placement.Rates
 	// Capacity is the capacity of the host, from which the entry derives the request rate that
@@ -94,7 +100,7 @@
 	rate, maxRate := g.traffic.rates(now, g.options.Capacity)
 	request := g.state.request(steward.EntryView{
 		Host: g.options.Host, DataCentre: g.options.DataCentre, Callers: g.options.Callers, Ready: g.Ready(),
-		Rate: rate, Most: maxRate,
+		Rate: rate, Most: maxRate, Unreached: g.Unreached(),
 	})
 	request.Idle = g.traffic.idle(now)
 	return request
@@ -144,6 +150,9 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	g.traffic.request(len(request.Body), time.Now())
+	if request.Forwarded {
+		g.meter.received.Inc()
+	}
 	r, err := g.admit(ctx, request)
 	if err != nil {
 		g.logRefused(request, err)
@@ -172,8 +181,12 @@
 	// usualWait is the longest time limit of the requests on the route.
 	usualWait time.Duration
 	// sends is the number of sends that reached an upstream, unsent the number of those that
-	// didn't.
+	// didn't. forwardedTo is the host of the entry that the request was last forwarded to.
 	sends, unsent int
+	forwardedTo   string
+	// handedOver indicates that another entry has taken the request. It must not be sent again:
+	// the peer may have used all attempts that the route allows.
+	handedOver bool
 	// tried holds the upstreams that failed this request, each in one incarnation.
 	tried map[*upstreamState]bool
 	// guessed holds the versions that this request tries with runners that have other weights
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -30,6 +30,9 @@
 	budgetRefusals *metrics.Counter
 	// limitedSends counts sends to upstreams that name a limit.
 	limitedSends *metrics.Counter
+	// forwarded counts requests that were sent to another entry, received those that another
+	// entry forwarded to this one.
+	forwarded, received *metrics.Counter
 	// crashes counts upstreams that were found to have crashed under requests.
 	crashes *metrics.Counter
 	// quarantined counts requests that were sent to no upstream because they crash upstreams.
@@ -42,7 +45,7 @@
 // countedReasons are the reasons with a counter of their own.
 var countedReasons = []outcome.Reason{
 	ReasonNoConfig, ReasonNoRoute, ReasonTooLong, outcome.ReasonUnauthorized, outcome.ReasonOverloaded, outcome.ReasonNoUpstream,
-	outcome.ReasonDial, ReasonConnections, outcome.ReasonRefused, outcome.ReasonDeadline,
+	outcome.ReasonDial, ReasonConnections, ReasonPeer, outcome.ReasonRefused, outcome.ReasonDeadline,
 }
 
 func newMeter(s *state, open func() float64) *meter {
@@ -62,6 +65,7 @@
 	m.late, m.sends, m.retried = counter("late"), counter("sends"), counter("sent_again")
 	m.resumed, m.budgetRefusals = counter("resumed"), counter("budget_refusals")
 	m.limitedSends = counter("limited_sends")
+	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.crashes, m.quarantined = counter("upstream_ends"), counter("held")
 	for _, reason := range countedReasons {
 		m.notRun[reason] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_not_run_total{reason=%q}`, reason))
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -134,6 +134,9 @@
 	if now.Before(u.fullUntil) {
 		cost += fullCost
 	}
+	if r.gateway.state.reach.Lost(u.record.ID) {
+		cost += ejectedCost
+	}
 	if now.Before(u.versionUnknownUntil) {
 		cost += versionUnknownCost
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -78,7 +78,7 @@
 		// No byte was sent, so this doesn't count as a send, and any kind of request may try
 		// the next upstream.
 		r.unsent++
-		if r.unsent < maxUnsent {
+		if r.unsent < maxUnsent && !r.reachesNothing(now) {
 			return true, nil
 		}
 		return false, r.refusal(unsent.Reason, defaultRetryAfter, unsent.Detail)
@@ -89,7 +89,7 @@
 		return false, r.refusal(outcome.ReasonRefused, retryAfterFull, err.Error())
 	case errors.As(err, &failed):
 		return true, nil
-	case r.suspected():
+	case r.handedOver || r.suspected():
 		return false, unknownOutcome(err)
 	case r.mayRepeat() && r.sends < r.maxAttempts() && r.takeRetryBudget(now):
 		return true, nil
@@ -149,6 +149,9 @@
 	if r.quarantined() {
 		return quarantine.ErrQuarantined
 	}
+	if peer, found := r.choosePeer(time.Now()); found {
+		return r.sendToPeer(ctx, respond, peer)
+	}
 	p, err := r.await(ctx)
 	if err != nil {
 		return err
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -121,6 +121,10 @@
 	// upstreams that it doesn't reach, in steps of unreachedStep percent.
 	reach     *reach.Tracker
 	unreached int
+	// peers are the entries that requests may be forwarded to, by the latest answer of the
+	// control hosts, and peerLoads the state of those that were used.
+	peers     []steward.PeerView
+	peerLoads map[string]*peerLoad
 	// served holds the requests that were served lately: they are not considered the cause of
 	// a crash.
 	served quarantine.RecentlyServed
@@ -176,6 +180,7 @@
 		allowance:        warmup.NewAllowance(time.Now()),
 		limits:           ratelimit.NewAllowance(host),
 		reach:            reach.NewTracker(),
+		peerLoads:        make(map[string]*peerLoad),
 
 		announceWithin: steward.DefaultAnnounceEvery + announceDelay,
 
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -22,6 +22,8 @@
 	ReasonTooLong outcome.Reason = "body-too-long"
 	// ReasonConnections indicates that this entry's share of an upstream's connections is in use.
 	ReasonConnections outcome.Reason = "connections-in-use"
+	// ReasonPeer indicates that another entry, which the request was forwarded to, refused it.
+	ReasonPeer outcome.Reason = "refused-by-peer"
 	// ReasonBudget indicates that no further attempt is allowed at present.
 	ReasonBudget outcome.Reason = "retry-budget"
 )
@@ -57,6 +59,9 @@
 	Prompt *Prompt
 	// Arrived is the time at which the request's header was read.
 	Arrived time.Time
+	// Forwarded indicates that another entry forwarded the request to this one, which must not
+	// forward it again.
+	Forwarded bool
 }
 
 // PromptSend is the placement of a prompt's parts.
@@ -164,6 +169,24 @@
 	Crashed(ctx context.Context, send *Send) bool
 }
 
+// Forward is one send of a request to another entry.
+type Forward struct {
+	Request *Request
+	// Host and Address are the entry's name and its address for callers.
+	Host, Address string
+	// Wait is the time left for the answer.
+	Wait time.Duration
+	// ResumeAfter is the last event forwarded to the caller, empty for none.
+	ResumeAfter string
+}
+
+// Peers forwards requests to other entries. An error is *outcome.NotRun if no byte can have
+// reached the entry, with outcome.ReasonDial, or if the entry states that the request has not run;
+// else *outcome.Unknown.
+type Peers interface {
+	Forward(ctx context.Context, forward *Forward) (*Answer, error)
+}
+
 // Responder writes an answer to the caller. Exactly one of Done, Abort and Refuse ends it.
 type Responder interface {
 	// Begin writes the status and the headers.
--- a/internal/steward/directory.go
+++ b/internal/steward/directory.go
@@ -60,8 +60,10 @@
 func chooseAddresses(views []EntryView, dataCentre string, limit int) []string {
 	var ready []subset.Entry
 	var callers []string
+	least := leastUnreached(views)
 	for _, view := range views {
-		if view.Ready {
+		// Callers of an entry that others outdo are served through those, by a longer way.
+		if view.Ready && view.Unreached < least+reachMargin {
 			ready = append(ready, subset.Entry{Host: view.Host, DataCentre: view.DataCentre, Rate: view.Rate, Capacity: view.Most})
 			callers = append(callers, view.Callers)
 		}
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -48,6 +48,8 @@
 	// version of the oldest configuration that it may serve by, 0 for none.
 	Evacuation uint64          `cbor:"7,keyasint,omitempty"`
 	Document   catalog.Version `cbor:"8,keyasint,omitempty"`
+	// Unreached is the share of the upstreams that the entry doesn't reach, in percent.
+	Unreached int `cbor:"9,keyasint,omitempty"`
 }
 
 // WatchRequest requests the state that the caller lacks.
@@ -151,6 +153,14 @@
 	Open        bool   `cbor:"3,keyasint"`
 }
 
+// PeerView is an entry that reaches upstreams and takes requests of entries that don't.
+type PeerView struct {
+	Host       string `cbor:"1,keyasint"`
+	DataCentre string `cbor:"2,keyasint"`
+	// Callers is the address of its listener for callers.
+	Callers string `cbor:"3,keyasint"`
+}
+
 // WatchAnswer holds the state that the caller lacked.
 type WatchAnswer struct {
 	// Redirect directs the caller to another host: one of Relays or, if there are none, Leader.
@@ -228,6 +238,9 @@
 	// left out if the caller holds that revision.
 	Limits         []ratelimit.Observation `cbor:"37,keyasint,omitempty"`
 	LimitsRevision uint64                  `cbor:"38,keyasint,omitempty"`
+	// Peers are entries to which the caller, an entry that doesn't reach all upstreams, may
+	// forward requests.
+	Peers []PeerView `cbor:"39,keyasint,omitempty"`
 	// EntriesUnchanged is set if Entries is left out because the list last sent to the caller,
 	// a control host, still holds.
 	EntriesUnchanged bool `cbor:"29,keyasint,omitempty"`
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -112,6 +112,9 @@
 	}
 	b.addGrants(from, request, answer, now)
 	b.addLimits(from, request, answer, now)
+	if request.Entry != nil && request.Entry.Unreached > 0 {
+		answer.Peers = choosePeers(s.entryList(), request.Entry)
+	}
 	answer.Pause = s.pauseAfter(b, request, answer)
 	answer.Members = s.memberNames()
 	if request.Entry != nil {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -139,10 +139,21 @@
 	return p != nil && p.lost
 }
 
+// AllLost reports whether no upstream is left that might be connected to.
+func (t *Tracker) AllLost(upstreams []string) bool {
+	for _, upstream := range upstreams {
+		if !t.Lost(upstream) {
+			return false
+		}
+	}
+	return len(upstreams) > 0
+}
+
 // Share returns the share of upstreams that are reached, among those with recent knowledge; 1 if
 // there is no reason for doubt.
 func (t *Tracker) Share(upstreams []string, now time.Time) float64 {
-	if t.lost < min(minLost, len(upstreams)) {
+	needed := max(min(minLost, len(upstreams)), 1)
+	if t.lost < needed {
 		return 1
 	}
 	reached, lost := 0, 0
@@ -155,7 +166,7 @@
 			reached++
 		}
 	}
-	if lost < min(minLost, len(upstreams)) {
+	if lost < needed {
 		return 1
 	}
 	return float64(reached) / float64(reached+lost)
