Brittle upstreams: entries use their own share of the capacity, and draw for the rest

Runners that can refuse only a few requests a second fell over one after the other: the loads that entries know of each other are 0.1 to 0.3 s old, all of them see the same free capacity and use it at the same moment, and a runner that has fallen leaves its load to the next. Class: as for limits, a bound on a sum that each entry judges alone; here the sum is of requests under way.

What an upstream states about refusals counts for its service, until an answer to a later request lacks it. At a brittle upstream an entry uses slots/entries at any time; for what is left it draws every 0.2 s, so that on average the winners use half of it, one request at a time each. Reports of waiting requests stop it for 0.3 s, and after a refusal the entry pauses for about entries/N seconds.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -79,6 +79,7 @@
 	s := r.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	p.upstream.queued, p.upstream.queuedAt = load.Waiting, time.Now()
 	p.upstream.others.Requests = max(load.Running+load.Waiting-p.upstream.own.Requests, 0)
 	s.loadedByOthers[p.upstream] = struct{}{}
 }
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -30,7 +30,7 @@
 		switch {
 		case u.health.replaced || r.tried[u] || r.belowMinVersion(s, u) || s.evacuation.Evacuated(u.record.DataCentre):
 			return false
-		case s.isThrottled(u, coldRate, now) || !s.limits.Allows(u.record.ID, now):
+		case s.isThrottled(u, coldRate, now) || !s.limits.Allows(u.record.ID, now) || now.Before(u.pausedUntil):
 			throttled = true
 			return false
 		}
--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -117,6 +117,7 @@
 	cold     *coldRestart
 	limits   *namedLimits
 	cut      *cutEntries
+	brittle  *brittleRunners
 }
 
 type modelStore struct {
@@ -315,6 +316,7 @@
 	answer, err := f.runners[s.Upstream].send(ctx, s)
 	if err == nil {
 		answer.Limit = f.limits.named(s.Upstream, m.entry)
+		f.brittle.state(answer)
 	}
 	return answer, err
 }
--- a/internal/gateway/fleet_runner_test.go
+++ b/internal/gateway/fleet_runner_test.go
@@ -42,7 +42,12 @@
 	}
 	m.mu.Lock()
 	m.arrivals++
-	if m.present >= m.fleet.shape.slots+m.fleet.shape.queue {
+	if m.fleet.brittle.isDown(m) {
+		m.mu.Unlock()
+		return nil, &outcome.NotRun{Reason: outcome.ReasonDial}
+	}
+	if m.present >= m.fleet.shape.slots+m.fleet.brittle.queue(m.fleet.shape.queue) || m.fleet.brittle.waits(m) {
+		m.fleet.brittle.reject(m)
 		a := refusal(Full)
 		a.Load = m.load()
 		m.mu.Unlock()
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -19,6 +19,8 @@
 	// retries spaces the retries of callers whose requests found no capacity, smallRetries
 	// those of small requests.
 	retries, smallRetries retry.Schedule
+	// brittle is what the service's upstreams stated about refusals.
+	brittle brittle
 }
 
 // retriesOf returns the retry schedule for the request's caller.
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -92,3 +92,35 @@
 		}
 	})
 }
+
+// Guards against entries that send a brittle upstream further requests right after it refused one,
+// and against one that is spared for good.
+func TestBrittleUpstreamIsSparedAfterARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		brittle := 1
+		g, sender := testGateway(t, func(int, *Send) (*Answer, error) {
+			a := refusal(Full)
+			a.Brittle = brittle
+			return a, nil
+		})
+		g.state.activeEntries = 4
+		for range 200 {
+			go serve(g, request("/safe/x"))
+			time.Sleep(5 * time.Millisecond)
+		}
+		// Each of the three upstreams refuses one request and, with four entries and one refusal a
+		// second, none for two seconds.
+		if n := sender.count(); n > 3 {
+			t.Errorf("%d requests were refused in a second", n)
+		}
+		time.Sleep(10 * time.Second)
+		brittle = 0
+		for range 50 {
+			serve(g, request("/safe/x"))
+			time.Sleep(200 * time.Millisecond)
+		}
+		if n := sender.count(); n < 40 {
+			t.Errorf("%d requests were sent after the upstreams had ceased to be brittle", n)
+		}
+	})
+}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -99,7 +99,7 @@
 	p.send.Upstream, p.send.Address, p.send.StartedMs = p.upstream.record.ID, p.upstream.record.Address, p.upstream.record.StartedMs
 	s.describePlan(p, now)
 	r.last = p
-	if !p.upstream.hasCapacity(r.need(s, service, p.tokens, p.prefillTokens)) {
+	if !s.mayUse(p.upstream, r.need(s, service, p.tokens, p.prefillTokens), now) {
 		return nil, nil
 	}
 	p.sent = now
@@ -151,6 +151,7 @@
 
 // leastLoaded chooses among the replicas of a plain service.
 func (r *run) leastLoaded(candidates []*upstreamState, now time.Time) *upstreamState {
+	s := r.gateway.state
 	var best *upstreamState
 	var lowest float64
 	start := rand.IntN(len(candidates))
@@ -158,6 +159,9 @@
 		u := candidates[(start+i)%len(candidates)]
 		load := float64(u.own.Requests+u.others.Requests) + loadUncertainty*rand.Float64()
 		cost := load*r.gateway.options.Rates.SlotMs/float64(max(u.record.Slots, 1)) + milliseconds(r.penalty(u, now))
+		if s.brittleness(r.service, now) > 0 && !s.mayUse(u, need{small: true}, now) {
+			cost += milliseconds(noCapacityCost)
+		}
 		if excess := int(load) + 1 - u.record.Slots; excess > 0 {
 			cost += float64(excess) * r.gateway.options.Rates.SlotMs
 		}
@@ -193,7 +197,7 @@
 		if r.versionOf(u) < newest {
 			extra += oldWeightsCost
 		}
-		full := !u.hasCapacity(needed)
+		full := !s.mayUse(u, needed, now)
 		if full {
 			extra += noCapacity
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -178,6 +178,7 @@
 	r.recordReceived(p)
 	r.recordLoad(p, answer.Load)
 	r.recordLimit(p, answer.Limit)
+	r.recordBrittle(p, answer.Brittle)
 	if answer.Refusal != NotRefused {
 		return r.handleRefusal(p, answer)
 	}
@@ -243,7 +244,9 @@
 		}
 		p.upstream.versionUnknownUntil = time.Now().Add(s.announceWithin)
 	case Full:
-		p.upstream.fullUntil = time.Now().Add(fullFor)
+		now := time.Now()
+		p.upstream.fullUntil = now.Add(fullFor)
+		s.pauseBrittle(p.upstream, now)
 	}
 	r.tried[p.upstream] = true
 	return refused
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -42,6 +42,14 @@
 	// answeredAt the time of its first answer since.
 	coldUntil, nextProbe, answeredAt time.Time
 	sentCount                        sentCount
+	// pausedUntil is the time until which the upstream gets no requests because it has refused
+	// one and can't refuse many.
+	pausedUntil time.Time
+	// queued is the number of waiting requests that the upstream reported at queuedAt.
+	queued   int
+	queuedAt time.Time
+	// draw is this entry's latest draw for its free capacity.
+	draw draw
 	// version holds weight versions confirmed by the runner itself, by model; they count if
 	// newer than the roster's.
 	version map[string]uint64
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -153,6 +153,9 @@
 	Load *Load
 	// Limit is the upstream's statement about a rate limit, nil if it can't be read.
 	Limit *ratelimit.Limit
+	// Brittle is the number of requests that the upstream can refuse in a second for want of
+	// capacity without falling over, 0 for any number.
+	Brittle int
 	// Length is the body's length, -1 if unknown.
 	Length int64
 	Body   Body
