reach: probes stay few at large fleets, and end with their upstreams

Comparisons are now bounded by time and end once as many upstreams are known to be reached as are lost, probes of lost upstreams back off to 2 s, and only tracked upstreams are gone through.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -105,7 +105,7 @@
 	s := r.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reach.AllLost(s.contactedUpstreams(r.service)) && (r.request.Forwarded || len(r.gateway.usablePeers(now)) == 0)
+	return !s.reachesAny(r.service) && (r.request.Forwarded || len(r.gateway.usablePeers(now)) == 0)
 }
 
 // sendToPeer forwards the request to another entry and its answer to the caller. The peer answers
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -17,12 +17,14 @@
 	minDoubtful = 2
 	// doubtfulShare is the fraction of the upstreams with requests that must be in doubt.
 	doubtfulShare = 0.6
-	// probeInterval is the interval between two probes of an upstream.
-	probeInterval = 500 * time.Millisecond
+	// probeInterval is the interval between two probes of an upstream, which doubles with each
+	// failure up to maxProbeInterval: all entries probe an upstream that has crashed.
+	probeInterval    = 500 * time.Millisecond
+	maxProbeInterval = 2 * time.Second
 	// maxProbes bounds the probes under way, each a new connection.
 	maxProbes = 8
-	// comparedUpstreams is the number of further upstreams that are probed once one is lost, so
-	// that there is something to compare it with.
+	// comparedUpstreams is the number of further upstreams that are probed in a probeInterval once
+	// one is lost, so that there is something to compare it with.
 	comparedUpstreams = 4
 	// recent is the time for which a contact shows that an upstream is reached.
 	recent = 2 * time.Second
@@ -38,6 +40,8 @@
 	probing   int
 	// lost is the number of upstreams whose latest connection failed.
 	lost int
+	// comparedAt is the time of the latest probes for comparison.
+	comparedAt time.Time
 }
 
 // path is what is known of the path to one upstream.
@@ -53,6 +57,13 @@
 	lost     bool
 	probedAt time.Time
 	probing  bool
+	// failures is the number of consecutive probes that failed.
+	failures int
+}
+
+// probeDue reports whether the path may be probed again.
+func (p *path) probeDue(now time.Time) bool {
+	return !p.probing && now.Sub(p.probedAt) >= min(probeInterval<<min(p.failures, 8), maxProbeInterval)
 }
 
 // NewTracker returns a tracker without knowledge.
@@ -139,20 +150,19 @@
 	return p != nil && p.lost
 }
 
-// AllLost reports whether no upstream is left that might be connected to.
-func (t *Tracker) AllLost(upstreams []string) bool {
-	for _, upstream := range upstreams {
-		if !t.Lost(upstream) {
-			return false
-		}
+// Tracked lists the upstreams of which something is known.
+func (t *Tracker) Tracked() []string {
+	list := make([]string, 0, len(t.upstreams))
+	for upstream := range t.upstreams {
+		list = append(list, upstream)
 	}
-	return len(upstreams) > 0
+	return list
 }
 
-// Share returns the share of upstreams that are reached, among those with recent knowledge; 1 if
-// there is no reason for doubt.
-func (t *Tracker) Share(upstreams []string, now time.Time) float64 {
-	needed := max(min(minLost, len(upstreams)), 1)
+// Share returns the share of the given upstreams, of total, that is reached, among those with
+// recent knowledge; 1 if there is no reason for doubt. Those that aren't tracked may be left out.
+func (t *Tracker) Share(upstreams []string, total int, now time.Time) float64 {
+	needed := max(min(minLost, total), 1)
 	if t.lost < needed {
 		return 1
 	}
@@ -201,39 +211,65 @@
 		return nil
 	}
 	var list []string
-	compared := comparedUpstreams
+	compared := 0
+	if now.Sub(t.comparedAt) >= probeInterval {
+		compared = t.missingComparisons(upstreams, now)
+	}
 	for _, upstream := range upstreams {
-		if t.probing+len(list) >= maxProbes {
+		if t.probing >= maxProbes {
 			break
 		}
-		p := t.path(upstream)
+		p := t.upstreams[upstream]
 		switch {
-		case p.probing || now.Sub(p.probedAt) < probeInterval:
+		case p != nil && !p.probeDue(now):
 			continue
-		case p.lost || p.doubtful(now):
-		case t.lost > 0 && compared > 0 && now.Sub(p.contactAt) >= recent/2:
+		case p != nil && (p.lost || p.doubtful(now)):
+		case compared > 0 && (p == nil || now.Sub(p.contactAt) >= recent/2):
 			compared--
+			t.comparedAt = now
 		default:
 			continue
 		}
-		list = append(list, upstream)
-	}
-	for _, upstream := range list {
-		p := t.upstreams[upstream]
+		p = t.path(upstream)
 		p.probing, p.probedAt = true, now
+		t.probing++
+		list = append(list, upstream)
 	}
-	t.probing += len(list)
 	return list
 }
 
-// Probed records the result of a probe.
+// missingComparisons returns how many upstreams should be probed for comparison: none if as many
+// are known to be reached as are lost.
+func (t *Tracker) missingComparisons(upstreams []string, now time.Time) int {
+	reached, lost := 0, 0
+	for _, upstream := range upstreams {
+		switch p := t.upstreams[upstream]; {
+		case p == nil:
+		case p.lost:
+			lost++
+		case now.Sub(p.contactAt) < recent/2:
+			reached++
+		}
+	}
+	if lost == 0 || reached >= max(lost, comparedUpstreams) {
+		return 0
+	}
+	return comparedUpstreams
+}
+
+// Probed records the result of a probe. One of an upstream that has gone meanwhile is ignored.
 func (t *Tracker) Probed(upstream string, established bool, now time.Time) {
-	if p := t.upstreams[upstream]; p != nil && p.probing {
-		p.probing = false
-		t.probing--
+	p := t.upstreams[upstream]
+	if p == nil || !p.probing {
+		return
 	}
+	p.probing = false
+	t.probing--
 	t.Connected(upstream, established, now)
-	if p := t.upstreams[upstream]; !established && p != nil {
-		p.suspectedAt = time.Time{}
+	if established {
+		p.failures = 0
+		return
 	}
+	p.failures++
+	p.suspectedAt = time.Time{}
 }
