--- a/internal/gateway/fleet_limit_test.go
+++ b/internal/gateway/fleet_limit_test.go
@@ -47,7 +47,7 @@
 
 // exchange models the control hosts: it records what an entry reports and adds the list of limits
 // and the entry's shares to the answer.
-func (l *namedLimits) exchange(request *steward.WatchRequest, answer *steward.WatchAnswer, entries int) {
+func (l *namedLimits) exchange(request *steward.WatchRequest, answer *steward.WatchAnswer) {
 	if l == nil {
 		return
 	}
--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -242,7 +242,7 @@
 		if f.cold != nil {
 			f.cold.addTo(answer, g.options.Host)
 		}
-		f.limits.exchange(request, answer, f.shape.entries)
+		f.limits.exchange(request, answer)
 		f.cut.exchange(request, answer)
 		time.Sleep(f.shape.answerLag)
 		answer.StateAge = f.shape.answerLag
--- a/internal/steward/limits.go
+++ b/internal/steward/limits.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/ratelimit"
 )
 
@@ -39,7 +38,7 @@
 }
 
 // addLimits implements watchSource.
-func (l *leadership) addLimits(_ port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time) {
+func (l *leadership) addLimits(request *WatchRequest, answer *WatchAnswer, now time.Time) {
 	l.grantMu.Lock()
 	defer l.grantMu.Unlock()
 	addLimits(l.limits, l.limits.Revision()+1, l.elected, request, answer, now)
--- a/internal/steward/limits_test.go
+++ b/internal/steward/limits_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/ratelimit"
 )
 
@@ -36,7 +35,7 @@
 		for _, host := range []string{"e1", "e2"} {
 			answer := &WatchAnswer{}
 			l.addGrants(entryPeer(host), &WatchRequest{}, answer, time.Now())
-			l.addLimits(entryPeer(host), &WatchRequest{}, answer, time.Now())
+			l.addLimits(&WatchRequest{}, answer, time.Now())
 			if len(answer.Shares) != 1 || answer.Shares[0].Upstream != "a" || len(answer.Limits) != 1 {
 				t.Fatalf("%s: shares %v of limits %v", host, answer.Shares, answer.Limits)
 			}
@@ -46,7 +45,7 @@
 			t.Errorf("shares of %.2f a second of a limit of 4", total)
 		}
 		answer := &WatchAnswer{}
-		l.addLimits(port.Peer{}, &WatchRequest{LimitsRevision: l.limits.Revision() + 1, Term: l.elected}, answer, time.Now())
+		l.addLimits(&WatchRequest{LimitsRevision: l.limits.Revision() + 1, Term: l.elected}, answer, time.Now())
 		if answer.Limits != nil {
 			t.Error("an unchanged list is sent again")
 		}
@@ -72,7 +71,7 @@
 	}
 	answer := &WatchAnswer{}
 	b.addGrants(entryPeer("e2"), nil, answer, now)
-	b.addLimits(entryPeer("e2"), &WatchRequest{}, answer, now)
+	b.addLimits(&WatchRequest{}, answer, now)
 	if len(answer.Shares) != 1 || answer.Shares[0].PerSecond != 3 || len(answer.Limits) != 1 {
 		t.Errorf("an entry receives shares %v of limits %v", answer.Shares, answer.Limits)
 	}
--- a/internal/steward/relaystate.go
+++ b/internal/steward/relaystate.go
@@ -193,7 +193,7 @@
 }
 
 // addLimits implements watchSource.
-func (b *relayState) addLimits(_ port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time) {
+func (b *relayState) addLimits(request *WatchRequest, answer *WatchAnswer, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	addLimits(b.limits, b.limitsRevision, b.latest.Term, request, answer, now)
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -63,7 +63,7 @@
 	// addGrants adds the permits for cold and limited upstreams, addLimits the limits that
 	// upstreams named.
 	addGrants(from port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time)
-	addLimits(from port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time)
+	addLimits(request *WatchRequest, answer *WatchAnswer, now time.Time)
 	// serves reports whether the watch may still be answered here.
 	serves(request *WatchRequest, now time.Time) bool
 	// asOf returns the time as of which this host has the leader's complete state. It and its
@@ -111,7 +111,7 @@
 		answer.Silent = nil
 	}
 	b.addGrants(from, request, answer, now)
-	b.addLimits(from, request, answer, now)
+	b.addLimits(request, answer, now)
 	if request.Entry != nil && request.Entry.Unreached > 0 {
 		answer.Peers = choosePeers(s.entryList(), request.Entry)
 	}
