Capacity of limits: probes and figures; hosts are looked up in a set when limits are divided

Measured: the list of limits to an entry is 463 B, 4.57 and 45.7 KiB with 12, 120 and 1,200 limited upstreams, the shares to a relay 2.14, 21.5, 215 KiB. Updating the shares took the leader 0.3, 0.97 and 10.1 ms with 670 entries, 20 times a second at most: each holder was searched in the list of entries. With a set 0.3, 2.3 and 1.6 ms (a spread of 44%: the probe meets the new divisions of every 5 s). No change of what is divided; the tests of ratelimit pass.

--- a/ratelimit/divider.go
+++ b/ratelimit/divider.go
@@ -71,6 +71,10 @@
 		return
 	}
 	changed := d.revision == 0
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		present[e.Host] = true
+	}
 	limited := make(map[string]bool, len(limits))
 	for _, l := range limits {
 		if !l.Limit.Limited {
@@ -82,7 +86,7 @@
 			v = &division{holders: make(map[string]*holder)}
 			d.byUpstream[l.Upstream] = v
 		}
-		if v.outdated(l.Limit.effective(), entries, now) {
+		if v.outdated(l.Limit.effective(), present, now) {
 			v.perSecond, v.dividedAt = l.Limit.effective(), now
 			v.targets = divide(l.Upstream, v.perSecond, entries)
 		}
@@ -104,12 +108,12 @@
 }
 
 // outdated reports whether the limit must be divided anew.
-func (v *division) outdated(perSecond float64, entries []Entry, now time.Time) bool {
+func (v *division) outdated(perSecond float64, present map[string]bool, now time.Time) bool {
 	if perSecond != v.perSecond || len(v.targets) == 0 || now.Sub(v.dividedAt) >= redivideEvery {
 		return true
 	}
 	for host := range v.targets {
-		if !slices.ContainsFunc(entries, func(e Entry) bool { return e.Host == host }) {
+		if !present[host] {
 			return true
 		}
 	}
