Entries: a listed limit applies to the incarnation that named it

An upstream that starts again under its name would have been kept to the limit of its previous incarnation for up to 10 s, without a share of it at the leader, if the list of limits that an entry got was older than the roster, as with relays: they pass on what they know. The entry leaves out limits of other incarnations than its roster's. Found in review; TestListedLimitEndsWithItsIncarnation fails before and passes after.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lovagereach/lovagereach/cacheindex"
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/ratelimit"
 )
 
 // apply applies an answer of the control hosts and returns the configuration that came into
@@ -95,7 +97,12 @@
 		s.limits.ConfirmList(time.Now())
 		return
 	}
-	s.limits.SetList(answer.Limits, sent, time.Now())
+	// A list may be older than the roster, and name limits of incarnations that have ended.
+	current := slices.DeleteFunc(slices.Clone(answer.Limits), func(o ratelimit.Observation) bool {
+		u := s.upstreams[o.Upstream]
+		return u == nil || u.record.StartedMs != o.StartedMs
+	})
+	s.limits.SetList(current, sent, time.Now())
 	s.limitsRevision = answer.LimitsRevision
 }
 
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/ratelimit"
 )
@@ -144,3 +145,25 @@
 		}
 	})
 }
+
+// Guards against an upstream that starts again under its name and gets no requests for seconds,
+// because a list that is older than its start names the limit of its previous incarnation.
+func TestListedLimitEndsWithItsIncarnation(t *testing.T) {
+	g, _ := testGateway(t, func(int, *Send) (*Answer, error) { return status(200), nil })
+	list := []ratelimit.Observation{{Upstream: "a1", Limit: ratelimit.Limit{Limited: true, PerSecond: 3}}}
+	answer := func(roster uint64) *steward.WatchAnswer {
+		a := testAnswer()
+		a.Document, a.Roster.Revision, a.LimitsRevision, a.Limits = nil, roster, roster, list
+		return a
+	}
+	g.ApplyAnswer(answer(2), time.Now())
+	if n := g.state.limitedCount(); n != 1 {
+		t.Fatalf("%d upstreams count as limited", n)
+	}
+	restarted := answer(3)
+	restarted.Roster.Upstreams[0].StartedMs = 5000
+	g.ApplyAnswer(restarted, time.Now())
+	if n := g.state.limitedCount(); n != 0 {
+		t.Error("the limit of the previous incarnation applies to the next one")
+	}
+}
