ratelimit: the scores of a division are computed once

The hash was computed in each comparison of the sort. The order is the same, the tests of ratelimit pass.

--- a/ratelimit/divider.go
+++ b/ratelimit/divider.go
@@ -142,10 +142,13 @@
 
 // order sorts the entries by rendezvous hashing, weighted by their rates.
 func order(upstream string, entries []Entry) []Entry {
-	score := func(e Entry) float64 { return -math.Log(unit(upstream, e.Host)) / e.weight() }
+	scores := make(map[string]float64, len(entries))
+	for _, e := range entries {
+		scores[e.Host] = -math.Log(unit(upstream, e.Host)) / e.weight()
+	}
 	list := slices.Clone(entries)
 	slices.SortFunc(list, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a.Host, b.Host))
+		return cmp.Or(cmp.Compare(scores[a.Host], scores[b.Host]), cmp.Compare(a.Host, b.Host))
 	})
 	return list
 }
