--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -19,6 +19,13 @@
 	return a
 }
 
+// limitedUpstreams returns the number of upstreams that count as limited.
+func limitedUpstreams(g *Gateway) int {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	return g.state.limitedCount()
+}
+
 // Guards against requests that wait for upstreams whose limits leave this entry nothing, until
 // their callers' time is nearly up.
 func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
@@ -99,7 +106,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(5 * time.Second)
-		if n := g.state.limitedCount(); n != 3 {
+		if n := limitedUpstreams(g); n != 3 {
 			t.Fatalf("%d of 3 upstreams count as limited", n)
 		}
 		for range 20 {
@@ -107,7 +114,7 @@
 			later.ID = "slow"
 			serve(g, later)
 		}
-		if n := g.state.limitedCount(); n != 0 {
+		if n := limitedUpstreams(g); n != 0 {
 			t.Errorf("%d upstreams count as limited that named no limit", n)
 		}
 	})
@@ -157,13 +164,13 @@
 		return a
 	}
 	g.ApplyAnswer(answer(2), time.Now())
-	if n := g.state.limitedCount(); n != 1 {
+	if n := limitedUpstreams(g); n != 1 {
 		t.Fatalf("%d upstreams count as limited", n)
 	}
 	restarted := answer(3)
 	restarted.Roster.Upstreams[0].StartedMs = 5000
 	g.ApplyAnswer(restarted, time.Now())
-	if n := g.state.limitedCount(); n != 0 {
+	if n := limitedUpstreams(g); n != 0 {
 		t.Error("the limit of the previous incarnation applies to the next one")
 	}
 }
