--- a/internal/gateway/fleet_brittle_test.go
+++ b/internal/gateway/fleet_brittle_test.go
@@ -78,10 +78,10 @@
 		entries   int
 		load      float64
 		perSecond int
-	}{{7, 1, 3}, {7, 2.5, 3}, {64, 1.7, 3}} {
+	}{{7, 1, 3}, {7, 1.7, 3}, {7, 2.5, 3}, {64, 1.7, 3}, {64, 2.5, 3}} {
 		b := &brittleRunners{perSecond: test.perSecond, waiting: 1, rejected: make(map[*modelRunner][]time.Time), down: make(map[*modelRunner]time.Time)}
 		shape := migrationFleet(test.entries)
-		shape.slots, shape.length = 12, 8*time.Second
+		shape.slots = 12
 		shape.longPerS, shape.shortPerS = shape.longPerS*test.load, shape.shortPerS*test.load
 		if test.entries > 7 {
 			shape.answerInterval, shape.answerLag = 250*time.Millisecond, 100*time.Millisecond
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -189,7 +189,7 @@
 	for _, entries := range []int{1, 7, 64, 300} {
 		for _, perSecond := range []float64{0, 0.4, 1.9, 5.8, 60} {
 			for name, faults := range map[string][]int{"all": all, "leaders": {faultLeader, faultPartitionAll}, "limits": {faultLimit, faultIdle}} {
-				for seed := range uint64(*moreSeeds * max(1, 60/(10+entries))) {
+				for seed := range uint64(*moreSeeds * max(1, 200/(10+entries))) {
 					m := newModel(seed, entries, perSecond)
 					m.faults = faults
 					m.introduce()
