Software versions in the roster, logs and metrics; resumed streams are logged

Announcements name the upstream's software version, and it was dropped: the log could not tell at which version a stream began and went on, nor that a caller resumed one. The roster keeps it now, 'stream resumed' and lovagereach_gateway_streams_resumed_total tell both versions. No choice of an upstream changes.

--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -29,7 +29,9 @@
 	Queue    int
 	// HealthPenalty is the cost added for earlier failures.
 	HealthPenalty time.Duration
-	Version       uint64
+	// Version is the version of the weights, Software that of the upstream's software.
+	Version  uint64
+	Software string
 }
 
 // View describes how recent the inputs were.
@@ -118,6 +120,29 @@
 	return e.View.append(e.Choice.append(fields))
 }
 
+// StreamResumed is logged when the first event of a resumed stream is forwarded.
+type StreamResumed struct {
+	Request string
+	// Resumes is the attempt that brought the caller the first event, empty for a stream that
+	// the entry resumes within one answer. After is the last event that the caller has.
+	Resumes, After string
+	Upstream       string
+	// Software is the software version of the upstream, Began the one that began the stream;
+	// each is empty if unknown.
+	Software, Began string
+}
+
+// Class implements Event.
+func (e *StreamResumed) Class() Class { return Retry }
+
+// Message implements Event.
+func (e *StreamResumed) Message() string { return "stream resumed" }
+
+// Fields implements Event.
+func (e *StreamResumed) Fields() []any {
+	return []any{"request", e.Request, "resumes", e.Resumes, "after", e.After, "upstream", e.Upstream, "software", e.Software, "began", e.Began}
+}
+
 func (c *Choice) append(fields []any) []any {
 	if c.Upstream == "" {
 		return fields
@@ -126,7 +151,7 @@
 		"upstream", c.Upstream, "candidates", c.Candidates, "requests", c.Requests, "tokens", c.Tokens, "unread", c.PendingPrefill,
 		"reads", c.PrefillTokens, "cost_ms", int(c.CostMs), "home", c.Home, "fetched", c.Fetched, "saved", c.Saved,
 		"sources", c.Sources, "pace", math.Round(c.Slowdown*10)/10, "queue", c.Queue,
-		"distrust_ms", ms(c.HealthPenalty), "weights", c.Version)
+		"distrust_ms", ms(c.HealthPenalty), "weights", c.Version, "software", c.Software)
 }
 
 func (v *View) append(fields []any) []any {
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -44,15 +44,17 @@
 
 // DumpedUpstream is an entry's view of an upstream.
 type DumpedUpstream struct {
-	ID      string       `json:"id"`
-	Service string       `json:"service"`
-	Address string       `json:"address"`
-	State   string       `json:"state"`
-	Silent  bool         `json:"silent"`
-	Loading bool         `json:"loading"`
-	Cold    bool         `json:"cold"`
-	Own     steward.Load `json:"own"`
-	Others  steward.Load `json:"others"`
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	State   string `json:"state"`
+	// Software is the version of the upstream's software, empty if unknown.
+	Software string       `json:"software"`
+	Silent   bool         `json:"silent"`
+	Loading  bool         `json:"loading"`
+	Cold     bool         `json:"cold"`
+	Own      steward.Load `json:"own"`
+	Others   steward.Load `json:"others"`
 	// Failures is the smoothed share of failed requests and InRow the number of consecutive
 	// failures. EjectedFor is the time until the upstream is reinstated, zero if it is not
 	// ejected.
@@ -96,7 +98,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.upstreams)) {
 		u := s.upstreams[id]
 		d.Upstreams = append(d.Upstreams, DumpedUpstream{
-			ID: id, Service: u.record.Service, Address: u.record.Address, State: u.record.State.String(),
+			ID: id, Service: u.record.Service, Address: u.record.Address, State: u.record.State.String(), Software: u.record.Software,
 			Silent: u.silent, Loading: u.loading, Cold: u.cold(now), Own: u.own, Others: u.others,
 			Failures: u.health.share(now), InRow: u.health.consecutive, EjectedFor: max(u.health.ejectedUntil.Sub(now), 0),
 			Lost: s.reach.Lost(id), Limit: namedLimit(s.limits.Limit(id)), Sent: u.sentCount.total(now),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,6 +202,8 @@
 	headSent bool
 	// lastEvent is the last event forwarded to the caller.
 	lastEvent string
+	// began is the software version of the upstream that began the stream, empty if unknown.
+	began string
 	// status is the status forwarded to the caller, first the time until the first piece of
 	// the answer.
 	status int
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -61,7 +61,7 @@
 	if p.send.Prompt == nil {
 		return
 	}
-	p.logged.Version = p.send.Prompt.Version
+	p.logged.Version, p.logged.Software = p.send.Prompt.Version, p.software
 	var sources []string
 	for _, f := range p.send.Prompt.Fetch {
 		if f.Address == "" {
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -26,6 +26,9 @@
 	// sends counts all sends, retried the sends after the first of a request, resumed the
 	// streams that were resumed at another upstream.
 	sends, retried, resumed *metrics.Counter
+	// continued counts the streams that went on after an interruption, by who resumed them and
+	// by whether the upstream's software version is the one that began them.
+	continued map[continuation]*metrics.Counter
 	// budgetRefusals counts retries that the shared budget didn't allow.
 	budgetRefusals *metrics.Counter
 	// limitedSends counts sends to upstreams that name a limit.
@@ -64,6 +67,12 @@
 	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_gateway_" + part + "_total") }
 	m.late, m.sends, m.retried = counter("late"), counter("sends"), counter("sent_again")
 	m.resumed, m.budgetRefusals = counter("resumed"), counter("budget_refusals")
+	m.continued = make(map[continuation]*metrics.Counter)
+	for _, by := range []string{byEntry, byCaller} {
+		for _, version := range []string{sameVersion, otherVersion, unknownVersion} {
+			m.continued[continuation{by, version}] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_streams_resumed_total{by=%q,version=%q}`, by, version))
+		}
+	}
 	m.limitedSends = counter("limited_sends")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.crashes, m.quarantined = counter("upstream_ends"), counter("held")
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -53,8 +53,10 @@
 
 // plan is one send and the load that it is accounted for until it ends.
 type plan struct {
-	send          *Send
-	upstream      *upstreamState
+	send     *Send
+	upstream *upstreamState
+	// software is the version of the upstream's software that was known at the send.
+	software      string
 	tokens        int
 	prefillTokens int
 	answerStarted bool
@@ -97,6 +99,7 @@
 		p.upstream = r.leastLoaded(candidates, now)
 	}
 	p.send.Upstream, p.send.Address, p.send.StartedMs = p.upstream.record.ID, p.upstream.record.Address, p.upstream.record.StartedMs
+	p.software = p.upstream.record.Software
 	s.describePlan(p, now)
 	r.last = p
 	if !s.mayUse(p.upstream, r.need(s, service, p.tokens, p.prefillTokens), now) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -268,6 +268,7 @@
 // forward forwards an answer to its end.
 func (r *run) forward(ctx context.Context, respond Responder, p *plan, answer *Answer) error {
 	fw := &forwarder{run: r, respond: respond, answer: answer, buffering: r.route.Kind == catalog.Safe}
+	begun := false
 	for {
 		piece, err := answer.Body.Next()
 		if errors.Is(err, io.EOF) {
@@ -289,6 +290,10 @@
 		if r.first == 0 {
 			r.first = time.Since(r.request.Arrived)
 		}
+		if !begun && answer.Status/100 == 2 {
+			r.recordBegin(p)
+			begun = true
+		}
 		if err := fw.piece(piece); err != nil {
 			r.release(p)
 			return err
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -55,6 +55,9 @@
 	Wait time.Duration
 	// ResumeAfter is the last event that the caller has, empty for none.
 	ResumeAfter string
+	// Resumes is the ID of the attempt that brought the caller the first event of the stream
+	// which it resumes, empty if it resumes none.
+	Resumes string
 	// Prompt is nil for requests to plain services.
 	Prompt *Prompt
 	// Arrived is the time at which the request's header was read.
--- a/internal/steward/announcements.go
+++ b/internal/steward/announcements.go
@@ -191,7 +191,7 @@
 	if !s.machine.changesRoster(*u) {
 		return false, nil
 	}
-	s.upstreamLog.info(now, "upstream", "upstream", u.ID, "service", u.Service, "address", u.Address,
+	s.upstreamLog.info(now, "upstream", "upstream", u.ID, "service", u.Service, "address", u.Address, "software", u.Software,
 		"state", u.State, "sequence", u.Sequence, "born", u.StartedMs)
 	return true, nil
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -82,6 +82,9 @@
 	// Superseded is the later start time of the incarnation that this one superseded,
 	// 0 for none.
 	Superseded uint64 `cbor:"13,keyasint,omitempty"`
+	// Software is the version of the upstream's software, empty if not announced. Versions
+	// have no order.
+	Software string `cbor:"14,keyasint,omitempty"`
 }
 
 // VersionOf returns the loaded version of a model, 0 if it is not loaded.
@@ -223,7 +226,7 @@
 	merged.Sequence = max(held.Sequence, a.Sequence)
 	if a.Service == "" {
 		merged.Service, merged.Address, merged.DataCentre = held.Service, held.Address, held.DataCentre
-		merged.Slots = held.Slots
+		merged.Slots, merged.Software = held.Slots, held.Software
 	}
 	merged.Loaded = newest(held.Loaded, a.Loaded)
 	merged.ColdMs, merged.WarmReportsNeeded = coldness(held, &a)
@@ -251,7 +254,7 @@
 // cold upstream, whose cold time restarts with each announcement.
 func same(a, b *Upstream) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.DataCentre == b.DataCentre &&
-		a.State == b.State && a.Slots == b.Slots && a.StartedMs == b.StartedMs && slices.Equal(a.Loaded, b.Loaded) &&
+		a.State == b.State && a.Slots == b.Slots && a.StartedMs == b.StartedMs && a.Software == b.Software && slices.Equal(a.Loaded, b.Loaded) &&
 		a.ColdMs == b.ColdMs && a.WarmReportsNeeded == b.WarmReportsNeeded && (b.ColdMs == 0 || a.Sequence == b.Sequence)
 }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -162,3 +162,28 @@
 		t.Errorf("%d complete listings, %d incremental ones", complete, incremental)
 	}
 }
+
+// Guards against a roster that keeps the software version of a previous incarnation, or loses it
+// with a departure that names none.
+func TestSoftwareVersionIsThatOfTheIncarnation(t *testing.T) {
+	r := New()
+	announce := func(started, sequence uint64, software string) Upstream {
+		r.Announce(Upstream{ID: "i-1", Service: "llm", Address: "a:1", State: Serving, StartedMs: started, Sequence: sequence, Software: software})
+		u, _ := r.Get("i-1")
+		return u
+	}
+	if u := announce(1000, 5, "v1"); u.Software != "v1" {
+		t.Errorf("first incarnation: %q", u.Software)
+	}
+	revision := r.Revision()
+	if u := announce(2000, 1, "v2"); u.Software != "v2" || r.Revision() == revision {
+		t.Errorf("second incarnation: %q, revision %d after %d", u.Software, r.Revision(), revision)
+	}
+	if u := announce(1000, 9, "v1"); u.Software != "v2" {
+		t.Errorf("after a stale announcement: %q", u.Software)
+	}
+	r.Announce(Upstream{ID: "i-1", State: Gone})
+	if u, _ := r.Get("i-1"); u.Software != "v2" {
+		t.Errorf("after its departure: %q", u.Software)
+	}
+}
