--- /dev/null
+++ b/internal/gateway/fleet_versions_test.go
@@ -0,0 +1,511 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/internal/decision"
+	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/outcome"
+	"github.com/lovagereach/lovagereach/placement"
+	"github.com/lovagereach/lovagereach/roster"
+)
+
+const (
+	// versionEvents is the number of events of a stream, versionPause the time between two.
+	versionEvents, versionPause = 8, 30 * time.Millisecond
+	// versionPoll is the time between two answers of the control hosts to one entry, versionLag
+	// their age on arrival.
+	versionPoll, versionLag = 100 * time.Millisecond, 40 * time.Millisecond
+	// maxMixedStreams is how many streams may hold events of two software versions, and
+	// minResumedShare how often streams must go on, relative to how often new ones begin.
+	maxMixedStreams, minResumedShare = 2, 0.5
+)
+
+// versionRunner is one incarnation of a runner.
+type versionRunner struct {
+	record  roster.Upstream
+	crashed bool
+}
+
+// versionEntry is one incarnation of an entry.
+type versionEntry struct {
+	gateway *Gateway
+	life    context.Context
+	kill    context.CancelFunc
+	// cutUntil is the time until which the entry gets no answer of the control hosts.
+	cutUntil time.Time
+	// unreached indicates that the entry reaches no runner.
+	unreached bool
+}
+
+// versionFleet simulates entries, in virtual time, before runners of several software versions.
+// The entries are real gateways.
+type versionFleet struct {
+	t       *testing.T
+	mu      sync.Mutex
+	random  *rand.Rand
+	runners map[string]*versionRunner
+	// listed are the records of the control hosts, in their order, with the revision of each.
+	listed   []roster.Upstream
+	revision uint64
+	entries  []*versionEntry
+	watches  sync.WaitGroup
+	results versionResults
+}
+
+// versionResults counts streams.
+type versionResults struct {
+	// begun and refused are new streams, mixed those with events of two software versions.
+	begun, refused, mixed int
+	// resumed are attempts to go on with a stream while two runners of its version serve,
+	// continued those that got an event.
+	resumed, continued int
+	finished           int
+}
+
+func newVersionFleet(t *testing.T, entries int, seed uint64) *versionFleet {
+	f := &versionFleet{t: t, random: rand.New(rand.NewPCG(seed, 3)), runners: make(map[string]*versionRunner)}
+	for i := range entries {
+		f.entries = append(f.entries, nil)
+		f.startEntry(i)
+	}
+	return f
+}
+
+// startEntry starts an entry again, without any state.
+func (f *versionFleet) startEntry(i int) {
+	quiet := log.New(io.Discard)
+	life, kill := context.WithCancel(context.Background())
+	e := &versionEntry{life: life, kill: kill}
+	host := fmt.Sprintf("e%d", i)
+	options := Options{
+		Host: host, Sender: &versionSender{fleet: f, entry: e}, Peers: f, Budget: BudgetLimits{Ratio: 0.2, Extra: 5000},
+		Rates: placement.DefaultRates(), Log: quiet, Decisions: decision.New(quiet),
+	}
+	g, err := New(options)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	e.gateway = g
+	f.mu.Lock()
+	f.entries[i] = e
+	f.mu.Unlock()
+	f.watches.Go(func() { f.watch(e) })
+}
+
+// watch delivers the state of the control hosts to an entry until it is killed.
+func (f *versionFleet) watch(e *versionEntry) {
+	for e.life.Err() == nil {
+		sent, request := time.Now(), e.gateway.NextRequest()
+		answer := f.answer(request, e)
+		time.Sleep(versionLag)
+		f.mu.Lock()
+		cut := time.Now().Before(e.cutUntil)
+		f.mu.Unlock()
+		if !cut && e.life.Err() == nil {
+			e.gateway.ApplyAnswer(answer, sent)
+		}
+		time.Sleep(versionPoll - versionLag)
+	}
+}
+
+func (f *versionFleet) answer(request *steward.WatchRequest, e *versionEntry) *steward.WatchAnswer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := &steward.WatchAnswer{Term: 1, EntryCount: len(f.entries), Clock: 1000}
+	if request.Document == 0 {
+		a.Document = versionDocument()
+		a.Weights = &steward.WeightsView{Revision: 1}
+	}
+	if request.Roster < f.revision {
+		a.Roster = &steward.RosterView{Revision: f.revision, Since: min(request.Roster, 1), Upstreams: append([]roster.Upstream(nil), f.listed...)}
+	}
+	if e.unreached {
+		for i, other := range f.entries {
+			if other != nil && other != e && !other.unreached && other.life.Err() == nil {
+				a.Peers = append(a.Peers, steward.PeerView{Host: strconv.Itoa(i), Callers: strconv.Itoa(i)})
+			}
+		}
+	}
+	return a
+}
+
+func versionDocument() *catalog.Document {
+	return &catalog.Document{
+		Version: 7, Source: []byte("x"),
+		Routes: []catalog.Route{{Name: "plan", Host: "h", Prefix: "/plan/", Kind: catalog.Stream, Timeout: 6 * time.Second, Target: 400 * time.Millisecond,
+			Attempts: 3, Resumable: true, Targets: []catalog.Target{{Service: "llm", Weight: 1}}}},
+		Services: []catalog.Service{{Name: "llm", Engine: &catalog.Engine{Slots: 32, MemoryTokens: 110000, TokenBytes: 18432, LinkMbps: 370000}}},
+	}
+}
+
+// start starts a runner and announces it.
+func (f *versionFleet) start(id, address, software string, startedMs uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	record := roster.Upstream{ID: id, Service: "llm", Address: address, State: roster.Serving, Slots: 32, StartedMs: startedMs,
+		Software: software, Loaded: []roster.Loaded{{Model: "m", Version: 1}}}
+	f.runners[address] = &versionRunner{record: record}
+	f.list(record)
+}
+
+// list records an announcement. The caller holds the lock.
+func (f *versionFleet) list(record roster.Upstream) {
+	f.revision++
+	for i := range f.listed {
+		if f.listed[i].ID == record.ID {
+			f.listed[i] = record
+			return
+		}
+	}
+	f.listed = append(f.listed, record)
+}
+
+// leave announces that the runner at an address is gone.
+func (f *versionFleet) leave(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	record := f.runners[address].record
+	record.State = roster.Gone
+	f.list(record)
+}
+
+// crash ends the runner at an address without an announcement.
+func (f *versionFleet) crash(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runners[address].crashed = true
+}
+
+// killEntry kills an entry and starts it again later.
+func (f *versionFleet) killEntry(i int, down time.Duration) {
+	f.mu.Lock()
+	e := f.entries[i]
+	f.mu.Unlock()
+	e.kill()
+	time.Sleep(down)
+	f.startEntry(i)
+}
+
+// serving returns the number of runners of a software version that serve.
+func (f *versionFleet) serving(software string) int {
+	n := 0
+	for _, u := range f.listed {
+		if r := f.runners[u.Address]; u.State == roster.Serving && r.record.ID == u.ID && !r.crashed && r.record.Software == software {
+			n++
+		}
+	}
+	return n
+}
+
+// versionSender sends the requests of one entry to the runners.
+type versionSender struct {
+	fleet *versionFleet
+	entry *versionEntry
+}
+
+// Send implements Sender.
+func (s *versionSender) Send(ctx context.Context, send *Send) (*Answer, error) {
+	f := s.fleet
+	time.Sleep(time.Millisecond)
+	f.mu.Lock()
+	runner := f.runners[send.Address]
+	switch {
+	case s.entry.unreached || runner == nil || runner.crashed:
+		f.mu.Unlock()
+		return nil, &outcome.NotRun{Reason: outcome.ReasonDial}
+	case runner.record.ID != send.Upstream:
+		f.mu.Unlock()
+		return refusal(OtherUpstream), nil
+	}
+	f.mu.Unlock()
+	after, _ := strconv.Atoi(send.ResumeAfter)
+	time.Sleep(versionPause)
+	return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: &versionBody{fleet: f, ctx: ctx, runner: runner, next: after + 1}}, nil
+}
+
+// Connects implements Sender.
+func (s *versionSender) Connects(context.Context, *Send) bool { return !s.entry.unreached }
+
+// Crashed implements Sender.
+func (s *versionSender) Crashed(context.Context, *Send) bool { return false }
+
+// versionBody yields events that name the software version.
+type versionBody struct {
+	fleet  *versionFleet
+	ctx    context.Context
+	runner *versionRunner
+	next   int
+}
+
+func (b *versionBody) Next() (Piece, error) {
+	if b.next > versionEvents {
+		return Piece{}, io.EOF
+	}
+	time.Sleep(versionPause)
+	b.fleet.mu.Lock()
+	crashed := b.runner.crashed
+	b.fleet.mu.Unlock()
+	if crashed || b.ctx.Err() != nil {
+		return Piece{}, connectionLost()
+	}
+	id := strconv.Itoa(b.next)
+	b.next++
+	return Piece{Data: []byte(id + "@" + b.runner.record.Software + " "), ID: id}, nil
+}
+
+func (b *versionBody) Close() {}
+
+// Forward implements Peers.
+func (f *versionFleet) Forward(ctx context.Context, forward *Forward) (*Answer, error) {
+	at, _ := strconv.Atoi(forward.Address)
+	f.mu.Lock()
+	e := f.entries[at]
+	f.mu.Unlock()
+	if e.life.Err() != nil {
+		return nil, &outcome.NotRun{Reason: outcome.ReasonDial}
+	}
+	copied := *forward.Request
+	copied.Forwarded, copied.Arrived, copied.Wait, copied.ResumeAfter = true, time.Now(), forward.Wait, forward.ResumeAfter
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(e.life, cancel)
+	p := &passedAnswer{began: make(chan *Answer, 1), pieces: make(chan Piece, versionEvents), ended: make(chan struct{}), cancel: cancel}
+	go e.gateway.Serve(ctx, &copied, p)
+	select {
+	case answer := <-p.began:
+		return answer, nil
+	case <-p.ended:
+		if p.cause != nil {
+			return nil, p.cause
+		}
+		return <-p.began, nil
+	case <-e.life.Done():
+		return nil, connectionLost()
+	}
+}
+
+// versionCaller is what one caller has of its stream.
+type versionCaller struct {
+	mu    sync.Mutex
+	began bool
+	last  int
+	// first is the attempt that brought the first event, versions the versions of all events.
+	first, attempt string
+	versions       map[string]bool
+	end            string
+	cause          error
+	cut            bool
+}
+
+// attemptOf is the Responder of one attempt of a caller.
+type attemptOf struct {
+	caller *versionCaller
+	id     string
+}
+
+func (a *attemptOf) Begin(*Answer) error { return nil }
+
+func (a *attemptOf) Piece(data []byte) error {
+	c := a.caller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.attempt != a.id || c.cut {
+		return errors.New("gone")
+	}
+	id, software, _ := strings.Cut(strings.TrimSpace(string(data)), "@")
+	c.last, _ = strconv.Atoi(id)
+	c.versions[software] = true
+	if c.first == "" {
+		c.first = a.id
+	}
+	return nil
+}
+
+func (a *attemptOf) finish(end string, cause error) {
+	c := a.caller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.attempt == a.id && !c.cut {
+		c.end, c.cause = end, cause
+	}
+}
+
+func (a *attemptOf) Done()              { a.finish("done", nil) }
+func (a *attemptOf) Abort()             { a.finish("broken", nil) }
+func (a *attemptOf) Refuse(cause error) { a.finish("refused", cause) }
+
+// call simulates a caller that resumes its stream at other entries until it is complete, four
+// times at most.
+func (f *versionFleet) call(name string) {
+	c := &versionCaller{versions: make(map[string]bool)}
+	began := time.Now()
+	for try := range 5 {
+		f.mu.Lock()
+		e := f.entries[f.random.IntN(len(f.entries))]
+		f.mu.Unlock()
+		resuming := c.first != ""
+		had, counts := c.last, resuming && f.twoServe(c)
+		c.mu.Lock()
+		c.attempt, c.end, c.cause, c.cut = fmt.Sprintf("%s-%d", name, try), "", nil, false
+		c.mu.Unlock()
+		r := &Request{ID: c.attempt, Method: "POST", Host: "h", Target: "/plan/x", Path: "/plan/x", Header: http.Header{}, Wait: 6*time.Second - time.Since(began),
+			Arrived: time.Now(), Prompt: &Prompt{Model: "m", Parts: []placement.Part{{ID: name, Tokens: 100}}, Output: 10}}
+		if resuming {
+			r.Resumes, r.ResumeAfter = c.first, strconv.Itoa(c.last)
+		}
+		if e.life.Err() == nil {
+			f.serve(e, r, c)
+		}
+		f.mu.Lock()
+		switch {
+		case !resuming && c.first != "":
+			f.results.begun++
+		case !resuming:
+			f.results.refused++
+		case counts:
+			f.results.resumed++
+			if c.last > had || c.end == "done" {
+				f.results.continued++
+			}
+		}
+		f.mu.Unlock()
+		if c.end == "done" {
+			break
+		}
+		pause := 10 * time.Millisecond
+		var refused *outcome.NotRun
+		if errors.As(c.cause, &refused) {
+			pause = max(pause, refused.RetryAfter)
+		}
+		time.Sleep(pause)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.end == "done" {
+		f.results.finished++
+	}
+	if len(c.versions) > 1 {
+		f.results.mixed++
+	}
+}
+
+// serve lets an entry serve a request until it ends or the entry is killed.
+func (f *versionFleet) serve(e *versionEntry, r *Request, c *versionCaller) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.gateway.Serve(e.life, r, &attemptOf{caller: c, id: r.ID})
+	}()
+	select {
+	case <-ended:
+	case <-e.life.Done():
+		c.mu.Lock()
+		c.cut = true
+		c.mu.Unlock()
+	}
+}
+
+// twoServe reports whether two runners of the version that began a stream serve.
+func (f *versionFleet) twoServe(c *versionCaller) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for software := range c.versions {
+		return f.serving(software) >= 2
+	}
+	return false
+}
+
+// run sends new streams for a time while faults strike.
+func (f *versionFleet) run(perSecond int, length time.Duration, faults func()) *versionResults {
+	var callers sync.WaitGroup
+	time.Sleep(500 * time.Millisecond)
+	callers.Go(faults)
+	for i := range int(length.Seconds() * float64(perSecond)) {
+		callers.Go(func() { f.call(fmt.Sprintf("s%d", i)) })
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	callers.Wait()
+	for _, e := range f.entries {
+		e.kill()
+	}
+	f.watches.Wait()
+	return &f.results
+}
+
+// check checks the bounds.
+func (r *versionResults) check(t *testing.T) {
+	t.Helper()
+	t.Logf("%+v", *r)
+	if r.mixed > maxMixedStreams {
+		t.Errorf("%d of %d streams hold events of two software versions", r.mixed, r.begun)
+	}
+	begins := float64(r.begun) / float64(max(r.begun+r.refused, 1))
+	if goOn := float64(r.continued) / float64(max(r.resumed, 1)); r.resumed >= 12 && goOn < minResumedShare*begins {
+		t.Errorf("%d of %d streams go on (%.2f), %.2f of the new ones begin", r.continued, r.resumed, goOn, begins)
+	}
+}
+
+func runnerAddress(i int) string { return fmt.Sprintf("r%d:1", i) }
+
+// startRunners starts runners of one software version at consecutive addresses.
+func (f *versionFleet) startRunners(from, to int, software string) {
+	for i := from; i < to; i++ {
+		f.start(fmt.Sprintf("i-%d-%s", i, software), runnerAddress(i), software, 0)
+	}
+}
+
+// release replaces runners of one version by those of another, one after the other: the new one
+// starts a second before the old one leaves.
+func (f *versionFleet) release(from, to, first int, software string) {
+	for i := from; i < to; i++ {
+		f.startRunners(first+i-from, first+i-from+1, software)
+		time.Sleep(400 * time.Millisecond)
+		if i >= from+2 {
+			f.leave(runnerAddress(i - 2))
+		}
+	}
+}
+
+// Guards against streams that are resumed at an upstream of another software version than the one
+// that began them, after upstreams crashed and entries were killed.
+func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newVersionFleet(t, 7, seed)
+				f.startRunners(0, 9, "v1")
+				r := f.run(120, 14*time.Second, func() {
+					time.Sleep(time.Second)
+					f.release(0, 7, 20, "v2")
+					for round := range 3 {
+						time.Sleep(time.Second)
+						f.crash(runnerAddress(20 + round))
+						f.crash(runnerAddress(5 + round))
+						go f.killEntry(2*round, 700*time.Millisecond)
+						go f.killEntry(2*round+1, 700*time.Millisecond)
+						time.Sleep(time.Second)
+						f.startRunners(20+round, 21+round, "v3")
+						f.startRunners(5+round, 6+round, "v1b")
+					}
+				})
+				r.check(t)
+			})
+		})
+	}
+}
