Streams go on at the software version that began them

Cause: what may continue a stream was never part of the choice of an upstream. Each entry took any candidate of the service, within one answer as well as for a caller that came again.

Change: package resumption. A run that has forwarded an event, or that a caller resumes, is sent to upstreams of the version that began the stream only. - While a service has one version, that is the one: no message, no record leaves the entry. An entry begins streams at a new version one second after it learned of it, so that a view younger than that names every version in use. - Beside other versions an entry records what began a stream while the upstream works on it, at three control hosts chosen by hash of team and attempt; open streams are recorded when a second version appears. A resumed one is looked up in the entry's memory, then there. The leader also answers for a version that nobody uses yet. - What isn't known is refused at once as not run, with a time to come back (stream-version). - An upstream that may have been restarted under its name begins no stream that goes on elsewhere, and before a stream goes on at an engine with a start time, the engine states it on that connection.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -116,6 +116,7 @@
 	now := time.Now()
 	p.upstream.health.failed(now)
 	s.recordBrokenSend(p.upstream, cause, now)
+	s.recordDisconnect(p.upstream, cause)
 	if ctx.Err() == nil {
 		s.recordPathFailure(p.upstream, cause, now)
 	}
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -8,11 +8,12 @@
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/ratelimit"
+	"github.com/lovagereach/lovagereach/resumption"
 )
 
 // apply applies an answer of the control hosts and returns the configuration that came into
-// force with it, nil if none did.
-func (s *state) apply(answer *steward.WatchAnswer, sent time.Time) *catalog.Index {
+// force with it, nil if none did, and the records of streams that the control hosts need now.
+func (s *state) apply(answer *steward.WatchAnswer, sent time.Time) (*catalog.Index, []resumption.Record) {
 	var index *catalog.Index
 	if answer.Document != nil {
 		index = catalog.NewIndex(answer.Document)
@@ -29,15 +30,13 @@
 	for _, f := range answer.MinVersions {
 		s.minVersions[f.Model] = max(s.minVersions[f.Model], f.Version)
 	}
-	if r := answer.Roster; r != nil && s.canApplyRoster(r, answer.Partial) {
-		s.applyRoster(r)
-	}
+	records := s.applyRosterAnswer(answer, sent)
 	if v := answer.Evacuation; v != nil && v.Revision > s.evacuation.Revision {
 		s.evacuation = *v
 	}
 	if answer.Partial {
 		s.dispatch(time.Now())
-		return adopted
+		return adopted, records
 	}
 	s.applySilent(answer)
 	s.applyLimits(answer, sent)
@@ -54,7 +53,7 @@
 	s.entries, s.activeEntries = answer.EntryCount, answer.ActiveEntries
 	s.limits.SetEntries(s.entries)
 	s.dispatch(time.Now())
-	return adopted
+	return adopted, records
 }
 
 // adopt puts a newer configuration into force. An older one, from a control host that lags, is
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -25,10 +25,10 @@
 // excluded too. throttled indicates that some upstream was left out because it may get no
 // request now.
 func (r *run) candidates(s *state, now time.Time) (list []*upstreamState, throttled bool) {
-	coldRate := s.coldRate(r.service)
+	coldRate, fits := s.coldRate(r.service), r.softwareFilter(s)
 	eligible := func(u *upstreamState, withModel bool) bool {
 		switch {
-		case u.health.replaced || r.tried[u] || r.belowMinVersion(s, u) || s.evacuation.Evacuated(u.record.DataCentre):
+		case u.health.replaced || r.tried[u] || r.belowMinVersion(s, u) || s.evacuation.Evacuated(u.record.DataCentre) || !fits(u):
 			return false
 		case s.isThrottled(u, coldRate, now) || !s.limits.Allows(u.record.ID, now) || now.Before(u.pausedUntil):
 			throttled = true
@@ -90,6 +90,9 @@
 // noCandidateError returns the refusal for a request that no upstream may take, with the time
 // after which to retry.
 func (r *run) noCandidateError(s *state) error {
+	if r.pinned {
+		return notRun(ReasonOrigin, retryAfterLoad, "no upstream is left of the software version that began the stream")
+	}
 	evacuated := false
 	for _, u := range s.serving[r.service] {
 		if s.evacuation.Evacuated(u.record.DataCentre) {
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -75,15 +75,20 @@
 // recordBrokenSend records that a send failed to connect to its upstream or lost the
 // connection.
 func (s *state) recordBrokenSend(u *upstreamState, cause error, now time.Time) {
-	var unsent *outcome.NotRun
-	var unknown *outcome.Unknown
-	if errors.As(cause, &unsent) && unsent.Reason == outcome.ReasonDial ||
-		errors.As(cause, &unknown) && unknown.Reason == outcome.ReasonConnectionLost {
+	if isDisconnect(cause) {
 		s.delayProbe(u, now)
 		u.answeredAt = time.Time{}
 	}
 }
 
+// isDisconnect reports whether a send failed to connect to its upstream or lost the connection.
+func isDisconnect(cause error) bool {
+	var unsent *outcome.NotRun
+	var unknown *outcome.Unknown
+	return errors.As(cause, &unsent) && unsent.Reason == outcome.ReasonDial ||
+		errors.As(cause, &unknown) && unknown.Reason == outcome.ReasonConnectionLost
+}
+
 // delayProbe delays the next request to an upstream that may be down by a random time, which
 // differs between entries: together they send no more than a cold upstream sustains.
 func (s *state) delayProbe(u *upstreamState, now time.Time) {
--- a/internal/gateway/fleet_versions_test.go
+++ b/internal/gateway/fleet_versions_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +23,7 @@
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/placement"
+	"github.com/lovagereach/lovagereach/resumption"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -64,23 +67,33 @@
 	revision uint64
 	entries  []*versionEntry
 	watches  sync.WaitGroup
-	results versionResults
+	// controls are the control hosts' memories of streams, by host. Hosts in silent don't
+	// answer. exchanges counts the messages to them.
+	controls  map[string]*resumption.Records
+	software  *resumption.Versions
+	silent    map[string]bool
+	exchanges int
+	results   versionResults
 }
 
 // versionResults counts streams.
 type versionResults struct {
 	// begun and refused are new streams, mixed those with events of two software versions.
 	begun, refused, mixed int
-	// resumed are attempts to go on with a stream while two runners of its version serve,
-	// continued those that got an event.
+	// resumed are attempts to go on with a stream at an entry that runs, while two runners of
+	// its version serve, continued those that got an event.
 	resumed, continued int
 	finished           int
 }
 
 func newVersionFleet(t *testing.T, entries int, seed uint64) *versionFleet {
-	f := &versionFleet{t: t, random: rand.New(rand.NewPCG(seed, 3)), runners: make(map[string]*versionRunner)}
-	for i := range entries {
-		f.entries = append(f.entries, nil)
+	f := &versionFleet{t: t, random: rand.New(rand.NewPCG(seed, 3)), runners: make(map[string]*versionRunner),
+		controls: make(map[string]*resumption.Records), software: resumption.NewVersions(time.Time{}), silent: make(map[string]bool)}
+	for i := range 5 {
+		f.controls[fmt.Sprintf("c%d", i)] = resumption.NewRecords()
+	}
+	f.entries = make([]*versionEntry, entries)
+	for i := range f.entries {
 		f.startEntry(i)
 	}
 	return f
@@ -93,8 +106,9 @@
 	e := &versionEntry{life: life, kill: kill}
 	host := fmt.Sprintf("e%d", i)
 	options := Options{
-		Host: host, Sender: &versionSender{fleet: f, entry: e}, Peers: f, Budget: BudgetLimits{Ratio: 0.2, Extra: 5000},
+		Host: host, Sender: &versionSender{fleet: f, entry: e, connected: make(map[incarnation]versionConnection)}, Peers: f, Budget: BudgetLimits{Ratio: 0.2, Extra: 5000},
 		Rates: placement.DefaultRates(), Log: quiet, Decisions: decision.New(quiet),
+		Origins: &versionOrigins{fleet: f, entry: e},
 	}
 	g, err := New(options)
 	if err != nil {
@@ -166,8 +180,12 @@
 // list records an announcement. The caller holds the lock.
 func (f *versionFleet) list(record roster.Upstream) {
 	f.revision++
+	if record.State == roster.Serving {
+		f.software.Add("llm", record.Software, time.Now(), time.Now())
+	}
 	for i := range f.listed {
 		if f.listed[i].ID == record.ID {
+			f.software.Remove("llm", f.listed[i].Software, time.Now())
 			f.listed[i] = record
 			return
 		}
@@ -216,6 +234,13 @@
 type versionSender struct {
 	fleet *versionFleet
 	entry *versionEntry
+	// connected is the latest connection to each incarnation that the entry knows.
+	connected map[incarnation]versionConnection
+}
+
+type versionConnection struct {
+	runner *versionRunner
+	at     time.Time
 }
 
 // Send implements Sender.
@@ -232,18 +257,75 @@
 		f.mu.Unlock()
 		return refusal(OtherUpstream), nil
 	}
+	// Connections stay open for some seconds.
+	to := incarnation{id: send.Upstream, startedMs: send.StartedMs}
+	last := s.connected[to]
+	closed := last.runner != nil && last.runner != runner && time.Since(last.at) < 4*time.Second
+	s.connected[to] = versionConnection{runner: runner, at: time.Now()}
 	f.mu.Unlock()
+	if send.SameIncarnation && runner.record.StartedMs != send.StartedMs {
+		return nil, dialRefused()
+	}
 	after, _ := strconv.Atoi(send.ResumeAfter)
 	time.Sleep(versionPause)
-	return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: &versionBody{fleet: f, ctx: ctx, runner: runner, next: after + 1}}, nil
+	return &Answer{Status: 200, Header: http.Header{}, Length: -1, MayHaveRestarted: closed, Body: &versionBody{fleet: f, ctx: ctx, runner: runner, next: after + 1}}, nil
 }
 
 // Connects implements Sender.
-func (s *versionSender) Connects(context.Context, *Send) bool { return !s.entry.unreached }
+func (s *versionSender) Connects(context.Context, *Send) bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return !s.entry.unreached
+}
 
 // Crashed implements Sender.
 func (s *versionSender) Crashed(context.Context, *Send) bool { return false }
 
+// versionOrigins is the connection of one entry to the control hosts' memories of streams.
+type versionOrigins struct {
+	fleet *versionFleet
+	entry *versionEntry
+}
+
+// Leader implements Origins.
+func (o *versionOrigins) Leader() string { return "c1" }
+
+// Hosts implements Origins.
+func (o *versionOrigins) Hosts() []string { return slices.Sorted(maps.Keys(o.fleet.controls)) }
+
+// ExchangeOrigins implements Origins.
+func (o *versionOrigins) ExchangeOrigins(ctx context.Context, host string, request *steward.OriginRequest) (*steward.OriginAnswer, error) {
+	f := o.fleet
+	time.Sleep(2 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if f.silent[host] || now.Before(o.entry.cutUntil) {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+	}
+	if o.entry.life.Err() != nil || ctx.Err() != nil {
+		return nil, connectionLost()
+	}
+	f.exchanges++
+	for _, record := range request.Records {
+		f.controls[host].Put(record, now)
+	}
+	answer := &steward.OriginAnswer{}
+	if request.Find != nil {
+		if record, found := f.controls[host].Get(*request.Find, now); found {
+			answer.Found = &record
+		}
+		since := now
+		if host == o.Leader() {
+			since = time.Time{}
+		}
+		answer.Only, answer.Known = f.software.Only(request.Service, since, now, now)
+	}
+	return answer, nil
+}
+
 // versionBody yields events that name the software version.
 type versionBody struct {
 	fleet  *versionFleet
@@ -376,7 +458,7 @@
 			f.results.begun++
 		case !resuming:
 			f.results.refused++
-		case counts:
+		case counts && e.life.Err() == nil:
 			f.results.resumed++
 			if c.last > had || c.end == "done" {
 				f.results.continued++
@@ -443,6 +525,8 @@
 		e.kill()
 	}
 	f.watches.Wait()
+	// Messages to control hosts end by themselves.
+	time.Sleep(4 * originTimeout)
 	return &f.results
 }
 
@@ -464,7 +548,7 @@
 // startRunners starts runners of one software version at consecutive addresses.
 func (f *versionFleet) startRunners(from, to int, software string) {
 	for i := from; i < to; i++ {
-		f.start(fmt.Sprintf("i-%d-%s", i, software), runnerAddress(i), software, 0)
+		f.start(fmt.Sprintf("i-%d-%s", i, software), runnerAddress(i), software, 1000)
 	}
 }
 
@@ -480,32 +564,125 @@
 	}
 }
 
+// restart replaces the process of a runner by one of another version under the same ID. The control
+// hosts are told some time after it serves.
+func (f *versionFleet) restart(address, software string) {
+	f.crash(address)
+	time.Sleep(700 * time.Millisecond)
+	f.mu.Lock()
+	record := f.runners[address].record
+	record.StartedMs++
+	record.Software = software
+	f.runners[address] = &versionRunner{record: record}
+	f.mu.Unlock()
+	time.Sleep(250 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list(record)
+}
+
+// setEntry changes an entry.
+func (f *versionFleet) setEntry(i int, change func(*versionEntry)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f.entries[i])
+}
+
+// versionFaults are faults beside which streams must go on at their version.
+var versionFaults = map[string]func(*versionFleet){
+	"crashes and killed entries": func(f *versionFleet) {
+		f.release(0, 7, 20, "v2")
+		for round := range 3 {
+			time.Sleep(time.Second)
+			f.crash(runnerAddress(20 + round))
+			f.crash(runnerAddress(5 + round))
+			go f.killEntry(2*round, 700*time.Millisecond)
+			go f.killEntry(2*round+1, 700*time.Millisecond)
+			time.Sleep(time.Second)
+			f.startRunners(20+round, 21+round, "v3")
+			f.startRunners(5+round, 6+round, "v1b")
+		}
+	},
+	"entries killed as a version appears": func(f *versionFleet) {
+		for i := range 3 {
+			f.startRunners(20+3*i, 23+3*i, fmt.Sprintf("w%d", i))
+			time.Sleep(time.Duration(i*60+20) * time.Millisecond)
+			go f.killEntry(2*i, 700*time.Millisecond)
+			f.killEntry(2*i+1, 700*time.Millisecond)
+			time.Sleep(time.Second)
+		}
+	},
+	"entries and control hosts cut off": func(f *versionFleet) {
+		f.mu.Lock()
+		f.silent["c0"], f.silent["c3"] = true, true
+		f.mu.Unlock()
+		f.setEntry(0, func(e *versionEntry) { e.cutUntil = time.Now().Add(6 * time.Second) })
+		f.setEntry(1, func(e *versionEntry) { e.cutUntil = time.Now().Add(3 * time.Second) })
+		f.release(0, 7, 20, "v2")
+		for round := range 4 {
+			time.Sleep(800 * time.Millisecond)
+			f.crash(runnerAddress(20 + round))
+			f.killEntry(2+round, 300*time.Millisecond)
+		}
+	},
+	"requests forwarded by entries without upstreams": func(f *versionFleet) {
+		f.release(0, 5, 20, "v2")
+		for i := range 3 {
+			f.setEntry(i, func(e *versionEntry) { e.unreached = true })
+		}
+		for round := range 4 {
+			time.Sleep(1200 * time.Millisecond)
+			f.crash(runnerAddress(20 + round))
+			f.killEntry(3+round, 700*time.Millisecond)
+		}
+	},
+	"runners restarted under their IDs": func(f *versionFleet) {
+		for i := range 8 {
+			f.restart(runnerAddress(i), []string{"v2", "v3"}[i%2])
+			go f.killEntry(i%7, 700*time.Millisecond)
+		}
+	},
+}
+
 // Guards against streams that are resumed at an upstream of another software version than the one
 // that began them, after upstreams crashed and entries were killed.
 func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
 	t.Parallel()
-	for _, seed := range []uint64{1, 2} {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				f := newVersionFleet(t, 7, seed)
-				f.startRunners(0, 9, "v1")
-				r := f.run(120, 14*time.Second, func() {
-					time.Sleep(time.Second)
-					f.release(0, 7, 20, "v2")
-					for round := range 3 {
-						time.Sleep(time.Second)
-						f.crash(runnerAddress(20 + round))
-						f.crash(runnerAddress(5 + round))
-						go f.killEntry(2*round, 700*time.Millisecond)
-						go f.killEntry(2*round+1, 700*time.Millisecond)
+	for name, faults := range versionFaults {
+		for _, seed := range []uint64{1, 2, 3} {
+			t.Run(fmt.Sprintf("%s %d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f := newVersionFleet(t, 7, seed)
+					f.startRunners(0, 9, "v1")
+					r := f.run(120, 14*time.Second, func() {
 						time.Sleep(time.Second)
-						f.startRunners(20+round, 21+round, "v3")
-						f.startRunners(5+round, 6+round, "v1b")
-					}
+						faults(f)
+					})
+					r.check(t)
 				})
-				r.check(t)
 			})
-		})
+		}
 	}
 }
+
+// Guards against messages about each stream while a service has one software version.
+func TestOneSoftwareVersionNeedsNoRecords(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(t, 7, 1)
+		f.startRunners(0, 9, "v1")
+		// An entry that has just started asks the control hosts whether there were others.
+		time.Sleep(31 * time.Second)
+		r := f.run(120, 8*time.Second, func() {
+			for i := range 4 {
+				time.Sleep(time.Second)
+				f.crash(runnerAddress(i))
+			}
+		})
+		r.check(t)
+		if f.exchanges > 0 {
+			t.Errorf("%d messages to control hosts", f.exchanges)
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/placement"
 	"github.com/lovagereach/lovagereach/quarantine"
+	"github.com/lovagereach/lovagereach/resumption"
 )
 
 const (
@@ -62,7 +63,12 @@
 	// ConfigExpired reports whether the configuration may have been replaced too long ago; nil
 	// if a configuration doesn't expire.
 	ConfigExpired func(now time.Time) bool
-	Log           *log.Logger
+	// Origins is the control hosts' memory of what began streams; nil if there is none, as for
+	// a deployment with one entry.
+	Origins Origins
+	// Clock counts suspensions of the machine, unlike time.Now, which is used if it is nil.
+	Clock func() time.Time
+	Log   *log.Logger
 	// Decisions receives a line for each request, within its budget.
 	Decisions *decision.Log
 }
@@ -78,6 +84,7 @@
 	meter    *meter
 	traffic  traffic
 	reports  *reports
+	origins  *originSender
 }
 
 // New returns a gateway without a configuration; ApplyAnswer supplies it.
@@ -85,10 +92,14 @@
 	if options.Sender == nil || options.Log == nil || options.Decisions == nil {
 		return nil, eris.New("gateway: Sender, Log and Decisions are required")
 	}
-	g := &Gateway{options: options, state: newState(options.Host, options.Rates.PrefillPerMs), reports: newReports()}
+	g := &Gateway{options: options, state: newState(options.Host, options.Rates.PrefillPerMs), reports: newReports(), origins: newOriginSender(options.Origins)}
+	if options.Clock != nil {
+		g.state.clockNow, g.state.versions = options.Clock, resumption.NewVersions(options.Clock())
+	}
 	g.state.budgets.limits = options.Budget
 	if options.AnnounceEvery > 0 {
 		g.state.announceWithin = options.AnnounceEvery + announceDelay
+		g.state.restartKnownWithin = restartIntervals*options.AnnounceEvery + announceDelay
 	}
 	g.meter = newMeter(g.state, func() float64 { return float64(g.open.Load()) })
 	return g, nil
@@ -112,7 +123,9 @@
 	g.state.mu.Lock()
 	g.applyQuarantine(answer.Quarantine, time.Now())
 	g.state.mu.Unlock()
-	if index := g.state.apply(answer, sent); index != nil {
+	index, records := g.state.apply(answer, sent)
+	g.origins.add(records...)
+	if index != nil {
 		g.options.Log.Info("configuration in force", "version", index.Version(), "routes", len(index.Document().Routes))
 	}
 }
@@ -202,8 +215,10 @@
 	headSent bool
 	// lastEvent is the last event forwarded to the caller.
 	lastEvent string
-	// began is the software version of the upstream that began the stream, empty if unknown.
-	began string
+	// origin is what began the stream that the run goes on with, if pinned: it then may be sent
+	// to upstreams of that software version only.
+	origin resumption.Origin
+	pinned bool
 	// status is the status forwarded to the caller, first the time until the first piece of
 	// the answer.
 	status int
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -58,10 +58,11 @@
 		Requests: u.own.Requests + u.others.Requests, Tokens: u.own.Tokens + u.others.Tokens, PendingPrefill: u.own.Unread + u.others.Unread,
 		PrefillTokens: p.prefillTokens, CostMs: p.choice.CostMs, Home: p.choice.Home, HealthPenalty: u.health.penalty(now, u.silent),
 	}
+	p.logged.Software = p.origin.Software
 	if p.send.Prompt == nil {
 		return
 	}
-	p.logged.Version, p.logged.Software = p.send.Prompt.Version, p.software
+	p.logged.Version = p.send.Prompt.Version
 	var sources []string
 	for _, f := range p.send.Prompt.Fetch {
 		if f.Address == "" {
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -48,7 +48,7 @@
 // countedReasons are the reasons with a counter of their own.
 var countedReasons = []outcome.Reason{
 	ReasonNoConfig, ReasonNoRoute, ReasonTooLong, outcome.ReasonUnauthorized, outcome.ReasonOverloaded, outcome.ReasonNoUpstream,
-	outcome.ReasonDial, ReasonConnections, ReasonPeer, outcome.ReasonRefused, outcome.ReasonDeadline,
+	outcome.ReasonDial, ReasonConnections, ReasonPeer, outcome.ReasonRefused, outcome.ReasonDeadline, ReasonOrigin,
 }
 
 func newMeter(s *state, open func() float64) *meter {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -8,6 +8,7 @@
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/placement"
+	"github.com/lovagereach/lovagereach/resumption"
 )
 
 const (
@@ -55,8 +56,8 @@
 type plan struct {
 	send     *Send
 	upstream *upstreamState
-	// software is the version of the upstream's software that was known at the send.
-	software      string
+	// origin is the upstream's software version as far as it was known at the send.
+	origin        resumption.Origin
 	tokens        int
 	prefillTokens int
 	answerStarted bool
@@ -91,7 +92,7 @@
 	p := &plan{candidates: len(candidates)}
 	p.send = &Send{
 		Request: r.request, Team: r.teamName(), Rank: min(max(r.rank(), 0), maxRank), ResumeAfter: r.lastEvent,
-		Wait: r.deadline.Sub(now), Connections: s.connections(service),
+		Wait: r.deadline.Sub(now), Connections: s.connections(service), SameIncarnation: r.pinned && r.origin.Software != "" && service != nil && service.Engine != nil,
 	}
 	if r.request.Prompt != nil && service != nil && service.Engine != nil {
 		r.placePrompt(s, p, service, candidates, now)
@@ -99,7 +100,7 @@
 		p.upstream = r.leastLoaded(candidates, now)
 	}
 	p.send.Upstream, p.send.Address, p.send.StartedMs = p.upstream.record.ID, p.upstream.record.Address, p.upstream.record.StartedMs
-	p.software = p.upstream.record.Software
+	p.origin = s.originAt(p.upstream)
 	s.describePlan(p, now)
 	r.last = p
 	if !s.mayUse(p.upstream, r.need(s, service, p.tokens, p.prefillTokens), now) {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -1,8 +1,23 @@
 package gateway
 
 import (
+	"context"
+	"slices"
+	"time"
+
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/decision"
+	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/resumption"
+)
+
+const (
+	// restartIntervals is the number of announcement intervals within which the control hosts
+	// miss an upstream.
+	restartIntervals = 3
+	// findTimeout bounds the search for what began a stream: two network transits, and a busy
+	// control host.
+	findTimeout = 250 * time.Millisecond
 )
 
 // Labels of the metric that counts resumed streams.
@@ -17,9 +32,212 @@
 // continuation is a way in which a stream went on.
 type continuation struct{ by, version string }
 
+// resumable reports whether the request is for a stream that may be resumed.
+func (r *run) resumable() bool { return r.route.Kind == catalog.Stream && r.route.Resumable }
+
 // resumed reports whether the run goes on with a stream whose first events the caller has.
 func (r *run) resumed() bool { return r.lastEvent != "" || r.request.Resumes != "" }
 
+// originKey identifies the stream across its attempts.
+func (r *run) originKey() resumption.Key {
+	first := r.request.ID
+	if r.request.Resumes != "" {
+		first = r.request.Resumes
+	}
+	return resumption.NewKey(r.callerTeam(), first)
+}
+
+// resolveOrigin finds out which software version began the stream that a caller resumes. It
+// returns an error if that isn't known.
+func (r *run) resolveOrigin(ctx context.Context) error {
+	if r.pinned || !r.resumable() || !r.resumed() {
+		return nil
+	}
+	origin, known := r.knownOrigin()
+	if !known {
+		answered := false
+		if origin, known, answered = r.findOrigin(ctx); !known {
+			if ctx.Err() != nil {
+				return errCallerGone
+			}
+			after := defaultRetryAfter
+			if answered {
+				after = retryAfterLoad
+			}
+			return r.refusal(ReasonOrigin, after, "the software version that began the stream is not known")
+		}
+	}
+	if origin.Uncertain {
+		return r.refusal(ReasonOrigin, retryAfterLoad, "the upstream that began the stream may have been restarted with another software version")
+	}
+	r.pin(origin)
+	return nil
+}
+
+// pin restricts the run to a software version, and to the service that has it if the route still
+// leads there.
+func (r *run) pin(origin resumption.Origin) {
+	r.origin, r.pinned = origin, true
+	if origin.Service == r.service || !slices.ContainsFunc(r.route.Targets, func(t catalog.Target) bool { return t.Service == origin.Service && t.Weight > 0 }) {
+		return
+	}
+	r.service = origin.Service
+	r.fingerprint = r.computeFingerprint()
+	if r.request.Prompt != nil {
+		r.smallUpTo = r.smallLimit(r.index.Service(r.service))
+	}
+}
+
+// knownOrigin returns what this entry knows of what began the stream: its own record or, as long
+// as the service has one software version, that one.
+func (r *run) knownOrigin() (resumption.Origin, bool) {
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if record, found := s.origins.Get(r.originKey(), time.Now()); found {
+		return record.Origin, true
+	}
+	software, known := s.versions.Only(r.service, time.Time{}, s.rosterAsOf, s.clockNow())
+	return resumption.Origin{Service: r.service, Software: software}, known
+}
+
+// findOrigin asks the control hosts what began the stream. answered is set if all of them answered
+// that they don't know.
+func (r *run) findOrigin(ctx context.Context) (origin resumption.Origin, known, answered bool) {
+	origins := r.gateway.options.Origins
+	if origins == nil {
+		return origin, false, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	key := r.originKey()
+	hosts := resumption.Holders(key, origins.Hosts())
+	if leader := origins.Leader(); leader != "" && !slices.Contains(hosts, leader) {
+		hosts = append(hosts, leader)
+	}
+	answers := make(chan *steward.OriginAnswer, len(hosts))
+	for _, host := range hosts {
+		go func() {
+			answer, err := origins.ExchangeOrigins(ctx, host, &steward.OriginRequest{Find: &key, Service: r.service})
+			if err != nil {
+				answer = nil
+			}
+			answers <- answer
+		}()
+	}
+	answered = len(hosts) > 0
+	for range hosts {
+		answer := <-answers
+		switch {
+		case answer == nil:
+			answered = false
+		case answer.Found != nil:
+			return answer.Found.Origin, true, true
+		case answer.Known && !known:
+			// A record that another host has takes precedence.
+			origin, known = resumption.Origin{Service: r.service, Software: answer.Only}, true
+		}
+	}
+	return origin, known, answered
+}
+
+// softwareFilter returns whether an upstream has a software version at which the request may run:
+// the one that began its stream or, for a new stream, one that all entries know of. The caller
+// holds the lock.
+func (r *run) softwareFilter(s *state) func(*upstreamState) bool {
+	switch {
+	case r.pinned:
+		// The sender confirms the incarnation of an engine. Other upstreams can't be queried.
+		service := r.index.Service(r.service)
+		confirms := service != nil && service.Engine != nil
+		return func(u *upstreamState) bool {
+			return u.record.Software == r.origin.Software && (confirms || !s.originAt(u).Uncertain)
+		}
+	case r.resumable() && s.versions.Count(r.service) > 1:
+		at := s.clockNow()
+		return func(u *upstreamState) bool { return s.versions.Usable(r.service, u.record.Software, at) }
+	}
+	return func(*upstreamState) bool { return true }
+}
+
+// originAt returns what begins a stream that is sent to an upstream now.
+func (s *state) originAt(u *upstreamState) resumption.Origin {
+	origin := resumption.Origin{Service: u.record.Service, Software: u.record.Software}
+	switch {
+	case s.versions.Count(origin.Service) == 0:
+		return origin
+	case u.record.StartedMs == 0:
+		// It is never restarted under its ID.
+		origin.Uncertain = origin.Software == ""
+		return origin
+	}
+	// A restart is announced within restartKnownWithin, or the upstream is silent by then.
+	isKnown := s.rosterAsOf.Sub(u.disconnectedAt) >= s.restartKnownWithin && s.clockNow().Sub(s.rosterAsOf) < s.restartKnownWithin
+	origin.Uncertain = origin.Software == "" || u.silent || !isKnown
+	return origin
+}
+
+// recordDisconnect records that a send failed. The caller holds the lock.
+func (s *state) recordDisconnect(u *upstreamState, cause error) {
+	if isDisconnect(cause) {
+		u.disconnectedAt = s.clockNow()
+	}
+}
+
+// observeIncarnation concludes from an answer whether the upstream may have been restarted since
+// its latest announcement, and registers the stream again if that changes its origin. An answer
+// on a connection that was established before the latest disconnect shows that it was not.
+func (r *run) observeIncarnation(p *plan, answer *Answer) {
+	s, before := r.gateway.state, p.origin
+	s.mu.Lock()
+	u, now := p.upstream, s.clockNow()
+	sinceDisconnect := now.Sub(u.disconnectedAt)
+	switch {
+	case answer.MayHaveRestarted:
+		u.disconnectedAt = now
+	case u.disconnectedAt.IsZero() || answer.Connected.IsZero():
+	case time.Since(p.sent) < sinceDisconnect && time.Since(answer.Connected) > sinceDisconnect:
+		u.disconnectedAt = time.Time{}
+	}
+	p.origin = s.originAt(u)
+	s.mu.Unlock()
+	if p.origin != before {
+		r.registerOrigin(p)
+	}
+}
+
+// registerOrigin records, before a send, what begins the stream if this send brings its first
+// event. Beside other software versions the control hosts are told, while the upstream works.
+func (r *run) registerOrigin(p *plan) {
+	if !r.resumable() || r.request.ID == "" {
+		return
+	}
+	origin := p.origin
+	if r.pinned {
+		origin = r.origin
+	}
+	record := resumption.Record{Key: r.originKey(), Origin: origin, Send: r.sends + r.unsent + 1}
+	s := r.gateway.state
+	s.mu.Lock()
+	s.origins.Put(record, time.Now())
+	several := s.versions.Count(origin.Service) > 1
+	s.mu.Unlock()
+	if several {
+		r.gateway.origins.add(record)
+	}
+}
+
+// forgetOrigin drops this entry's record of a stream that is complete.
+func (r *run) forgetOrigin() {
+	if !r.resumable() {
+		return
+	}
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.origins.Delete(r.originKey())
+}
+
 // recordBegin records that an upstream's answer begins, with the first event of a stream or one
 // at which it goes on.
 func (r *run) recordBegin(p *plan) {
@@ -27,21 +245,21 @@
 		return
 	}
 	if !r.resumed() {
-		r.began = p.software
+		r.origin, r.pinned = p.origin, true
 		return
 	}
 	by, version := byEntry, otherVersion
 	if !r.headSent {
 		by = byCaller
 	}
-	switch {
-	case r.began == "" || p.software == "":
+	switch began, software := r.origin.Software, p.origin.Software; {
+	case began == "" || software == "":
 		version = unknownVersion
-	case r.began == p.software:
+	case began == software:
 		version = sameVersion
 	}
 	r.gateway.meter.continued[continuation{by, version}].Inc()
 	r.gateway.options.Decisions.Emit(&decision.StreamResumed{
-		Request: r.request.ID, Resumes: r.request.Resumes, After: r.lastEvent, Upstream: p.upstream.record.ID, Software: p.software, Began: r.began,
+		Request: r.request.ID, Resumes: r.request.Resumes, After: r.lastEvent, Upstream: p.send.Upstream, Software: p.origin.Software, Began: r.origin.Software,
 	})
 }
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/resumption"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -43,6 +44,29 @@
 	s.rosterListed = nil
 }
 
+// applyRosterAnswer applies the page of the roster in an answer, if any. It returns the records of
+// the streams of services that have several software versions from now on: until then the control
+// hosts needed none.
+func (s *state) applyRosterAnswer(answer *steward.WatchAnswer, sent time.Time) (records []resumption.Record) {
+	asOf := s.clockNow().Add(-time.Since(sent) - answer.StateAge)
+	if page := answer.Roster; page != nil {
+		if !s.canApplyRoster(page, answer.Partial) {
+			return nil
+		}
+		before := s.versions.Counts()
+		s.applyRoster(page)
+		for service, count := range s.versions.Counts() {
+			if count > 1 && before[service] <= 1 {
+				records = append(records, s.origins.OfService(service)...)
+			}
+		}
+	}
+	if s.rosterListed == nil && s.rosterRevision > 0 && asOf.After(s.rosterAsOf) {
+		s.rosterAsOf = asOf
+	}
+	return records
+}
+
 // applyUpstream applies the record of an upstream.
 func (s *state) applyUpstream(record roster.Upstream) {
 	known := s.upstreams[record.ID]
@@ -55,7 +79,11 @@
 	case known != nil && known.record.StartedMs == record.StartedMs:
 		s.updateUpstream(known, record)
 		return
-	case known != nil:
+	}
+	// The next version is added before the previous one is removed, so that a version that both
+	// incarnations have stays listed.
+	s.versions.Add(record.Service, record.Software, s.rosterAsOf, s.clockNow())
+	if known != nil {
 		s.removeUpstream(known)
 	}
 	// Sends to the previous incarnation are released in its own account.
@@ -75,6 +103,10 @@
 // updateUpstream applies a later record of the same incarnation.
 func (s *state) updateUpstream(u *upstreamState, record roster.Upstream) {
 	before := u.record
+	if before.Service != record.Service || before.Software != record.Software {
+		s.versions.Add(record.Service, record.Software, s.rosterAsOf, s.clockNow())
+		s.versions.Remove(before.Service, before.Software, s.clockNow())
+	}
 	if before.State != record.State || before.Service != record.Service {
 		s.removeServing(u)
 		u.record = record
@@ -89,6 +121,7 @@
 // removeUpstream removes an upstream.
 func (s *state) removeUpstream(u *upstreamState) {
 	s.removeServing(u)
+	s.versions.Remove(u.record.Service, u.record.Software, s.clockNow())
 	s.limits.Forget(u.record.ID)
 	s.reach.Forget(u.record.ID)
 	delete(s.upstreams, u.record.ID)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -109,7 +109,7 @@
 // mayRepeat reports whether the request may run once more: a resumable stream at any time, a
 // safe request while the caller has received nothing of an answer.
 func (r *run) mayRepeat() bool {
-	return r.route.Repeatable() && (r.route.Kind == catalog.Stream || !r.headSent)
+	return r.route.Repeatable() && (r.route.Kind == catalog.Stream || !r.headSent) && !r.origin.Uncertain
 }
 
 // refusal returns an error that the request has not run or, if an earlier send may have run,
@@ -152,6 +152,9 @@
 	if peer, found := r.choosePeer(time.Now()); found {
 		return r.sendToPeer(ctx, respond, peer)
 	}
+	if err := r.resolveOrigin(ctx); err != nil {
+		return err
+	}
 	p, err := r.await(ctx)
 	if err != nil {
 		return err
@@ -163,6 +166,7 @@
 		s.mu.Unlock()
 		return err
 	}
+	r.registerOrigin(p)
 	answer, err := r.gateway.options.Sender.Send(ctx, p.send)
 	if err != nil {
 		var unsent *outcome.NotRun
@@ -176,6 +180,7 @@
 	r.sends++
 	defer answer.Body.Close()
 	r.recordReceived(p)
+	r.observeIncarnation(p, answer)
 	r.recordLoad(p, answer.Load)
 	r.recordLimit(p, answer.Limit)
 	r.recordBrittle(p, answer.Brittle)
@@ -279,6 +284,7 @@
 			r.complete(p, answer.Status < 500)
 			if answer.Status/100 == 2 {
 				r.recordServed()
+				r.forgetOrigin()
 			}
 			return nil
 		}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -13,6 +13,7 @@
 	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/ratelimit"
 	"github.com/lovagereach/lovagereach/reach"
+	"github.com/lovagereach/lovagereach/resumption"
 	"github.com/lovagereach/lovagereach/roster"
 	"github.com/lovagereach/lovagereach/warmup"
 )
@@ -50,6 +51,9 @@
 	queuedAt time.Time
 	// draw is this entry's latest draw for its free capacity.
 	draw draw
+	// disconnectedAt is the time at which a connection to the upstream was last lost or
+	// refused: it may have been restarted since, with another software version.
+	disconnectedAt time.Time
 	// version holds weight versions confirmed by the runner itself, by model; they count if
 	// newer than the roster's.
 	version map[string]uint64
@@ -149,6 +153,16 @@
 	// announceWithin is the time within which an upstream's next announcement is known to this
 	// entry.
 	announceWithin time.Duration
+	// restartKnownWithin is the time within which this entry learns that an upstream has been
+	// restarted, or that the control hosts have no contact with it.
+	restartKnownWithin time.Duration
+	// versions tracks the software versions of the upstreams, by clockNow, which counts
+	// suspensions of the machine. The roster is complete as of rosterAsOf.
+	versions   *resumption.Versions
+	rosterAsOf time.Time
+	clockNow   func() time.Time
+	// origins holds what began the streams of this entry that are not complete.
+	origins *resumption.Records
 }
 
 // storeState is this entry's view of a store or of a runner's cache.
@@ -190,7 +204,11 @@
 		reach:            reach.NewTracker(),
 		peerLoads:        make(map[string]*peerLoad),
 
-		announceWithin: steward.DefaultAnnounceEvery + announceDelay,
+		announceWithin:     steward.DefaultAnnounceEvery + announceDelay,
+		restartKnownWithin: restartIntervals*steward.DefaultAnnounceEvery + announceDelay,
+		versions:           resumption.NewVersions(time.Now()),
+		clockNow:           time.Now,
+		origins:            resumption.NewRecords(),
 
 		waitLimits: waitLimits{first: maxWaitingFirst, retried: maxWaitingRetried},
 	}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/placement"
 	"github.com/lovagereach/lovagereach/ratelimit"
@@ -24,6 +25,9 @@
 	ReasonConnections outcome.Reason = "connections-in-use"
 	// ReasonPeer indicates that another entry, which the request was forwarded to, refused it.
 	ReasonPeer outcome.Reason = "refused-by-peer"
+	// ReasonOrigin indicates that a stream can't go on: the software version that began it is
+	// not known, or none of its upstreams is left.
+	ReasonOrigin outcome.Reason = "stream-version"
 	// ReasonBudget indicates that no further attempt is allowed at present.
 	ReasonBudget outcome.Reason = "retry-budget"
 )
@@ -105,6 +109,9 @@
 	Prompt      *PromptSend
 	// Connections bounds the connections from this entry to the upstream.
 	Connections int
+	// SameIncarnation is set if the request must be sent to no other incarnation of the upstream:
+	// one that has been restarted just now is not announced yet.
+	SameIncarnation bool
 }
 
 // Refusal is an upstream's statement that it did not run a request.
@@ -156,6 +163,11 @@
 	Load *Load
 	// Limit is the upstream's statement about a rate limit, nil if it can't be read.
 	Limit *ratelimit.Limit
+	// Connected is the time at which the connection was established, zero if unknown.
+	Connected time.Time
+	// MayHaveRestarted is set if the upstream closed an idle connection early, before the one
+	// that the answer came on was established.
+	MayHaveRestarted bool
 	// Brittle is the number of requests that the upstream can refuse in a second for want of
 	// capacity without falling over, 0 for any number.
 	Brittle int
@@ -165,7 +177,7 @@
 }
 
 // Sender sends requests to upstreams. An error is *outcome.NotRun if no byte can have reached
-// the upstream, else *outcome.Unknown.
+// the upstream, with outcome.ReasonDial if it may have been restarted, else *outcome.Unknown.
 type Sender interface {
 	Send(ctx context.Context, send *Send) (*Answer, error)
 	// Connects reports whether a connection to a send's upstream can be established.
@@ -193,6 +205,15 @@
 	Forward(ctx context.Context, forward *Forward) (*Answer, error)
 }
 
+// Origins is the control hosts' memory of what began streams.
+type Origins interface {
+	// Hosts lists the control hosts, and Leader returns the one that leads, empty if unknown.
+	Hosts() []string
+	Leader() string
+	// ExchangeOrigins tells one of them records, and asks it for one.
+	ExchangeOrigins(ctx context.Context, host string, request *steward.OriginRequest) (*steward.OriginAnswer, error)
+}
+
 // Responder writes an answer to the caller. Exactly one of Done, Abort and Refuse ends it.
 type Responder interface {
 	// Begin writes the status and the headers.
--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -93,6 +94,9 @@
 	members []ident.Host
 	relays  []ident.Host
 	leader  ident.Host
+	// hosts and leaderName are copies of members and leader for callers of Hosts and Leader.
+	hosts      atomic.Pointer[[]string]
+	leaderName atomic.Pointer[ident.Host]
 	// avoided are hosts that failed recently. A leader is queried all the same once another
 	// host names it again.
 	avoided map[ident.Host]failure
@@ -308,6 +312,9 @@
 		for _, name := range answer.Members {
 			f.members = append(f.members, ident.Host(name))
 		}
+		if hosts := f.hosts.Load(); hosts == nil || !slices.Equal(*hosts, answer.Members) {
+			f.hosts.Store(&answer.Members)
+		}
 	}
 	if answer.Redirect || answer.Term < f.term {
 		f.redirected(call.host, answer)
@@ -321,12 +328,19 @@
 	f.lastHost = call.host
 	f.reportHost.Store(&call.host)
 	delete(f.redirects, call.host)
-	f.leader = ident.Host(answer.Leader)
+	f.setLeader(ident.Host(answer.Leader))
 	f.relays = f.sortRelays(answer.Relays)
 	f.apply(call, deliver)
 	return true
 }
 
+func (f *Follower) setLeader(leader ident.Host) {
+	if f.leader != leader {
+		f.leaderName.Store(&leader)
+	}
+	f.leader = leader
+}
+
 // recordLeaderSeen records that a control host that knows a leader has answered.
 func (f *Follower) recordLeaderSeen(answer *WatchAnswer) {
 	if answer.Leader != "" {
@@ -348,7 +362,7 @@
 	f.counters.late.Inc()
 	if leader := ident.Host(call.answer.Leader); leader == call.host {
 		delete(f.avoided, leader)
-		f.leader = leader
+		f.setLeader(leader)
 	}
 	f.apply(call, deliver)
 }
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -12,6 +12,7 @@
 	"github.com/lovagereach/lovagereach/evacuation"
 	"github.com/lovagereach/lovagereach/internal/wire"
 	"github.com/lovagereach/lovagereach/quarantine"
+	"github.com/lovagereach/lovagereach/resumption"
 	"github.com/lovagereach/lovagereach/rollout"
 	"github.com/lovagereach/lovagereach/roster"
 )
@@ -65,7 +66,10 @@
 	quarantine  *quarantine.Tracker
 	crashesSeen quarantine.CrashTimes
 	evacuation  *evacuation.Registry
-	pages       rosterPages
+	// software tracks the software versions of the upstreams, by the times at which this host
+	// learnt of them.
+	software *resumption.Versions
+	pages    rosterPages
 	// changed is closed and replaced at each change, and orderChanged at each change that
 	// operators ordered or that affects the quarantine.
 	changed, orderChanged chan struct{}
@@ -75,7 +79,8 @@
 func NewMachine() *Machine {
 	return &Machine{
 		weights: make(map[string]uint64), targets: rollout.NewTargetVersions(), storeIncarnations: make(map[string]uint64),
-		roster: roster.New(), quarantine: quarantine.NewTracker(),
+		software: resumption.NewVersions(time.Time{}),
+		roster:   roster.New(), quarantine: quarantine.NewTracker(),
 		evacuation: evacuation.NewRegistry(), changed: make(chan struct{}), orderChanged: make(chan struct{}),
 	}
 }
@@ -122,8 +127,15 @@
 // applyUpstreams applies announcements. The caller holds the lock.
 func (m *Machine) applyUpstreams(announcements []roster.Upstream) {
 	changed := false
+	now := time.Now()
 	for _, u := range announcements {
-		changed = m.roster.Announce(u) || changed
+		before, _ := m.roster.Get(u.ID)
+		if !m.roster.Announce(u) {
+			continue
+		}
+		changed = true
+		after, _ := m.roster.Get(u.ID)
+		m.trackSoftware(before, after, now)
 	}
 	if changed {
 		m.notify()
@@ -197,6 +209,7 @@
 	}
 	m.weightsRevision = saved.WeightsRevision
 	m.roster.Restore(saved.Roster)
+	m.restoreSoftware(saved.Roster.Upstreams, time.Now())
 	m.pages = rosterPages{}
 	m.storeIncarnations = saved.StoreIncarnations
 	if m.storeIncarnations == nil {
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -9,6 +9,7 @@
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/ratelimit"
+	"github.com/lovagereach/lovagereach/resumption"
 	"github.com/lovagereach/lovagereach/roster"
 	"github.com/lovagereach/lovagereach/warmup"
 )
@@ -19,6 +20,7 @@
 	methodSubmit port.Method = "steward.submit"
 	methodJoin   port.Method = "steward.join"
 	methodReport port.Method = "steward.report"
+	methodOrigin port.Method = "steward.origin"
 )
 
 // Load is one entry's work in progress at an upstream, or its outstanding reads from a store.
@@ -279,6 +281,25 @@
 	return r
 }
 
+// OriginRequest tells a control host which software versions began streams, and asks it for that
+// of a stream.
+type OriginRequest struct {
+	Records []resumption.Record `cbor:"1,keyasint,omitempty"`
+	// Find is the stream whose record is requested, nil for none. Service is the service that
+	// is to go on with it.
+	Find    *resumption.Key `cbor:"2,keyasint,omitempty"`
+	Service string          `cbor:"3,keyasint,omitempty"`
+}
+
+// OriginAnswer is what a control host knows of a stream.
+type OriginAnswer struct {
+	// Found is the stream's record, nil if the host has none.
+	Found *resumption.Record `cbor:"1,keyasint,omitempty"`
+	// Only is the version at which all streams of the service began, if Known.
+	Only  string `cbor:"2,keyasint,omitempty"`
+	Known bool   `cbor:"3,keyasint,omitempty"`
+}
+
 // submission is an operator's, upstream's or entry's message to the leader.
 type submission struct {
 	Command *command `cbor:"1,keyasint,omitempty"`
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -22,6 +22,7 @@
 	"github.com/lovagereach/lovagereach/internal/stall"
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/quorum"
+	"github.com/lovagereach/lovagereach/resumption"
 )
 
 const (
@@ -69,7 +70,9 @@
 	// from the leader.
 	index *sharedIndex
 	relay *relayState
-	pacer pacer
+	// origins are the software versions that began streams, as told by entries.
+	origins originRecords
+	pacer   pacer
 	// stalls measures for how long this process did not run, by the monotonic clock.
 	stalls stall.Meter
 	// directory caches the answers to callers.
@@ -105,6 +108,7 @@
 		index: index, relay: newRelayState(machine, index, options.Log),
 	}
 	s.relay.clock = options.Clock
+	s.origins.records = resumption.NewRecords()
 	s.startedAt = time.Now()
 	s.upstreamLog.log, s.forwardLog.log = options.Log, options.Log
 	s.deferred.announceEvery = announceInterval(options.AnnounceEvery)
@@ -172,6 +176,7 @@
 	s.transport.Handle(methodWatch, port.PeerHandlerFunc(s.handleWatch))
 	s.transport.Handle(methodSubmit, port.PeerHandlerFunc(s.handleSubmit))
 	s.transport.Handle(methodReport, port.PeerHandlerFunc(s.handleReport))
+	s.transport.Handle(methodOrigin, port.PeerHandlerFunc(s.handleOrigin))
 	s.transport.Handle(methodJoin, port.PeerHandlerFunc(s.handleJoin))
 	return nil
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -19,6 +19,7 @@
 package roster
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -226,8 +227,9 @@
 	merged.Sequence = max(held.Sequence, a.Sequence)
 	if a.Service == "" {
 		merged.Service, merged.Address, merged.DataCentre = held.Service, held.Address, held.DataCentre
-		merged.Slots, merged.Software = held.Slots, held.Software
+		merged.Slots = held.Slots
 	}
+	merged.Software = cmp.Or(a.Software, held.Software)
 	merged.Loaded = newest(held.Loaded, a.Loaded)
 	merged.ColdMs, merged.WarmReportsNeeded = coldness(held, &a)
 	return merged
