--- a/internal/gateway/fleet_versions_test.go
+++ b/internal/gateway/fleet_versions_test.go
@@ -382,9 +382,8 @@
 
 // versionCaller is what one caller has of its stream.
 type versionCaller struct {
-	mu    sync.Mutex
-	began bool
-	last  int
+	mu   sync.Mutex
+	last int
 	// first is the attempt that brought the first event, versions the versions of all events.
 	first, attempt string
 	versions       map[string]bool
