Native entries: an answer goes on at its software version

Engines may announce the version of their software; a broken answer goes on at engines with that of the one which began it, or ends in an error event. Only an entry resumes here, within one answer, so that nothing has to be shared.

TestAnswerGoesOnAtItsSoftwareVersion: with the condition taken out, an engine of another version runs the rest of the answer.

--- a/cmd/lovage-standin/settings.go
+++ b/cmd/lovage-standin/settings.go
@@ -68,6 +68,7 @@
 	CacheBlocks    int               `yaml:"cache_blocks"`
 	LinkBytes      settings.Bytes    `yaml:"link_bytes_per_second"`
 	ChecksFence    bool              `yaml:"checks_fence"`
+	Software       string            `yaml:"software"`
 	LoadTime       settings.Duration `yaml:"load_time"`
 }
 
@@ -173,6 +174,7 @@
 		CacheBlocks:    engine.CacheBlocks,
 		LinkRate:       float64(engine.LinkBytes),
 		ChecksFence:    engine.ChecksFence,
+		Software:       engine.Software,
 		LoadTime:       engine.LoadTime.Std(),
 		RunLog:         log,
 	}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -292,7 +292,7 @@
 		return a.interrupted()
 	}
 	if a.delivered > 0 {
-		a.job.version = a.plan.version
+		a.job.version, a.job.software = a.plan.version, a.plan.candidate.Software
 		if !a.mayResume() {
 			return streamBroken(cause)
 		}
--- a/internal/entry/keeper_test.go
+++ b/internal/entry/keeper_test.go
@@ -219,6 +219,41 @@
 	})
 }
 
+// Guards against an answer that goes on at an engine of another software version than the one that
+// began it.
+func TestAnswerGoesOnAtItsSoftwareVersion(t *testing.T) {
+	for left, want := range map[string]string{"v2": fullAnswer, "v3": "t0 t1 "} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestEntry(t)
+			announce := func(name, software string, steps ...step) *fakeEngine {
+				engine := b.engine(t, name, steps...)
+				message := b.announced[len(b.announced)-1]
+				message.Software = software
+				b.announce(t, message)
+				return engine
+			}
+			broken := announce("broken", "v2", step{tokens: 2, fail: errBroken}, step{refuse: errDial})
+			answer, err := b.Prompt(t.Context(), b.prompt(t, 1))
+			if err != nil {
+				t.Fatal(err)
+			}
+			engines := make(map[string]*fakeEngine)
+			for name, software := range map[string]string{"a": "v1", "b": "v1", "c": "v3", "d": left} {
+				engines[name] = announce(name, software)
+			}
+			text, err := readAnswer(answer)
+			if len(broken.requests) == 0 || text != want || (err == nil) != (want == fullAnswer) {
+				t.Errorf("with v1, v3 and %s left: %q, %v after %d attempts at the first engine", left, text, err, len(broken.requests))
+			}
+			for _, name := range []string{"a", "b", "c"} {
+				if len(engines[name].requests) > 0 {
+					t.Errorf("%s has run a part of the answer", name)
+				}
+			}
+		})
+	}
+}
+
 // Two entries serve the same prompts. Each use must be counted at one home,
 // whichever entry served it.
 func TestUsesAreReportedToHome(t *testing.T) {
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -20,6 +20,9 @@
 	// picksPerCentre is the number of least loaded engines per data centre that
 	// are considered in addition to those that hold the prefix.
 	picksPerCentre = 4
+	// resumePicksPerCentre replaces it for an answer that must go on at one of several software
+	// versions.
+	resumePicksPerCentre = 16
 	// maxVersions bounds the target versions that are considered.
 	maxVersions = 4
 )
@@ -37,6 +40,9 @@
 	// version is set once a token has been delivered: the answer must continue
 	// under the weights with which it began.
 	version ident.Version
+	// software is, from then on, the version of the software of the engine that began the
+	// answer: what two versions generate doesn't fit together.
+	software string
 	// avoid lists upstreams that failed this request.
 	avoid  []ident.Upstream
 	chains map[ident.Version]chain
@@ -68,6 +74,11 @@
 	slowBlocks map[port.BlockID]bool
 }
 
+// continuesAt reports whether an answer may begin or go on at an engine's software version.
+func (j *job) continuesAt(c upstream.Candidate) bool {
+	return j.version == "" || c.Software == j.software
+}
+
 // blocksOf returns the prompt's blocks under a version. It hashes the whole
 // prompt and must not be called with the mutex held.
 func (e *Entry) blocksOf(j *job, version ident.Version) chain {
@@ -206,12 +217,16 @@
 	var out []candidate
 	var picks []upstream.Candidate
 	pendingPrefixes := e.pendingPrefixes(now, chain)
+	perCentre := picksPerCentre
+	if j.version != "" {
+		perCentre = resumePicksPerCentre
+	}
 	for _, centre := range e.centres[poolKey{model: j.prompt.Model}] {
 		cell := ident.Cell{Model: j.prompt.Model, DataCentre: centre}
 		key := upstream.EnginePool(cell, version, j.prompt.Adapter)
-		picks = e.registry.Pick(now, e.options.Random, key, picksPerCentre, picks)
+		picks = e.registry.Pick(now, e.options.Random, key, perCentre, picks)
 		for _, pending := range pendingPrefixes {
-			if c, ok := e.registry.Candidate(now, key, pending.upstream); ok && !slices.Contains(avoid, c.Upstream) {
+			if c, ok := e.registry.Candidate(now, key, pending.upstream); ok && j.continuesAt(c) && !slices.Contains(avoid, c.Upstream) {
 				out = append(out, candidate{Candidate: c, pending: pending})
 			}
 		}
@@ -226,7 +241,7 @@
 				out[at].blocks, out[at].accuracy = match.Blocks, match.Accuracy
 				continue
 			}
-			if c, ok := e.registry.Candidate(now, key, match.Upstream); ok && !slices.Contains(avoid, c.Upstream) {
+			if c, ok := e.registry.Candidate(now, key, match.Upstream); ok && j.continuesAt(c) && !slices.Contains(avoid, c.Upstream) {
 				out = append(out, candidate{Candidate: c, blocks: match.Blocks, accuracy: match.Accuracy})
 			}
 		}
@@ -235,7 +250,7 @@
 	slices.SortStableFunc(picks, func(a, b upstream.Candidate) int { return cmp.Compare(a.Score, b.Score) })
 	for _, c := range picks {
 		known := slices.ContainsFunc(out, func(o candidate) bool { return o.Upstream == c.Upstream })
-		if !known && !slices.Contains(avoid, c.Upstream) {
+		if !known && j.continuesAt(c) && !slices.Contains(avoid, c.Upstream) {
 			out = append(out, candidate{Candidate: c})
 		}
 	}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -92,6 +92,7 @@
 		Address:     message.Address,
 		DataCentre:  message.DataCentre,
 		Service:     message.Service,
+		Software:    message.Software,
 		Leaving:     message.Leaving,
 		Lease:       time.Duration(message.LeaseMillis) * time.Millisecond,
 		ChecksFence: message.ChecksFence,
--- a/internal/port/announce.go
+++ b/internal/port/announce.go
@@ -28,6 +28,8 @@
 	// Service is set for services, Models for engines.
 	Service ident.Service   `json:"service,omitempty"`
 	Models  []LoadedVersion `json:"models,omitempty"`
+	// Software is the version of the upstream's software. Versions have no order.
+	Software string `json:"software,omitempty"`
 	// Leaving is set if the upstream accepts no new work.
 	Leaving bool `json:"leaving,omitempty"`
 	// LeaseMillis is how long the announcement is valid, in milliseconds.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -40,6 +40,8 @@
 	CacheBlocks int
 	// LinkRate is the bandwidth to store hosts in bytes per second.
 	LinkRate float64
+	// Software is the version of the engine's software that it announces.
+	Software string
 	// ChecksFence makes the engine refuse orders with a fencing token lower
 	// than the highest one accepted.
 	ChecksFence bool
@@ -190,6 +192,7 @@
 		Models:      e.models.loaded(),
 		Leaving:     e.leaving.Load(),
 		ChecksFence: e.options.ChecksFence,
+		Software:    e.options.Software,
 		Slots:       e.options.Slots,
 		BlockBytes:  e.options.BlockBytes,
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -250,6 +250,7 @@
 		Slots:       s.announced.Slots,
 		BlockBytes:  s.announced.BlockBytes,
 		ChecksFence: s.announced.ChecksFence,
+		Software:    s.announced.Software,
 		Load:        s.load.estimate(now, r.othersPerOwn(s)),
 		Weight:      r.weight(now, s),
 		Score:       r.score(now, i),
--- a/upstream/types.go
+++ b/upstream/types.go
@@ -38,6 +38,8 @@
 	// Service is set for services, Models for engines.
 	Service ident.Service
 	Models  []Loaded
+	// Software is the version of the upstream's software, empty if not announced.
+	Software string
 	// Leaving means that the upstream accepts no new work from now on.
 	Leaving bool
 	// Lease is how long the announcement is valid.
@@ -54,7 +56,7 @@
 
 // Bounds on one announcement.
 const (
-	// MaxNameLength bounds the name of an upstream, in bytes.
+	// MaxNameLength bounds the name of an upstream and that of its software, in bytes.
 	MaxNameLength = 255
 	// MaxPools bounds the pools of one upstream: one for each loaded version
 	// and one for each adapter on it.
@@ -73,6 +75,9 @@
 	if len(a.Upstream) > MaxNameLength {
 		return fmt.Errorf("upstream: longer than %d bytes", MaxNameLength)
 	}
+	if len(a.Software) > MaxNameLength {
+		return fmt.Errorf("software: longer than %d bytes", MaxNameLength)
+	}
 	if a.Kind < Engine || a.Kind > Service {
 		return fmt.Errorf("kind: %d is not engine, store or service", a.Kind)
 	}
@@ -215,6 +220,7 @@
 	Slots       int
 	BlockBytes  int64
 	ChecksFence bool
+	Software    string
 	Load        Load
 	// Weight is the share of its usual work that the upstream should get, 0 to
 	// 1. It is below one in slow start and on probation.
