--- a/internal/decision/state_changes.go
+++ b/internal/decision/state_changes.go
@@ -51,6 +51,23 @@
 	return []any{"upstream", e.Upstream, "avoided", e.Ejected, "in_row", e.ConsecutiveFailures, "failures", e.FailureRate, "cause", e.Cause}
 }
 
+// UpstreamBackOff is logged when an upstream asks an entry to send it nothing for a time.
+type UpstreamBackOff struct {
+	Upstream string
+	Wait     time.Duration
+}
+
+// Class implements Event.
+func (e *UpstreamBackOff) Class() Class { return StateChange }
+
+// Message implements Event.
+func (e *UpstreamBackOff) Message() string { return "upstream back-off" }
+
+// Fields implements Event.
+func (e *UpstreamBackOff) Fields() []any {
+	return []any{"upstream", e.Upstream, "wait_ms", ms(e.Wait)}
+}
+
 // UpstreamsReached is logged when the share of the upstreams that an entry reaches changes.
 type UpstreamsReached struct {
 	// Unreached is the share of the upstreams that it doesn't reach, in percent.
--- /dev/null
+++ b/internal/gateway/backoff.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/lovagereach/lovagereach/internal/decision"
+)
+
+// backOffGrace is how long after an upstream asked an entry to back off requests may still reach it
+// that were on their way.
+const backOffGrace = 500 * time.Millisecond
+
+// recordBackOff records how long an upstream wants no requests from this entry. A later, shorter
+// time ends an earlier one no sooner.
+func (r *run) recordBackOff(p *plan, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, now := p.upstream, time.Now()
+	until := now.Add(wait)
+	if !until.After(u.backOffUntil) {
+		return
+	}
+	if !u.backsOff(now) {
+		u.backOffFrom = now
+		r.gateway.options.Decisions.Emit(&decision.UpstreamBackOff{Upstream: u.record.ID, Wait: wait})
+	}
+	u.backOffUntil = until
+}
+
+// backsOff reports whether the upstream wants no requests from this entry now.
+func (u *upstreamState) backsOff(now time.Time) bool { return now.Before(u.backOffUntil) }
+
+// countBackOff counts a send to an upstream that wants none. The caller holds the lock.
+func (g *Gateway) countBackOff(u *upstreamState, now time.Time) {
+	if u.backsOff(now) && now.Sub(u.backOffFrom) > backOffGrace {
+		g.meter.backOffSends.Inc()
+	}
+}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -61,6 +61,8 @@
 	Failures   float64       `json:"failures"`
 	InRow      int           `json:"in_row"`
 	EjectedFor time.Duration `json:"avoided_for_ns"`
+	// BackOff is the time for which the upstream still wants no requests from this entry.
+	BackOff time.Duration `json:"back_off_ns"`
 	// Lost indicates that the latest new connection to the upstream failed.
 	Lost bool `json:"lost"`
 	// Limit is the number of requests a second that the upstream takes from all entries
@@ -101,7 +103,7 @@
 			ID: id, Service: u.record.Service, Address: u.record.Address, State: u.record.State.String(), Software: u.record.Software,
 			Silent: u.silent, Loading: u.loading, Cold: u.cold(now), Own: u.own, Others: u.others,
 			Failures: u.health.share(now), InRow: u.health.consecutive, EjectedFor: max(u.health.ejectedUntil.Sub(now), 0),
-			Lost: s.reach.Lost(id), Limit: namedLimit(s.limits.Limit(id)), Sent: u.sentCount.total(now),
+			BackOff: max(u.backOffUntil.Sub(now), 0), Lost: s.reach.Lost(id), Limit: namedLimit(s.limits.Limit(id)), Sent: u.sentCount.total(now),
 		})
 	}
 	for _, address := range slices.Sorted(maps.Keys(s.stores)) {
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -33,6 +33,8 @@
 	budgetRefusals *metrics.Counter
 	// limitedSends counts sends to upstreams that name a limit.
 	limitedSends *metrics.Counter
+	// backOffSends counts sends to upstreams that want no requests from this entry.
+	backOffSends *metrics.Counter
 	// forwarded counts requests that were sent to another entry, received those that another
 	// entry forwarded to this one.
 	forwarded, received *metrics.Counter
@@ -73,7 +75,7 @@
 			m.continued[continuation{by, version}] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_streams_resumed_total{by=%q,version=%q}`, by, version))
 		}
 	}
-	m.limitedSends = counter("limited_sends")
+	m.limitedSends, m.backOffSends = counter("limited_sends"), counter("back_off_sends")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.crashes, m.quarantined = counter("upstream_ends"), counter("held")
 	for _, reason := range countedReasons {
@@ -99,6 +101,7 @@
 	gauge("upstreams_cold", func(s *state, now time.Time) float64 { return float64(s.coldCount(now)) })
 	gauge("upstreams_unreached_percent", func(s *state, _ time.Time) float64 { return float64(s.unreached) })
 	gauge("upstreams_limited", func(s *state, _ time.Time) float64 { return float64(s.limitedCount()) })
+	gauge("upstreams_backed_off", func(s *state, now time.Time) float64 { return float64(s.backedOffCount(now)) })
 	gauge("evacuated_data_centres", func(s *state, _ time.Time) float64 { return float64(len(s.evacuation.DataCentres)) })
 	gauge("held_requests", func(s *state, _ time.Time) float64 { return float64(len(s.verdicts.quarantined)) })
 	gauge("view_age_seconds", func(s *state, now time.Time) float64 { return now.Sub(s.inventoriesAt).Seconds() })
@@ -180,6 +183,16 @@
 	return n
 }
 
+func (s *state) backedOffCount(now time.Time) int {
+	n := 0
+	for _, u := range s.upstreams {
+		if u.backsOff(now) {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *state) ejectedCount(now time.Time) int {
 	n := 0
 	for _, u := range s.upstreams {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -112,6 +112,7 @@
 	s.limits.RecordSent(p.upstream.record.ID, now)
 	s.reach.Sent(p.upstream.record.ID, now)
 	r.gateway.countSent(p.upstream, now)
+	r.gateway.countBackOff(p.upstream, now)
 	p.upstream.own.Requests++
 	s.activeUpstreams[p.upstream.record.ID] = p.upstream
 	p.upstream.own.Tokens += p.tokens
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -184,6 +184,7 @@
 	r.recordLoad(p, answer.Load)
 	r.recordLimit(p, answer.Limit)
 	r.recordBrittle(p, answer.Brittle)
+	r.recordBackOff(p, answer.BackOff)
 	if answer.Refusal != NotRefused {
 		return r.handleRefusal(p, answer)
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -46,6 +46,9 @@
 	// pausedUntil is the time until which the upstream gets no requests because it has refused
 	// one and can't refuse many.
 	pausedUntil time.Time
+	// backOffFrom and backOffUntil are the time in which the upstream wants no requests from this
+	// entry.
+	backOffFrom, backOffUntil time.Time
 	// queued is the number of waiting requests that the upstream reported at queuedAt.
 	queued   int
 	queuedAt time.Time
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -163,6 +163,11 @@
 	Load *Load
 	// Limit is the upstream's statement about a rate limit, nil if it can't be read.
 	Limit *ratelimit.Limit
+	// BackOff is how long the upstream wants no further requests from this entry, 0 if it states
+	// nothing.
+	BackOff time.Duration
+	// Leaving indicates that the upstream states that it is leaving.
+	Leaving bool
 	// Connected is the time at which the connection was established, zero if unknown.
 	Connected time.Time
 	// MayHaveRestarted is set if the upstream closed an idle connection early, before the one
