Failing test: requests to upstreams that asked an entry to back off

Runners that answer all, nine in ten or seven in ten requests with 503 and a time: 31, 31, 21 and 8 requests from one entry in the time that it was asked to wait (bound 2), at 7, 7, 7 and 64 entries.

--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -118,6 +118,7 @@
 	limits   *namedLimits
 	cut      *cutEntries
 	brittle  *brittleRunners
+	shedding *sheddingRunners
 }
 
 type modelStore struct {
@@ -313,6 +314,10 @@
 		return nil, err
 	}
 	f.limits.arrive(s.Upstream, m.entry)
+	if refused := f.shedding.refuse(m.entry, s.Upstream); refused != nil {
+		time.Sleep(time.Millisecond)
+		return refused, nil
+	}
 	answer, err := f.runners[s.Upstream].send(ctx, s)
 	if err == nil {
 		answer.Limit = f.limits.named(s.Upstream, m.entry)
