Entries back off from upstreams that name a time with a refusal

Cause: the time was passed to nobody. A refusal cost its upstream a penalty for 60 ms; then it had the lowest load of all and got the next request.

Change: the time is kept for the upstream's incarnation, to its end (a later, shorter one or an answer without one ends nothing sooner), and the upstream is no candidate meanwhile: for new requests, retries, resumed streams, those that waited and those of other entries. If all that may run a request want none for longer than it may wait, it is refused at once, with a time at the end of the first, spread over callers, or within what a caller can wait. Limits, brittle upstreams and their pauses are checked as before.

--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -40,3 +40,32 @@
 		g.meter.backOffSends.Inc()
 	}
 }
+
+// backedOffFor returns the time until the first upstream that may run the request wants requests
+// again, zero if one does now. The caller holds the lock.
+func (r *run) backedOffFor(s *state, now time.Time) time.Duration {
+	fits := r.softwareFilter(s)
+	shortest := time.Duration(0)
+	for _, u := range s.serving[r.service] {
+		switch left := u.backOffUntil.Sub(now); {
+		case r.excludes(s, u, fits):
+		case left <= 0:
+			return 0
+		case shortest == 0 || left < shortest:
+			shortest = left
+		}
+	}
+	return shortest
+}
+
+// retryAfterRefusal returns the time after which the caller of a request that upstreams refused
+// should retry.
+func (r *run) retryAfterRefusal(now time.Time) time.Duration {
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.backedOffFor(s, now) == 0 {
+		return retryAfterFull
+	}
+	return r.retryAfter(s, now)
+}
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -28,9 +28,9 @@
 	coldRate, fits := s.coldRate(r.service), r.softwareFilter(s)
 	eligible := func(u *upstreamState, withModel bool) bool {
 		switch {
-		case u.health.replaced || r.tried[u] || r.belowMinVersion(s, u) || s.evacuation.Evacuated(u.record.DataCentre) || !fits(u):
+		case r.tried[u] || r.excludes(s, u, fits):
 			return false
-		case s.isThrottled(u, coldRate, now) || !s.limits.Allows(u.record.ID, now) || now.Before(u.pausedUntil):
+		case s.isThrottled(u, coldRate, now) || !s.limits.Allows(u.record.ID, now) || now.Before(u.pausedUntil) || u.backsOff(now):
 			throttled = true
 			return false
 		}
@@ -43,6 +43,11 @@
 	return list, throttled
 }
 
+// excludes reports whether an upstream can't run the request, now or later.
+func (r *run) excludes(s *state, u *upstreamState, fits func(*upstreamState) bool) bool {
+	return u.health.replaced || r.belowMinVersion(s, u) || s.evacuation.Evacuated(u.record.DataCentre) || !fits(u)
+}
+
 // shortlist chooses candidates among the eligible upstreams.
 func (r *run) shortlist(all []*upstreamState, eligible func(*upstreamState) bool) []*upstreamState {
 	places := placement.Shortlist(r.affinityKey(), len(all), maxCandidates,
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -61,6 +61,9 @@
 	// longest delay.
 	retryAfterShare = 0.33
 	maxRetryAfter   = 5 * time.Second
+	// backOffRetryShare is the fraction of that delay after which it is at the earliest if all
+	// upstreams back off for longer.
+	backOffRetryShare = 0.75
 	// maxWaitingFirst bounds the large prompts of first attempts waiting at one entry,
 	// maxWaitingRetried those of retries.
 	maxWaitingFirst   = 3
@@ -206,8 +209,11 @@
 // retryAfter returns the time after which the caller of a request that found no capacity
 // should retry. The caller of retryAfter holds the lock.
 func (r *run) retryAfter(s *state, now time.Time) time.Duration {
-	longest := time.Duration(retryAfterShare * float64(r.deadline.Sub(now)))
-	return s.retriesOf(r).RetryAfter(now, defaultRetryAfter, min(longest, maxRetryAfter), rand.Float64())
+	longest := min(time.Duration(retryAfterShare*float64(r.deadline.Sub(now))), maxRetryAfter)
+	// A caller with less time comes at another entry, which upstreams may have asked to back off
+	// for less, and not all callers at the same moment.
+	least := max(defaultRetryAfter, min(r.backedOffFor(s, now), time.Duration(backOffRetryShare*float64(longest))))
+	return s.retriesOf(r).RetryAfter(now, least, longest, rand.Float64())
 }
 
 // longestWait returns how long the request may wait for capacity from now on.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -91,26 +91,35 @@
 	})
 }
 
-// cannotWait reports whether a request would wait in vain, because all upstreams of its service
-// name limits and this entry's shares of them are too small for the requests that wait already.
+// cannotWait reports whether a request would wait in vain: all upstreams that may run it either
+// want no requests from this entry for longer than it may wait, or name limits of which this
+// entry's shares are too small for the requests that wait already.
 func (r *run) cannotWait(s *state, now time.Time) bool {
-	if len(s.serving[r.service]) == 0 {
-		return false
-	}
-	perSecond := 0.0
+	fits, longest := r.softwareFilter(s), r.longestWait(s.waitLimits, now)
+	upstreams, perSecond := 0, 0.0
 	for _, u := range s.serving[r.service] {
+		if r.tried[u] || r.excludes(s, u, fits) {
+			continue
+		}
+		upstreams++
+		if u.backOffUntil.Sub(now) >= longest {
+			continue
+		}
 		if !s.limits.Limit(u.record.ID).Limited {
 			return false
 		}
 		perSecond += s.limits.Rate(u.record.ID, now)
 	}
+	if upstreams == 0 {
+		return false
+	}
 	ahead := 1
 	for _, w := range s.waiting {
 		if w.run.service == r.service && !r.precedes(w.run) {
 			ahead++
 		}
 	}
-	return float64(ahead) > perSecond*r.longestWait(s.waitLimits, now).Seconds()
+	return float64(ahead) > perSecond*longest.Seconds()
 }
 
 // namedLimit returns the requests a second of a limit, nil if there is none.
--- a/internal/gateway/resumed_test.go
+++ b/internal/gateway/resumed_test.go
@@ -3,8 +3,15 @@
 import (
 	"errors"
 	"testing"
+
+	"github.com/lovagereach/lovagereach/resumption"
 )
 
+// originRecord is the record of a stream that a run begins at a software version.
+func originRecord(r *run, software string) resumption.Record {
+	return resumption.Record{Key: r.originKey(), Origin: resumption.Origin{Service: "llm", Software: software}, Send: 1}
+}
+
 // Guards against a resumed stream that looks complete after the event at which it broke off:
 // the upstream that it is resumed at answers with a failure, whose body must not be forwarded,
 // since the caller has the head of a success and a part of the events.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -86,7 +86,7 @@
 		if (refused.sameUpstream || r.sends < r.maxAttempts()) && r.sends < r.maxAttempts()+1 && r.takeRetryBudget(now) {
 			return true, nil
 		}
-		return false, r.refusal(outcome.ReasonRefused, retryAfterFull, err.Error())
+		return false, r.refusal(outcome.ReasonRefused, r.retryAfterRefusal(now), err.Error())
 	case errors.As(err, &failed):
 		return true, nil
 	case r.handedOver || r.suspected():
