Upstreams that state in an answer that they leave get no more requests

An entry learnt from the control hosts only that an upstream leaves; one that is cut off from them went on sending it requests. Now an answer's statement is final for the upstream's incarnation: it is no candidate for any request, waiting or resumed ones included. Logged as 'upstream leaving'.

--- a/internal/decision/state_changes.go
+++ b/internal/decision/state_changes.go
@@ -68,6 +68,20 @@
 	return []any{"upstream", e.Upstream, "wait_ms", ms(e.Wait)}
 }
 
+// UpstreamLeaving is logged when an upstream states in an answer that it leaves.
+type UpstreamLeaving struct {
+	Upstream string
+}
+
+// Class implements Event.
+func (e *UpstreamLeaving) Class() Class { return StateChange }
+
+// Message implements Event.
+func (e *UpstreamLeaving) Message() string { return "upstream leaving" }
+
+// Fields implements Event.
+func (e *UpstreamLeaving) Fields() []any { return []any{"upstream", e.Upstream} }
+
 // UpstreamsReached is logged when the share of the upstreams that an entry reaches changes.
 type UpstreamsReached struct {
 	// Unreached is the share of the upstreams that it doesn't reach, in percent.
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -45,7 +45,7 @@
 
 // excludes reports whether an upstream can't run the request, now or later.
 func (r *run) excludes(s *state, u *upstreamState, fits func(*upstreamState) bool) bool {
-	return u.health.replaced || r.belowMinVersion(s, u) || s.evacuation.Evacuated(u.record.DataCentre) || !fits(u)
+	return u.health.replaced || u.leaving || r.belowMinVersion(s, u) || s.evacuation.Evacuated(u.record.DataCentre) || !fits(u)
 }
 
 // shortlist chooses candidates among the eligible upstreams.
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -7,6 +7,7 @@
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/roster"
 )
 
 // Dump is the state of an entry for operators.
@@ -100,7 +101,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.upstreams)) {
 		u := s.upstreams[id]
 		d.Upstreams = append(d.Upstreams, DumpedUpstream{
-			ID: id, Service: u.record.Service, Address: u.record.Address, State: u.record.State.String(), Software: u.record.Software,
+			ID: id, Service: u.record.Service, Address: u.record.Address, State: stateName(u), Software: u.record.Software,
 			Silent: u.silent, Loading: u.loading, Cold: u.cold(now), Own: u.own, Others: u.others,
 			Failures: u.health.share(now), InRow: u.health.consecutive, EjectedFor: max(u.health.ejectedUntil.Sub(now), 0),
 			BackOff: max(u.backOffUntil.Sub(now), 0), Lost: s.reach.Lost(id), Limit: namedLimit(s.limits.Limit(id)), Sent: u.sentCount.total(now),
@@ -121,3 +122,12 @@
 	}
 	return d
 }
+
+// stateName returns the name of an upstream's state, by what the control hosts and the upstream's
+// own answers state.
+func stateName(u *upstreamState) string {
+	if u.leaving {
+		return max(u.record.State, roster.Leaving).String()
+	}
+	return u.record.State.String()
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -185,6 +185,7 @@
 	r.recordLimit(p, answer.Limit)
 	r.recordBrittle(p, answer.Brittle)
 	r.recordBackOff(p, answer.BackOff)
+	r.recordLeaving(p, answer.Leaving)
 	if answer.Refusal != NotRefused {
 		return r.handleRefusal(p, answer)
 	}
