--- a/internal/capacity/bounds_test.go
+++ b/internal/capacity/bounds_test.go
@@ -172,3 +172,21 @@
 		t.Errorf("the tracker holds %.0f B, want at most %d", bytes, maxHeapBytes)
 	}
 }
+
+// Records of streams must stay within a daemon's memory at a control host, however many begin.
+func TestRecordsOfStreamsAreBounded(t *testing.T) {
+	for _, p := range OriginProbes() {
+		if p.Role != "voter" {
+			continue
+		}
+		for _, n := range []int{TargetRequestsPerSec, 4 * TargetRequestsPerSec} {
+			value, err := p.Measure(n)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if value > LimitBytes {
+				t.Errorf("%s: %.0f B at %d streams a second, want at most %d", p.Name, value, n, LimitBytes)
+			}
+		}
+	}
+}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -10,7 +10,7 @@
 func All() []Probe {
 	var probes []Probe
 	for _, group := range [][]Probe{
-		ConfigProbes(), TreeProbes(), CellProbes(), ReportProbes(), HomeProbes(), LedgerProbes(), ControlProbes(), QuarantineProbes(), LimitProbes(), FailureProbes(),
+		ConfigProbes(), TreeProbes(), CellProbes(), ReportProbes(), HomeProbes(), LedgerProbes(), ControlProbes(), QuarantineProbes(), LimitProbes(), OriginProbes(), FailureProbes(),
 	} {
 		probes = append(probes, group...)
 	}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -57,7 +58,7 @@
 	if !known {
 		answered := false
 		if origin, known, answered = r.findOrigin(ctx); !known {
-			if ctx.Err() != nil {
+			if errors.Is(ctx.Err(), context.Canceled) {
 				return errCallerGone
 			}
 			after := defaultRetryAfter
