Native entries back off from engines and replicas that refuse with a time

The registry keeps the time for the upstream's incarnation, and offers the upstream for nothing until its end. An hour is the longest.

--- a/internal/adapter/httpsend/send.go
+++ b/internal/adapter/httpsend/send.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/retry"
@@ -108,9 +109,24 @@
 		e.Mismatched = true
 	}
 	e.Refused = !e.Mismatched && header.Get(HeaderNotRun) == RefusalValue(request, attempt)
+	if e.Refused {
+		e.RetryAfter = retryAfter(header)
+	}
 	return e
 }
 
+// maxRetryAfter bounds the time for which an upstream may ask for no requests.
+const maxRetryAfter = time.Hour
+
+// retryAfter returns the time that a refusal states in seconds, 0 if it states none.
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // connTracker records the connection that http.Transport chose for a request.
 type connTracker struct {
 	mu   sync.Mutex
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -139,6 +139,7 @@
 		// A refusal for lack of capacity shows that the upstream is healthy.
 		result = upstream.Succeeded
 		a.overloaded()
+		a.backOff(backOffOf(err))
 	case errors.As(err, &unknown) && unknown.Reason == outcome.ReasonTimeout:
 		result = upstream.Stalled
 	}
@@ -147,6 +148,23 @@
 	a.finishAttempt(result)
 }
 
+// backOffOf returns how long the upstream that refused an attempt wants no requests, 0 for an
+// attempt that was not refused, or without a time.
+func backOffOf(err error) time.Duration {
+	var refused *outcome.NotRun
+	if errors.As(err, &refused) && refused.Reason == outcome.ReasonRefused {
+		return refused.RetryAfter
+	}
+	return 0
+}
+
+// backOff records that the upstream of the current attempt wants no requests for a time.
+func (a *answer) backOff(wait time.Duration) {
+	a.entry.mu.Lock()
+	defer a.entry.mu.Unlock()
+	a.entry.registry.BackOff(time.Now(), a.attempt, wait)
+}
+
 func (a *answer) overloaded() {
 	a.entry.mu.Lock()
 	a.pool.controller.Overloaded(time.Now())
--- a/internal/entry/pipeline_test.go
+++ b/internal/entry/pipeline_test.go
@@ -76,6 +76,35 @@
 	}
 }
 
+// Guards against requests to engines and replicas that refused one and asked this entry to wait.
+func TestUpstreamsThatAskForBackOffGetNoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestEntry(t)
+		refuse := &outcome.NotRun{Reason: outcome.ReasonRefused, RetryAfter: 2 * time.Second}
+		engine := b.engine(t, "runner-1", step{refuse: refuse}, step{})
+		var refused *outcome.NotRun
+		for id := range byte(5) {
+			answer, err := b.Prompt(t.Context(), b.prompt(t, id+1))
+			if err == nil {
+				_, err = readAnswer(answer)
+			}
+			if !errors.As(err, &refused) || refused.RetryAfter <= 0 {
+				t.Errorf("prompt %d: %v", id+1, err)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		if n := len(engine.requests); n != 1 {
+			t.Errorf("%d attempts within the time", n)
+		}
+		time.Sleep(600 * time.Millisecond)
+		b.announceAgain(t)
+		b.mustServe(t, 9)
+		if n := len(engine.requests); n != 2 {
+			t.Errorf("%d attempts after the time", n)
+		}
+	})
+}
+
 // The connection is lost while the first engine may have run the request, and
 // the next attempt certainly does not run. The outcome must not be not-run,
 // since the request may have run.
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -222,6 +222,7 @@
 	})
 	e.mu.Lock()
 	e.registry.FirstToken(attempt)
+	e.registry.BackOff(time.Now(), attempt, backOffOf(err))
 	e.registry.Finish(time.Now(), attempt, resultOf(ctx, err))
 	e.tracker.End(attempt.Request, attempt.Number)
 	e.recordCall(j, time.Since(sent), err)
--- a/retry/classify.go
+++ b/retry/classify.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/lovagereach/lovagereach/outcome"
 )
@@ -16,6 +17,9 @@
 	// Refused is set if the upstream itself stated, for this request and attempt,
 	// that it did not run it.
 	Refused bool
+	// RetryAfter is how long a refusing upstream wants no further requests, 0 if it stated no
+	// time.
+	RetryAfter time.Duration
 	// Answered is set if the status and header of an answer arrived.
 	Answered bool
 	// Status is the answer's HTTP status.
@@ -42,7 +46,7 @@
 	case e.Mismatched:
 		return &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: "the answer names another request"}
 	case e.Refused:
-		return &outcome.NotRun{Reason: outcome.ReasonRefused, Detail: "the upstream states that it did not run the request"}
+		return &outcome.NotRun{Reason: outcome.ReasonRefused, Detail: "the upstream states that it did not run the request", RetryAfter: e.RetryAfter}
 	case e.Complete && e.Status >= minErrorStatus:
 		detail := fmt.Sprintf("the upstream answered with status %d", e.Status)
 		return &outcome.Failed{Reason: outcome.ReasonUpstreamError, Detail: detail, Status: e.Status}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -173,9 +173,15 @@
 	count := p.sample(random, sampled[:min(sampleFactor*n, maxSample)])
 	r.stats.Considered += uint64(count)
 	var scored [maxSample]scoredSlot
-	for j, i := range sampled[:count] {
-		scored[j] = scoredSlot{slot: i, score: r.score(now, i)}
+	usable := 0
+	for _, i := range sampled[:count] {
+		if now.Before(r.slots[i].backOffUntil) {
+			continue
+		}
+		scored[usable] = scoredSlot{slot: i, score: r.score(now, i)}
+		usable++
 	}
+	count = usable
 	slices.SortFunc(scored[:count], byScore)
 	for _, best := range scored[:min(n, count)] {
 		out = append(out, r.candidate(now, best.slot))
@@ -228,7 +234,7 @@
 		return Candidate{}, false
 	}
 	s := &r.slots[i]
-	if s.listKind != offeredList {
+	if s.listKind != offeredList || now.Before(s.backOffUntil) {
 		return Candidate{}, false
 	}
 	for _, m := range s.memberships {
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -51,6 +51,8 @@
 	load         loadState
 	health       health
 	memberships  []membership
+	// backOffUntil is the time until which the upstream wants no requests of this process.
+	backOffUntil time.Time
 	// timer fires when the slot is refreshed next.
 	timer *timer
 }
--- a/upstream/work.go
+++ b/upstream/work.go
@@ -78,6 +78,18 @@
 	}
 }
 
+// BackOff records that an upstream which refused an attempt wants no requests for a time. It is
+// called before Finish. A shorter time than one stated before changes nothing.
+func (r *Registry) BackOff(now time.Time, attempt Attempt, wait time.Duration) {
+	a, ok := r.inFlight[attempt]
+	if !ok {
+		return
+	}
+	if s := r.slotFor(a); s != nil && now.Add(wait).After(s.backOffUntil) {
+		s.backOffUntil = now.Add(wait)
+	}
+}
+
 // slotFor returns the slot that an attempt was sent to, nil if the upstream was
 // removed or has a new incarnation.
 func (r *Registry) slotFor(a *sentAttempt) *slot {
