--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -148,9 +148,7 @@
 func (r *run) softwareFilter(s *state) func(*upstreamState) bool {
 	switch {
 	case r.pinned:
-		// The sender confirms the incarnation of an engine. Other upstreams can't be queried.
-		service := r.index.Service(r.service)
-		confirms := service != nil && service.Engine != nil
+		confirms := statesStart(r.index.Service(r.service))
 		return func(u *upstreamState) bool {
 			return u.record.Software == r.origin.Software && (confirms || !s.originAt(u).Uncertain)
 		}
@@ -161,6 +159,10 @@
 	return func(*upstreamState) bool { return true }
 }
 
+// statesStart reports whether the upstreams of a service state their start time on request, so that
+// the sender can confirm their incarnation. Only engines do.
+func statesStart(service *catalog.Service) bool { return service != nil && service.Engine != nil }
+
 // originAt returns what begins a stream that is sent to an upstream now.
 func (s *state) originAt(u *upstreamState) resumption.Origin {
 	origin := resumption.Origin{Service: u.record.Service, Software: u.record.Software}
