resumption: services without versions are forgotten

Cause: the table of versions kept a service for ever once it had had a version, and versions were dropped only when a record was asked for. Change: adding a version drops those that no longer count, and a service without any goes with its last one.

Measured: tests of resumption and of streams in the gateway pass; nothing else changes.

--- a/resumption/versions.go
+++ b/resumption/versions.go
@@ -41,10 +41,10 @@
 	if software == "" {
 		return
 	}
+	v.forget(service, now)
 	if v.services[service] == nil {
 		v.services[service] = make(map[string]*version)
 	}
-	v.forget(service, now)
 	known := v.services[service][software]
 	if known == nil {
 		known = &version{}
@@ -83,6 +83,9 @@
 			delete(v.services[service], software)
 		}
 	}
+	if len(v.services[service]) == 0 {
+		delete(v.services, service)
+	}
 }
 
 // Count returns the number of versions of a service at which streams may have begun, or soon will.
