--- a/internal/gateway/fleet_cut_test.go
+++ b/internal/gateway/fleet_cut_test.go
@@ -82,15 +82,7 @@
 		ctx, cancel := context.WithCancel(ctx)
 		p := &passedAnswer{began: make(chan *Answer, 1), pieces: make(chan Piece), ended: make(chan struct{}), cancel: cancel}
 		go g.Serve(ctx, &copied, p)
-		select {
-		case answer := <-p.began:
-			return answer, nil
-		case <-p.ended:
-			if p.cause != nil {
-				return nil, p.cause
-			}
-			return <-p.began, nil
-		}
+		return p.await(context.Background())
 	}
 	return nil, &outcome.NotRun{Reason: outcome.ReasonDial}
 }
@@ -106,6 +98,21 @@
 	broken bool
 }
 
+// await returns the answer once it begins, or why it doesn't. life ends with the entry that serves.
+func (p *passedAnswer) await(life context.Context) (*Answer, error) {
+	select {
+	case answer := <-p.began:
+		return answer, nil
+	case <-p.ended:
+		if p.cause != nil {
+			return nil, p.cause
+		}
+		return <-p.began, nil
+	case <-life.Done():
+		return nil, connectionLost()
+	}
+}
+
 func (p *passedAnswer) Begin(answer *Answer) error {
 	passed := *answer
 	passed.Body = p
--- a/internal/gateway/fleet_versions_test.go
+++ b/internal/gateway/fleet_versions_test.go
@@ -367,17 +367,7 @@
 	context.AfterFunc(e.life, cancel)
 	p := &passedAnswer{began: make(chan *Answer, 1), pieces: make(chan Piece, versionEvents), ended: make(chan struct{}), cancel: cancel}
 	go e.gateway.Serve(ctx, &copied, p)
-	select {
-	case answer := <-p.began:
-		return answer, nil
-	case <-p.ended:
-		if p.cause != nil {
-			return nil, p.cause
-		}
-		return <-p.began, nil
-	case <-e.life.Done():
-		return nil, connectionLost()
-	}
+	return p.await(e.life)
 }
 
 // versionCaller is what one caller has of its stream.
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -94,14 +94,19 @@
 	gauge("config_version", func(s *state, _ time.Time) float64 { return float64(s.version()) })
 	gauge("entries", func(s *state, _ time.Time) float64 { return float64(s.entries) })
 	gauge("upstreams", func(s *state, _ time.Time) float64 { return float64(len(s.upstreams)) })
-	gauge("upstreams_silent", func(s *state, _ time.Time) float64 { return float64(s.silentCount()) })
-	gauge("upstreams_avoided", func(s *state, now time.Time) float64 { return float64(s.ejectedCount(now)) })
+	upstreams := func(part string, match func(*upstreamState, time.Time) bool) {
+		gauge(part, func(s *state, now time.Time) float64 {
+			return s.countUpstreams(func(u *upstreamState) bool { return match(u, now) })
+		})
+	}
+	upstreams("upstreams_silent", func(u *upstreamState, _ time.Time) bool { return u.silent })
+	upstreams("upstreams_avoided", func(u *upstreamState, now time.Time) bool { return now.Before(u.health.ejectedUntil) })
 	gauge("slowest_reading_tokens_per_ms", func(s *state, _ time.Time) float64 { return s.slowestPrefill() })
 	gauge("largest_light_tokens", func(s *state, _ time.Time) float64 { return s.largestSmallSize() })
-	gauge("upstreams_cold", func(s *state, now time.Time) float64 { return float64(s.coldCount(now)) })
+	upstreams("upstreams_cold", (*upstreamState).cold)
 	gauge("upstreams_unreached_percent", func(s *state, _ time.Time) float64 { return float64(s.unreached) })
 	gauge("upstreams_limited", func(s *state, _ time.Time) float64 { return float64(s.limitedCount()) })
-	gauge("upstreams_backed_off", func(s *state, now time.Time) float64 { return float64(s.backedOffCount(now)) })
+	upstreams("upstreams_backed_off", (*upstreamState).backsOff)
 	gauge("evacuated_data_centres", func(s *state, _ time.Time) float64 { return float64(len(s.evacuation.DataCentres)) })
 	gauge("held_requests", func(s *state, _ time.Time) float64 { return float64(len(s.verdicts.quarantined)) })
 	gauge("view_age_seconds", func(s *state, now time.Time) float64 { return now.Sub(s.inventoriesAt).Seconds() })
@@ -153,24 +158,15 @@
 	return s.index.Version()
 }
 
-func (s *state) silentCount() int {
-	n := 0
-	for _, u := range s.upstreams {
-		if u.silent {
-			n++
-		}
-	}
-	return n
-}
-
-func (s *state) coldCount(now time.Time) int {
+// countUpstreams returns the number of upstreams that match.
+func (s *state) countUpstreams(match func(*upstreamState) bool) float64 {
 	n := 0
 	for _, u := range s.upstreams {
-		if u.cold(now) {
+		if match(u) {
 			n++
 		}
 	}
-	return n
+	return float64(n)
 }
 
 func (s *state) limitedCount() int {
@@ -182,23 +178,3 @@
 	}
 	return n
 }
-
-func (s *state) backedOffCount(now time.Time) int {
-	n := 0
-	for _, u := range s.upstreams {
-		if u.backsOff(now) {
-			n++
-		}
-	}
-	return n
-}
-
-func (s *state) ejectedCount(now time.Time) int {
-	n := 0
-	for _, u := range s.upstreams {
-		if now.Before(u.health.ejectedUntil) {
-			n++
-		}
-	}
-	return n
-}
