--- a/internal/gateway/fleet_backoff_test.go
+++ b/internal/gateway/fleet_backoff_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/lovagereach/lovagereach/ratelimit"
 )
 
 const (
@@ -99,3 +101,39 @@
 		})
 	}
 }
+
+// Guards against upstreams that get more than they bear where some ask for back-off, others name
+// limits and all are brittle, since each of the three moves load to the others.
+func TestBackOffHoldsBesideLimitsAndBrittleUpstreams(t *testing.T) {
+	t.Parallel()
+	s := &sheddingRunners{runners: make(map[string]bool), share: 0.9, wait: 3 * time.Second, random: rand.New(rand.NewPCG(3, 4)),
+		asked: make(map[[2]string][]time.Time), arrivals: make(map[[2]string][]time.Time)}
+	l := &namedLimits{perSecond: make(map[string]float64), told: make(map[[2]string]time.Time), arrivals: make(map[string][]time.Time),
+		counted: make(map[string]int), known: ratelimit.NewObservations(), rates: make(map[string]float64)}
+	b := &brittleRunners{perSecond: 3, waiting: 1, rejected: make(map[*modelRunner][]time.Time), down: make(map[*modelRunner]time.Time)}
+	shape := migrationFleet(7)
+	shape.slots = 12
+	synctest.Test(t, func(t *testing.T) {
+		f := newModelFleet(t, shape)
+		for i, runner := range slices.SortedFunc(maps.Keys(f.runners), cmp.Compare[string]) {
+			switch {
+			case i < 3:
+				s.runners[runner] = true
+			case i < 5:
+				l.perSecond[runner] = 6
+			}
+		}
+		begin := time.Now().Add(time.Second)
+		s.begin, s.end = begin, begin.Add(8*time.Second)
+		l.begin, l.divider, b.begin = begin, ratelimit.NewDivider(time.Now().Add(-time.Minute)), begin
+		f.shedding, f.limits, f.brittle = s, l, b
+		t.Log(f.run())
+	})
+	l.check(t)
+	if most := s.most(); most > maxBackOffRequests {
+		t.Errorf("a runner that had asked an entry to back off got %d requests from it in that time", most)
+	}
+	if bound := 2 + shape.runners/10; b.falls > bound {
+		t.Errorf("%d falls, bound %d", b.falls, bound)
+	}
+}
