A stream doesn't go on at an upstream that may have been restarted: broken answers, old rosters

Traced in the logs: (1) an answer that breaks off (unexpected EOF) was no disconnect, so that its upstream, back under its ID 0.7 s before it was announced, counted as the previous incarnation; (2) an entry whose roster was 2 to 3 s old resumed streams at a plain service's upstream, which can't be asked for its start time. Now every failed send but one that waited in vain counts; at such upstreams a stream goes on only by a roster of less than SettleTime, and on a connection after which none was closed early. Engines state their start time as before.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -92,7 +92,7 @@
 	p := &plan{candidates: len(candidates)}
 	p.send = &Send{
 		Request: r.request, Team: r.teamName(), Rank: min(max(r.rank(), 0), maxRank), ResumeAfter: r.lastEvent,
-		Wait: r.deadline.Sub(now), Connections: s.connections(service), SameIncarnation: r.pinned && r.origin.Software != "" && statesStart(service),
+		Wait: r.deadline.Sub(now), Connections: s.connections(service), SameIncarnation: r.pinned && r.origin.Software != "", StatesStart: statesStart(service),
 	}
 	if r.request.Prompt != nil && service != nil && service.Engine != nil {
 		r.placePrompt(s, p, service, candidates, now)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -9,6 +9,7 @@
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/resumption"
 )
 
@@ -149,8 +150,10 @@
 	switch {
 	case r.pinned:
 		confirms := statesStart(r.index.Service(r.service))
+		isRecent := s.clockNow().Sub(s.rosterAsOf) < resumption.SettleTime
 		return func(u *upstreamState) bool {
-			return u.record.Software == r.origin.Software && (confirms || !s.originAt(u).Uncertain)
+			mayBeRestarted := u.record.StartedMs != 0 && !isRecent || s.originAt(u).Uncertain
+			return u.record.Software == r.origin.Software && (confirms || !mayBeRestarted)
 		}
 	case r.resumable() && s.versions.Count(r.service) > 1:
 		at := s.clockNow()
@@ -180,9 +183,15 @@
 	return origin
 }
 
-// recordDisconnect records that a send failed. The caller holds the lock.
+// recordDisconnect records a failed send after which the upstream may have been restarted: all but
+// one that waited in vain or was not tried. The caller holds the lock.
 func (s *state) recordDisconnect(u *upstreamState, cause error) {
-	if isDisconnect(cause) {
+	var unsent *outcome.NotRun
+	var unknown *outcome.Unknown
+	switch {
+	case errors.As(cause, &unsent) && unsent.Reason != outcome.ReasonDial:
+	case errors.As(cause, &unknown) && unknown.Reason == outcome.ReasonTimeout:
+	default:
 		u.disconnectedAt = s.clockNow()
 	}
 }
--- a/internal/gateway/resumed_test.go
+++ b/internal/gateway/resumed_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"io"
 	"testing"
 
+	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/resumption"
 )
 
@@ -29,3 +31,27 @@
 		}
 	}
 }
+
+// Guards against an upstream that was restarted under its ID and counts as the incarnation that is
+// known, although its answers broke off.
+func TestBrokenAnswerMayMeanARestart(t *testing.T) {
+	for _, test := range []struct {
+		cause error
+		want  bool
+	}{
+		{io.ErrUnexpectedEOF, true}, {connectionLost(), true}, {dialRefused(), true},
+		{&outcome.Unknown{Reason: outcome.ReasonTimeout}, false}, {notRun(ReasonConnections, 0, ""), false},
+	} {
+		g, _ := testGateway(t, nil)
+		g.state.mu.Lock()
+		record := g.state.upstreams["l1"].record
+		record.Software, record.StartedMs = "v1", 1000
+		g.state.applyUpstream(record)
+		u := g.state.upstreams["l1"]
+		g.state.recordDisconnect(u, test.cause)
+		if got := g.state.originAt(u).Uncertain; got != test.want {
+			t.Errorf("after %v: uncertain %v", test.cause, got)
+		}
+		g.state.mu.Unlock()
+	}
+}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -110,8 +110,9 @@
 	// Connections bounds the connections from this entry to the upstream.
 	Connections int
 	// SameIncarnation is set if the request must be sent to no other incarnation of the upstream:
-	// one that has been restarted just now is not announced yet.
-	SameIncarnation bool
+	// one that has been restarted just now is not announced yet. StatesStart indicates that the
+	// upstream states its start time on request.
+	SameIncarnation, StatesStart bool
 }
 
 // Refusal is an upstream's statement that it did not run a request.
