An answer of the next process is no proof that an upstream was not restarted

Traced: an upstream was back under its ID 0.6 s before it was announced; the early close of an idle connection was noticed, with the time of the answer on the connection that replaced it. The next answer on that connection then counted as one from before the disconnect, and ended the doubt. The doubt begins now before the connection that showed it, and a later disconnect doesn't move its begin.

TestAnswersOfTheNextProcessAreNoProof failed before (closed early).

--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -20,6 +20,9 @@
 	// findTimeout bounds the search for what began a stream: two network transits, and a busy
 	// control host.
 	findTimeout = 250 * time.Millisecond
+	// connectMargin is how long before a connection was established its upstream may have been
+	// restarted at the latest, for the difference between readings of two clocks.
+	connectMargin = 50 * time.Millisecond
 )
 
 // Labels of the metric that counts resumed streams.
@@ -192,24 +195,35 @@
 	case errors.As(cause, &unsent) && unsent.Reason != outcome.ReasonDial:
 	case errors.As(cause, &unknown) && unknown.Reason == outcome.ReasonTimeout:
 	default:
-		u.disconnectedAt = s.clockNow()
+		s.doubtIncarnation(u, s.clockNow())
 	}
 }
 
+// doubtIncarnation records that an upstream may have been restarted at a time or since. The caller
+// holds the lock.
+func (s *state) doubtIncarnation(u *upstreamState, at time.Time) {
+	if u.disconnectedAt.IsZero() || s.rosterAsOf.Sub(u.disconnectedAt) >= s.restartKnownWithin {
+		u.disconnectedFrom = at
+	}
+	u.disconnectedAt = at
+}
+
 // observeIncarnation concludes from an answer whether the upstream may have been restarted since
 // its latest announcement, and registers the stream again if that changes its origin. An answer
-// on a connection that was established before the latest disconnect shows that it was not.
+// on a connection that was established before the first disconnect, to a request that was sent
+// after the last one, shows that it was not.
 func (r *run) observeIncarnation(p *plan, answer *Answer) {
 	s, before := r.gateway.state, p.origin
 	s.mu.Lock()
 	u, now := p.upstream, s.clockNow()
-	sinceDisconnect := now.Sub(u.disconnectedAt)
+	connected := now.Add(-time.Since(answer.Connected))
+	sent := now.Add(-time.Since(p.sent))
 	switch {
 	case answer.MayHaveRestarted:
-		u.disconnectedAt = now
+		s.doubtIncarnation(u, connected.Add(-connectMargin))
 	case u.disconnectedAt.IsZero() || answer.Connected.IsZero():
-	case time.Since(p.sent) < sinceDisconnect && time.Since(answer.Connected) > sinceDisconnect:
-		u.disconnectedAt = time.Time{}
+	case sent.After(u.disconnectedAt) && connected.Before(u.disconnectedFrom):
+		u.disconnectedFrom, u.disconnectedAt = time.Time{}, time.Time{}
 	}
 	p.origin = s.originAt(u)
 	s.mu.Unlock()
--- a/internal/gateway/resumed_test.go
+++ b/internal/gateway/resumed_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/resumption"
@@ -55,3 +57,52 @@
 		g.state.mu.Unlock()
 	}
 }
+
+// Guards against a restart that is forgotten because the next process answers: on the connection
+// that replaced one closed early, or after a further answer that broke off.
+func TestAnswersOfTheNextProcessAreNoProof(t *testing.T) {
+	for name, broken := range map[string]bool{"closed early": false, "broken off": true} {
+		synctest.Test(t, func(t *testing.T) {
+			g, _ := testGateway(t, nil)
+			s := g.state
+			s.mu.Lock()
+			record := s.upstreams["l1"].record
+			record.Software, record.StartedMs = "v1", 1000
+			s.applyUpstream(record)
+			u := s.upstreams["l1"]
+			s.mu.Unlock()
+			time.Sleep(10 * time.Second)
+			s.mu.Lock()
+			s.rosterAsOf = time.Now()
+			s.mu.Unlock()
+			r := &run{gateway: g, request: request("/resume/x"), route: s.index.Route("h", "/resume/x"), index: s.index}
+			older, answer := time.Now(), &Answer{}
+			time.Sleep(time.Second)
+			observe := func(connected time.Time, restarted bool) {
+				p := &plan{upstream: u, sent: time.Now()}
+				time.Sleep(20 * time.Millisecond)
+				*answer = Answer{Connected: connected, MayHaveRestarted: restarted}
+				r.observeIncarnation(p, answer)
+			}
+			connected := time.Now()
+			if broken {
+				s.recordDisconnect(u, io.ErrUnexpectedEOF)
+				time.Sleep(100 * time.Millisecond)
+				connected = time.Now()
+				time.Sleep(100 * time.Millisecond)
+				s.recordDisconnect(u, io.ErrUnexpectedEOF)
+			} else {
+				observe(connected, true)
+			}
+			time.Sleep(100 * time.Millisecond)
+			observe(connected, false)
+			if !s.originAt(u).Uncertain {
+				t.Errorf("%s: an answer of the next process counts as one of the previous", name)
+			}
+			observe(older, false)
+			if s.originAt(u).Uncertain {
+				t.Errorf("%s: uncertain although a connection from before still works", name)
+			}
+		})
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -57,8 +57,9 @@
 	// draw is this entry's latest draw for its free capacity.
 	draw draw
 	// disconnectedAt is the time at which a connection to the upstream was last lost or
-	// refused: it may have been restarted since, with another software version.
-	disconnectedAt time.Time
+	// refused, and disconnectedFrom that of the first one since the upstream was proven to be
+	// the same process: it may have been restarted, with another software version.
+	disconnectedFrom, disconnectedAt time.Time
 	// version holds weight versions confirmed by the runner itself, by model; they count if
 	// newer than the roster's.
 	version map[string]uint64
