Tests of two conditions that no test held: old rosters, versions that entries don't know yet

Cause: with the condition on the roster's age at plain services taken out, or with the time after which a new version is used, all tests of the gateway still passed. Change: a test for each, of the failure that the condition guards against. Measured: each fails with its condition taken out (a roster of 2 s; used after 0 s) and passes five times of five with it.

--- a/internal/gateway/resumed_test.go
+++ b/internal/gateway/resumed_test.go
@@ -106,3 +106,63 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on, by a roster that is too old, at a plain service's upstream
+// that may have been restarted with another version since.
+func TestStreamDoesNotGoOnByAnOldRoster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := testGateway(t, nil)
+		s := g.state
+		time.Sleep(time.Minute)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		r := &run{gateway: g, request: request("/safe/x"), route: s.index.Route("h", "/safe/x"), index: s.index, service: "app"}
+		r.pin(resumption.Origin{Service: "app", Software: "v1"})
+		for age, want := range map[time.Duration]bool{500 * time.Millisecond: true, 2 * time.Second: false} {
+			for started, want := range map[uint64]bool{1000: want, 0: true} {
+				u := &upstreamState{record: s.upstreams["a1"].record}
+				u.record.Software, u.record.StartedMs = "v1", started
+				s.rosterAsOf = time.Now().Add(-age)
+				if got := r.softwareFilter(s)(u); got != want {
+					t.Errorf("roster %v old, start time %d: %v", age, started, got)
+				}
+			}
+		}
+	})
+}
+
+// Guards against streams that begin at a new version while other entries don't know it yet, and
+// resume them at the one that they know.
+func TestNewVersionIsUsedOnceAllEntriesKnowIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return stream(io.EOF, "1"), nil })
+		s := g.state
+		s.mu.Lock()
+		for id, software := range map[string]string{"l1": "v1", "l2": "v1"} {
+			record := s.upstreams[id].record
+			record.Software = software
+			s.applyUpstream(record)
+		}
+		s.mu.Unlock()
+		time.Sleep(time.Minute)
+		s.mu.Lock()
+		s.rosterAsOf = time.Now()
+		record := s.upstreams["l2"].record
+		record.StartedMs, record.Software = 2000, "v2"
+		s.applyUpstream(record)
+		s.mu.Unlock()
+		served := make(map[string]int)
+		for at := time.Duration(0); at < 2*time.Second; at += 20 * time.Millisecond {
+			serve(g, request("/resume/x"))
+			if used := sender.sends[sender.count()-1].Upstream; used == "l2" && at < resumption.SettleTime {
+				t.Fatalf("used after %v", at)
+			} else if at >= resumption.SettleTime {
+				served[used]++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if served["l2"] == 0 {
+			t.Errorf("never used: %v", served)
+		}
+	})
+}
