A restarted upstream is not taken for an unreachable one

Seen by reading: an upstream that states another start time than the known one, before a stream goes on there, was reported as a failed connection. The entry then counted it among the upstreams that it doesn't reach, and with two of them begins to forward requests as if it were partitioned.

Cause: one reason for two observations. Change: reason upstream-restarted; the request tries the next upstream as after a failed connection, the upstream's incarnation is in doubt, its path is not.

--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -50,7 +50,7 @@
 // countedReasons are the reasons with a counter of their own.
 var countedReasons = []outcome.Reason{
 	ReasonNoConfig, ReasonNoRoute, ReasonTooLong, outcome.ReasonUnauthorized, outcome.ReasonOverloaded, outcome.ReasonNoUpstream,
-	outcome.ReasonDial, ReasonConnections, ReasonPeer, outcome.ReasonRefused, outcome.ReasonDeadline, ReasonOrigin,
+	outcome.ReasonDial, ReasonConnections, ReasonPeer, outcome.ReasonRefused, outcome.ReasonDeadline, ReasonOrigin, ReasonRestarted,
 }
 
 func newMeter(s *state, open func() float64) *meter {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -192,7 +192,7 @@
 	var unsent *outcome.NotRun
 	var unknown *outcome.Unknown
 	switch {
-	case errors.As(cause, &unsent) && unsent.Reason != outcome.ReasonDial:
+	case errors.As(cause, &unsent) && unsent.Reason != outcome.ReasonDial && unsent.Reason != ReasonRestarted:
 	case errors.As(cause, &unknown) && unknown.Reason == outcome.ReasonTimeout:
 	default:
 		s.doubtIncarnation(u, s.clockNow())
--- a/internal/gateway/resumed_test.go
+++ b/internal/gateway/resumed_test.go
@@ -166,3 +166,26 @@
 		}
 	})
 }
+
+// Guards against an upstream that counts as unreachable because it has been restarted, so that the
+// entry takes itself for partitioned, and against a stream that doesn't try the next upstream.
+func TestRestartedUpstreamCanBeReached(t *testing.T) {
+	g, sender := testGateway(t, func(n int, s *Send) (*Answer, error) {
+		if n == 1 {
+			return nil, notRun(ReasonRestarted, 0, "")
+		}
+		return stream(io.EOF, "2"), nil
+	})
+	again := request("/resume/x")
+	again.Resumes, again.ResumeAfter = "id-0", "1"
+	rec := serve(g, again)
+	first := sender.sends[0].Upstream
+	if rec.end != "done" || sender.count() != 2 || sender.sends[1].Upstream == first {
+		t.Errorf("ends %q after %d sends: %v", rec.end, sender.count(), rec.cause)
+	}
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	if u := g.state.upstreams[first]; g.state.reach.Lost(first) || u.disconnectedAt.IsZero() {
+		t.Errorf("lost %v, disconnected at %v", g.state.reach.Lost(first), u.disconnectedAt)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -71,7 +71,7 @@
 		return false, &outcome.Unknown{Reason: outcome.ReasonCallerGone, Detail: err.Error()}
 	case r.deadline.Sub(now) < minWait:
 		return false, r.deadlineError(err)
-	case isUnsent && unsent.Reason != outcome.ReasonDial && unsent.Reason != ReasonConnections:
+	case isUnsent && !triesNext(unsent.Reason):
 		// Nothing was tried: no upstream is known, or none had capacity.
 		return false, r.refusal(unsent.Reason, unsent.RetryAfter, unsent.Detail)
 	case isUnsent:
@@ -97,6 +97,11 @@
 	return false, unknownOutcome(err)
 }
 
+// triesNext reports whether a request that was not sent to an upstream may be sent to the next one.
+func triesNext(reason outcome.Reason) bool {
+	return reason == outcome.ReasonDial || reason == ReasonConnections || reason == ReasonRestarted
+}
+
 // unknownOutcome returns the final answer after a send that may have run.
 func unknownOutcome(err error) error {
 	var unknown *outcome.Unknown
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -23,6 +23,9 @@
 	ReasonTooLong outcome.Reason = "body-too-long"
 	// ReasonConnections indicates that this entry's share of an upstream's connections is in use.
 	ReasonConnections outcome.Reason = "connections-in-use"
+	// ReasonRestarted indicates that an upstream is not, or may not be, the incarnation that the
+	// request is for; it can be reached.
+	ReasonRestarted outcome.Reason = "upstream-restarted"
 	// ReasonPeer indicates that another entry, which the request was forwarded to, refused it.
 	ReasonPeer outcome.Reason = "refused-by-peer"
 	// ReasonOrigin indicates that a stream can't go on: the software version that began it is
@@ -183,7 +186,7 @@
 }
 
 // Sender sends requests to upstreams. An error is *outcome.NotRun if no byte can have reached
-// the upstream, with outcome.ReasonDial if it may have been restarted, else *outcome.Unknown.
+// the upstream, with ReasonRestarted if it may be another incarnation, else *outcome.Unknown.
 type Sender interface {
 	Send(ctx context.Context, send *Send) (*Answer, error)
 	// Connects reports whether a connection to a send's upstream can be established.
