A software version counts for as long as callers may hold on to its streams

Seen by reading: a version was forgotten 30 s after its last upstream had gone, whatever the time limits of the routes. Where callers may wait for longer, a stream of a version that has gone could go on at the only one left.

Cause: a constant in the place of the configuration's time limits.

Measured: TestVersionsCountForAsLongAsCallersHoldOn (known after 40 and 94 s with a limit of 45 s) and TestControlHostsKnowHowLongCallersHoldOn (known after 100 s with one of a minute) fail with the old constant and pass now.

--- a/catalog/document.go
+++ b/catalog/document.go
@@ -70,6 +70,18 @@
 	Targets   []Target `cbor:"11,keyasint"`
 }
 
+// LongestResumable returns the longest time limit of the streams that callers may resume, 0 if there
+// are none.
+func (d *Document) LongestResumable() time.Duration {
+	longest := time.Duration(0)
+	for i := range d.Routes {
+		if r := &d.Routes[i]; r.Kind == Stream && r.Resumable {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Safe || (r.Kind == Stream && r.Resumable)
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -67,6 +67,7 @@
 		s.startedAt = time.Now()
 	}
 	s.index = index
+	s.versions.SetCallersWait(index.Document().LongestResumable())
 	return index
 }
 
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -119,6 +119,7 @@
 	v := catalog.Compare(m.document, d)
 	if v == catalog.Accepted {
 		m.document = d
+		m.software.SetCallersWait(d.LongestResumable())
 		m.notifyOrder()
 	}
 	return v
--- a/internal/steward/origins.go
+++ b/internal/steward/origins.go
@@ -79,6 +79,9 @@
 // have left just now. The caller holds the lock.
 func (m *Machine) restoreSoftware(upstreams []roster.Upstream, now time.Time) {
 	m.software = resumption.NewVersions(time.Time{})
+	if m.document != nil {
+		m.software.SetCallersWait(m.document.LongestResumable())
+	}
 	for i := range upstreams {
 		if u := &upstreams[i]; u.State == roster.Gone {
 			m.software.Departed(u.Service, u.Software, now)
--- a/internal/steward/origins_test.go
+++ b/internal/steward/origins_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/wire"
 	"github.com/lovagereach/lovagereach/resumption"
 	"github.com/lovagereach/lovagereach/roster"
@@ -53,6 +55,40 @@
 	}
 }
 
+// Guards against a control host that forgets a version sooner than callers let go of its streams,
+// also after it has been restarted.
+func TestControlHostsKnowHowLongCallersHoldOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMachine()
+		d := testDocument(1, "x")
+		d.Routes = []catalog.Route{{Name: "long", Kind: catalog.Stream, Resumable: true, Timeout: time.Minute}}
+		m.Apply(0, wire.MustMarshal(command{Document: d}))
+		announceSoftware(m, "i-1", "v1", roster.Serving)
+		announceSoftware(m, "i-2", "v2", roster.Serving)
+		announceSoftware(m, "i-1", "", roster.Gone)
+		saved, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored := NewMachine()
+		if err := restored.Restore(saved); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Second)
+		for name, machine := range map[string]*Machine{"running": m, "restarted": restored} {
+			if _, known := machine.onlySoftware("llm", time.Now()); known {
+				t.Errorf("%s: known 100 s after v1 has gone", name)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		for name, machine := range map[string]*Machine{"running": m, "restarted": restored} {
+			if software, known := machine.onlySoftware("llm", time.Now()); !known || software != "v2" {
+				t.Errorf("%s: %q, %v 130 s after v1 has gone", name, software, known)
+			}
+		}
+	})
+}
+
 // Guards against records of streams that an entry can't find after the entry that made them, and
 // one control host, have ended.
 func TestOriginsAreFoundAfterTheLossOfAHost(t *testing.T) {
--- a/resumption/versions.go
+++ b/resumption/versions.go
@@ -6,15 +6,20 @@
 	// SettleTime is how long after an entry learned of a version it begins streams there. By
 	// then every entry with recent state knows the version, and records the streams of all.
 	SettleTime = time.Second
-	// versionLife is how long a version counts after its last upstream has gone, longer than
-	// callers hold on to a stream.
+	// versionLife is how long a version counts at least after its last upstream has gone.
 	versionLife = 30 * time.Second
+	// waitsPerStream is how many times a caller may wait for the time limit of a route and still
+	// resume a stream: in its first attempt, and before a further one.
+	waitsPerStream = 2
 )
 
 // Versions tracks the software versions of each service's upstreams. Upstreams that announce no
 // version are not tracked.
 type Versions struct {
-	began    time.Time
+	began time.Time
+	// life is how long a version counts after its last upstream has gone, longer than callers
+	// hold on to a stream.
+	life     time.Duration
 	services map[string]map[string]*version
 }
 
@@ -32,7 +37,13 @@
 // NewVersions returns a tracker. What was listed before began isn't known; it is zero if all
 // earlier versions will be added.
 func NewVersions(began time.Time) *Versions {
-	return &Versions{began: began, services: make(map[string]map[string]*version)}
+	return &Versions{began: began, life: versionLife, services: make(map[string]map[string]*version)}
+}
+
+// SetCallersWait sets the longest time limit of the streams that callers may resume. A shorter one
+// than was set before changes nothing: earlier callers may still hold on.
+func (v *Versions) SetCallersWait(longest time.Duration) {
+	v.life = max(v.life, waitsPerStream*longest)
 }
 
 // Add records that an upstream of a version is listed. asOf is the latest time as of which the
@@ -79,7 +90,7 @@
 // forget drops the versions of a service that no longer count.
 func (v *Versions) forget(service string, now time.Time) {
 	for software, known := range v.services[service] {
-		if known.upstreams == 0 && now.Sub(known.delisted) >= versionLife {
+		if known.upstreams == 0 && now.Sub(known.delisted) >= v.life {
 			delete(v.services[service], software)
 		}
 	}
@@ -120,7 +131,7 @@
 
 // Only returns the version at which every stream of a service began that a caller may still
 // resume now, empty if no upstream announces one. It is known only if one version remains: the
-// list must be complete as of a time less than SettleTime ago, and cover versionLife. A version
+// list must be complete as of a time less than SettleTime ago, and cover the life of a version. A version
 // that was first listed after since, and less than SettleTime ago, is not in use at any entry.
 func (v *Versions) Only(service string, since, asOf, now time.Time) (software string, known bool) {
 	if now.Sub(asOf) >= SettleTime {
@@ -139,5 +150,5 @@
 			used++
 		}
 	}
-	return software, used == 1 && now.Sub(v.began) >= versionLife
+	return software, used == 1 && now.Sub(v.began) >= v.life
 }
--- a/resumption/versions_test.go
+++ b/resumption/versions_test.go
@@ -154,3 +154,19 @@
 		t.Errorf("%d holders of one host", n)
 	}
 }
+
+// Guards against a version that is forgotten while callers who may wait for long still hold on to
+// the streams that it began.
+func TestVersionsCountForAsLongAsCallersHoldOn(t *testing.T) {
+	v := NewVersions(time.Time{})
+	v.SetCallersWait(45 * time.Second)
+	v.SetCallersWait(5 * time.Second)
+	v.Add("llm", "v1", time.Time{}, at(0))
+	v.Add("llm", "v2", at(1000), at(1000))
+	v.Remove("llm", "v1", at(5000))
+	for seconds, want := range map[int]bool{40: false, 94: false, 95: true} {
+		if _, known := v.Only("llm", time.Time{}, at(1000*seconds), at(1000*seconds)); known != want {
+			t.Errorf("%d s: known %v", seconds, known)
+		}
+	}
+}
