resumption tests: times go forward in the test of how long versions count

Cause: TestVersionsCountForAsLongAsCallersHoldOn asked for three times out of a map, in any order. Only forgets versions as of the time that it is given, so that after 95 s the version was gone at 40 s too. The fault is the test's: no caller of Only gives an earlier time than before.

Change: the same three times and results, in their order.

--- a/resumption/versions_test.go
+++ b/resumption/versions_test.go
@@ -164,9 +164,13 @@
 	v.Add("llm", "v1", time.Time{}, at(0))
 	v.Add("llm", "v2", at(1000), at(1000))
 	v.Remove("llm", "v1", at(5000))
-	for seconds, want := range map[int]bool{40: false, 94: false, 95: true} {
-		if _, known := v.Only("llm", time.Time{}, at(1000*seconds), at(1000*seconds)); known != want {
-			t.Errorf("%d s: known %v", seconds, known)
+	for _, want := range []struct {
+		seconds int
+		known   bool
+	}{{40, false}, {94, false}, {95, true}} {
+		now := at(1000 * want.seconds)
+		if _, known := v.Only("llm", time.Time{}, now, now); known != want.known {
+			t.Errorf("%d s: known %v", want.seconds, known)
 		}
 	}
 }
