Records of streams are kept for as long as callers may hold on to them

Seen by reading: a version counts for twice the longest time limit of the streams that callers may resume, but the records of what began them were kept for 30 s at least, whatever the limits. Beside several versions, a caller who waits for longer was refused: safe, but a stream was lost.

Cause: the same constant as for versions, left in one of two places. Change: records are kept for the life of a version, on entries and control hosts. Nothing changes with limits up to 15 s, as in all deployments known.

Measured: TestOriginIsKeptForAsLongAsCallersHoldOn and TestControlHostsKeepOriginsForAsLongAsCallersHoldOn (a limit of a minute, 110 s after the record) fail with the constant and pass now.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -68,6 +68,7 @@
 	}
 	s.index = index
 	s.versions.SetCallersWait(index.Document().LongestResumable())
+	s.origins.SetLife(s.versions.Life())
 	return index
 }
 
--- a/internal/gateway/resumed_test.go
+++ b/internal/gateway/resumed_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/resumption"
 )
@@ -189,3 +190,27 @@
 		t.Errorf("lost %v, disconnected at %v", g.state.reach.Lost(first), u.disconnectedAt)
 	}
 }
+
+// Guards against an entry that forgets what began a stream while a caller who may wait for long still
+// holds on to it.
+func TestOriginIsKeptForAsLongAsCallersHoldOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := testGateway(t, nil)
+		document := testDocument()
+		document.Version++
+		for i := range document.Routes {
+			document.Routes[i].Timeout = time.Minute
+		}
+		g.ApplyAnswer(&steward.WatchAnswer{Partial: true, Term: 1, Document: document}, time.Now())
+		r, err := g.admit(t.Context(), request("/resume/x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(29 * time.Second)
+		g.state.origins.Put(originRecord(r, "v1"), time.Now())
+		time.Sleep(110 * time.Second)
+		if origin, known := r.knownOrigin(); !known || origin.Software != "v1" {
+			t.Errorf("%+v, known %v", origin, known)
+		}
+	})
+}
--- a/internal/steward/origins.go
+++ b/internal/steward/origins.go
@@ -28,7 +28,7 @@
 	if err := wire.Unmarshal(body, &request); err != nil {
 		return nil, eris.Wrap(err, "steward: origins")
 	}
-	answer := s.origins.exchange(&request, time.Now())
+	answer := s.origins.exchange(&request, s.machine.streamLife(), time.Now())
 	if request.Find != nil {
 		if since, current := s.currentSince(time.Now()); current {
 			answer.Only, answer.Known = s.machine.onlySoftware(request.Service, since)
@@ -37,10 +37,12 @@
 	return wire.MustMarshal(answer), nil
 }
 
-// exchange adds the records of a request and returns the one that it asks for.
-func (o *originRecords) exchange(request *OriginRequest, now time.Time) *OriginAnswer {
+// exchange adds the records of a request, which are kept for life at least, and returns the one that
+// it asks for.
+func (o *originRecords) exchange(request *OriginRequest, life time.Duration, now time.Time) *OriginAnswer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.records.SetLife(life)
 	for _, record := range request.Records {
 		o.records.Put(record, now)
 	}
@@ -100,6 +102,13 @@
 	return m.software.Only(service, since, now, now)
 }
 
+// streamLife returns the time for which callers may hold on to a stream.
+func (m *Machine) streamLife() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.software.Life()
+}
+
 // Hosts lists the control hosts.
 func (f *Follower) Hosts() []string {
 	if hosts := f.hosts.Load(); hosts != nil {
--- a/internal/steward/origins_test.go
+++ b/internal/steward/origins_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wire"
 	"github.com/lovagereach/lovagereach/resumption"
 	"github.com/lovagereach/lovagereach/roster"
@@ -89,6 +90,35 @@
 	})
 }
 
+// Guards against a control host that forgets what began a stream while a caller who may wait for long
+// still holds on to it.
+func TestControlHostsKeepOriginsForAsLongAsCallersHoldOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Steward{machine: NewMachine(), relay: newRelayState(NewMachine(), newSharedIndex(), nil)}
+		s.origins.records = resumption.NewRecords()
+		d := testDocument(1, "x")
+		d.Routes = []catalog.Route{{Name: "long", Kind: catalog.Stream, Resumable: true, Timeout: time.Minute}}
+		s.machine.Apply(0, wire.MustMarshal(command{Document: d}))
+		key := resumption.NewKey("growers", "id-1")
+		exchange := func(request *OriginRequest) *OriginAnswer {
+			raw, err := s.handleOrigin(t.Context(), port.Peer{}, methodOrigin, wire.MustMarshal(request))
+			if err != nil {
+				t.Fatal(err)
+			}
+			answer := &OriginAnswer{}
+			if err := wire.Unmarshal(raw, answer); err != nil {
+				t.Fatal(err)
+			}
+			return answer
+		}
+		exchange(&OriginRequest{Records: []resumption.Record{{Key: key, Origin: resumption.Origin{Service: "llm", Software: "v1"}, Send: 1}}})
+		time.Sleep(110 * time.Second)
+		if answer := exchange(&OriginRequest{Find: &key, Service: "llm"}); answer.Found == nil {
+			t.Error("not found 110 s after it was recorded")
+		}
+	})
+}
+
 // Guards against records of streams that an entry can't find after the entry that made them, and
 // one control host, have ended.
 func TestOriginsAreFoundAfterTheLossOfAHost(t *testing.T) {
--- a/resumption/records.go
+++ b/resumption/records.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// recordLife is the minimum time for which a record is kept, longer than callers hold on
-	// to a stream.
-	recordLife = 30 * time.Second
 	// maxRecords bounds the records of one generation, of which two are kept. A record takes
 	// about 100 bytes.
 	maxRecords = 1 << 15
@@ -62,22 +59,27 @@
 
 // Records holds the origins of recent streams.
 type Records struct {
+	// life is the minimum time for which a record is kept.
+	life time.Duration
 	// current and previous are generations; current began at began.
 	current, previous map[Key]Record
 	began             time.Time
 }
 
 // NewRecords returns an empty set.
-func NewRecords() *Records { return &Records{current: make(map[Key]Record)} }
+func NewRecords() *Records { return &Records{life: minLife, current: make(map[Key]Record)} }
+
+// SetLife sets the minimum time for which a record is kept, as Versions.Life returns it.
+func (r *Records) SetLife(life time.Duration) { r.life = life }
 
 // rotate starts a new generation if the current one is old or full.
 func (r *Records) rotate(now time.Time) {
 	if r.began.IsZero() {
 		r.began = now
 	}
-	if age := now.Sub(r.began); age >= recordLife || len(r.current) >= maxRecords {
+	if age := now.Sub(r.began); age >= r.life || len(r.current) >= maxRecords {
 		r.previous = r.current
-		if age >= 2*recordLife {
+		if age >= 2*r.life {
 			r.previous = nil
 		}
 		r.current, r.began = make(map[Key]Record), now
--- a/resumption/versions.go
+++ b/resumption/versions.go
@@ -6,8 +6,9 @@
 	// SettleTime is how long after an entry learned of a version it begins streams there. By
 	// then every entry with recent state knows the version, and records the streams of all.
 	SettleTime = time.Second
-	// versionLife is how long a version counts at least after its last upstream has gone.
-	versionLife = 30 * time.Second
+	// minLife is how long at least a version counts after its last upstream has gone, and a record
+	// is kept.
+	minLife = 30 * time.Second
 	// waitsPerStream is how many times a caller may wait for the time limit of a route and still
 	// resume a stream: in its first attempt, and before a further one.
 	waitsPerStream = 2
@@ -37,7 +38,7 @@
 // NewVersions returns a tracker. What was listed before began isn't known; it is zero if all
 // earlier versions will be added.
 func NewVersions(began time.Time) *Versions {
-	return &Versions{began: began, life: versionLife, services: make(map[string]map[string]*version)}
+	return &Versions{began: began, life: minLife, services: make(map[string]map[string]*version)}
 }
 
 // SetCallersWait sets the longest time limit of the streams that callers may resume. A shorter one
@@ -46,6 +47,10 @@
 	v.life = max(v.life, waitsPerStream*longest)
 }
 
+// Life returns how long a version counts after its last upstream has gone, longer than callers hold
+// on to a stream.
+func (v *Versions) Life() time.Duration { return v.life }
+
 // Add records that an upstream of a version is listed. asOf is the latest time as of which the
 // list without it was complete, zero if there was none.
 func (v *Versions) Add(service, software string, asOf, now time.Time) {
--- a/resumption/versions_test.go
+++ b/resumption/versions_test.go
@@ -57,10 +57,10 @@
 	v := NewVersions(at(0))
 	v.Add("llm", "v1", time.Time{}, at(0))
 	if _, known := v.Only("llm", time.Time{}, at(29900), at(29999)); known {
-		t.Error("known before versionLife")
+		t.Error("known before minLife")
 	}
 	if software, known := v.Only("llm", time.Time{}, at(30000), at(30000)); !known || software != "v1" {
-		t.Errorf("after versionLife: %q, %v", software, known)
+		t.Errorf("after minLife: %q, %v", software, known)
 	}
 	if _, known := v.Only("other", time.Time{}, at(100), at(100)); !known {
 		t.Error("a service whose upstreams announce no version is restricted")
