Requests are not retried after two crashes, before anybody else knows of them

Cause: a request that one more crash would quarantine is not retried, but an entry went by what the control hosts had told it, 0.1 s and more after a crash, and by none of its own sends, whose checks end 10 ms after they broke off. In the native pipeline a retry was decided before the check of the last crash had ended.

Change: before a retry, a run that broke off at two upstreams or more waits for their checks, at most 50 ms, and leaves the retry to its caller if two of them crashed. Requests served lately are exempt, as in reports. The same in the native pipeline.

--- /dev/null
+++ b/internal/crash/check.go
@@ -0,0 +1,66 @@
+// Package crash lets requests wait for the check whether an upstream at which their attempts broke
+// off has crashed.
+package crash
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovagereach/lovagereach/quarantine"
+)
+
+// waitTime bounds the wait for checks before a retry. A check ends within a few ms of
+// quarantine.CheckDelay unless the upstream's host doesn't answer.
+const waitTime = 50 * time.Millisecond
+
+// Check is the check whether one upstream has crashed.
+type Check struct {
+	// done is closed at the end, after crashed was set.
+	done    chan struct{}
+	crashed bool
+}
+
+// NewCheck returns a check that has not ended.
+func NewCheck() *Check { return &Check{done: make(chan struct{})} }
+
+// End ends the check with its result. It must be called once.
+func (c *Check) End(crashed bool) {
+	c.crashed = crashed
+	close(c.done)
+}
+
+// wait waits for the end until ctx ends, and reports whether the upstream is known to have crashed.
+func (c *Check) wait(ctx context.Context) bool {
+	select {
+	case <-c.done:
+		return c.crashed
+	default:
+	}
+	select {
+	case <-c.done:
+		return c.crashed
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Checks are the checks of the upstreams at which the attempts of one request broke off.
+type Checks []*Check
+
+// MakeSuspect reports whether one more crash would quarantine the request. The control hosts, or the
+// other entries, learn of crashes later than the entry that retries. It waits for the checks, at most
+// waitTime, if enough attempts broke off.
+func (c Checks) MakeSuspect(ctx context.Context) bool {
+	if len(c) < quarantine.SuspectThreshold {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, waitTime)
+	defer cancel()
+	crashes := 0
+	for _, check := range c {
+		if check.wait(ctx) {
+			crashes++
+		}
+	}
+	return crashes >= quarantine.SuspectThreshold
+}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -202,7 +202,7 @@
 // returns the outcome if no further attempt is permitted.
 func (a *answer) mayRetry(cause error) error {
 	j := a.job
-	if !a.entry.mayRepeat(j.fingerprint, cause, a.possiblyRan) {
+	if !a.entry.mayRepeat(a.ctx, j.fingerprint, j.crashChecks, cause, a.possiblyRan) {
 		return cause
 	}
 	call := retry.Call{
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/internal/wire"
 	"github.com/lovagereach/lovagereach/outcome"
@@ -50,7 +51,9 @@
 type crashState struct {
 	tracker *quarantine.Tracker
 	lost    quarantine.LostAttempts
-	served  quarantine.RecentlyServed
+	// checks holds the checks of the upstreams at which attempts broke off.
+	checks map[quarantine.Incarnation]*crash.Check
+	served quarantine.RecentlyServed
 	// seen records when each crash was observed, as far as this entry knows.
 	seen quarantine.CrashTimes
 	// own are the crashes that this entry observed itself. It sends them to the
@@ -66,7 +69,7 @@
 }
 
 func newCrashState() crashState {
-	return crashState{tracker: quarantine.NewTracker()}
+	return crashState{tracker: quarantine.NewTracker(), checks: make(map[quarantine.Incarnation]*crash.Check)}
 }
 
 // apply merges crashes and served requests observed by this entry or another.
@@ -173,12 +176,15 @@
 // mayRepeat reports whether the entry itself may send a request again after
 // cause. possiblyRan is the outcome of an attempt that may have run. A request
 // that one more crash would quarantine is not repeated by the entry; its caller
-// may repeat it.
-func (e *Entry) mayRepeat(p quarantine.Fingerprint, cause, possiblyRan error) bool {
+// may repeat it. checks are those of the upstreams at which its attempts broke off.
+func (e *Entry) mayRepeat(ctx context.Context, p quarantine.Fingerprint, checks crash.Checks, cause, possiblyRan error) bool {
 	if possiblyRan == nil && outcome.KindOf(cause) == outcome.KindNotRun {
 		return true
 	}
-	return !e.isSuspect(p)
+	e.mu.Lock()
+	served := e.crashes.served.Has(p, time.Now())
+	e.mu.Unlock()
+	return !e.isSuspect(p) && (served || !checks.MakeSuspect(ctx))
 }
 
 // isSuspect reports whether a request is quarantined or suspected.
@@ -189,14 +195,19 @@
 }
 
 // recordLost records that the connection of an attempt broke. The first such
-// attempt since the last probe of the incarnation queues a new probe.
-func (e *Entry) recordLost(id ident.Upstream, incarnation ident.Incarnation, address string, a quarantine.Attempt) {
+// attempt since the last probe of the incarnation queues a new probe. It returns
+// the check whether the upstream has crashed.
+func (e *Entry) recordLost(id ident.Upstream, incarnation ident.Incarnation, address string, a quarantine.Attempt) *crash.Check {
 	lost := quarantine.Incarnation{Upstream: string(id), StartedMs: uint64(incarnation)}
 	e.mu.Lock()
 	first := e.crashes.lost.Add(lost, a)
+	if first {
+		e.crashes.checks[lost] = crash.NewCheck()
+	}
+	check := e.crashes.checks[lost]
 	e.mu.Unlock()
 	if !first {
-		return
+		return check
 	}
 	select {
 	case e.probes <- probe{incarnation: lost, address: address, at: time.Now().Add(quarantine.CheckDelay)}:
@@ -204,9 +215,18 @@
 		// The queue is full. The next attempt whose connection breaks there
 		// queues the probe.
 		e.mu.Lock()
-		e.crashes.lost.Take(lost)
+		e.crashes.endCheck(lost, false)
 		e.mu.Unlock()
 	}
+	return check
+}
+
+// endCheck ends the check whether an upstream has crashed, and returns the
+// attempts that broke off there.
+func (n *crashState) endCheck(incarnation quarantine.Incarnation, crashed bool) []quarantine.Attempt {
+	n.checks[incarnation].End(crashed)
+	delete(n.checks, incarnation)
+	return n.lost.Take(incarnation)
 }
 
 // probe is a pending check whether an upstream has crashed.
@@ -236,7 +256,7 @@
 	crashed := e.options.Upstreams.Crashed(ctx, address)
 	now := time.Now()
 	e.mu.Lock()
-	attempts := e.crashes.lost.Take(incarnation)
+	attempts := e.crashes.endCheck(incarnation, crashed)
 	crash := quarantine.NewCrash(incarnation, attempts, &e.crashes.served, now)
 	blamed := crashed && len(crash.Fingerprints) > 0
 	if blamed {
--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -105,6 +106,42 @@
 	})
 }
 
+// Guards against prompts and calls that are repeated to a third upstream before
+// the check of the second has ended, and are quarantined for it.
+func TestNothingIsRepeatedAfterTwoCrashes(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestEntry(t)
+			b.options.Random = rand.New(rand.NewPCG(seed, 1))
+			b.upstreams.crashed = true
+			for _, name := range []string{"runner-1", "runner-2", "runner-3", "runner-4"} {
+				b.engine(t, name, step{refuse: errLost})
+			}
+			for _, name := range []string{"app-1", "app-2", "app-3", "app-4"} {
+				f := b.service(t, name)
+				f.errs = append(f.errs, errLost)
+			}
+			runEntries(t, b)
+			_ = b.sendPrompt(t, 1, 1)
+			caller, err := b.Authorize(digest(testToken))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = b.Call(t.Context(), ServiceCall{Request: ident.Request{2}, Caller: caller, Service: "clock-app", Method: "GET", Path: "/lots/1"})
+			sent, called := 0, 0
+			for _, f := range b.upstreams.engines {
+				sent += len(f.requests)
+			}
+			for _, f := range b.upstreams.services {
+				called += len(f.calls)
+			}
+			if sent != 2 || called != 2 {
+				t.Errorf("seed %d: a prompt crashed %d engines, a call %d replicas, want 2", seed, sent, called)
+			}
+		})
+	}
+}
+
 // connect lets two entries exchange crash messages and run. Upstreams whose
 // connections break have crashed.
 func connect(t *testing.T, one, two *testEntry) {
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -126,7 +126,8 @@
 		a.possiblyRan = err
 		if a.ctx.Err() == nil {
 			c := a.plan.candidate
-			a.entry.recordLost(c.Upstream, c.Incarnation, c.Address, quarantine.Attempt{Request: a.attempt.Request.String(), Fingerprint: a.job.fingerprint})
+			check := a.entry.recordLost(c.Upstream, c.Incarnation, c.Address, quarantine.Attempt{Request: a.attempt.Request.String(), Fingerprint: a.job.fingerprint})
+			a.job.crashChecks = append(a.job.crashChecks, check)
 		}
 	}
 	result := upstream.Failed
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -7,6 +7,7 @@
 
 	"github.com/lovagereach/lovagereach/config"
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/prefix"
@@ -32,6 +33,8 @@
 	prompt Prompt
 	// fingerprint identifies the prompt for quarantine.
 	fingerprint quarantine.Fingerprint
+	// crashChecks are the checks of the upstreams at which its attempts broke off.
+	crashChecks crash.Checks
 	model       *config.Model
 	class       *config.Class
 	arrived     time.Time
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -10,6 +10,7 @@
 	"github.com/lovagereach/lovagereach/admit"
 	"github.com/lovagereach/lovagereach/config"
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/once"
 	"github.com/lovagereach/lovagereach/outcome"
@@ -43,6 +44,8 @@
 	possiblyRan error
 	// fingerprint identifies the call for quarantine.
 	fingerprint quarantine.Fingerprint
+	// crashChecks are the checks of the upstreams at which its attempts broke off.
+	crashChecks crash.Checks
 }
 
 // Call implements Service.
@@ -229,7 +232,8 @@
 	e.mu.Unlock()
 	broke := func() {
 		if ctx.Err() == nil {
-			e.recordLost(chosen.Upstream, chosen.Incarnation, chosen.Address, quarantine.Attempt{Request: attempt.Request.String(), Fingerprint: j.fingerprint})
+			check := e.recordLost(chosen.Upstream, chosen.Incarnation, chosen.Address, quarantine.Attempt{Request: attempt.Request.String(), Fingerprint: j.fingerprint})
+			j.crashChecks = append(j.crashChecks, check)
 		}
 	}
 	if outcome.KindOf(err) == outcome.KindUnknown {
@@ -328,7 +332,7 @@
 	if j.attempts == 0 {
 		return cause
 	}
-	if !e.mayRepeat(j.fingerprint, cause, j.possiblyRan) {
+	if !e.mayRepeat(ctx, j.fingerprint, j.crashChecks, cause, j.possiblyRan) {
 		return j.finalOutcome(cause)
 	}
 	e.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
@@ -209,6 +210,8 @@
 	mayHaveRun bool
 	// fingerprint identifies the request across attempts and entries.
 	fingerprint quarantine.Fingerprint
+	// crashChecks are the checks of the upstreams at which its sends broke off.
+	crashChecks crash.Checks
 	// last is the latest send.
 	last *plan
 	// headSent indicates that the caller has received the status and headers.
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/quarantine"
@@ -33,10 +34,13 @@
 // recordLost records that a send broke off and, for the first one of an incarnation, checks
 // whether its upstream has crashed. The caller holds the lock.
 func (r *run) recordLost(p *plan) {
+	s := r.gateway.state
 	incarnation := quarantine.Incarnation{Upstream: p.upstream.record.ID, StartedMs: p.upstream.record.StartedMs}
-	if r.gateway.state.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Fingerprint: r.fingerprint}) {
+	if s.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Fingerprint: r.fingerprint}) {
+		s.crashChecks[incarnation] = crash.NewCheck()
 		go r.gateway.checkCrash(incarnation, p.send)
 	}
+	r.crashChecks = append(r.crashChecks, s.crashChecks[incarnation])
 }
 
 // checkCrash checks whether an upstream whose sends broke off has crashed.
@@ -48,6 +52,8 @@
 	s := g.state
 	s.mu.Lock()
 	attempts := s.lost.Take(incarnation)
+	s.crashChecks[incarnation].End(crashed)
+	delete(s.crashChecks, incarnation)
 	if crashed {
 		g.reportCrash(incarnation, attempts, time.Now())
 		g.meter.crashes.Inc()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -83,12 +83,13 @@
 
 // suspected reports whether one more crash under the request would quarantine it. The retry is
 // then left to its caller: a retry by this entry could crash one more upstream before the
-// verdict is known.
-func (r *run) suspected() bool {
+// verdict is known, or meet the request that crashes them a third time.
+func (r *run) suspected(ctx context.Context) bool {
 	s, p := r.gateway.state, r.fingerprint
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.verdicts.quarantined[p] || s.verdicts.suspects[p]
+	reported, served := s.verdicts.quarantined[p] || s.verdicts.suspects[p], s.served.Has(p, time.Now())
+	s.mu.Unlock()
+	return reported || !served && r.crashChecks.MakeSuspect(ctx)
 }
 
 // reports merges everything to be reported to the control hosts into one pending report. The
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -128,6 +128,47 @@
 	}
 }
 
+// Guards against a request that follows the one that crashes upstreams: retried at once, it is in
+// flight at as many crashes as quarantine a request, before the control hosts know of the first.
+func TestRequestIsNotRetriedAfterTwoCrashes(t *testing.T) {
+	for name, test := range map[string]struct {
+		crashed, served bool
+		sends           int
+	}{
+		"upstreams crashed":                  {crashed: true, sends: 2},
+		"connections broke":                  {sends: 3},
+		"crashed, the request served before": {crashed: true, served: true, sends: 3},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			broken := false
+			g, sender := testGateway(t, func(int, *Send) (*Answer, error) {
+				if broken {
+					return nil, connectionLost()
+				}
+				return status(200), nil
+			})
+			document := testDocument()
+			document.Version++
+			document.Routes[0].Attempts = 4
+			g.ApplyAnswer(&steward.WatchAnswer{Partial: true, Term: 1, Document: document}, time.Now())
+			if test.served {
+				serve(g, request("/safe/x"))
+			}
+			broken = true
+			sender.crashed = map[string]bool{"a1": test.crashed, "a2": test.crashed, "a3": test.crashed}
+			began, before := time.Now(), sender.count()
+			serve(g, request("/safe/x"))
+			if n := sender.count() - before; n != test.sends {
+				t.Errorf("%s: %d sends, want %d", name, n, test.sends)
+			}
+			if took := time.Since(began); took > 100*time.Millisecond {
+				t.Errorf("%s: its caller is answered after %v", name, took)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
+
 // Guards against requests quarantined because many callers send them, so that they were under
 // way when three runners crashed: a request that the entry has served lately is not the cause.
 // The entry reports the others, still sends it although it is quarantined, and has it cleared.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -89,9 +89,9 @@
 		return false, r.refusal(outcome.ReasonRefused, r.retryAfterRefusal(now), err.Error())
 	case errors.As(err, &failed):
 		return true, nil
-	case r.handedOver || r.suspected():
+	case r.handedOver:
 		return false, unknownOutcome(err)
-	case r.mayRepeat() && r.sends < r.maxAttempts() && r.takeRetryBudget(now):
+	case r.mayRepeat() && r.sends < r.maxAttempts() && !r.suspected(ctx) && r.takeRetryBudget(time.Now()):
 		return true, nil
 	}
 	return false, unknownOutcome(err)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -9,6 +9,7 @@
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/estimate"
 	"github.com/lovagereach/lovagereach/evacuation"
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/ratelimit"
@@ -125,6 +126,8 @@
 	recent                 *recentParts
 	// lost holds the sends that broke off lately.
 	lost quarantine.LostAttempts
+	// crashChecks holds the checks of the upstreams at which they broke off.
+	crashChecks map[quarantine.Incarnation]*crash.Check
 	// verdicts holds the requests that crash upstreams.
 	verdicts verdicts
 	// evacuation lists the data centres whose upstreams get no new work.
@@ -208,6 +211,7 @@
 		allowance:        warmup.NewAllowance(time.Now()),
 		limits:           ratelimit.NewAllowance(host),
 		reach:            reach.NewTracker(),
+		crashChecks:      make(map[quarantine.Incarnation]*crash.Check),
 		peerLoads:        make(map[string]*peerLoad),
 
 		announceWithin:     steward.DefaultAnnounceEvery + announceDelay,
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -10,9 +10,9 @@
 	// CrashThreshold is the number of upstreams that must crash under a request
 	// before it is quarantined. Fewer may crash by chance while a request is retried.
 	CrashThreshold = 3
-	// suspectThreshold is the number of crashes from which a request is a suspect:
+	// SuspectThreshold is the number of crashes from which a request is a suspect:
 	// one more quarantines it.
-	suspectThreshold = CrashThreshold - 1
+	SuspectThreshold = CrashThreshold - 1
 	// MaxCrashes bounds the recorded crashes, and MaxFingerprints the requests
 	// recorded for each, which is more than an upstream runs at the same time.
 	// Together they allow 32,768 fingerprints, 0.5 MB.
@@ -177,7 +177,7 @@
 // selectSuspects returns further requests that were in flight at enough crashes that
 // no quarantined request explains.
 func (t *Tracker) selectSuspects(quarantined []Fingerprint) []Fingerprint {
-	byRequest := t.crashesByRequest(suspectThreshold)
+	byRequest := t.crashesByRequest(SuspectThreshold)
 	isQuarantined := make(map[Fingerprint]bool, len(quarantined))
 	for _, f := range quarantined {
 		isQuarantined[f] = true
@@ -191,7 +191,7 @@
 				left--
 			}
 		}
-		if left >= suspectThreshold {
+		if left >= SuspectThreshold {
 			suspects[f] = true
 		}
 	}
