--- a/internal/crash/check.go
+++ b/internal/crash/check.go
@@ -47,10 +47,10 @@
 // Checks are the checks of the upstreams at which the attempts of one request broke off.
 type Checks []*Check
 
-// MakeSuspect reports whether one more crash would quarantine the request. The control hosts, or the
+// Suspect reports whether one more crash would quarantine the request. The control hosts, or the
 // other entries, learn of crashes later than the entry that retries. It waits for the checks, at most
 // waitTime, if enough attempts broke off.
-func (c Checks) MakeSuspect(ctx context.Context) bool {
+func (c Checks) Suspect(ctx context.Context) bool {
 	if len(c) < quarantine.SuspectThreshold {
 		return false
 	}
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -184,7 +184,7 @@
 	e.mu.Lock()
 	served := e.crashes.served.Has(p, time.Now())
 	e.mu.Unlock()
-	return !e.isSuspect(p) && (served || !checks.MakeSuspect(ctx))
+	return !e.isSuspect(p) && (served || !checks.Suspect(ctx))
 }
 
 // isSuspect reports whether a request is quarantined or suspected.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -89,7 +89,7 @@
 	s.mu.Lock()
 	reported, served := s.verdicts.quarantined[p] || s.verdicts.suspects[p], s.served.Has(p, time.Now())
 	s.mu.Unlock()
-	return reported || !served && r.crashChecks.MakeSuspect(ctx)
+	return reported || !served && r.crashChecks.Suspect(ctx)
 }
 
 // reports merges everything to be reported to the control hosts into one pending report. The
