Logs and metrics: parts of prompts at lost upstreams, answers that end with their connection

Cause: with what was logged the hypotheses of the incident can't be told apart: upstream lost names requests but nothing of their prompts, and no line tells that an answer had neither a length nor chunks. Change: quarantine.Part has a fingerprint; upstream lost lists those of the requests' parts but the last ones (parts). The request line says unframed, counter lovagereach_gateway_unframed_answers_total. No decision changes.

Measured: tests of internal/gateway, platform, quarantine and internal/decision pass.

--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -64,8 +64,11 @@
 	LastEvent string
 	// ForwardedTo is the entry that the request was forwarded to, empty if it was not.
 	ForwardedTo string
-	Choice      Choice
-	View        View
+	// Unframed indicates that the answer had neither a length nor chunks, and ended with its
+	// connection.
+	Unframed bool
+	Choice   Choice
+	View     View
 }
 
 // Class implements Event.
@@ -91,6 +94,9 @@
 	if e.ForwardedTo != "" {
 		fields = append(fields, "forwarded_to", e.ForwardedTo)
 	}
+	if e.Unframed {
+		fields = append(fields, "unframed", true)
+	}
 	if e.Cause != nil {
 		fields = append(fields, "cause", e.Cause, "begun", e.Started, "last_event", e.LastEvent)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,6 +210,8 @@
 	mayHaveRun bool
 	// fingerprint identifies the request across attempts and entries.
 	fingerprint quarantine.Fingerprint
+	// parts identify the parts of its prompt that other requests may share.
+	parts []quarantine.Fingerprint
 	// crashChecks are the checks of the upstreams at which its sends broke off.
 	crashChecks crash.Checks
 	// last is the latest send.
@@ -226,6 +228,8 @@
 	// the answer.
 	status int
 	first  time.Duration
+	// unframed indicates that the latest answer ended with its connection.
+	unframed bool
 	// waited is the time spent waiting for capacity.
 	waited time.Duration
 }
@@ -270,7 +274,7 @@
 	r.deadline = request.Arrived.Add(timeout)
 	r.usualWait = g.state.observeWait(route.Name, timeout)
 	r.service = pickTarget(route.Targets)
-	r.fingerprint = r.computeFingerprint()
+	r.fingerprint, r.parts = r.computeFingerprint(), r.partFingerprints()
 	if request.Prompt != nil {
 		r.smallUpTo = r.smallLimit(index.Service(r.service))
 	}
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +21,23 @@
 	return q.Fingerprint()
 }
 
+// partFingerprints returns the fingerprints of the parts that other requests may share, without
+// duplicates. The last part belongs to the request.
+func (r *run) partFingerprints() []quarantine.Fingerprint {
+	prompt := r.request.Prompt
+	if prompt == nil || len(prompt.Parts) < 2 {
+		return nil
+	}
+	var list []quarantine.Fingerprint
+	for _, part := range prompt.Parts[:len(prompt.Parts)-1] {
+		p := quarantine.Part{Service: r.service, Team: r.callerTeam(), Model: prompt.Model, ID: part.ID}
+		if f := p.Fingerprint(); !slices.Contains(list, f) {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
 // callerTeam returns the name of the team that holds the caller's key, also on a route that
 // requires no key.
 func (r *run) callerTeam() string {
@@ -36,7 +54,7 @@
 func (r *run) recordLost(p *plan) {
 	s := r.gateway.state
 	incarnation := quarantine.Incarnation{Upstream: p.upstream.record.ID, StartedMs: p.upstream.record.StartedMs}
-	if s.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Fingerprint: r.fingerprint}) {
+	if s.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Fingerprint: r.fingerprint, Parts: r.parts}) {
 		s.crashChecks[incarnation] = crash.NewCheck()
 		go r.gateway.checkCrash(incarnation, p.send)
 	}
@@ -63,6 +81,11 @@
 	for _, a := range attempts {
 		event.Requests = append(event.Requests, a.Request)
 		event.Fingerprints = append(event.Fingerprints, a.Fingerprint.String())
+		for _, part := range a.Parts {
+			if name := part.String(); !slices.Contains(event.Parts, name) {
+				event.Parts = append(event.Parts, name)
+			}
+		}
 	}
 	g.options.Decisions.Emit(event)
 }
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -38,6 +38,8 @@
 	// forwarded counts requests that were sent to another entry, received those that another
 	// entry forwarded to this one.
 	forwarded, received *metrics.Counter
+	// unframed counts answers that ended with their connection, without a length or chunks.
+	unframed *metrics.Counter
 	// crashes counts upstreams that were found to have crashed under requests.
 	crashes *metrics.Counter
 	// quarantined counts requests that were sent to no upstream because they crash upstreams.
@@ -77,6 +79,7 @@
 	}
 	m.limitedSends, m.backOffSends = counter("limited_sends"), counter("back_off_sends")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
+	m.unframed = counter("unframed_answers")
 	m.crashes, m.quarantined = counter("upstream_ends"), counter("held")
 	for _, reason := range countedReasons {
 		m.notRun[reason] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_not_run_total{reason=%q}`, reason))
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -87,7 +87,7 @@
 		return
 	}
 	r.service = origin.Service
-	r.fingerprint = r.computeFingerprint()
+	r.fingerprint, r.parts = r.computeFingerprint(), r.partFingerprints()
 	if r.request.Prompt != nil {
 		r.smallUpTo = r.smallLimit(r.index.Service(r.service))
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -284,6 +284,10 @@
 	for {
 		piece, err := answer.Body.Next()
 		if errors.Is(err, io.EOF) {
+			if answer.Unframed {
+				r.unframed = true
+				r.gateway.meter.unframed.Inc()
+			}
 			if err := fw.begin(); err != nil {
 				r.release(p)
 				return err
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -182,7 +182,10 @@
 	Brittle int
 	// Length is the body's length, -1 if unknown.
 	Length int64
-	Body   Body
+	// Unframed indicates that the body has neither a length nor chunks: it ends with its
+	// connection, as it also does if the upstream crashes.
+	Unframed bool
+	Body     Body
 }
 
 // Sender sends requests to upstreams. An error is *outcome.NotRun if no byte can have reached
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"hash"
 	"io"
+	"strings"
 )
 
 // Fingerprint identifies the requests with the same content. It is part of a
@@ -45,6 +46,27 @@
 	return f
 }
 
+// Part is a part of a prompt, as its caller names it. Prompts that share a part may differ in
+// everything else.
+type Part struct {
+	// Service, Team and Model scope the part: another team that names the same part, or another
+	// service that runs it, is judged by its own crashes.
+	Service, Team, Model string
+	// ID is hexadecimal, in any letters.
+	ID string
+}
+
+// Fingerprint returns the fingerprint of the part. It never equals that of a request.
+func (p *Part) Fingerprint() Fingerprint {
+	digest := sha256.New()
+	for _, field := range []string{"part", p.Service, p.Team, p.Model, strings.ToLower(p.ID)} {
+		writeField(digest, field)
+	}
+	var f Fingerprint
+	copy(f[:], digest.Sum(nil))
+	return f
+}
+
 // writeField writes a field prefixed with its length, so that different requests
 // never write the same bytes.
 func writeField(digest hash.Hash, field string) {
--- a/quarantine/lost.go
+++ b/quarantine/lost.go
@@ -18,6 +18,8 @@
 type Attempt struct {
 	Request     string
 	Fingerprint Fingerprint
+	// Parts are the fingerprints of the parts of its prompt that other requests may share.
+	Parts []Fingerprint
 }
 
 // LostAttempts collects the attempts that broke off at each upstream until it is known
