--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -59,7 +59,7 @@
 		AnnounceEvery: s.AnnounceEvery(),
 		// The follower's clock counts suspensions of the machine.
 		ConfigExpired: func(time.Time) bool { return follower.ConfigExpired(follower.Now()) },
-		Origins:       follower, Clock: follower.Now,
+		Origins:       follower, RequestTrial: follower.RequestTrial, Clock: follower.Now,
 		Log: env.Log, Decisions: decision.New(env.Log),
 	})
 	if err != nil {
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -53,7 +53,7 @@
 	lost    quarantine.LostAttempts
 	// checks holds the checks of the upstreams at which attempts broke off.
 	checks map[quarantine.Incarnation]*crash.Check
-	served quarantine.RecentlyServed
+	served quarantine.Served
 	// seen records when each crash was observed, as far as this entry knows.
 	seen quarantine.CrashTimes
 	// own are the crashes that this entry observed itself. It sends them to the
@@ -166,7 +166,7 @@
 func (e *Entry) checkQuarantine(p quarantine.Fingerprint) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !slices.Contains(e.crashes.tracker.Quarantined(), p) || e.crashes.served.Has(p, time.Now()) {
+	if !slices.Contains(e.crashes.tracker.Quarantined(), p) || e.crashes.served.Requests.Has(p, time.Now()) {
 		return nil
 	}
 	e.counts.quarantined.Inc()
@@ -182,7 +182,7 @@
 		return true
 	}
 	e.mu.Lock()
-	served := e.crashes.served.Has(p, time.Now())
+	served := e.crashes.served.Requests.Has(p, time.Now())
 	e.mu.Unlock()
 	return !e.isSuspect(p) && (served || !checks.Suspect(ctx))
 }
@@ -257,7 +257,7 @@
 	now := time.Now()
 	e.mu.Lock()
 	attempts := e.crashes.endCheck(incarnation, crashed)
-	crash := quarantine.NewCrash(incarnation, attempts, &e.crashes.served, now)
+	crash := quarantine.NewCrash(incarnation, attempts, &e.crashes.served, nil, now)
 	blamed := crashed && len(crash.Fingerprints) > 0
 	if blamed {
 		e.crashes.own = append(e.crashes.own, ownCrash{crash: crash, seenAt: now})
@@ -277,7 +277,7 @@
 // and suspicion.
 func (e *Entry) recordServed(p quarantine.Fingerprint) {
 	e.mu.Lock()
-	e.crashes.served.Record(p, time.Now())
+	e.crashes.served.Record(p, nil, time.Now())
 	e.mu.Unlock()
 	if e.isSuspect(p) {
 		cleared := crashMessage{Served: []quarantine.Fingerprint{p}}
@@ -316,7 +316,7 @@
 	var cleared crashMessage
 	if e.crashes.apply(now, m) {
 		for _, p := range append(slices.Clone(e.crashes.tracker.Quarantined()), e.crashes.tracker.Suspects()...) {
-			if e.crashes.served.Has(p, now) {
+			if e.crashes.served.Requests.Has(p, now) {
 				cleared.Served = append(cleared.Served, p)
 			}
 		}
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -181,7 +181,7 @@
 	case p := <-w.granted:
 		r.waited += time.Since(now)
 		if p == nil {
-			return nil, quarantine.ErrQuarantined
+			return nil, cmp.Or(r.quarantineError(), quarantine.ErrQuarantined)
 		}
 		return p, nil
 	case <-timer.C:
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -30,6 +30,9 @@
 	Evacuated []string `json:"evacuated_data_centres"`
 	// Quarantined lists the fingerprints of the requests that are sent to no upstream.
 	Quarantined []string `json:"held_requests"`
+	// QuarantinedParts lists the fingerprints of the parts of prompts whose requests are sent to no
+	// upstream, except for trials.
+	QuarantinedParts []string `json:"held_parts"`
 }
 
 // DumpedEstimate is what an entry has learned of the engines and prompts of one service.
@@ -97,7 +100,11 @@
 		d.Quarantined = append(d.Quarantined, p.String())
 	}
 	d.Evacuated = slices.Clone(g.state.evacuation.DataCentres)
+	for p := range s.verdicts.parts.quarantined {
+		d.QuarantinedParts = append(d.QuarantinedParts, p.String())
+	}
 	slices.Sort(d.Quarantined)
+	slices.Sort(d.QuarantinedParts)
 	for _, id := range slices.Sorted(maps.Keys(s.upstreams)) {
 		u := s.upstreams[id]
 		d.Upstreams = append(d.Upstreams, DumpedUpstream{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,9 @@
 	// Origins is the control hosts' memory of what began streams; nil if there is none, as for
 	// a deployment with one entry.
 	Origins Origins
+	// RequestTrial asks the control hosts whether one request with quarantined parts may be sent
+	// to an upstream; nil if there are none to ask.
+	RequestTrial func(ctx context.Context, parts []quarantine.Fingerprint) bool
 	// Clock counts suspensions of the machine, unlike time.Now, which is used if it is nil.
 	Clock func() time.Time
 	Log   *log.Logger
@@ -212,6 +215,8 @@
 	fingerprint quarantine.Fingerprint
 	// parts identify the parts of its prompt that other requests may share.
 	parts []quarantine.Fingerprint
+	// trials are the quarantined parts that the request may be sent with, once.
+	trials []quarantine.Fingerprint
 	// crashChecks are the checks of the upstreams at which its sends broke off.
 	crashChecks crash.Checks
 	// last is the latest send.
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -54,7 +54,7 @@
 func (r *run) recordLost(p *plan) {
 	s := r.gateway.state
 	incarnation := quarantine.Incarnation{Upstream: p.upstream.record.ID, StartedMs: p.upstream.record.StartedMs}
-	if s.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Fingerprint: r.fingerprint, Parts: r.parts}) {
+	if s.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Fingerprint: r.fingerprint, Parts: r.parts, Sent: p.sent}) {
 		s.crashChecks[incarnation] = crash.NewCheck()
 		go r.gateway.checkCrash(incarnation, p.send)
 	}
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -44,6 +44,8 @@
 	crashes *metrics.Counter
 	// quarantined counts requests that were sent to no upstream because they crash upstreams.
 	quarantined *metrics.Counter
+	// trials counts requests that were sent although a part of their prompt is quarantined.
+	trials *metrics.Counter
 	// notRun counts requests that did not run, by reason.
 	notRun map[outcome.Reason]*metrics.Counter
 	other  *metrics.Counter
@@ -52,7 +54,7 @@
 // countedReasons are the reasons with a counter of their own.
 var countedReasons = []outcome.Reason{
 	ReasonNoConfig, ReasonNoRoute, ReasonTooLong, outcome.ReasonUnauthorized, outcome.ReasonOverloaded, outcome.ReasonNoUpstream,
-	outcome.ReasonDial, ReasonConnections, ReasonPeer, outcome.ReasonRefused, outcome.ReasonDeadline, ReasonOrigin, ReasonRestarted,
+	outcome.ReasonDial, ReasonConnections, ReasonPeer, outcome.ReasonRefused, outcome.ReasonDeadline, ReasonOrigin, ReasonRestarted, ReasonQuarantinedPart,
 }
 
 func newMeter(s *state, open func() float64) *meter {
@@ -80,7 +82,7 @@
 	m.limitedSends, m.backOffSends = counter("limited_sends"), counter("back_off_sends")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
-	m.crashes, m.quarantined = counter("upstream_ends"), counter("held")
+	m.crashes, m.quarantined, m.trials = counter("upstream_ends"), counter("held"), counter("trials")
 	for _, reason := range countedReasons {
 		m.notRun[reason] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_not_run_total{reason=%q}`, reason))
 	}
@@ -112,6 +114,7 @@
 	upstreams("upstreams_backed_off", (*upstreamState).backsOff)
 	gauge("evacuated_data_centres", func(s *state, _ time.Time) float64 { return float64(len(s.evacuation.DataCentres)) })
 	gauge("held_requests", func(s *state, _ time.Time) float64 { return float64(len(s.verdicts.quarantined)) })
+	gauge("held_parts", func(s *state, _ time.Time) float64 { return float64(len(s.verdicts.parts.quarantined)) })
 	gauge("view_age_seconds", func(s *state, now time.Time) float64 { return now.Sub(s.inventoriesAt).Seconds() })
 	return m
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -40,7 +40,7 @@
 // that was sent to no upstream is forwarded: the peer doesn't know of earlier sends.
 func (r *run) choosePeer(now time.Time) (steward.PeerView, bool) {
 	g := r.gateway
-	if g.options.Peers == nil || r.request.Forwarded || r.sends > 0 || r.mayHaveRun {
+	if g.options.Peers == nil || r.request.Forwarded || r.sends > 0 || r.mayHaveRun || r.isTrial() {
 		return steward.PeerView{}, false
 	}
 	s := g.state
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -14,10 +14,12 @@
 // reportRetryDelay is the pause before a failed report is sent again.
 const reportRetryDelay = 100 * time.Millisecond
 
-// verdicts holds the requests that crash upstreams, as reported by the control hosts.
+// verdicts holds the requests, and the parts of prompts, that crash upstreams, as reported by the
+// control hosts.
 type verdicts struct {
 	revision              uint64
 	quarantined, suspects map[quarantine.Fingerprint]bool
+	parts                 partVerdicts
 }
 
 // applyQuarantine applies the verdicts of the control hosts. Requests that this entry has
@@ -31,11 +33,12 @@
 	s.verdicts = verdicts{
 		revision:    view.Revision,
 		quarantined: make(map[quarantine.Fingerprint]bool, len(view.Quarantined)), suspects: make(map[quarantine.Fingerprint]bool, len(view.Suspects)),
+		parts: s.verdicts.parts,
 	}
 	var cleared []quarantine.Fingerprint
 	add := func(reported []quarantine.Fingerprint, into map[quarantine.Fingerprint]bool) {
 		for _, p := range reported {
-			if s.served.Has(p, now) {
+			if s.served.Requests.Has(p, now) {
 				cleared = append(cleared, p)
 				continue
 			}
@@ -44,6 +47,7 @@
 	}
 	add(view.Quarantined, s.verdicts.quarantined)
 	add(view.Suspects, s.verdicts.suspects)
+	cleared = append(cleared, s.applyParts(view, now)...)
 	s.releaseQuarantined()
 	g.reports.add(steward.Report{Served: cleared})
 }
@@ -52,7 +56,7 @@
 // capacity. The caller holds the lock.
 func (s *state) releaseQuarantined() {
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool {
-		quarantined := s.verdicts.quarantined[w.run.fingerprint]
+		quarantined := s.verdicts.quarantined[w.run.fingerprint] || w.run.hasQuarantinedPart()
 		if quarantined {
 			w.granted <- nil
 		}
@@ -65,20 +69,26 @@
 	s, p := r.gateway.state, r.fingerprint
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.served.Record(p, time.Now())
+	now := time.Now()
+	s.served.Record(p, r.parts, now)
+	cleared := s.verdicts.parts.clear(r.parts, now)
 	if s.verdicts.quarantined[p] || s.verdicts.suspects[p] {
 		delete(s.verdicts.quarantined, p)
 		delete(s.verdicts.suspects, p)
-		r.gateway.reports.add(steward.Report{Served: []quarantine.Fingerprint{p}})
+		cleared = append(cleared, p)
 	}
+	r.gateway.reports.add(steward.Report{Served: cleared})
 }
 
-// quarantined reports whether the request must be sent to no upstream.
-func (r *run) quarantined() bool {
-	s, p := r.gateway.state, r.fingerprint
+// quarantineError returns why the request must be sent to no upstream, nil if it may be sent.
+func (r *run) quarantineError() error {
+	s := r.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.verdicts.quarantined[p]
+	if s.verdicts.quarantined[r.fingerprint] {
+		return quarantine.ErrQuarantined
+	}
+	return r.partError(time.Now())
 }
 
 // suspected reports whether one more crash under the request would quarantine it. The retry is
@@ -87,7 +97,8 @@
 func (r *run) suspected(ctx context.Context) bool {
 	s, p := r.gateway.state, r.fingerprint
 	s.mu.Lock()
-	reported, served := s.verdicts.quarantined[p] || s.verdicts.suspects[p], s.served.Has(p, time.Now())
+	reported, served := s.verdicts.quarantined[p] || s.verdicts.suspects[p], s.served.Requests.Has(p, time.Now())
+	reported = reported || s.verdicts.parts.suspects(r.parts)
 	s.mu.Unlock()
 	return reported || !served && r.crashChecks.Suspect(ctx)
 }
@@ -97,6 +108,8 @@
 type reports struct {
 	mu      sync.Mutex
 	pending steward.Report
+	// noticed holds when the pending crashes were noticed.
+	noticed quarantine.CrashTimes
 	// ready holds an item while a report is pending.
 	ready chan struct{}
 }
@@ -110,6 +123,9 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	for _, c := range r.Crashes {
+		q.noticed.Record(c.Incarnation, time.Now())
+	}
 	q.merge(q.pending, r)
 }
 
@@ -140,11 +156,25 @@
 func (q *reports) take() steward.Report {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.pending
+	r, now := q.pending, time.Now()
+	for i := range r.Crashes {
+		r.Crashes[i].Age = q.noticed.Age(r.Crashes[i].Incarnation, now)
+	}
 	q.pending = steward.Report{}
 	return r
 }
 
+// forgetSent forgets when crashes were noticed that are no longer pending.
+func (q *reports) forgetSent() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var pending []quarantine.Incarnation
+	for _, c := range q.pending.Crashes {
+		pending = append(pending, c.Incarnation)
+	}
+	q.noticed.Sync(pending, time.Now())
+}
+
 // Report sends this entry's reports on requests that crash upstreams to the control hosts
 // until ctx ends. It repeats a report that could not be sent.
 func (g *Gateway) Report(ctx context.Context, send func(context.Context, *steward.Report) error) {
@@ -156,6 +186,7 @@
 		}
 		r := g.reports.take()
 		if send(ctx, &r) == nil {
+			g.reports.forgetSent()
 			continue
 		}
 		g.reports.putBack(r)
@@ -166,7 +197,9 @@
 // reportCrash reports the requests that were under way at an upstream when it crashed. The
 // caller holds the lock.
 func (g *Gateway) reportCrash(incarnation quarantine.Incarnation, attempts []quarantine.Attempt, now time.Time) {
-	if crash := quarantine.NewCrash(incarnation, attempts, &g.state.served, now); len(crash.Fingerprints) > 0 {
+	s := g.state
+	crash := quarantine.NewCrash(incarnation, attempts, &s.served, s.verdicts.parts.listed, now)
+	if len(crash.Fingerprints)+len(crash.Parts) > 0 {
 		g.reports.add(steward.Report{Crashes: []quarantine.Crash{crash}})
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,7 +9,6 @@
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/outcome"
-	"github.com/lovagereach/lovagereach/quarantine"
 )
 
 // serve sends the request until it has a final answer.
@@ -114,7 +113,7 @@
 // mayRepeat reports whether the request may run once more: a resumable stream at any time, a
 // safe request while the caller has received nothing of an answer.
 func (r *run) mayRepeat() bool {
-	return r.route.Repeatable() && (r.route.Kind == catalog.Stream || !r.headSent) && !r.origin.Uncertain
+	return r.route.Repeatable() && (r.route.Kind == catalog.Stream || !r.headSent) && !r.origin.Uncertain && !r.isTrial()
 }
 
 // refusal returns an error that the request has not run or, if an earlier send may have run,
@@ -151,8 +150,8 @@
 // attempt makes one send and forwards its answer. A nil error means that the caller has a
 // complete answer.
 func (r *run) attempt(ctx context.Context, respond Responder) error {
-	if r.quarantined() {
-		return quarantine.ErrQuarantined
+	if err := r.checkQuarantine(ctx); err != nil {
+		return err
 	}
 	if peer, found := r.choosePeer(time.Now()); found {
 		return r.sendToPeer(ctx, respond, peer)
@@ -214,9 +213,10 @@
 // stillWanted returns the reason why a request with a plan must not be sent any more, nil if
 // it may. The conditions checked before may have changed if the process was suspended.
 func (r *run) stillWanted(ctx context.Context) error {
+	if err := r.quarantineError(); err != nil {
+		return err
+	}
 	switch {
-	case r.quarantined():
-		return quarantine.ErrQuarantined
 	case errors.Is(ctx.Err(), context.Canceled):
 		return errCallerGone
 	case time.Until(r.deadline) < minWait:
@@ -229,7 +229,7 @@
 // request is sent to another upstream.
 func (r *run) retriesFailure(answer *Answer) bool {
 	now := time.Now()
-	return answer.Status >= 500 && !r.headSent && r.route.Repeatable() && r.sends < r.maxAttempts() &&
+	return answer.Status >= 500 && !r.headSent && r.route.Repeatable() && !r.isTrial() && r.sends < r.maxAttempts() &&
 		r.deadline.Sub(now) > minWait && r.takeRetryBudget(now)
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -148,7 +148,7 @@
 	peerLoads map[string]*peerLoad
 	// served holds the requests that were served lately: they are not considered the cause of
 	// a crash.
-	served quarantine.RecentlyServed
+	served quarantine.Served
 	// waiting holds the requests that wait for capacity, in the order of dispatch.
 	waiting    []*waiter
 	waitLimits waitLimits
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -10,6 +10,7 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wait"
+	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/ratelimit"
 	"github.com/lovagereach/lovagereach/rollout"
 	"github.com/lovagereach/lovagereach/roster"
@@ -58,6 +59,9 @@
 
 	announceEvery announceInterval
 
+	// granting is held while a trial of quarantined parts is granted.
+	granting sync.Mutex
+
 	mu sync.Mutex
 	// lastContacts holds the time of each upstream's latest contact, by the listening clock.
 	lastContacts map[string]time.Time
@@ -69,6 +73,8 @@
 	sizeKnown       bool
 	// pendingReports is the batch of reports being gathered, nil if there is none.
 	pendingReports *reportBatch
+	// crashGroups assigns reported crashes to groups.
+	crashGroups quarantine.CrashGroups
 	// crashesCheckedAt is the time of the latest check for expired crashes.
 	crashesCheckedAt time.Time
 	// sentLists holds the list of entries last sent to each control host.
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -29,6 +29,8 @@
 	Evacuate *evacuation.Order        `cbor:"7,keyasint,omitempty"`
 	// Upstreams is a batch of announcements.
 	Upstreams []roster.Upstream `cbor:"8,keyasint,omitempty"`
+	// Trial lists the quarantined parts of a request that is sent as a trial.
+	Trial []quarantine.Fingerprint `cbor:"9,keyasint,omitempty"`
 }
 
 // storeIncarnation is the incarnation in which a store was last opened to entries. A new leader
@@ -62,10 +64,14 @@
 	roster            *roster.Roster
 	storeIncarnations map[string]uint64
 	// quarantine tracks the requests that crash upstreams. crashesSeen holds the time at which
-	// this host learnt of each crash; like targets, it is local to the host.
+	// this host learnt of each crash, trialTimes those of the quarantined parts; like targets,
+	// they are local to the host.
 	quarantine  *quarantine.Tracker
 	crashesSeen quarantine.CrashTimes
-	evacuation  *evacuation.Registry
+	trialTimes  quarantine.TrialTimes
+	// firstCrashes holds the first crash that counts against each part that entries are told of.
+	firstCrashes map[quarantine.Fingerprint]quarantine.Incarnation
+	evacuation   *evacuation.Registry
 	// software tracks the software versions of the upstreams, by the times at which this host
 	// learnt of them.
 	software *resumption.Versions
@@ -109,6 +115,8 @@
 		m.applyReport(c.Report)
 	case len(c.Forget) > 0:
 		m.applyForget(c.Forget)
+	case len(c.Trial) > 0:
+		m.applyTrial(c.Trial)
 	case c.Evacuate != nil:
 		m.applyEvacuation(*c.Evacuate)
 	}
@@ -218,7 +226,7 @@
 	}
 	m.quarantine.Restore(saved.Quarantine)
 	m.evacuation.Restore(saved.Evacuation)
-	m.crashesSeen.Sync(m.quarantine.Incarnations(), time.Now())
+	m.syncQuarantineTimes(time.Now())
 	m.notifyOrder()
 	return nil
 }
@@ -311,7 +319,7 @@
 		found = true
 	}
 	if m.quarantine.Revision() > request.Quarantine {
-		answer.Quarantine = &QuarantineView{Revision: m.quarantine.Revision(), Quarantined: m.quarantine.Quarantined(), Suspects: m.quarantine.Suspects()}
+		answer.Quarantine = m.quarantineView(time.Now())
 		found = true
 	}
 	if m.evacuation.Revision() > request.Evacuation {
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -21,6 +21,7 @@
 	methodJoin   port.Method = "steward.join"
 	methodReport port.Method = "steward.report"
 	methodOrigin port.Method = "steward.origin"
+	methodTrial  port.Method = "steward.trial"
 )
 
 // Load is one entry's work in progress at an upstream, or its outstanding reads from a store.
@@ -131,17 +132,29 @@
 }
 
 // QuarantineView lists the requests that must be sent to no upstream, and the suspects, which
-// one more crash would quarantine.
+// one more crash would quarantine; the same for parts of prompts.
 type QuarantineView struct {
-	Revision    uint64                   `cbor:"1,keyasint"`
-	Quarantined []quarantine.Fingerprint `cbor:"2,keyasint,omitempty"`
-	Suspects    []quarantine.Fingerprint `cbor:"3,keyasint,omitempty"`
+	Revision     uint64                   `cbor:"1,keyasint"`
+	Quarantined  []quarantine.Fingerprint `cbor:"2,keyasint,omitempty"`
+	Suspects     []quarantine.Fingerprint `cbor:"3,keyasint,omitempty"`
+	Parts        []PartView               `cbor:"4,keyasint,omitempty"`
+	PartSuspects []PartView               `cbor:"5,keyasint,omitempty"`
+}
+
+// PartView is a quarantined or suspected part of prompts.
+type PartView struct {
+	Part quarantine.Fingerprint `cbor:"1,keyasint"`
+	// FirstCrash is the time since the first crash that counts against it, zero if unknown. A part
+	// of which a request was served since is sound.
+	FirstCrash time.Duration `cbor:"2,keyasint,omitempty"`
+	// Due is the time until the next trial of a quarantined part, negative if it is overdue.
+	Due time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Report is an entry's report on requests that crash upstreams.
 type Report struct {
 	Crashes []quarantine.Crash `cbor:"1,keyasint,omitempty"`
-	// Served are suspected requests that completed successfully.
+	// Served are suspected or quarantined requests that completed successfully, and parts of such.
 	Served []quarantine.Fingerprint `cbor:"2,keyasint,omitempty"`
 }
 
@@ -311,6 +324,8 @@
 	Report *Report `cbor:"4,keyasint,omitempty"`
 	// Evacuate is an operator's order.
 	Evacuate *evacuation.Order `cbor:"5,keyasint,omitempty"`
+	// Trial are the quarantined parts of a request that an entry asks to send.
+	Trial []quarantine.Fingerprint `cbor:"6,keyasint,omitempty"`
 }
 
 type submitted struct {
@@ -322,6 +337,8 @@
 	Results []announceResult `cbor:"5,keyasint,omitempty"`
 	// Reason is the cause of Uncertain, at most maxReason bytes.
 	Reason string `cbor:"6,keyasint,omitempty"`
+	// Granted indicates that the request may be sent, as a trial.
+	Granted bool `cbor:"7,keyasint,omitempty"`
 }
 
 // maxReason bounds the reason in a leader's answer.
--- a/internal/steward/metrics.go
+++ b/internal/steward/metrics.go
@@ -83,6 +83,14 @@
 		held, _ := s.machine.quarantined()
 		return float64(len(held))
 	})
+	gauge("parts_held", func(time.Time) float64 {
+		held, _ := s.machine.quarantinedParts()
+		return float64(len(held))
+	})
+	gauge("parts_suspected", func(time.Time) float64 {
+		_, suspects := s.machine.quarantinedParts()
+		return float64(suspects)
+	})
 	gauge("requests_suspected", func(time.Time) float64 {
 		_, suspects := s.machine.quarantined()
 		return float64(suspects)
@@ -133,6 +141,9 @@
 	Roster   []DumpedUpstream `json:"upstreams"`
 	// Quarantined are the fingerprints of requests that are sent to no upstream.
 	Quarantined []string `json:"held_requests"`
+	// QuarantinedParts are the fingerprints of parts of prompts whose requests are sent to no
+	// upstream, except for trials.
+	QuarantinedParts []string `json:"held_parts"`
 	// Evacuated are the data centres whose upstreams get no new work.
 	Evacuated []string `json:"evacuated_data_centres"`
 	// Behind are entries with an older configuration, at most maxBehind of them.
@@ -190,6 +201,10 @@
 		d.Roster = append(d.Roster, DumpedUpstream{ID: u.ID, Service: u.Service, Address: u.Address, State: u.State.String(), Sequence: u.Sequence})
 	}
 	d.Evacuated = s.machine.evacuated().DataCentres
+	parts, _ := s.machine.quarantinedParts()
+	for _, p := range parts {
+		d.QuarantinedParts = append(d.QuarantinedParts, p.String())
+	}
 	held, _ := s.machine.quarantined()
 	for _, p := range held {
 		d.Quarantined = append(d.Quarantined, p.String())
--- a/internal/steward/reports.go
+++ b/internal/steward/reports.go
@@ -20,20 +20,28 @@
 	reportGather = 10 * time.Millisecond
 	// MaxReported bounds the crashes of one report, and the requests that it clears.
 	MaxReported = 64
-	// maxBatchSize bounds the fingerprints and crashes of one command, 260 KB: two of the
+	// maxBatchSize bounds the fingerprints and crashes of one command, 530 KB: two of the
 	// longest reports. Reports beyond it are sent again.
-	maxBatchSize = 2 * MaxReported * (quarantine.MaxFingerprints + 2)
+	maxBatchSize = 2 * MaxReported * (quarantine.MaxFingerprints + quarantine.MaxParts + 2)
 	// forgetEvery is the interval between checks for expired crashes.
 	forgetEvery = 10 * time.Second
 )
 
+// syncQuarantineTimes records at what time this host learnt of what the quarantine changed. The
+// caller holds the lock.
+func (m *Machine) syncQuarantineTimes(now time.Time) {
+	m.crashesSeen.Sync(m.quarantine.Incarnations(), now)
+	m.trialTimes.Sync(m.quarantine.QuarantinedParts(), now)
+	m.firstCrashes = m.quarantine.FirstCrashes()
+}
+
 // applyReport applies an entry's report. A request that was served is cleared of all crashes
 // that it was reported with. The caller holds the lock.
 func (m *Machine) applyReport(r *Report) {
 	before := m.quarantine.Revision()
 	m.quarantine.AddCrashes(r.Crashes...)
 	m.quarantine.Served(r.Served...)
-	m.crashesSeen.Sync(m.quarantine.Incarnations(), time.Now())
+	m.syncQuarantineTimes(time.Now())
 	if m.quarantine.Revision() != before {
 		m.notifyOrder()
 	}
@@ -43,7 +51,7 @@
 func (m *Machine) applyForget(incarnations []quarantine.Incarnation) {
 	before := m.quarantine.Revision()
 	m.quarantine.Forget(incarnations...)
-	m.crashesSeen.Sync(m.quarantine.Incarnations(), time.Now())
+	m.syncQuarantineTimes(time.Now())
 	if m.quarantine.Revision() != before {
 		m.notifyOrder()
 	}
@@ -77,7 +85,7 @@
 func (r *Report) size() int {
 	n := len(r.Crashes) + len(r.Served)
 	for i := range r.Crashes {
-		n += len(r.Crashes[i].Fingerprints)
+		n += len(r.Crashes[i].Fingerprints) + len(r.Crashes[i].Parts)
 	}
 	return n
 }
@@ -97,7 +105,11 @@
 		b.size -= r.size()
 		return nil
 	}
-	b.report.Crashes = append(b.report.Crashes, r.Crashes...)
+	now := time.Now()
+	for _, c := range r.Crashes {
+		c.Joined, c.Age = l.crashGroups.Joins(now.Add(-c.Age)), 0
+		b.report.Crashes = append(b.report.Crashes, c)
+	}
 	b.report.Served = append(b.report.Served, r.Served...)
 	return b
 }
@@ -109,20 +121,25 @@
 	l.mu.Unlock()
 	s := l.steward
 	before, _ := s.machine.quarantined()
+	partsBefore, _ := s.machine.quarantinedParts()
 	_, b.err = s.propose(context.Background(), command{Report: &b.report})
 	close(b.done)
 	quarantined, suspects := s.machine.quarantined()
-	if slices.Equal(before, quarantined) {
-		return
-	}
-	for _, p := range quarantined {
+	s.logQuarantine("request", before, quarantined, suspects)
+	parts, suspects := s.machine.quarantinedParts()
+	s.logQuarantine("part", partsBefore, parts, suspects)
+}
+
+// logQuarantine logs which requests or parts were quarantined or released.
+func (s *Steward) logQuarantine(what string, before, after []quarantine.Fingerprint, suspects int) {
+	for _, p := range after {
 		if !slices.Contains(before, p) {
-			s.options.Log.Warn("request quarantined", "print", p, "held", len(quarantined), "suspects", suspects)
+			s.options.Log.Warn(what+" quarantined", "print", p, "held", len(after), "suspects", suspects)
 		}
 	}
 	for _, p := range before {
-		if !slices.Contains(quarantined, p) {
-			s.options.Log.Info("request released from quarantine", "print", p, "held", len(quarantined), "suspects", suspects)
+		if !slices.Contains(after, p) {
+			s.options.Log.Info(what+" released from quarantine", "print", p, "held", len(after), "suspects", suspects)
 		}
 	}
 }
--- a/internal/steward/reports_test.go
+++ b/internal/steward/reports_test.go
@@ -27,6 +27,7 @@
 	document    bool
 	revision    uint64
 	quarantined []quarantine.Fingerprint
+	parts       []PartView
 	// blind is set if a configuration arrived without the quarantine known then.
 	blind bool
 }
@@ -53,7 +54,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if answer.Quarantine != nil {
-			e.revision, e.quarantined = answer.Quarantine.Revision, answer.Quarantine.Quarantined
+			e.revision, e.quarantined, e.parts = answer.Quarantine.Revision, answer.Quarantine.Quarantined, answer.Quarantine.Parts
 		}
 		if answer.Document != nil && !e.document {
 			e.document, e.blind = true, answer.Quarantine == nil
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -163,6 +163,9 @@
 		return submitted{Document: s.machine.Document()}, nil
 	case message.Report != nil:
 		return submitted{}, s.commitReport(ctx, message.Report)
+	case len(message.Trial) > 0:
+		granted, err := s.grantTrial(ctx, message.Trial)
+		return submitted{Granted: granted}, err
 	case message.Evacuate != nil:
 		return submitted{}, s.executeEvacuation(ctx, *message.Evacuate)
 	case len(message.Announcements) > 0:
--- a/quarantine/lost.go
+++ b/quarantine/lost.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -20,6 +21,8 @@
 	Fingerprint Fingerprint
 	// Parts are the fingerprints of the parts of its prompt that other requests may share.
 	Parts []Fingerprint
+	// Sent is the time at which it was sent.
+	Sent time.Time
 }
 
 // LostAttempts collects the attempts that broke off at each upstream until it is known
@@ -51,14 +54,51 @@
 // Len returns the number of upstreams that are still to be checked.
 func (l *LostAttempts) Len() int { return len(l.attempts) }
 
-// NewCrash returns the crash of an upstream with the requests of those attempts that
-// were not served recently.
-func NewCrash(incarnation Incarnation, attempts []Attempt, served *RecentlyServed, now time.Time) Crash {
+// NewCrash returns the crash of an upstream with the requests of those attempts that were not
+// served recently, and with the parts that were not served since they were sent. Beyond the bound
+// it lists the parts that suspected reports first, then some of each request.
+func NewCrash(incarnation Incarnation, attempts []Attempt, served *Served, suspected func(part Fingerprint) bool, now time.Time) Crash {
 	crash := Crash{Incarnation: incarnation}
+	var parts [][]Fingerprint
 	for _, a := range attempts {
-		if !served.Has(a.Fingerprint, now) && !slices.Contains(crash.Fingerprints, a.Fingerprint) {
+		if !served.Requests.Has(a.Fingerprint, now) && !slices.Contains(crash.Fingerprints, a.Fingerprint) {
 			crash.Fingerprints = append(crash.Fingerprints, a.Fingerprint)
 		}
+		unproven := slices.DeleteFunc(slices.Clone(a.Parts), func(f Fingerprint) bool { return served.Parts.HasSince(f, a.Sent, now) })
+		for _, f := range unproven {
+			if suspected(f) {
+				crash.addPart(f)
+			}
+		}
+		parts = append(parts, unproven)
 	}
+	crash.addInTurn(parts)
 	return crash
 }
+
+// addPart adds a part unless it is listed or the list is full.
+func (c *Crash) addPart(f Fingerprint) {
+	if len(c.Parts) < MaxParts && !slices.Contains(c.Parts, f) {
+		c.Parts = append(c.Parts, f)
+	}
+}
+
+// addInTurn adds parts of several requests, one of each in turn, from a random one on: a part that
+// is left out of one crash is listed at another.
+func (c *Crash) addInTurn(requests [][]Fingerprint) {
+	longest := 0
+	for i, parts := range requests {
+		longest = max(longest, len(parts))
+		if len(parts) > 0 {
+			first := rand.IntN(len(parts))
+			requests[i] = slices.Concat(parts[first:], parts[:first])
+		}
+	}
+	for i := 0; i < longest && len(c.Parts) < MaxParts; i++ {
+		for _, parts := range requests {
+			if i < len(parts) {
+				c.addPart(parts[i])
+			}
+		}
+	}
+}
--- /dev/null
+++ b/quarantine/parts_test.go
@@ -0,0 +1,261 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// part is the fingerprint of a part named so in tests.
+func part(name string) Fingerprint {
+	p := Part{Service: "llm", Team: "growers", Model: "m", ID: name}
+	return p.Fingerprint()
+}
+
+// partCrash is the crash of an upstream under one request with these parts.
+func partCrash(upstream, request string, parts ...string) Crash {
+	c := crashOf(upstream, request)
+	for _, name := range parts {
+		c.Parts = append(c.Parts, part(name))
+	}
+	return c
+}
+
+// joined returns a crash as one of the group of the crash before.
+func joined(c Crash) Crash {
+	c.Joined = true
+	return c
+}
+
+func quarantinedParts(t *Tracker) []Fingerprint {
+	var list []Fingerprint
+	for _, q := range t.QuarantinedParts() {
+		list = append(list, q.Part)
+	}
+	return list
+}
+
+// Guards against a part that crashes upstreams under requests that differ in everything else, and
+// against other parts or requests being quarantined in its place.
+func TestPartAtEveryCrashIsQuarantined(t *testing.T) {
+	cases := map[string]struct {
+		crashes         []Crash
+		parts, requests []string
+	}{
+		"two crashes may be chance": {crashes: []Crash{partCrash("a", "1", "bad"), partCrash("b", "2", "bad")}},
+		"three different requests":  {crashes: []Crash{partCrash("a", "1", "x", "bad"), partCrash("b", "2", "bad", "y"), partCrash("c", "3", "z", "bad")}, parts: []string{"bad"}},
+		"one request repeated": {
+			crashes: []Crash{partCrash("a", "1", "x", "y"), partCrash("b", "1", "x", "y"), partCrash("c", "1", "x", "y")}, requests: []string{"1"},
+		},
+		"one request repeated, then others": {
+			crashes: []Crash{partCrash("a", "1", "x", "bad"), partCrash("b", "1", "x", "bad"), partCrash("c", "1", "x", "bad"), partCrash("d", "2", "bad", "z"), partCrash("e", "3", "bad")},
+			parts:   []string{"bad"},
+		},
+		"another part at the same three crashes": {crashes: []Crash{partCrash("a", "1", "x", "bad"), partCrash("b", "2", "x", "bad"), partCrash("c", "3", "x", "bad")}},
+		"a fourth crash distinguishes two parts": {
+			crashes: []Crash{partCrash("a", "1", "x", "bad"), partCrash("b", "2", "x", "bad"), partCrash("c", "3", "x", "bad"), partCrash("d", "4", "bad")}, parts: []string{"bad"},
+		},
+		"two parts that only come together": {
+			crashes: []Crash{partCrash("a", "1", "x", "bad"), partCrash("b", "2", "x", "bad"), partCrash("c", "3", "x", "bad"), partCrash("d", "4", "x", "bad")}, parts: []string{"x", "bad"},
+		},
+		"two parts crash upstreams by turns": {
+			crashes: []Crash{partCrash("a", "1", "bad"), partCrash("b", "2", "worse"), partCrash("c", "3", "bad"), partCrash("d", "4", "worse"), partCrash("e", "5", "bad", "worse"), partCrash("f", "6", "worse")},
+			parts:   []string{"bad", "worse"},
+		},
+		"upstreams that crash at the same time": {
+			crashes: []Crash{partCrash("a", "1", "x"), joined(partCrash("b", "2", "x")), joined(partCrash("c", "3", "x")), joined(partCrash("d", "4", "x")), partCrash("e", "5", "x")},
+		},
+		"a request that crashes upstreams by itself beside it": {
+			crashes: []Crash{partCrash("a", "worse", "x"), partCrash("b", "2", "bad"), partCrash("c", "worse", "x"), partCrash("d", "4", "bad"), partCrash("e", "worse", "x"), partCrash("f", "6", "bad")},
+			parts:   []string{"bad"}, requests: []string{"worse"},
+		},
+		"a request that was retried on upstreams that the part crashed": {
+			crashes: []Crash{partCrash("a", "1", "bad"), partCrash("b", "2", "bad"), partCrash("c", "3", "bad"),
+				{Incarnation: Incarnation{Upstream: "a"}, Fingerprints: []Fingerprint{fingerprintOf("sound")}, Parts: []Fingerprint{part("y")}},
+				{Incarnation: Incarnation{Upstream: "b"}, Fingerprints: []Fingerprint{fingerprintOf("sound")}, Parts: []Fingerprint{part("y")}},
+				{Incarnation: Incarnation{Upstream: "c"}, Fingerprints: []Fingerprint{fingerprintOf("sound")}, Parts: []Fingerprint{part("y")}}},
+			parts: []string{"bad"},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tr := NewTracker()
+			for _, crash := range c.crashes {
+				tr.AddCrashes(crash)
+			}
+			got := quarantinedParts(tr)
+			for _, name := range c.parts {
+				if !slices.Contains(got, part(name)) {
+					t.Errorf("the part %q is not quarantined", name)
+				}
+			}
+			if len(got) != len(c.parts) {
+				t.Errorf("%d parts are quarantined, want %v", len(got), c.parts)
+			}
+			for _, name := range c.requests {
+				if !slices.Contains(tr.Quarantined(), fingerprintOf(name)) {
+					t.Errorf("the request %q is not quarantined", name)
+				}
+			}
+			if len(tr.Quarantined()) != len(c.requests) {
+				t.Errorf("%d requests are quarantined, want %v", len(tr.Quarantined()), c.requests)
+			}
+		})
+	}
+}
+
+// Guards against the first part of all prompts being quarantined with the one that crashes
+// upstreams: it is served between the crashes.
+func TestServedPartIsNotQuarantined(t *testing.T) {
+	tr := NewTracker()
+	for i := range 8 {
+		tr.AddCrashes(partCrash(fmt.Sprint(i), fmt.Sprint(i), "first", "bad"))
+		tr.Served(part("first"))
+	}
+	if got := quarantinedParts(tr); !slices.Equal(got, []Fingerprint{part("bad")}) {
+		t.Fatalf("quarantined %v, want the part that is never served", got)
+	}
+}
+
+// Guards against a part that is held for good, and against blaming others for its crashes once a
+// trial has shown that it is sound again.
+func TestServedTrialReleasesPart(t *testing.T) {
+	tr := NewTracker()
+	for i := range 5 {
+		tr.AddCrashes(partCrash(fmt.Sprint(i), fmt.Sprint(i), "rare", "bad"))
+	}
+	if got := quarantinedParts(tr); len(got) != 2 {
+		t.Fatalf("%d parts are quarantined", len(got))
+	}
+	tr.Forget(tr.Incarnations()...)
+	if got := quarantinedParts(tr); len(got) != 2 {
+		t.Fatal("a part is released though no request with it was served")
+	}
+	for i := range 5 {
+		tr.AddCrashes(partCrash(fmt.Sprint("later-", i), "retried", "bad", "y"))
+	}
+	tr.RecordTrial(part("bad"))
+	tr.Served(part("bad"))
+	if got := quarantinedParts(tr); !slices.Equal(got, []Fingerprint{part("rare")}) || len(tr.Quarantined()) > 0 {
+		t.Fatalf("after a trial that was served parts %v and requests %v are quarantined", got, tr.Quarantined())
+	}
+}
+
+// Guards against the loss of quarantined parts, trials and groups with a snapshot.
+func TestPartsAreRestored(t *testing.T) {
+	tr, restored := NewTracker(), NewTracker()
+	for i := range 4 {
+		tr.AddCrashes(partCrash(fmt.Sprint(i), fmt.Sprint(i), "bad"), joined(partCrash(fmt.Sprint("rack-", i), "n", "warm")))
+	}
+	tr.RecordTrial(part("bad"))
+	restored.Restore(tr.Save())
+	for _, x := range []*Tracker{tr, restored} {
+		x.AddCrashes(joined(partCrash("last", "l", "warm")), partCrash("next", "m", "warm"))
+	}
+	if !slices.Equal(tr.QuarantinedParts(), restored.QuarantinedParts()) || !slices.Equal(tr.SuspectedParts(), restored.SuspectedParts()) || tr.Revision() != restored.Revision() {
+		t.Fatalf("restored %v, %v, revision %d, want %v, %v, %d", restored.QuarantinedParts(), restored.SuspectedParts(), restored.Revision(),
+			tr.QuarantinedParts(), tr.SuspectedParts(), tr.Revision())
+	}
+}
+
+// Guards against a team that fills the lists with parts of its own: they stay bounded, and the part
+// of another team that crashes upstreams is still found.
+func TestPartsAreBounded(t *testing.T) {
+	tr := NewTracker()
+	for i := range 2 * MaxListed {
+		for j := range PartThreshold {
+			c := partCrash(fmt.Sprint(i, "-", j), fmt.Sprint(i, "-", j), fmt.Sprint("own-", i))
+			for n := range 2 * MaxParts {
+				c.Parts = append(c.Parts, part(fmt.Sprint(i, j, n)))
+			}
+			tr.AddCrashes(c)
+		}
+	}
+	for i := range PartThreshold {
+		tr.AddCrashes(partCrash(fmt.Sprint("other-", i), fmt.Sprint(i), "bad"))
+	}
+	if len(tr.QuarantinedParts()) != MaxListed || len(tr.parts.counts) > MaxCrashes*MaxParts || len(tr.SuspectedParts()) > MaxListed {
+		t.Fatalf("%d parts are quarantined, %d suspected, %d recorded", len(tr.QuarantinedParts()), len(tr.SuspectedParts()), len(tr.parts.counts))
+	}
+	if !slices.Contains(quarantinedParts(tr), part("bad")) {
+		t.Fatal("the part of another team is not found")
+	}
+}
+
+// Guards against the same part in other letters being another one, and against another team's,
+// model's or service's part of that name being quarantined with it.
+func TestPartFingerprint(t *testing.T) {
+	one := Part{Service: "s", Team: "t", Model: "m", ID: "5c1e07a2"}
+	if same := (Part{Service: "s", Team: "t", Model: "m", ID: "5C1E07A2"}); same.Fingerprint() != one.Fingerprint() {
+		t.Error("upper case letters make another part")
+	}
+	for _, other := range []Part{{"x", "t", "m", "5c1e07a2"}, {"s", "x", "m", "5c1e07a2"}, {"s", "t", "x", "5c1e07a2"}, {"s", "t", "m", "5c1e07a3"}} {
+		if other.Fingerprint() == one.Fingerprint() {
+			t.Errorf("%+v is taken for %+v", other, one)
+		}
+	}
+}
+
+// Guards against a part that is left out of every report because other parts fill them, and against
+// parts that were served since being reported.
+func TestCrashListsPartsOfAllRequests(t *testing.T) {
+	now := time.Now()
+	var served Served
+	served.Record(Fingerprint{}, []Fingerprint{part("first")}, now)
+	var long []Fingerprint
+	for n := range 3 * MaxParts {
+		long = append(long, part(fmt.Sprint(n)))
+	}
+	found := 0
+	for range 40 {
+		attempts := []Attempt{{Parts: long, Sent: now.Add(-time.Second)}, {Parts: []Fingerprint{part("first"), part("bad")}, Sent: now.Add(-time.Second)}}
+		c := NewCrash(Incarnation{}, attempts, &served, func(f Fingerprint) bool { return f == long[200] }, now)
+		if len(c.Parts) > MaxParts || slices.Contains(c.Parts, part("first")) || !slices.Contains(c.Parts, part("bad")) || !slices.Contains(c.Parts, long[200]) {
+			t.Fatalf("%d parts are listed, or not those that must be", len(c.Parts))
+		}
+		if slices.Contains(c.Parts, long[len(long)-1]) {
+			found++
+		}
+	}
+	if found < PartThreshold {
+		t.Errorf("the last part of a long prompt is listed at %d of 40 crashes", found)
+	}
+	if c := NewCrash(Incarnation{}, []Attempt{{Parts: []Fingerprint{part("first")}, Sent: now}}, &served, func(Fingerprint) bool { return false }, now); len(c.Parts) != 1 {
+		t.Error("a part that was served before the request was sent is not listed")
+	}
+}
+
+// Guards against bursts of crashes by requests that are sent to try a part: trials are rare, and a
+// request with several quarantined parts waits longer.
+func TestTrialsAreRare(t *testing.T) {
+	var times TrialTimes
+	start := time.Now()
+	parts := []QuarantinedPart{{Part: part("bad")}, {Part: part("rare")}}
+	trials := 0
+	for at := time.Duration(0); at < 80*time.Second; at += 100 * time.Millisecond {
+		times.Sync(parts, start.Add(at))
+		if times.Grant([]Fingerprint{part("bad")}, start.Add(at)) {
+			parts[0].Trials++
+			trials++
+		}
+	}
+	if trials < 1 || trials > 2 {
+		t.Errorf("%d trials in 80 s", trials)
+	}
+	now := start.Add(firstTrialDelay + time.Second)
+	times = TrialTimes{}
+	times.Sync([]QuarantinedPart{{Part: part("bad")}, {Part: part("rare")}}, start)
+	if both := []Fingerprint{part("bad"), part("rare")}; times.Grant(both, now) || !times.Grant(both, now.Add(sharedTrialDelay)) || !times.Grant(both[1:], now) {
+		t.Error("a trial with two quarantined parts must be later than one with a single one, and allowed then")
+	}
+	if times.Grant([]Fingerprint{part("unknown")}, now) || times.Grant(nil, now) {
+		t.Error("a trial without a quarantined part is granted")
+	}
+	if ends := (CrashGroups{}); ends.Joins(start) || !ends.Joins(start.Add(50*time.Millisecond)) || ends.Joins(start.Add(150*time.Millisecond)) {
+		t.Error("crashes are not grouped by the time since the first of a group")
+	}
+	if delay := TrialDelay(1000); delay != maxTrialDelay {
+		t.Errorf("the delay after many trials is %v", delay)
+	}
+}
--- a/quarantine/served.go
+++ b/quarantine/served.go
@@ -11,24 +11,49 @@
 	maxServed = 4096
 )
 
+// Served is what one process has lately seen served: requests, and parts of their prompts.
+type Served struct{ Requests, Parts RecentlyServed }
+
+// Record records that a request with these parts was served completely.
+func (s *Served) Record(request Fingerprint, parts []Fingerprint, now time.Time) {
+	s.Requests.Record(request, now)
+	for _, f := range parts {
+		s.Parts.Record(f, now)
+	}
+}
+
 // RecentlyServed is the set of requests that were served within the last ten seconds, and
 // some that were served earlier, in two generations. The zero value is ready to use;
 // it is not safe for concurrent use.
 type RecentlyServed struct {
-	current, previous map[Fingerprint]bool
+	current, previous map[Fingerprint]time.Time
 	rotatedAt         time.Time
 }
 
 // Record adds a request that was served completely.
 func (s *RecentlyServed) Record(f Fingerprint, now time.Time) {
 	s.rotate(now)
-	s.current[f] = true
+	s.current[f] = now
 }
 
 // Has reports whether a request was served recently.
 func (s *RecentlyServed) Has(f Fingerprint, now time.Time) bool {
 	s.rotate(now)
-	return s.current[f] || s.previous[f]
+	return !s.last(f).IsZero()
+}
+
+// HasSince reports whether a request was served after a time, as far as that is remembered.
+func (s *RecentlyServed) HasSince(f Fingerprint, since, now time.Time) bool {
+	s.rotate(now)
+	return s.last(f).After(since)
+}
+
+// last returns when a request was last served, zero if that is not remembered.
+func (s *RecentlyServed) last(f Fingerprint) time.Time {
+	if at, found := s.current[f]; found {
+		return at
+	}
+	return s.previous[f]
 }
 
 func (s *RecentlyServed) rotate(now time.Time) {
@@ -40,5 +65,5 @@
 	if age >= 2*servedRetention {
 		s.previous = nil
 	}
-	s.current, s.rotatedAt = make(map[Fingerprint]bool), now
+	s.current, s.rotatedAt = make(map[Fingerprint]time.Time), now
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 const (
@@ -17,8 +19,8 @@
 	// recorded for each, which is more than an upstream runs at the same time.
 	// Together they allow 32,768 fingerprints, 0.5 MB.
 	MaxCrashes, MaxFingerprints = 256, 128
-	// MaxListed bounds the quarantined requests, and the suspects, that are sent to
-	// entries.
+	// MaxListed bounds the quarantined requests, the suspects, and the quarantined and
+	// suspected parts that are sent to entries.
 	MaxListed = 256
 )
 
@@ -32,6 +34,14 @@
 type Crash struct {
 	Incarnation  Incarnation   `cbor:"1,keyasint"`
 	Fingerprints []Fingerprint `cbor:"2,keyasint"`
+	// Parts are the parts of their prompts that other requests may share.
+	Parts []Fingerprint `cbor:"3,keyasint,omitempty"`
+	// Joined indicates that the crash belongs to the group of the one reported before.
+	Joined bool `cbor:"4,keyasint,omitempty"`
+	// Group is the number of its group, once a Tracker has recorded it.
+	Group uint64 `cbor:"5,keyasint,omitempty"`
+	// Age is the time since the crash was noticed when it is reported.
+	Age time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Tracker records the crashes of upstreams and derives which requests are quarantined
@@ -43,11 +53,14 @@
 	// counts is the number of recorded crashes at which each request was in flight.
 	counts                map[Fingerprint]int
 	quarantined, suspects []Fingerprint
+	parts                 partState
 	revision              uint64
 }
 
 // NewTracker returns an empty Tracker.
-func NewTracker() *Tracker { return &Tracker{counts: make(map[Fingerprint]int)} }
+func NewTracker() *Tracker {
+	return &Tracker{counts: make(map[Fingerprint]int), parts: newPartState(nil)}
+}
 
 // AddCrashes records crashes, or further requests that were in flight at known ones.
 func (t *Tracker) AddCrashes(crashes ...Crash) {
@@ -58,14 +71,18 @@
 }
 
 func (t *Tracker) add(c Crash) {
+	if !c.Joined {
+		t.parts.group++
+	}
 	known := t.find(c.Incarnation)
 	if known == nil {
 		if len(t.crashes) == MaxCrashes {
 			t.drop(0)
 		}
-		known = &Crash{Incarnation: c.Incarnation}
+		known = &Crash{Incarnation: c.Incarnation, Group: cmp.Or(c.Group, t.parts.group)}
 		t.crashes = append(t.crashes, known)
 	}
+	t.parts.add(known, c.Parts)
 	for _, f := range c.Fingerprints {
 		if len(known.Fingerprints) < MaxFingerprints && !slices.Contains(known.Fingerprints, f) {
 			known.Fingerprints = append(known.Fingerprints, f)
@@ -74,9 +91,10 @@
 	}
 }
 
-// Served clears requests that an upstream has served completely.
+// Served clears requests that an upstream has served completely, and parts of such.
 func (t *Tracker) Served(fingerprints ...Fingerprint) {
 	for _, f := range fingerprints {
+		t.servedPart(f)
 		if t.counts[f] == 0 {
 			continue
 		}
@@ -134,18 +152,19 @@
 			delete(t.counts, f)
 		}
 	}
+	t.parts.drop(t.crashes[index])
 	t.crashes = slices.Delete(t.crashes, index, index+1)
 }
 
-// update recomputes the quarantined and suspect requests.
+// update recomputes the quarantined and suspect parts and requests.
 func (t *Tracker) update() {
+	changed := t.updateParts()
 	quarantined := t.selectQuarantined()
 	suspects := t.selectSuspects(quarantined)
-	if slices.Equal(quarantined, t.quarantined) && slices.Equal(suspects, t.suspects) {
-		return
+	if changed || !slices.Equal(quarantined, t.quarantined) || !slices.Equal(suspects, t.suspects) {
+		t.quarantined, t.suspects = quarantined, suspects
+		t.revision++
 	}
-	t.quarantined, t.suspects = quarantined, suspects
-	t.revision++
 }
 
 // selectQuarantined returns the requests to quarantine, of those that were in flight
@@ -199,16 +218,21 @@
 }
 
 // crashesByRequest returns the indexes of the crashes at which each request was in
-// flight, for the requests with minCrashes crashes or more.
+// flight and that no quarantined part explains, for the requests with minCrashes such
+// crashes or more.
 func (t *Tracker) crashesByRequest(minCrashes int) map[Fingerprint][]int {
 	byRequest := make(map[Fingerprint][]int)
 	for i, c := range t.crashes {
+		if t.parts.explains(c) {
+			continue
+		}
 		for _, f := range c.Fingerprints {
 			if t.counts[f] >= minCrashes {
 				byRequest[f] = append(byRequest[f], i)
 			}
 		}
 	}
+	maps.DeleteFunc(byRequest, func(_ Fingerprint, crashes []int) bool { return len(crashes) < minCrashes })
 	return byRequest
 }
 
@@ -252,13 +276,16 @@
 type State struct {
 	Crashes  []Crash `cbor:"1,keyasint"`
 	Revision uint64  `cbor:"2,keyasint"`
+	// Parts are the quarantined parts, Group is the number of the latest group of crashes.
+	Parts []QuarantinedPart `cbor:"3,keyasint,omitempty"`
+	Group uint64            `cbor:"4,keyasint,omitempty"`
 }
 
 // Save returns the state.
 func (t *Tracker) Save() State {
-	saved := State{Revision: t.revision}
+	saved := State{Revision: t.revision, Parts: slices.Clone(t.parts.quarantined), Group: t.parts.group}
 	for _, c := range t.crashes {
-		saved.Crashes = append(saved.Crashes, Crash{Incarnation: c.Incarnation, Fingerprints: slices.Clone(c.Fingerprints)})
+		saved.Crashes = append(saved.Crashes, Crash{Incarnation: c.Incarnation, Fingerprints: slices.Clone(c.Fingerprints), Parts: slices.Clone(c.Parts), Group: c.Group})
 	}
 	return saved
 }
@@ -266,6 +293,11 @@
 // Restore replaces the state.
 func (t *Tracker) Restore(s State) {
 	*t = *NewTracker()
-	t.AddCrashes(s.Crashes...)
+	t.parts = newPartState(s.Parts)
+	for _, c := range s.Crashes {
+		t.add(c)
+	}
+	t.parts.group = s.Group
+	t.update()
 	t.revision = s.Revision
 }
