An answer that ended with its connection is complete only if its upstream runs

What callers saw: an empty 200, as a complete answer, where the runner had crashed before the first event of an answer with neither a length nor chunks. Such an end also cleared the request of what it was suspected of, and the crash was noticed by nobody. Cause: the end of the connection was taken for the end of the body. Class: a normal event is inferred from a signal that a failure gives too. Change: at such an end the entry checks the upstream's process, as after a broken connection: it accepts connections, so the answer is complete and counts as served; it refuses them, so the attempt broke off and the crash is reported; nothing is known, so it counts as broken off without a crash.

--- a/internal/crash/check.go
+++ b/internal/crash/check.go
@@ -13,34 +13,46 @@
 // quarantine.CheckDelay unless the upstream's host doesn't answer.
 const waitTime = 50 * time.Millisecond
 
+// State is the state of an upstream's process.
+type State uint8
+
+const (
+	// Unclear: the upstream's host gave no answer.
+	Unclear State = iota
+	// Running: the process accepts connections.
+	Running
+	// Crashed: the address refuses connections.
+	Crashed
+)
+
 // Check is the check whether one upstream has crashed.
 type Check struct {
-	// done is closed at the end, after crashed was set.
-	done    chan struct{}
-	crashed bool
+	// done is closed at the end, after state was set.
+	done  chan struct{}
+	state State
 }
 
 // NewCheck returns a check that has not ended.
 func NewCheck() *Check { return &Check{done: make(chan struct{})} }
 
 // End ends the check with its result. It must be called once.
-func (c *Check) End(crashed bool) {
-	c.crashed = crashed
+func (c *Check) End(state State) {
+	c.state = state
 	close(c.done)
 }
 
-// wait waits for the end until ctx ends, and reports whether the upstream is known to have crashed.
-func (c *Check) wait(ctx context.Context) bool {
+// Wait waits for the end until ctx ends, and returns the state as far as it is known.
+func (c *Check) Wait(ctx context.Context) State {
 	select {
 	case <-c.done:
-		return c.crashed
+		return c.state
 	default:
 	}
 	select {
 	case <-c.done:
-		return c.crashed
+		return c.state
 	case <-ctx.Done():
-		return false
+		return Unclear
 	}
 }
 
@@ -58,7 +70,7 @@
 	defer cancel()
 	crashes := 0
 	for _, check := range c {
-		if check.wait(ctx) {
+		if check.Wait(ctx) == Crashed {
 			crashes++
 		}
 	}
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -215,7 +215,7 @@
 		// The queue is full. The next attempt whose connection breaks there
 		// queues the probe.
 		e.mu.Lock()
-		e.crashes.endCheck(lost, false)
+		e.crashes.endCheck(lost, crash.Unclear)
 		e.mu.Unlock()
 	}
 	return check
@@ -223,8 +223,8 @@
 
 // endCheck ends the check whether an upstream has crashed, and returns the
 // attempts that broke off there.
-func (n *crashState) endCheck(incarnation quarantine.Incarnation, crashed bool) []quarantine.Attempt {
-	n.checks[incarnation].End(crashed)
+func (n *crashState) endCheck(incarnation quarantine.Incarnation, state crash.State) []quarantine.Attempt {
+	n.checks[incarnation].End(state)
 	delete(n.checks, incarnation)
 	return n.lost.Take(incarnation)
 }
@@ -253,21 +253,24 @@
 func (e *Entry) probe(ctx context.Context, incarnation quarantine.Incarnation, address string) {
 	ctx, cancel := context.WithTimeout(ctx, quarantine.CheckTimeout)
 	defer cancel()
-	crashed := e.options.Upstreams.Crashed(ctx, address)
+	crashed, state := e.options.Upstreams.Crashed(ctx, address), crash.Unclear
+	if crashed {
+		state = crash.Crashed
+	}
 	now := time.Now()
 	e.mu.Lock()
-	attempts := e.crashes.endCheck(incarnation, crashed)
-	crash := quarantine.NewCrash(incarnation, attempts, &e.crashes.served, nil, now)
-	blamed := crashed && len(crash.Fingerprints) > 0
+	attempts := e.crashes.endCheck(incarnation, state)
+	found := quarantine.NewCrash(incarnation, attempts, &e.crashes.served, nil, now)
+	blamed := crashed && len(found.Fingerprints) > 0
 	if blamed {
-		e.crashes.own = append(e.crashes.own, ownCrash{crash: crash, seenAt: now})
+		e.crashes.own = append(e.crashes.own, ownCrash{crash: found, seenAt: now})
 		e.crashes.own = e.crashes.own[max(len(e.crashes.own)-maxOwnCrashes, 0):]
 	}
 	e.mu.Unlock()
 	e.options.Log.Info("upstream lost", "upstream", incarnation.Upstream, "ended", crashed, "under_way", len(attempts))
 	if blamed {
 		e.counts.upstreamCrashes.Inc()
-		message := crashMessage{Crashes: []crashReport{{Crash: crash}}}
+		message := crashMessage{Crashes: []crashReport{{Crash: found}}}
 		e.applyCrashes(message)
 		e.sendCrashes(message)
 	}
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -120,8 +120,8 @@
 	if ctx.Err() == nil {
 		s.recordPathFailure(p.upstream, cause, now)
 	}
-	if sent {
-		r.recordLost(p)
+	if sent && !p.checked {
+		r.recordLost(p, false)
 	}
 	r.gateway.logHealth(p.upstream, true, cause)
 	s.dropPendingSaves(p)
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovagereach/lovagereach/cacheindex"
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
@@ -46,11 +47,17 @@
 	return !f.unreachable[s.Upstream]
 }
 
-// Crashed implements Sender.
-func (f *scriptedSender) Crashed(_ context.Context, s *Send) bool {
+// CheckProcess implements Sender.
+func (f *scriptedSender) CheckProcess(_ context.Context, s *Send) crash.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.crashed[s.Upstream]
+	switch {
+	case f.crashed[s.Upstream]:
+		return crash.Crashed
+	case f.unreachable[s.Upstream]:
+		return crash.Unclear
+	}
+	return crash.Running
 }
 
 func (f *scriptedSender) count() int {
--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/lovagereach/lovagereach/cacheindex"
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/placement"
@@ -331,8 +332,8 @@
 	return m.fleet.cut.dial(ctx, m.entry, s.Upstream) == nil
 }
 
-// Crashed implements Sender.
-func (m *modelSender) Crashed(context.Context, *Send) bool { return false }
+// CheckProcess implements Sender.
+func (m *modelSender) CheckProcess(context.Context, *Send) crash.State { return crash.Unclear }
 
 func (f *modelFleet) count(record func(*fleetResult)) {
 	f.result.mu.Lock()
--- a/internal/gateway/fleet_versions_model_test.go
+++ b/internal/gateway/fleet_versions_model_test.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
@@ -275,8 +276,8 @@
 	return !s.entry.unreached
 }
 
-// Crashed implements Sender.
-func (s *versionSender) Crashed(context.Context, *Send) bool { return false }
+// CheckProcess implements Sender.
+func (s *versionSender) CheckProcess(context.Context, *Send) crash.State { return crash.Unclear }
 
 // versionOrigins is the connection of one entry to the control hosts' memories of streams.
 type versionOrigins struct {
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -9,6 +9,7 @@
 	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/wait"
+	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/quarantine"
 )
 
@@ -49,16 +50,33 @@
 	return r.teamName()
 }
 
-// recordLost records that a send broke off and, for the first one of an incarnation, checks
-// whether its upstream has crashed. The caller holds the lock.
-func (r *run) recordLost(p *plan) {
+// recordLost records that a send broke off, or that its answer ended with the connection, and, for
+// the first one of an incarnation, checks whether its upstream has crashed. The caller holds the
+// lock.
+func (r *run) recordLost(p *plan, ended bool) *crash.Check {
 	s := r.gateway.state
 	incarnation := quarantine.Incarnation{Upstream: p.upstream.record.ID, StartedMs: p.upstream.record.StartedMs}
-	if s.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Fingerprint: r.fingerprint, Parts: r.parts, Sent: p.sent}) {
+	if s.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Fingerprint: r.fingerprint, Parts: r.parts, Sent: p.sent, Ended: ended}) {
 		s.crashChecks[incarnation] = crash.NewCheck()
 		go r.gateway.checkCrash(incarnation, p.send)
 	}
-	r.crashChecks = append(r.crashChecks, s.crashChecks[incarnation])
+	check := s.crashChecks[incarnation]
+	r.crashChecks = append(r.crashChecks, check)
+	return check
+}
+
+// confirmEnd returns an error if an answer that ended with its connection, without a length or
+// chunks, may have been cut off by a crash.
+func (r *run) confirmEnd(ctx context.Context, p *plan) error {
+	s := r.gateway.state
+	s.mu.Lock()
+	check := r.recordLost(p, true)
+	s.mu.Unlock()
+	p.checked = true
+	if check.Wait(ctx) == crash.Running {
+		return nil
+	}
+	return &outcome.Unknown{Reason: outcome.ReasonConnectionLost, Detail: "the answer ended with its connection, and its upstream has crashed or can't be reached"}
 }
 
 // checkCrash checks whether an upstream whose sends broke off has crashed.
@@ -66,17 +84,24 @@
 	ctx, cancel := context.WithTimeout(context.Background(), quarantine.CheckTimeout)
 	defer cancel()
 	wait.For(ctx, quarantine.CheckDelay)
-	crashed := g.options.Sender.Crashed(ctx, send)
+	state := g.options.Sender.CheckProcess(ctx, send)
+	crashed := state == crash.Crashed
 	s := g.state
 	s.mu.Lock()
 	attempts := s.lost.Take(incarnation)
-	s.crashChecks[incarnation].End(crashed)
+	s.crashChecks[incarnation].End(state)
 	delete(s.crashChecks, incarnation)
 	if crashed {
 		g.reportCrash(incarnation, attempts, time.Now())
 		g.meter.crashes.Inc()
 	}
 	s.mu.Unlock()
+	if state == crash.Running {
+		attempts = slices.DeleteFunc(attempts, func(a quarantine.Attempt) bool { return a.Ended })
+	}
+	if len(attempts) == 0 {
+		return
+	}
 	event := &decision.UpstreamLost{Upstream: incarnation.Upstream, Crashed: crashed}
 	for _, a := range attempts {
 		event.Requests = append(event.Requests, a.Request)
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -62,7 +62,9 @@
 	prefillTokens int
 	answerStarted bool
 	released      bool
-	choice        placement.Choice
+	// checked indicates that it is known, or being checked, whether the upstream has crashed.
+	checked bool
+	choice  placement.Choice
 	// candidates is the number of upstreams that the choice was made among.
 	candidates int
 	keys       []cacheindex.Key
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -287,6 +287,10 @@
 			if answer.Unframed {
 				r.unframed = true
 				r.gateway.meter.unframed.Inc()
+				if err := r.confirmEnd(ctx, p); err != nil {
+					r.recordFailure(ctx, p, err)
+					return err
+				}
 			}
 			if err := fw.begin(); err != nil {
 				r.release(p)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/placement"
@@ -196,9 +197,9 @@
 	Send(ctx context.Context, send *Send) (*Answer, error)
 	// Connects reports whether a connection to a send's upstream can be established.
 	Connects(ctx context.Context, send *Send) bool
-	// Crashed reports whether the process of a send's upstream has crashed: no process listens
-	// at its address. If the result is unclear, it reports false.
-	Crashed(ctx context.Context, send *Send) bool
+	// CheckProcess checks the process of a send's upstream. It has crashed if no process listens
+	// at its address.
+	CheckProcess(ctx context.Context, send *Send) crash.State
 }
 
 // Forward is one send of a request to another entry.
--- a/quarantine/lost.go
+++ b/quarantine/lost.go
@@ -15,7 +15,7 @@
 	CheckTimeout = 500 * time.Millisecond
 )
 
-// Attempt is an attempt that broke off.
+// Attempt is an attempt that broke off, or whose answer ended with its connection.
 type Attempt struct {
 	Request     string
 	Fingerprint Fingerprint
@@ -23,6 +23,9 @@
 	Parts []Fingerprint
 	// Sent is the time at which it was sent.
 	Sent time.Time
+	// Ended indicates that its answer ended with its connection, without a length or chunks:
+	// it is complete unless the upstream crashed.
+	Ended bool
 }
 
 // LostAttempts collects the attempts that broke off at each upstream until it is known
