quarantine: verdicts on parts hold for all reports of a crash, trials count only if they ran

What callers saw (simulated fleet, two bad parts at once): a sound part was quarantined for 18 s, with an eighth of the other requests refused for it; a rare part that only came with a bad one stayed refused for 9 s. Cause: a verdict stood as soon as the first entry's report of a crash blamed a part, though other entries' reports of that crash came some ms later; nothing told a part that was served all the time from one that never was; a trial with two quarantined parts used up the trials of both; a trial that met no runner counted. Change: verdicts are derived again from all recorded crashes until a part is tried or its crashes are dropped. Reports name the parts that were served shortly before the crash: these are blamed after the others, and for five groups of crashes. Trials with other quarantined parts have their own delays, and a trial that no upstream ran is given back. A case of a test is changed: with verdicts derived again, a request that was in flight at all of three crashes of a part is not told from it before the fourth, which the case has now.

--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -28,9 +28,9 @@
 	// firstCrash is the time, not earlier than it was, of the first crash that counts against the
 	// part. A part of which a request was served since is sound.
 	firstCrash time.Time
-	// due is the time at which the next trial of a quarantined part is due, asked that at which
-	// this entry last asked for one.
-	due, asked time.Time
+	// due is the time at which the next trial of a quarantined part is due, dueShared that with
+	// other quarantined parts, and asked the time at which this entry last asked for one.
+	due, dueShared, asked time.Time
 }
 
 // applyParts applies the control hosts' verdicts on parts, and returns the parts that this entry has
@@ -40,7 +40,7 @@
 	verdictsOf := func(parts []steward.PartView) map[quarantine.Fingerprint]partVerdict {
 		verdicts := make(map[quarantine.Fingerprint]partVerdict, len(parts))
 		for _, p := range parts {
-			v := partVerdict{firstCrash: now.Add(-p.FirstCrash), due: now.Add(p.Due), asked: before.quarantined[p.Part].asked}
+			v := partVerdict{firstCrash: now.Add(-p.FirstCrash), due: now.Add(p.Due), dueShared: now.Add(p.DueShared), asked: before.quarantined[p.Part].asked}
 			if s.served.Parts.HasSince(p.Part, v.firstCrash, now) {
 				cleared = append(cleared, p.Part)
 				continue
@@ -105,17 +105,38 @@
 	if !r.hasQuarantinedPart() {
 		return nil
 	}
-	after := minPartRetry
-	for _, part := range r.quarantinedParts() {
-		after = max(after, r.gateway.state.verdicts.parts.quarantined[part].due.Sub(now))
+	due := r.trialDue()
+	return r.refusal(ReasonQuarantinedPart, max(due.Sub(now), minPartRetry), "requests with a part of this prompt have crashed the upstreams that ran them; they are sent again, one at a time, to find out whether the part is sound")
+}
+
+// trialDue returns when a trial of the request's quarantined parts is due. The caller holds the lock.
+func (r *run) trialDue() time.Time {
+	var due time.Time
+	parts := r.quarantinedParts()
+	for _, part := range parts {
+		verdict := r.gateway.state.verdicts.parts.quarantined[part]
+		at := verdict.due
+		if len(parts) > 1 {
+			at = verdict.dueShared
+		}
+		if at.After(due) {
+			due = at
+		}
 	}
-	return r.refusal(ReasonQuarantinedPart, after, "requests with a part of this prompt have crashed the upstreams that ran them; they are sent again, one at a time, to find out whether the part is sound")
+	return due
 }
 
 // isTrial reports whether the request is sent although a part of its prompt is quarantined: it is
 // sent once.
 func (r *run) isTrial() bool { return len(r.trials) > 0 }
 
+// returnTrial reports that a trial has not run, if it has not.
+func (r *run) returnTrial() {
+	if r.isTrial() && !r.mayHaveRun {
+		r.gateway.reports.add(steward.Report{Unused: [][]quarantine.Fingerprint{r.trials}})
+	}
+}
+
 // checkQuarantine returns why the request must be sent to no upstream, nil if it may be sent. If a
 // trial of its quarantined parts is due, it asks the control hosts for one.
 func (r *run) checkQuarantine(ctx context.Context) error {
@@ -145,15 +166,9 @@
 	if r.gateway.options.RequestTrial == nil || r.isTrial() || r.mayHaveRun || s.verdicts.quarantined[r.fingerprint] || !s.reachesAny(r.service) {
 		return false
 	}
-	var due []time.Time
 	parts, verdicts := r.quarantinedParts(), s.verdicts.parts.quarantined
-	for _, part := range parts {
-		if now.Sub(verdicts[part].asked) < trialRetryDelay {
-			return false
-		}
-		due = append(due, verdicts[part].due)
-	}
-	if !quarantine.TrialDue(due, now) {
+	asked := func(part quarantine.Fingerprint) bool { return now.Sub(verdicts[part].asked) < trialRetryDelay }
+	if now.Before(r.trialDue()) || slices.ContainsFunc(parts, asked) {
 		return false
 	}
 	for _, part := range parts {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -138,7 +138,7 @@
 
 // merge makes two reports pending, the older one first. The caller holds the lock.
 func (q *reports) merge(older, newer steward.Report) {
-	q.pending = steward.Report{Crashes: latest(older.Crashes, newer.Crashes), Served: latest(older.Served, newer.Served)}
+	q.pending = steward.Report{Crashes: latest(older.Crashes, newer.Crashes), Served: latest(older.Served, newer.Served), Unused: latest(older.Unused, newer.Unused)}
 	select {
 	case q.ready <- struct{}{}:
 	default:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -13,6 +13,7 @@
 
 // serve sends the request until it has a final answer.
 func (r *run) serve(ctx context.Context, respond Responder) {
+	defer r.returnTrial()
 	for {
 		err := r.attempt(ctx, respond)
 		if err == nil {
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// pendingChecks returns the number of upstreams that are being checked.
+func (g *Gateway) pendingChecks() int {
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	return len(g.state.crashChecks)
+}
+
 // Guards against one check after the other where all answers end with their connection, and against
 // log lines that name them as lost.
 func TestUnframedAnswersShareACheck(t *testing.T) {
@@ -81,13 +88,13 @@
 			}()
 		}
 		synctest.Wait()
-		if checks := len(g.state.crashChecks); checks > 3 {
+		if checks := g.pendingChecks(); checks > 3 {
 			t.Errorf("%d checks of three upstreams", checks)
 		}
 		time.Sleep(quarantine.CheckDelay)
 		synctest.Wait()
-		if len(g.state.crashChecks) != 0 || g.open.Load() != 0 {
-			t.Errorf("after %v %d checks and %d requests are under way", time.Since(began), len(g.state.crashChecks), g.open.Load())
+		if checks := g.pendingChecks(); checks != 0 || g.open.Load() != 0 {
+			t.Errorf("after %v %d checks and %d requests are under way", time.Since(began), checks, g.open.Load())
 		}
 	})
 }
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -147,8 +147,10 @@
 	// FirstCrash is the time since the first crash that counts against it, zero if unknown. A part
 	// of which a request was served since is sound.
 	FirstCrash time.Duration `cbor:"2,keyasint,omitempty"`
-	// Due is the time until the next trial of a quarantined part, negative if it is overdue.
-	Due time.Duration `cbor:"3,keyasint,omitempty"`
+	// Due is the time until the next trial of a quarantined part with no other such part, DueShared
+	// until that with others. They are negative if it is overdue.
+	Due       time.Duration `cbor:"3,keyasint,omitempty"`
+	DueShared time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Report is an entry's report on requests that crash upstreams.
@@ -156,10 +158,12 @@
 	Crashes []quarantine.Crash `cbor:"1,keyasint,omitempty"`
 	// Served are suspected or quarantined requests that completed successfully, and parts of such.
 	Served []quarantine.Fingerprint `cbor:"2,keyasint,omitempty"`
+	// Unused are trials, by their parts, that were granted and that no upstream has run.
+	Unused [][]quarantine.Fingerprint `cbor:"3,keyasint,omitempty"`
 }
 
 // Empty reports whether there is nothing to send.
-func (r *Report) Empty() bool { return len(r.Crashes)+len(r.Served) == 0 }
+func (r *Report) Empty() bool { return len(r.Crashes)+len(r.Served)+len(r.Unused) == 0 }
 
 // StoreState is the state of one store; it may be used while Open.
 type StoreState struct {
--- a/internal/steward/reports.go
+++ b/internal/steward/reports.go
@@ -20,9 +20,9 @@
 	reportGather = 10 * time.Millisecond
 	// MaxReported bounds the crashes of one report, and the requests that it clears.
 	MaxReported = 64
-	// maxBatchSize bounds the fingerprints and crashes of one command, 530 KB: two of the
+	// maxBatchSize bounds the fingerprints and crashes of one command, 800 KB: two of the
 	// longest reports. Reports beyond it are sent again.
-	maxBatchSize = 2 * MaxReported * (quarantine.MaxFingerprints + quarantine.MaxParts + 2)
+	maxBatchSize = 2 * MaxReported * (quarantine.MaxFingerprints + 2*quarantine.MaxParts + 2)
 	// forgetEvery is the interval between checks for expired crashes.
 	forgetEvery = 10 * time.Second
 )
@@ -41,6 +41,9 @@
 	before := m.quarantine.Revision()
 	m.quarantine.AddCrashes(r.Crashes...)
 	m.quarantine.Served(r.Served...)
+	for _, parts := range r.Unused {
+		m.quarantine.ReturnTrial(parts)
+	}
 	m.syncQuarantineTimes(time.Now())
 	if m.quarantine.Revision() != before {
 		m.notifyOrder()
@@ -83,9 +86,12 @@
 
 // size returns the size of a report within a batch.
 func (r *Report) size() int {
-	n := len(r.Crashes) + len(r.Served)
+	n := len(r.Crashes) + len(r.Served) + len(r.Unused)
+	for _, parts := range r.Unused {
+		n += len(parts)
+	}
 	for i := range r.Crashes {
-		n += len(r.Crashes[i].Fingerprints) + len(r.Crashes[i].Parts)
+		n += len(r.Crashes[i].Fingerprints) + len(r.Crashes[i].Parts) + len(r.Crashes[i].ServedBefore)
 	}
 	return n
 }
@@ -111,6 +117,7 @@
 		b.report.Crashes = append(b.report.Crashes, c)
 	}
 	b.report.Served = append(b.report.Served, r.Served...)
+	b.report.Unused = append(b.report.Unused, r.Unused...)
 	return b
 }
 
--- a/internal/steward/trials.go
+++ b/internal/steward/trials.go
@@ -25,8 +25,8 @@
 	view := &QuarantineView{Revision: m.quarantine.Revision(), Quarantined: m.quarantine.Quarantined(), Suspects: m.quarantine.Suspects()}
 	for _, q := range m.quarantine.QuarantinedParts() {
 		part := PartView{Part: q.Part, FirstCrash: m.sinceFirstCrash(q.Part, now)}
-		if due, found := m.trialTimes.Due(q.Part); found {
-			part.Due = due.Sub(now)
+		if due, shared, found := m.trialTimes.Due(q.Part); found {
+			part.Due, part.DueShared = due.Sub(now), shared.Sub(now)
 		}
 		view.Parts = append(view.Parts, part)
 	}
@@ -48,10 +48,7 @@
 
 // applyTrial records a trial. The caller holds the lock.
 func (m *Machine) applyTrial(parts []quarantine.Fingerprint) {
-	recorded := false
-	for _, part := range parts {
-		recorded = m.quarantine.RecordTrial(part) || recorded
-	}
+	recorded := m.quarantine.RecordTrial(parts)
 	m.syncQuarantineTimes(time.Now())
 	if recorded {
 		m.notifyOrder()
--- /dev/null
+++ b/quarantine/blame.go
@@ -0,0 +1,141 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+)
+
+const (
+	// PartThreshold is the number of groups of crashes at which a part must have been in flight
+	// before it is quarantined.
+	PartThreshold = 3
+	// servedPartThreshold is that of a part that was served shortly before. It is in flight at many
+	// crashes by chance, but may have begun to crash upstreams.
+	servedPartThreshold = PartThreshold + 2
+)
+
+// updateParts derives again which parts are quarantined, except for those that are confirmed: reports
+// of one crash come one after the other, and the first ones may blame another part than all of them.
+// It reports whether the quarantined or suspected parts have changed.
+func (t *Tracker) updateParts() bool {
+	before := t.parts.quarantined
+	t.parts.quarantined = slices.DeleteFunc(slices.Clone(before), func(q QuarantinedPart) bool { return !q.Confirmed })
+	t.parts.isQuarantined = make(map[Fingerprint]bool)
+	for _, q := range t.parts.quarantined {
+		t.parts.isQuarantined[q.Part] = true
+	}
+	for {
+		blamed := t.blamedParts()
+		if len(blamed) == 0 {
+			break
+		}
+		for _, f := range boundedList(blamed) {
+			t.parts.quarantine(f)
+		}
+	}
+	suspects := make(map[Fingerprint]bool)
+	for f, crashes := range t.unexplainedByPart(SuspectThreshold) {
+		if t.groups(crashes) >= SuspectThreshold {
+			suspects[f] = true
+		}
+	}
+	list := boundedList(suspects)
+	changed := !slices.Equal(before, t.parts.quarantined) || !slices.Equal(list, t.parts.suspects)
+	t.parts.suspects = list
+	return changed
+}
+
+// blamedParts returns the parts to quarantine next, of those that were in flight at enough groups of
+// unexplained crashes. Parts that were served shortly before are blamed only for crashes that no
+// other part explains.
+func (t *Tracker) blamedParts() map[Fingerprint]bool {
+	byPart := t.unexplainedByPart(PartThreshold)
+	maps.DeleteFunc(byPart, func(_ Fingerprint, crashes []int) bool {
+		return t.groups(crashes) < PartThreshold || t.haveCommonRequest(crashes)
+	})
+	served := make(map[Fingerprint][]int)
+	for f, crashes := range byPart {
+		if t.servedBefore(f, crashes) {
+			served[f] = crashes
+			delete(byPart, f)
+		}
+	}
+	if blamed := t.mostBlamed(byPart, PartThreshold); len(blamed) > 0 {
+		return blamed
+	}
+	maps.DeleteFunc(served, func(_ Fingerprint, crashes []int) bool { return t.groups(crashes) < servedPartThreshold })
+	return t.mostBlamed(served, servedPartThreshold)
+}
+
+// mostBlamed returns the parts that are most likely to blame. One that was the only candidate at some
+// crash must have caused it. Otherwise it is those at the most groups, except for one with exactly
+// threshold groups that shares all of its crashes with another: one more crash, or one request that
+// is served, distinguishes them.
+func (t *Tracker) mostBlamed(byPart map[Fingerprint][]int, threshold int) map[Fingerprint]bool {
+	if sole := soleCandidates(byPart); len(sole) > 0 {
+		return sole
+	}
+	most := 0
+	for _, crashes := range byPart {
+		most = max(most, t.groups(crashes))
+	}
+	blamed := make(map[Fingerprint]bool)
+	for f, crashes := range byPart {
+		same := func(other Fingerprint) bool { return other != f && slices.Equal(byPart[other], crashes) }
+		if t.groups(crashes) == most && (most > threshold || !containsKey(byPart, same)) {
+			blamed[f] = true
+		}
+	}
+	return blamed
+}
+
+// servedBefore reports whether a part had been served shortly before one of the crashes.
+func (t *Tracker) servedBefore(part Fingerprint, crashes []int) bool {
+	return slices.ContainsFunc(crashes, func(i int) bool { return slices.Contains(t.crashes[i].ServedBefore, part) })
+}
+
+// unexplainedByPart returns the indexes of the crashes at which each part was in flight and that
+// no quarantined part explains, for the parts with minCrashes such crashes or more.
+func (t *Tracker) unexplainedByPart(minCrashes int) map[Fingerprint][]int {
+	byPart := make(map[Fingerprint][]int)
+	for i, c := range t.crashes {
+		if t.parts.explains(c) {
+			continue
+		}
+		for _, f := range c.Parts {
+			if t.parts.counts[f] >= minCrashes {
+				byPart[f] = append(byPart[f], i)
+			}
+		}
+	}
+	maps.DeleteFunc(byPart, func(_ Fingerprint, crashes []int) bool { return len(crashes) < minCrashes })
+	return byPart
+}
+
+// groups returns the number of groups that the crashes with these indexes belong to. Upstreams that
+// crash at the same time, as in a rack, are in one group: their requests were sent before any of
+// them crashed.
+func (t *Tracker) groups(crashes []int) int {
+	groups := make(map[uint64]bool, len(crashes))
+	for _, i := range crashes {
+		groups[t.crashes[i].Group] = true
+	}
+	return len(groups)
+}
+
+// haveCommonRequest reports whether one request was in flight at all of the crashes: it is to blame
+// rather than the parts that it shares with others.
+func (t *Tracker) haveCommonRequest(crashes []int) bool {
+	return slices.ContainsFunc(t.crashes[crashes[0]].Fingerprints, func(f Fingerprint) bool {
+		return t.counts[f] >= len(crashes) && !slices.ContainsFunc(crashes, func(i int) bool { return !slices.Contains(t.crashes[i].Fingerprints, f) })
+	})
+}
+
+func containsKey(m map[Fingerprint][]int, match func(Fingerprint) bool) bool {
+	for f := range m {
+		if match(f) {
+			return true
+		}
+	}
+	return false
+}
--- a/quarantine/lost.go
+++ b/quarantine/lost.go
@@ -76,6 +76,11 @@
 		parts = append(parts, unproven)
 	}
 	crash.addInTurn(parts)
+	for _, f := range crash.Parts {
+		if served.Parts.Has(f, now) {
+			crash.ServedBefore = append(crash.ServedBefore, f)
+		}
+	}
 	return crash
 }
 
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -1,23 +1,21 @@
 package quarantine
 
-import (
-	"maps"
-	"slices"
-)
-
-const (
-	// PartThreshold is the number of groups of crashes at which a part must have been in
-	// flight before it is quarantined.
-	PartThreshold = 3
-	// MaxParts bounds the parts recorded for each crash.
-	MaxParts = 128
-)
+import "slices"
+
+// MaxParts bounds the parts recorded for each crash.
+const MaxParts = 128
 
 // QuarantinedPart is a part whose requests are sent to no upstream, except for trials.
 type QuarantinedPart struct {
 	Part Fingerprint `cbor:"1,keyasint"`
-	// Trials is the number of trials so far. None has been served.
+	// Trials is the number of trials so far with no other quarantined part, Shared that of trials
+	// with others. None has been served.
 	Trials int `cbor:"2,keyasint,omitempty"`
+	Shared int `cbor:"3,keyasint,omitempty"`
+	// Confirmed indicates that it stays quarantined until a request with it is served, whatever is
+	// recorded: it was tried, or some of its crashes are no longer recorded. Without requests with
+	// it no further crash counts against it.
+	Confirmed bool `cbor:"4,keyasint,omitempty"`
 }
 
 // partState is what a Tracker knows about parts.
@@ -43,21 +41,30 @@
 }
 
 // add records parts that were in flight at a recorded crash.
-func (s *partState) add(crash *Crash, parts []Fingerprint) {
-	for _, f := range parts {
-		if len(crash.Parts) < MaxParts && !slices.Contains(crash.Parts, f) {
-			crash.Parts = append(crash.Parts, f)
+func (s *partState) add(known *Crash, reported Crash) {
+	for _, f := range reported.Parts {
+		if len(known.Parts) < MaxParts && !slices.Contains(known.Parts, f) {
+			known.Parts = append(known.Parts, f)
 			s.counts[f]++
 		}
 	}
+	for _, f := range reported.ServedBefore {
+		if slices.Contains(known.Parts, f) && !slices.Contains(known.ServedBefore, f) {
+			known.ServedBefore = append(known.ServedBefore, f)
+		}
+	}
 }
 
-// drop removes the parts of a crash.
+// drop removes the parts of a crash that is no longer recorded.
 func (s *partState) drop(crash *Crash) {
 	for _, f := range crash.Parts {
 		if s.counts[f]--; s.counts[f] == 0 {
 			delete(s.counts, f)
 		}
+		if s.isQuarantined[f] {
+			s.quarantined = slices.Clone(s.quarantined)
+			s.quarantined[s.find(f)].Confirmed = true
+		}
 	}
 	crash.Parts = nil
 }
@@ -115,17 +122,34 @@
 	return first
 }
 
-// RecordTrial records that a request with a quarantined part is sent. It reports false for a part
-// that is not quarantined.
-func (t *Tracker) RecordTrial(part Fingerprint) bool {
-	i := t.parts.find(part)
-	if i < 0 {
-		return false
+// RecordTrial records that a request is sent although these parts of its prompt are quarantined. It
+// reports false if none of them is.
+func (t *Tracker) RecordTrial(parts []Fingerprint) bool { return t.countTrial(parts, 1) }
+
+// ReturnTrial takes back a trial that was granted and not run: it tells nothing of the parts.
+func (t *Tracker) ReturnTrial(parts []Fingerprint) { t.countTrial(parts, -1) }
+
+func (t *Tracker) countTrial(parts []Fingerprint, change int) bool {
+	quarantined, found := slices.Clone(t.parts.quarantined), false
+	for _, part := range parts {
+		i := t.parts.find(part)
+		if i < 0 {
+			continue
+		}
+		found = true
+		q := &quarantined[i]
+		q.Confirmed = true
+		if len(parts) == 1 {
+			q.Trials = max(q.Trials+change, 0)
+		} else {
+			q.Shared = max(q.Shared+change, 0)
+		}
+	}
+	if found {
+		t.parts.quarantined = quarantined
+		t.revision++
 	}
-	t.parts.quarantined = slices.Clone(t.parts.quarantined)
-	t.parts.quarantined[i].Trials++
-	t.revision++
-	return true
+	return found
 }
 
 // servedPart clears a part of which a request was served. If that was a trial, the crashes at which
@@ -133,7 +157,7 @@
 // count against others that were in flight there.
 func (t *Tracker) servedPart(f Fingerprint) {
 	at := t.parts.find(f)
-	tried := at >= 0 && t.parts.quarantined[at].Trials > 0
+	tried := at >= 0 && t.parts.quarantined[at].Trials+t.parts.quarantined[at].Shared > 0
 	if at >= 0 {
 		t.parts.release(at)
 		t.revision++
@@ -148,108 +172,9 @@
 		case tried:
 			t.drop(i)
 		default:
-			c.Parts = slices.DeleteFunc(c.Parts, func(other Fingerprint) bool { return other == f })
+			isPart := func(other Fingerprint) bool { return other == f }
+			c.Parts, c.ServedBefore = slices.DeleteFunc(c.Parts, isPart), slices.DeleteFunc(c.ServedBefore, isPart)
 		}
 	}
 	delete(t.parts.counts, f)
 }
-
-// updateParts quarantines further parts, recomputes the suspects, and reports whether anything
-// has changed. A quarantined part stays so until a request with it is served: without it no
-// crash would count against it any more.
-func (t *Tracker) updateParts() bool {
-	changed := false
-	for {
-		blamed := t.blamedParts()
-		if len(blamed) == 0 {
-			break
-		}
-		for _, f := range boundedList(blamed) {
-			t.parts.quarantine(f)
-		}
-		changed = true
-	}
-	suspects := make(map[Fingerprint]bool)
-	for f, crashes := range t.unexplainedByPart(SuspectThreshold) {
-		if t.groups(crashes) >= SuspectThreshold {
-			suspects[f] = true
-		}
-	}
-	if list := boundedList(suspects); !slices.Equal(list, t.parts.suspects) {
-		t.parts.suspects, changed = list, true
-	}
-	return changed
-}
-
-// blamedParts returns the parts to quarantine next, of those that were in flight at PartThreshold
-// groups of unexplained crashes or more. One that was the only such part at some crash must have
-// caused it. Otherwise those at the most groups are blamed, except for one with exactly
-// PartThreshold groups that shares all of its crashes with another: one more crash, or one request
-// that is served, distinguishes them.
-func (t *Tracker) blamedParts() map[Fingerprint]bool {
-	byPart := t.unexplainedByPart(PartThreshold)
-	maps.DeleteFunc(byPart, func(_ Fingerprint, crashes []int) bool {
-		return t.groups(crashes) < PartThreshold || t.haveCommonRequest(crashes)
-	})
-	if sole := soleCandidates(byPart); len(sole) > 0 {
-		return sole
-	}
-	most := 0
-	for _, crashes := range byPart {
-		most = max(most, t.groups(crashes))
-	}
-	blamed := make(map[Fingerprint]bool)
-	for f, crashes := range byPart {
-		same := func(other Fingerprint) bool { return other != f && slices.Equal(byPart[other], crashes) }
-		if t.groups(crashes) == most && (most > PartThreshold || !containsKey(byPart, same)) {
-			blamed[f] = true
-		}
-	}
-	return blamed
-}
-
-// unexplainedByPart returns the indexes of the crashes at which each part was in flight and that
-// no quarantined part explains, for the parts with minCrashes such crashes or more.
-func (t *Tracker) unexplainedByPart(minCrashes int) map[Fingerprint][]int {
-	byPart := make(map[Fingerprint][]int)
-	for i, c := range t.crashes {
-		if t.parts.explains(c) {
-			continue
-		}
-		for _, f := range c.Parts {
-			if t.parts.counts[f] >= minCrashes {
-				byPart[f] = append(byPart[f], i)
-			}
-		}
-	}
-	maps.DeleteFunc(byPart, func(_ Fingerprint, crashes []int) bool { return len(crashes) < minCrashes })
-	return byPart
-}
-
-// groups returns the number of groups that the crashes with these indexes belong to. Upstreams that
-// crash at the same time, as in a rack, are in one group: their requests were sent before any of
-// them crashed.
-func (t *Tracker) groups(crashes []int) int {
-	groups := make(map[uint64]bool, len(crashes))
-	for _, i := range crashes {
-		groups[t.crashes[i].Group] = true
-	}
-	return len(groups)
-}
-
-// haveCommonRequest reports whether one request was in flight at all of the crashes: it is to blame
-// rather than the parts that it shares with others.
-func (t *Tracker) haveCommonRequest(crashes []int) bool {
-	return slices.ContainsFunc(t.crashes[crashes[0]].Fingerprints, func(f Fingerprint) bool {
-		return t.counts[f] >= len(crashes) && !slices.ContainsFunc(crashes, func(i int) bool { return !slices.Contains(t.crashes[i].Fingerprints, f) })
-	})
-}
-
-func containsKey(m map[Fingerprint][]int, match func(Fingerprint) bool) bool {
-	for f := range m {
-		if match(f) {
-			return true
-		}
-	}
-	return false
-}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -22,6 +22,12 @@
 	return c
 }
 
+// servedBefore returns a crash with a part that was served shortly before.
+func servedBefore(c Crash, name string) Crash {
+	c.ServedBefore = append(c.ServedBefore, part(name))
+	return c
+}
+
 // joined returns a crash as one of the group of the crash before.
 func joined(c Crash) Crash {
 	c.Joined = true
@@ -74,9 +80,23 @@
 			crashes: []Crash{partCrash("a", "1", "bad"), partCrash("b", "2", "bad"), partCrash("c", "3", "bad"),
 				{Incarnation: Incarnation{Upstream: "a"}, Fingerprints: []Fingerprint{fingerprintOf("sound")}, Parts: []Fingerprint{part("y")}},
 				{Incarnation: Incarnation{Upstream: "b"}, Fingerprints: []Fingerprint{fingerprintOf("sound")}, Parts: []Fingerprint{part("y")}},
-				{Incarnation: Incarnation{Upstream: "c"}, Fingerprints: []Fingerprint{fingerprintOf("sound")}, Parts: []Fingerprint{part("y")}}},
+				{Incarnation: Incarnation{Upstream: "c"}, Fingerprints: []Fingerprint{fingerprintOf("sound")}, Parts: []Fingerprint{part("y")}},
+				partCrash("d", "4", "bad")},
 			parts: []string{"bad"},
 		},
+		"a first report that blames another part": {
+			crashes: []Crash{partCrash("a", "1", "x"), partCrash("b", "2", "x"), partCrash("c", "3", "x"), partCrash("d", "4", "bad"), partCrash("e", "5", "bad"),
+				partCrash("a", "6", "bad"), partCrash("b", "7", "bad"), partCrash("c", "8", "bad")},
+			parts: []string{"bad"},
+		},
+		"a part that was served shortly before": {
+			crashes: []Crash{servedBefore(partCrash("a", "1", "x", "bad"), "x"), partCrash("b", "2", "x", "bad"), partCrash("c", "3", "x", "bad"), servedBefore(partCrash("d", "4", "y"), "y"), partCrash("e", "5", "y"), partCrash("f", "6", "y")},
+			parts:   []string{"bad"},
+		},
+		"a part that has begun to crash upstreams": {
+			crashes: []Crash{servedBefore(partCrash("a", "1", "bad"), "bad"), partCrash("b", "2", "bad"), partCrash("c", "3", "bad"), partCrash("d", "4", "bad"), partCrash("e", "5", "bad")},
+			parts:   []string{"bad"},
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -135,7 +155,14 @@
 	for i := range 5 {
 		tr.AddCrashes(partCrash(fmt.Sprint("later-", i), "retried", "bad", "y"))
 	}
-	tr.RecordTrial(part("bad"))
+	for _, parts := range [][]Fingerprint{{part("bad")}, {part("bad"), part("rare")}} {
+		tr.RecordTrial(parts)
+		tr.ReturnTrial(parts)
+	}
+	if q := tr.QuarantinedParts(); len(q) != 2 || q[0].Trials+q[1].Trials+q[0].Shared+q[1].Shared != 0 {
+		t.Fatalf("after trials that were not run: %+v", q)
+	}
+	tr.RecordTrial([]Fingerprint{part("bad")})
 	tr.Served(part("bad"))
 	if got := quarantinedParts(tr); !slices.Equal(got, []Fingerprint{part("rare")}) || len(tr.Quarantined()) > 0 {
 		t.Fatalf("after a trial that was served parts %v and requests %v are quarantined", got, tr.Quarantined())
@@ -148,7 +175,7 @@
 	for i := range 4 {
 		tr.AddCrashes(partCrash(fmt.Sprint(i), fmt.Sprint(i), "bad"), joined(partCrash(fmt.Sprint("rack-", i), "n", "warm")))
 	}
-	tr.RecordTrial(part("bad"))
+	tr.RecordTrial([]Fingerprint{part("bad")})
 	restored.Restore(tr.Save())
 	for _, x := range []*Tracker{tr, restored} {
 		x.AddCrashes(joined(partCrash("last", "l", "warm")), partCrash("next", "m", "warm"))
@@ -249,6 +276,17 @@
 	if both := []Fingerprint{part("bad"), part("rare")}; times.Grant(both, now) || !times.Grant(both, now.Add(sharedTrialDelay)) || !times.Grant(both[1:], now) {
 		t.Error("a trial with two quarantined parts must be later than one with a single one, and allowed then")
 	}
+	later := now.Add(sharedTrialDelay)
+	times.Sync([]QuarantinedPart{{Part: part("bad"), Shared: 1}, {Part: part("rare"), Shared: 1}}, later)
+	if both := []Fingerprint{part("bad"), part("rare")}; times.Grant(both, later.Add(10*time.Second)) || !times.Grant(both[1:], later) {
+		t.Error("a trial with two quarantined parts must delay the next such one, and none of a single part")
+	}
+	times.Sync([]QuarantinedPart{{Part: part("bad"), Trials: 3}}, now)
+	times.Sync([]QuarantinedPart{{Part: part("bad"), Trials: 2}}, now)
+	if bad := []Fingerprint{part("bad")}; times.Grant(bad, now) || !times.Grant(bad, now.Add(firstTrialDelay)) {
+		t.Error("a trial that was not run must be due again soon")
+	}
+	times.Sync([]QuarantinedPart{{Part: part("bad")}, {Part: part("rare")}}, now)
 	if times.Grant([]Fingerprint{part("unknown")}, now) || times.Grant(nil, now) {
 		t.Error("a trial without a quarantined part is granted")
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -42,6 +42,8 @@
 	Group uint64 `cbor:"5,keyasint,omitempty"`
 	// Age is the time since the crash was noticed when it is reported.
 	Age time.Duration `cbor:"6,keyasint,omitempty"`
+	// ServedBefore are those of Parts that were served shortly before the crash.
+	ServedBefore []Fingerprint `cbor:"7,keyasint,omitempty"`
 }
 
 // Tracker records the crashes of upstreams and derives which requests are quarantined
@@ -82,7 +84,7 @@
 		known = &Crash{Incarnation: c.Incarnation, Group: cmp.Or(c.Group, t.parts.group)}
 		t.crashes = append(t.crashes, known)
 	}
-	t.parts.add(known, c.Parts)
+	t.parts.add(known, c)
 	for _, f := range c.Fingerprints {
 		if len(known.Fingerprints) < MaxFingerprints && !slices.Contains(known.Fingerprints, f) {
 			known.Fingerprints = append(known.Fingerprints, f)
@@ -285,7 +287,7 @@
 func (t *Tracker) Save() State {
 	saved := State{Revision: t.revision, Parts: slices.Clone(t.parts.quarantined), Group: t.parts.group}
 	for _, c := range t.crashes {
-		saved.Crashes = append(saved.Crashes, Crash{Incarnation: c.Incarnation, Fingerprints: slices.Clone(c.Fingerprints), Parts: slices.Clone(c.Parts), Group: c.Group})
+		saved.Crashes = append(saved.Crashes, Crash{Incarnation: c.Incarnation, Fingerprints: slices.Clone(c.Fingerprints), Parts: slices.Clone(c.Parts), ServedBefore: slices.Clone(c.ServedBefore), Group: c.Group})
 	}
 	return saved
 }
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// firstTrialDelay is the time from the quarantine of a part to its first trial, and
@@ -13,8 +10,8 @@
 	trialDelayFactor = 8
 	// maxTrialDelay is the longest delay between two trials.
 	maxTrialDelay = 20 * time.Minute
-	// sharedTrialDelay is how long a trial is due before a request with several quarantined parts
-	// may be it: one that is served proves all of them sound, but its crash tells nothing of each.
+	// sharedTrialDelay is the further delay of a request with several quarantined parts: one that is
+	// served proves all of them sound, but its crash tells nothing of each.
 	sharedTrialDelay = 5 * time.Second
 	// groupWindow is the time within which crashes belong to one group.
 	groupWindow = 100 * time.Millisecond
@@ -32,59 +29,61 @@
 	return delay
 }
 
-// TrialDue reports whether a request may be a trial of all of its quarantined parts. due holds the
-// time at which the next trial of each is due.
-func TrialDue(due []time.Time, now time.Time) bool {
-	wait := time.Duration(0)
-	if len(due) > 1 {
-		wait = sharedTrialDelay
-	}
-	return !slices.ContainsFunc(due, func(at time.Time) bool { return now.Before(at.Add(wait)) })
-}
-
-// TrialTimes holds, by the monotonic clock of this process, when each part was quarantined or last
-// tried. The zero value is ready to use; it is not safe for concurrent use.
+// TrialTimes holds, by the monotonic clock of this process, when the next trial of each quarantined
+// part is due. The zero value is ready to use; it is not safe for concurrent use.
 type TrialTimes struct{ known map[Fingerprint]trialTime }
 
 type trialTime struct {
-	trials int
-	at     time.Time
+	counted QuarantinedPart
+	// alone is when a request with no other quarantined part may be sent, shared when one with
+	// others may.
+	alone, shared time.Time
 }
 
-// Sync adapts the times to the quarantined parts: a part that is new, or that was tried since, counts
-// from now on.
+// Sync adapts the times to the quarantined parts. The delay to the next trial of a part that is new, or
+// that was tried, begins now; one that was not run is due again soon. Trials with other parts tell
+// nothing of each and don't delay those without.
 func (p *TrialTimes) Sync(parts []QuarantinedPart, now time.Time) {
 	before := p.known
 	p.known = make(map[Fingerprint]trialTime, len(parts))
 	for _, q := range parts {
-		if known, found := before[q.Part]; found && known.trials == q.Trials {
-			p.known[q.Part] = known
-		} else {
-			p.known[q.Part] = trialTime{trials: q.Trials, at: now}
+		known, found := before[q.Part]
+		if !found || known.counted.Trials < q.Trials {
+			known.alone = now.Add(TrialDelay(q.Trials))
+		}
+		if !found || known.counted.Trials < q.Trials || known.counted.Shared < q.Shared {
+			known.shared = now.Add(TrialDelay(q.Trials+q.Shared) + sharedTrialDelay)
 		}
+		if known.counted.Trials > q.Trials {
+			known.alone = now.Add(firstTrialDelay)
+		}
+		if known.counted.Shared > q.Shared {
+			known.shared = now.Add(firstTrialDelay + sharedTrialDelay)
+		}
+		known.counted = q
+		p.known[q.Part] = known
 	}
 }
 
-// Due returns the time at which the next trial of a part is due, and false if it is not quarantined.
-func (p *TrialTimes) Due(part Fingerprint) (time.Time, bool) {
+// Due returns the times at which trials of a part are due, with no other quarantined part and with
+// others, and false if it is not quarantined.
+func (p *TrialTimes) Due(part Fingerprint) (alone, shared time.Time, found bool) {
 	known, found := p.known[part]
-	if !found {
-		return time.Time{}, false
-	}
-	return known.at.Add(TrialDelay(known.trials)), true
+	return known.alone, known.shared, found
 }
 
-// Grant reports whether a request with these quarantined parts, and no others, may be a trial now.
+// Grant reports whether a request with these quarantined parts, and no others, may be sent now.
 func (p *TrialTimes) Grant(parts []Fingerprint, now time.Time) bool {
-	due := make([]time.Time, 0, len(parts))
 	for _, part := range parts {
-		at, found := p.Due(part)
-		if !found {
+		due, shared, found := p.Due(part)
+		if len(parts) > 1 {
+			due = shared
+		}
+		if !found || now.Before(due) {
 			return false
 		}
-		due = append(due, at)
 	}
-	return len(due) > 0 && TrialDue(due, now)
+	return len(parts) > 0
 }
 
 // CrashGroups assigns reported crashes to groups by the time at which they were noticed.
