Native pipeline: a block of prompts that crashes engines is known by itself

What callers saw: as in routed deployments, engine after engine crashed under prompts of which no two were alike. Cause: the same. A prompt's fingerprint covers all of its tokens, its seed and its length. Change: entries report the blocks of prompts but the last tokens, by content, model, team and adapter, and hold prompts with a quarantined block as not run, with a time. What concerns requests is sent apart, so that entries of the version before still read it. Repeated messages list only blocks that are suspected.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -71,9 +71,10 @@
 // start waits for admission and makes attempts until an upstream accepts one or
 // no further attempt is permitted.
 func (a *answer) start() error {
-	if err := a.entry.checkQuarantine(a.job.fingerprint); err != nil {
+	if err := a.checkQuarantine(); err != nil {
 		return err
 	}
+	defer a.returnTrial()
 	if err := a.awaitAdmission(); err != nil {
 		return err
 	}
@@ -109,7 +110,7 @@
 
 // try makes one attempt.
 func (a *answer) try() error {
-	if err := a.entry.checkQuarantine(a.job.fingerprint); err != nil {
+	if err := a.checkQuarantine(); err != nil {
 		return err
 	}
 	if err := a.dispatch(); err != nil {
@@ -202,7 +203,7 @@
 // returns the outcome if no further attempt is permitted.
 func (a *answer) mayRetry(cause error) error {
 	j := a.job
-	if !a.entry.mayRepeat(a.ctx, j.fingerprint, j.crashChecks, cause, a.possiblyRan) {
+	if len(j.trial) > 0 && a.possiblyRan != nil || !a.entry.mayRepeat(a.ctx, j.fingerprint, j.parts, j.crashChecks, cause, a.possiblyRan) {
 		return cause
 	}
 	call := retry.Call{
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -36,6 +36,7 @@
 	// Served are requests that completed although they were quarantined or
 	// suspected.
 	Served []quarantine.Fingerprint `cbor:"2,keyasint,omitempty"`
+	partMessage
 }
 
 // crashReport is a crash and the time since it was observed. Without the age, a
@@ -54,6 +55,10 @@
 	// checks holds the checks of the upstreams at which attempts broke off.
 	checks map[quarantine.Incarnation]*crash.Check
 	served quarantine.Served
+	// groups assigns crashes to groups; trials and asks decide when quarantined parts are tried.
+	groups quarantine.CrashGroups
+	trials quarantine.TrialTimes
+	asks   quarantine.TrialAsks
 	// seen records when each crash was observed, as far as this entry knows.
 	seen quarantine.CrashTimes
 	// own are the crashes that this entry observed itself. It sends them to the
@@ -81,11 +86,13 @@
 		if report.Age < 0 || report.Age >= quarantine.CrashRetention {
 			continue
 		}
+		report.Crash.Joined = n.groups.Joins(now.Add(-report.Age))
 		crashes = append(crashes, report.Crash)
 		n.seen.Record(report.Crash.Incarnation, now.Add(-report.Age))
 	}
 	n.tracker.AddCrashes(crashes...)
 	n.tracker.Served(m.Served...)
+	n.applyParts(m.partMessage, now)
 	n.expire(now)
 	return n.tracker.Revision() != before
 }
@@ -97,6 +104,7 @@
 		n.tracker.Forget(old...)
 		n.seen.Sync(n.tracker.Incarnations(), now)
 	}
+	n.trials.Sync(n.tracker.QuarantinedParts(), now)
 	n.own = slices.DeleteFunc(n.own, func(o ownCrash) bool { return now.Sub(o.seenAt) >= quarantine.CrashRetention })
 }
 
@@ -116,10 +124,11 @@
 	n.peers = slices.Clone(peers)
 	for _, o := range n.own {
 		if peersChanged || now.Sub(o.seenAt) < crashRepeat {
-			m.Crashes = append(m.Crashes, crashReport{Crash: o.crash, Age: now.Sub(o.seenAt)})
+			m.Crashes = append(m.Crashes, crashReport{Crash: n.withListedParts(o.crash), Age: now.Sub(o.seenAt)})
 		}
 	}
 	if peersChanged && !slices.ContainsFunc(peers, func(p Peer) bool { return p.Host < self }) {
+		m.Parts = slices.Clone(n.tracker.QuarantinedParts())
 		m.Crashes = append(m.Crashes, n.quarantinedCrashes(now, maxOwnCrashes-len(m.Crashes))...)
 	}
 	return m
@@ -131,6 +140,7 @@
 	var list []crashReport
 	for _, crash := range slices.Backward(n.tracker.Save().Crashes) {
 		crash.Fingerprints = slices.DeleteFunc(crash.Fingerprints, func(p quarantine.Fingerprint) bool { return !slices.Contains(n.tracker.Quarantined(), p) })
+		crash = n.withListedParts(crash)
 		if len(crash.Fingerprints) > 0 && len(list) < limit {
 			list = append(list, crashReport{Crash: crash, Age: n.seen.Age(crash.Incarnation, now)})
 		}
@@ -177,21 +187,21 @@
 // cause. possiblyRan is the outcome of an attempt that may have run. A request
 // that one more crash would quarantine is not repeated by the entry; its caller
 // may repeat it. checks are those of the upstreams at which its attempts broke off.
-func (e *Entry) mayRepeat(ctx context.Context, p quarantine.Fingerprint, checks crash.Checks, cause, possiblyRan error) bool {
+func (e *Entry) mayRepeat(ctx context.Context, p quarantine.Fingerprint, parts []quarantine.Fingerprint, checks crash.Checks, cause, possiblyRan error) bool {
 	if possiblyRan == nil && outcome.KindOf(cause) == outcome.KindNotRun {
 		return true
 	}
 	e.mu.Lock()
 	served := e.crashes.served.Requests.Has(p, time.Now())
 	e.mu.Unlock()
-	return !e.isSuspect(p) && (served || !checks.Suspect(ctx))
+	return !e.isSuspect(p, parts) && (served || !checks.Suspect(ctx))
 }
 
-// isSuspect reports whether a request is quarantined or suspected.
-func (e *Entry) isSuspect(p quarantine.Fingerprint) bool {
+// isSuspect reports whether a request, or a part of its prompt, is quarantined or suspected.
+func (e *Entry) isSuspect(p quarantine.Fingerprint, parts []quarantine.Fingerprint) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Contains(e.crashes.tracker.Quarantined(), p) || slices.Contains(e.crashes.tracker.Suspects(), p)
+	return slices.ContainsFunc(parts, e.crashes.tracker.ListsPart) || slices.Contains(e.crashes.tracker.Quarantined(), p) || slices.Contains(e.crashes.tracker.Suspects(), p)
 }
 
 // recordLost records that the connection of an attempt broke. The first such
@@ -260,8 +270,8 @@
 	now := time.Now()
 	e.mu.Lock()
 	attempts := e.crashes.endCheck(incarnation, state)
-	found := quarantine.NewCrash(incarnation, attempts, &e.crashes.served, nil, now)
-	blamed := crashed && len(found.Fingerprints) > 0
+	found := quarantine.NewCrash(incarnation, attempts, &e.crashes.served, e.crashes.tracker.ListsPart, now)
+	blamed := crashed && len(found.Fingerprints)+len(found.Parts) > 0
 	if blamed {
 		e.crashes.own = append(e.crashes.own, ownCrash{crash: found, seenAt: now})
 		e.crashes.own = e.crashes.own[max(len(e.crashes.own)-maxOwnCrashes, 0):]
@@ -276,14 +286,15 @@
 	}
 }
 
-// recordServed records that a request completed and clears it from quarantine
-// and suspicion.
-func (e *Entry) recordServed(p quarantine.Fingerprint) {
+// recordServed records that a request completed and clears it, and the parts of
+// its prompt, from quarantine and suspicion.
+func (e *Entry) recordServed(p quarantine.Fingerprint, parts []quarantine.Fingerprint) {
 	e.mu.Lock()
-	e.crashes.served.Record(p, nil, time.Now())
+	e.crashes.served.Record(p, parts, time.Now())
+	served := slices.DeleteFunc(slices.Clone(parts), func(f quarantine.Fingerprint) bool { return !e.crashes.tracker.ListsPart(f) })
 	e.mu.Unlock()
-	if e.isSuspect(p) {
-		cleared := crashMessage{Served: []quarantine.Fingerprint{p}}
+	if len(served) > 0 || e.isSuspect(p, nil) {
+		cleared := crashMessage{Served: append(served, p)}
 		e.applyCrashes(cleared)
 		e.sendCrashes(cleared)
 	}
@@ -292,9 +303,28 @@
 // sendCrashes sends a message to the other entries, unless it is empty. The
 // mutex must not be held.
 func (e *Entry) sendCrashes(m crashMessage) {
-	if len(m.Crashes)+len(m.Served) > 0 {
-		e.options.SendCrashes(wire.MustMarshal(m))
+	for _, message := range m.split() {
+		if len(message.Crashes)+len(message.Served) > 0 || !message.partMessage.empty() {
+			e.options.SendCrashes(wire.MustMarshal(message))
+		}
+	}
+}
+
+// split returns a message without, and one with what concerns parts of prompts:
+// entries of versions that know no parts reject the latter.
+func (m crashMessage) split() [2]crashMessage {
+	requests, parts := crashMessage{Served: m.Served}, crashMessage{partMessage: m.partMessage}
+	for _, report := range m.Crashes {
+		c := report.Crash
+		if len(c.Fingerprints) > 0 {
+			requests.Crashes = append(requests.Crashes, crashReport{Crash: quarantine.Crash{Incarnation: c.Incarnation, Fingerprints: c.Fingerprints}, Age: report.Age})
+		}
+		if len(c.Parts) > 0 {
+			of := quarantine.Crash{Incarnation: c.Incarnation, Parts: c.Parts, ServedBefore: c.ServedBefore}
+			parts.Crashes = append(parts.Crashes, crashReport{Crash: of, Age: report.Age})
+		}
 	}
+	return [2]crashMessage{requests, parts}
 }
 
 // ApplyCrashes applies another entry's message about requests that crash
@@ -307,6 +337,9 @@
 	if len(m.Crashes) > maxOwnCrashes || len(m.Served) > quarantine.MaxListed {
 		return eris.Errorf("entry: crashes: %d crashes and %d requests, more than %d and %d", len(m.Crashes), len(m.Served), maxOwnCrashes, quarantine.MaxListed)
 	}
+	if err := m.partMessage.check(); err != nil {
+		return err
+	}
 	e.applyCrashes(m)
 	return nil
 }
@@ -323,8 +356,11 @@
 				cleared.Served = append(cleared.Served, p)
 			}
 		}
+		cleared.Served = append(cleared.Served, e.crashes.servedParts(now)...)
 		e.crashes.apply(now, cleared)
-		e.options.Log.Info("quarantined requests changed", "held", len(e.crashes.tracker.Quarantined()), "suspects", len(e.crashes.tracker.Suspects()))
+		t := e.crashes.tracker
+		e.options.Log.Info("quarantined requests changed", "held", len(t.Quarantined()), "suspects", len(t.Suspects()),
+			"held_parts", len(t.QuarantinedParts()), "suspected_parts", len(t.SuspectedParts()))
 	}
 	e.mu.Unlock()
 	e.sendCrashes(cleared)
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -115,8 +115,10 @@
 	mu          sync.Mutex
 	script      *script
 	requests    []port.GenerateRequest
-	imports     []port.ImportRequest
-	missing     []port.BlockID
+	// crashes reports whether a request crashes the engine, nil if none does.
+	crashes func(port.GenerateRequest) bool
+	imports []port.ImportRequest
+	missing []port.BlockID
 	// exportErr and exportNothing make exports fail.
 	exportErr     error
 	exportNothing bool
@@ -129,6 +131,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.requests = append(f.requests, req)
+	if f.crashes != nil && f.crashes(req) {
+		return nil, errLost
+	}
 	step := f.script.step()
 	if step.refuse != nil {
 		return nil, step.refuse
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -143,7 +143,7 @@
 }
 
 func (e *Entry) mayHedge(j *serviceJob, waited, slowAfter time.Duration) bool {
-	if e.isSuspect(j.fingerprint) {
+	if e.isSuspect(j.fingerprint, nil) {
 		return false
 	}
 	e.mu.Lock()
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -58,6 +58,7 @@
 	return &job{
 		prompt:      prompt,
 		fingerprint: promptFingerprint(&prompt),
+		parts:       promptParts(&prompt, model.BlockTokens),
 		model:       model,
 		class:       class,
 		arrived:     now,
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -33,6 +33,9 @@
 	prompt Prompt
 	// fingerprint identifies the prompt for quarantine.
 	fingerprint quarantine.Fingerprint
+	// parts identify the blocks of the prompt that others may share, and trial those of them that
+	// are quarantined and that it may be sent with, once.
+	parts, trial []quarantine.Fingerprint
 	// crashChecks are the checks of the upstreams at which its attempts broke off.
 	crashChecks crash.Checks
 	model       *config.Model
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -247,7 +247,7 @@
 	return ServiceAnswer{
 		Status: answer.Status,
 		Header: answer.Header,
-		Body:   &observedBody{ReadCloser: answer.Body, served: func() { e.recordServed(j.fingerprint) }, lost: broke},
+		Body:   &observedBody{ReadCloser: answer.Body, served: func() { e.recordServed(j.fingerprint, nil) }, lost: broke},
 		Length: answer.Length,
 		Provenance: Provenance{
 			Request:  j.call.Request,
@@ -332,7 +332,7 @@
 	if j.attempts == 0 {
 		return cause
 	}
-	if !e.mayRepeat(ctx, j.fingerprint, j.crashChecks, cause, j.possiblyRan) {
+	if !e.mayRepeat(ctx, j.fingerprint, nil, j.crashChecks, cause, j.possiblyRan) {
 		return j.finalOutcome(cause)
 	}
 	e.mu.Lock()
--- a/internal/gateway/fleet_parts_model_test.go
+++ b/internal/gateway/fleet_parts_model_test.go
@@ -444,7 +444,7 @@
 func (f *partFleet) callSound(parts ...string) {
 	at, rec := time.Now(), f.send("", parts...)
 	var refused *outcome.NotRun
-	blamed := errors.As(rec.cause, &refused) && refused.Reason == ReasonQuarantinedPart
+	blamed := errors.As(rec.cause, &refused) && refused.Reason == outcome.ReasonQuarantinedPart
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sound = append(f.sound, soundAttempt{at: at, served: rec.end == "done", blamed: blamed})
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/quarantine"
 )
 
@@ -106,7 +107,7 @@
 		return nil
 	}
 	due := r.trialDue()
-	return r.refusal(ReasonQuarantinedPart, max(due.Sub(now), minPartRetry), "requests with a part of this prompt have crashed the upstreams that ran them; they are sent again, one at a time, to find out whether the part is sound")
+	return r.refusal(outcome.ReasonQuarantinedPart, max(due.Sub(now), minPartRetry), "requests with a part of this prompt have crashed the upstreams that ran them; they are sent again, one at a time, to find out whether the part is sound")
 }
 
 // trialDue returns when a trial of the request's quarantined parts is due. The caller holds the lock.
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -54,7 +54,7 @@
 		for name, r := range map[string]*Request{"first": withParts("bad0", "1"), "middle": withParts("a", "BAD0", "b", "2"), "twice": withParts("bad0", "bad0", "3")} {
 			rec := serve(g, r)
 			var refused *outcome.NotRun
-			if rec.end != "refused" || !errors.As(rec.cause, &refused) || refused.Reason != ReasonQuarantinedPart || refused.RetryAfter != 9*time.Second {
+			if rec.end != "refused" || !errors.As(rec.cause, &refused) || refused.Reason != outcome.ReasonQuarantinedPart || refused.RetryAfter != 9*time.Second {
 				t.Errorf("%s: ends %q with %v", name, rec.end, rec.cause)
 			}
 		}
@@ -168,7 +168,7 @@
 		}
 		applyParts(g, 1, map[string]time.Duration{"bad0": time.Second})
 		var refused *outcome.NotRun
-		if rec := <-waits; !errors.As(rec.cause, &refused) || refused.Reason != ReasonQuarantinedPart {
+		if rec := <-waits; !errors.As(rec.cause, &refused) || refused.Reason != outcome.ReasonQuarantinedPart {
 			t.Errorf("ends %q with %v", rec.end, rec.cause)
 		}
 		time.Sleep(5 * time.Second)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -32,8 +32,6 @@
 	// ReasonOrigin indicates that a stream can't go on: the software version that began it is
 	// not known, or none of its upstreams is left.
 	ReasonOrigin outcome.Reason = "stream-version"
-	// ReasonQuarantinedPart indicates that requests with a part of the prompt crash upstreams.
-	ReasonQuarantinedPart outcome.Reason = "quarantined-part"
 	// ReasonBudget indicates that no further attempt is allowed at present.
 	ReasonBudget outcome.Reason = "retry-budget"
 )
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -86,6 +86,9 @@
 	// ReasonCrashesUpstreams means that earlier attempts of the same request crashed the
 	// upstreams that ran them and that this attempt was not sent.
 	ReasonCrashesUpstreams Reason = "ends-upstreams"
+	// ReasonQuarantinedPart means that requests with a part of this one's prompt crashed the
+	// upstreams that ran them and that this one was not sent.
+	ReasonQuarantinedPart Reason = "quarantined-part"
 )
 
 // NotRun states that no byte of a request can have reached an upstream that might
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -67,6 +67,24 @@
 	return f
 }
 
+// Tokens returns the fingerprint of a part of a prompt that is known by its tokens, with the service,
+// team and adapter that it is for. It never equals that of a request or of a named part.
+func Tokens(service, team, adapter string, tokens []uint32) Fingerprint {
+	digest := sha256.New()
+	for _, field := range []string{"tokens", service, team, adapter} {
+		writeField(digest, field)
+	}
+	content := make([]byte, 0, 4*len(tokens))
+	for _, token := range tokens {
+		content = binary.BigEndian.AppendUint32(content, token)
+	}
+	// Write on a hash never returns an error.
+	_, _ = digest.Write(content)
+	var f Fingerprint
+	copy(f[:], digest.Sum(nil))
+	return f
+}
+
 // writeField writes a field prefixed with its length, so that different requests
 // never write the same bytes.
 func writeField(digest hash.Hash, field string) {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -102,6 +102,30 @@
 // quarantine. The caller must not modify it.
 func (t *Tracker) SuspectedParts() []Fingerprint { return t.parts.suspects }
 
+// ListsPart reports whether a part is quarantined or suspected.
+func (t *Tracker) ListsPart(f Fingerprint) bool {
+	return t.parts.isQuarantined[f] || slices.Contains(t.parts.suspects, f)
+}
+
+// IsQuarantinedPart reports whether a part is quarantined.
+func (t *Tracker) IsQuarantinedPart(f Fingerprint) bool { return t.parts.isQuarantined[f] }
+
+// AddQuarantined adds parts that another Tracker has quarantined, whose crashes are not known here.
+func (t *Tracker) AddQuarantined(parts ...QuarantinedPart) {
+	for _, q := range parts {
+		i := t.parts.find(q.Part)
+		if i < 0 {
+			t.parts.quarantine(q.Part)
+			i = t.parts.find(q.Part)
+			t.revision++
+		}
+		t.parts.quarantined = slices.Clone(t.parts.quarantined)
+		known := &t.parts.quarantined[i]
+		known.Trials, known.Shared, known.Confirmed = max(known.Trials, q.Trials), max(known.Shared, q.Shared), true
+	}
+	t.update()
+}
+
 // FirstCrashes returns the first recorded crash of each quarantined or suspected part.
 func (t *Tracker) FirstCrashes() map[Fingerprint]Incarnation {
 	listed := make(map[Fingerprint]bool)
