Native pipeline: an answer that ended with its connection is complete only if its replica runs

What callers saw: as in routed deployments, an answer with neither a length nor chunks that a crash cut off was a complete one, and cleared its call of what it was suspected of. Cause: observedBody took the end of the connection for the end of the body. Change: at such an end the entry checks the replica's process; unless it accepts connections, the body ends with an error. The check of a process has three results in both pipelines: running, crashed, unclear.

Measured: TestUnframedAnswerEndsWithReplica fails without the check (a crashed and an unreachable replica's answer read to its end and remembered as served, no crash recorded) and passes with it; tests of internal/entry, internal/entryhost and internal/adapter pass.

--- a/internal/adapter/httpsend/ended.go
+++ b/internal/adapter/httpsend/ended.go
@@ -5,17 +5,21 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"github.com/lovagereach/lovagereach/internal/crash"
 )
 
-// ConnectionRefused reports whether connections to address are refused, as after the end of the
-// listening process. After any other error, such as a timeout, it returns false.
-func ConnectionRefused(ctx context.Context, address string) bool {
+// CheckProcess checks the process that listens at address: connections are refused after its end.
+func CheckProcess(ctx context.Context, address string) crash.State {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return crash.Crashed
+	case err != nil:
+		return crash.Unclear
 	}
 	// Nothing was sent, so an error of Close is irrelevant.
 	_ = conn.Close()
-	return false
+	return crash.Running
 }
--- a/internal/adapter/httpsend/ended_test.go
+++ b/internal/adapter/httpsend/ended_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"testing"
+
+	"github.com/lovagereach/lovagereach/internal/crash"
 )
 
 // Only refused connections count as the end of a process; a cancelled dial does not.
@@ -13,16 +15,16 @@
 		t.Fatal(err)
 	}
 	address := listener.Addr().String()
-	if ConnectionRefused(context.Background(), address) {
-		t.Error("a listening process is reported as ended")
+	if CheckProcess(context.Background(), address) != crash.Running {
+		t.Error("a listening process is not reported as running")
 	}
 	_ = listener.Close()
-	if !ConnectionRefused(context.Background(), address) {
-		t.Error("an address that refuses connections is not reported as ended")
+	if CheckProcess(context.Background(), address) != crash.Crashed {
+		t.Error("an address that refuses connections is not reported as crashed")
 	}
 	cancelled, cancel := context.WithCancel(context.Background())
 	cancel()
-	if ConnectionRefused(cancelled, address) {
-		t.Error("a cancelled dial is reported as the end of the process")
+	if CheckProcess(cancelled, address) != crash.Unclear {
+		t.Error("a cancelled dial is reported as a result")
 	}
 }
--- a/internal/adapter/service/service.go
+++ b/internal/adapter/service/service.go
@@ -54,10 +54,11 @@
 	resp.Header.Del(httpsend.HeaderRequest)
 	resp.Header.Del(httpsend.HeaderAttempt)
 	return port.ServiceAnswer{
-		Status: resp.StatusCode,
-		Header: resp.Header,
-		Body:   resp.Body,
-		Length: resp.ContentLength,
+		Status:   resp.StatusCode,
+		Header:   resp.Header,
+		Body:     resp.Body,
+		Length:   resp.ContentLength,
+		Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
 	}, nil
 }
 
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -263,10 +263,8 @@
 func (e *Entry) probe(ctx context.Context, incarnation quarantine.Incarnation, address string) {
 	ctx, cancel := context.WithTimeout(ctx, quarantine.CheckTimeout)
 	defer cancel()
-	crashed, state := e.options.Upstreams.Crashed(ctx, address), crash.Unclear
-	if crashed {
-		state = crash.Crashed
-	}
+	state := e.options.Upstreams.CheckProcess(ctx, address)
+	crashed := state == crash.Crashed
 	now := time.Now()
 	e.mu.Lock()
 	attempts := e.crashes.endCheck(incarnation, state)
@@ -277,7 +275,12 @@
 		e.crashes.own = e.crashes.own[max(len(e.crashes.own)-maxOwnCrashes, 0):]
 	}
 	e.mu.Unlock()
-	e.options.Log.Info("upstream lost", "upstream", incarnation.Upstream, "ended", crashed, "under_way", len(attempts))
+	if state == crash.Running {
+		attempts = slices.DeleteFunc(attempts, func(a quarantine.Attempt) bool { return a.Ended })
+	}
+	if len(attempts) > 0 {
+		e.options.Log.Info("upstream lost", "upstream", incarnation.Upstream, "ended", crashed, "under_way", len(attempts))
+	}
 	if blamed {
 		e.counts.upstreamCrashes.Inc()
 		message := crashMessage{Crashes: []crashReport{{Crash: found}}}
@@ -372,12 +375,21 @@
 	io.ReadCloser
 	served func()
 	lost   func()
+	// confirm returns an error if a body that ended with its connection may have
+	// been cut off by a crash; nil if the body has a length or chunks.
+	confirm func() error
 }
 
 // Read implements io.Reader.
 func (b *observedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	switch {
+	case err == io.EOF && b.confirm != nil && b.served != nil:
+		if cut := b.confirm(); cut != nil {
+			b.served, b.lost = nil, nil
+			return n, cut
+		}
+		b.report(b.served)
 	case err == io.EOF:
 		b.report(b.served)
 	case err != nil:
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/lovagereach/lovagereach/config"
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/once"
 	"github.com/lovagereach/lovagereach/outcome"
@@ -233,7 +234,9 @@
 	// delay is the duration of each call.
 	delay time.Duration
 	errs  []error
-	calls []port.ServiceCall
+	// unframed indicates that answers have neither a length nor chunks.
+	unframed bool
+	calls    []port.ServiceCall
 	// shared collects the calls of several replicas.
 	shared *[]port.ServiceCall
 }
@@ -254,6 +257,9 @@
 		return port.ServiceAnswer{}, &outcome.Unknown{Reason: outcome.ReasonCallerGone, Detail: "cancelled"}
 	}
 	body := []byte("ran " + call.Path)
+	if f.unframed {
+		return port.ServiceAnswer{Status: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body)), Length: -1, Unframed: true}, nil
+	}
 	return port.ServiceAnswer{
 		Status: http.StatusOK,
 		Header: http.Header{"X-Run": {fmt.Sprint(at)}},
@@ -267,15 +273,26 @@
 	engines  map[string]*fakeEngine
 	services map[string]*fakeService
 	store    *fakeStore
-	// crashed is the result of Crashed for all upstreams.
-	crashed bool
+	// crashed indicates that the processes of all upstreams have crashed, unreachable that nothing
+	// is known of them.
+	crashed, unreachable bool
+}
+
+func (u *fakeUpstreams) Engine(address string) port.Engine   { return u.engines[address] }
+func (u *fakeUpstreams) Store(string) port.Store             { return u.store }
+func (u *fakeUpstreams) Service(address string) port.Service { return u.services[address] }
+
+// CheckProcess implements Upstreams.
+func (u *fakeUpstreams) CheckProcess(context.Context, string) crash.State {
+	switch {
+	case u.crashed:
+		return crash.Crashed
+	case u.unreachable:
+		return crash.Unclear
+	}
+	return crash.Running
 }
 
-func (u *fakeUpstreams) Engine(address string) port.Engine    { return u.engines[address] }
-func (u *fakeUpstreams) Store(string) port.Store              { return u.store }
-func (u *fakeUpstreams) Crashed(context.Context, string) bool { return u.crashed }
-func (u *fakeUpstreams) Service(address string) port.Service  { return u.services[address] }
-
 const (
 	testModel   ident.Model   = "appraiser-llm"
 	testVersion ident.Version = "v1"
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -11,6 +11,7 @@
 
 	"github.com/lovagereach/lovagereach/config"
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/keep"
 	"github.com/lovagereach/lovagereach/prefix"
@@ -46,10 +47,9 @@
 	Engine(address string) port.Engine
 	Store(address string) port.Store
 	Service(address string) port.Service
-	// Crashed reports whether the process of an upstream has ended, which is
-	// when nothing listens at its address. It returns false if that can't be
-	// determined.
-	Crashed(ctx context.Context, address string) bool
+	// CheckProcess checks the process of an upstream. It has crashed if nothing
+	// listens at its address.
+	CheckProcess(ctx context.Context, address string) crash.State
 }
 
 // Options configure an Entry. Zero durations and bounds take the defaults
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -230,10 +230,13 @@
 	e.tracker.End(attempt.Request, attempt.Number)
 	e.recordCall(j, time.Since(sent), err)
 	e.mu.Unlock()
+	record := func(ended bool) *crash.Check {
+		return e.recordLost(chosen.Upstream, chosen.Incarnation, chosen.Address,
+			quarantine.Attempt{Request: attempt.Request.String(), Fingerprint: j.fingerprint, Sent: sent, Ended: ended})
+	}
 	broke := func() {
 		if ctx.Err() == nil {
-			check := e.recordLost(chosen.Upstream, chosen.Incarnation, chosen.Address, quarantine.Attempt{Request: attempt.Request.String(), Fingerprint: j.fingerprint})
-			j.crashChecks = append(j.crashChecks, check)
+			j.crashChecks = append(j.crashChecks, record(false))
 		}
 	}
 	if outcome.KindOf(err) == outcome.KindUnknown {
@@ -244,10 +247,14 @@
 			"upstream", string(chosen.Upstream), "err", err)
 		return ServiceAnswer{}, err
 	}
+	body := &observedBody{ReadCloser: answer.Body, served: func() { e.recordServed(j.fingerprint, nil) }, lost: broke}
+	if answer.Unframed {
+		body.confirm = func() error { return confirmEnd(ctx, record(true)) }
+	}
 	return ServiceAnswer{
 		Status: answer.Status,
 		Header: answer.Header,
-		Body:   &observedBody{ReadCloser: answer.Body, served: func() { e.recordServed(j.fingerprint, nil) }, lost: broke},
+		Body:   body,
 		Length: answer.Length,
 		Provenance: Provenance{
 			Request:  j.call.Request,
@@ -258,6 +265,15 @@
 	}, nil
 }
 
+// confirmEnd returns an error if an answer that ended with its connection, without a length or chunks,
+// may have been cut off by a crash.
+func confirmEnd(ctx context.Context, check *crash.Check) error {
+	if check.Wait(ctx) == crash.Running {
+		return nil
+	}
+	return &outcome.Unknown{Reason: outcome.ReasonConnectionLost, Detail: "the answer ended with its connection, and its upstream has crashed or can't be reached"}
+}
+
 func resultOf(ctx context.Context, err error) upstream.Result {
 	var unknown *outcome.Unknown
 	switch {
--- a/internal/entry/services_test.go
+++ b/internal/entry/services_test.go
@@ -272,3 +272,41 @@
 		})
 	}
 }
+
+// Guards against an answer without a length or chunks being taken as complete, and clearing its call,
+// though its replica has crashed or may have.
+func TestUnframedAnswerEndsWithReplica(t *testing.T) {
+	for name, test := range map[string]struct{ crashed, unreachable, complete bool }{
+		"running": {complete: true}, "crashed": {crashed: true}, "unreachable": {unreachable: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestEntry(t)
+			b.upstreams.crashed, b.upstreams.unreachable = test.crashed, test.unreachable
+			b.service(t, "app-1").unframed = true
+			runEntries(t, b)
+			caller, err := b.Authorize(digest(testToken))
+			if err != nil {
+				t.Fatal(err)
+			}
+			call := ServiceCall{Request: ident.Request{1}, Caller: caller, Service: "clock-app", Method: "GET", Path: "/lots/1"}
+			answer, err := b.Call(t.Context(), call)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = io.ReadAll(answer.Body)
+			_ = answer.Body.Close()
+			if complete := err == nil; complete != test.complete {
+				t.Errorf("%s: read to its end: %v", name, err)
+			}
+			time.Sleep(time.Second)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if served := b.crashes.served.Requests.Has(callFingerprint(&call), time.Now()); served != test.complete {
+				t.Errorf("%s: remembered as served: %t", name, served)
+			}
+			if got := len(b.crashes.tracker.Incarnations()) > 0; got != test.crashed {
+				t.Errorf("%s: crash recorded: %t", name, got)
+			}
+		})
+	}
+}
--- a/internal/entryhost/upstreams.go
+++ b/internal/entryhost/upstreams.go
@@ -9,6 +9,7 @@
 	"github.com/lovagereach/lovagereach/internal/adapter/httpsend"
 	"github.com/lovagereach/lovagereach/internal/adapter/service"
 	"github.com/lovagereach/lovagereach/internal/adapter/store"
+	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/port"
 )
 
@@ -56,9 +57,9 @@
 	return cachedClient(u, u.services, address, func() port.Service { return service.New(address, u.transport) })
 }
 
-// Crashed implements entry.Upstreams.
-func (u *upstreamClients) Crashed(ctx context.Context, address string) bool {
-	return httpsend.ConnectionRefused(ctx, address)
+// CheckProcess implements entry.Upstreams.
+func (u *upstreamClients) CheckProcess(ctx context.Context, address string) crash.State {
+	return httpsend.CheckProcess(ctx, address)
 }
 
 func cachedClient[C any](u *upstreamClients, clients map[string]C, address string, make func() C) C {
--- a/internal/port/service.go
+++ b/internal/port/service.go
@@ -35,4 +35,7 @@
 	Body   io.ReadCloser
 	// Length is the length of the body in bytes, -1 if the replica did not state it.
 	Length int64
+	// Unframed indicates that the body has neither a length nor chunks: it ends with its
+	// connection, as it also does if the replica crashes.
+	Unframed bool
 }
