quarantine: at most 64 quarantined and 48 suspected parts, and a view within 10 KiB

Cause: the bound on the message to an entry, 10 KiB, was not asked of parts: with 256 of each it had 33,819 B. A list that was full, and crashes that support more parts than fit, made the derivation of verdicts run for ever (found by TestPartsAreBounded with the smaller bound, before it landed). Change: parts have bounds of their own, their view is an array with times in ms, and suspected requests are fewer the more parts are listed. A full list gives up the confirmed part that was quarantined first, never one that was derived just now; the latest crashes go first. The probes of the capacity page hold parts, three of each request.

--- a/internal/capacity/probes_quarantine.go
+++ b/internal/capacity/probes_quarantine.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"time"
 
+	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/internal/wire"
 	"github.com/lovagereach/lovagereach/quarantine"
 )
@@ -10,8 +12,12 @@
 // crashSizes are numbers of upstream crashes in the tracker, up to its bound.
 var crashSizes = []int{16, 64, quarantine.MaxCrashes}
 
-// requestsPerCrash is the number of requests running at each crash.
-const requestsPerCrash = 16
+const (
+	// requestsPerCrash is the number of requests running at each crash.
+	requestsPerCrash = 16
+	// partsPerRequest is the number of parts of each of their prompts that others may share.
+	partsPerRequest = 3
+)
 
 // QuarantineProbes returns the probes of the cost of upstream crashes for the hosts
 // that decide on quarantine.
@@ -48,12 +54,25 @@
 	for n := range requestsPerCrash - 1 {
 		e.Fingerprints = append(e.Fingerprints, quarantine.Fingerprint{2, byte(i), byte(i >> 8), byte(n)})
 	}
+	for n := range requestsPerCrash * partsPerRequest {
+		e.Parts = append(e.Parts, quarantine.Fingerprint{3, byte(i), byte(i >> 8), byte(n)})
+	}
 	return e
 }
 
 // quarantineAnswerBytes returns the size of the message to an entry with the
-// maximum number of quarantined and suspected fingerprints.
+// maximum number of quarantined and suspected requests and parts.
 func quarantineAnswerBytes() int {
 	prints := make([]quarantine.Fingerprint, quarantine.MaxListed)
-	return len(wire.MustMarshal([][]quarantine.Fingerprint{prints, prints}))
+	const retentionMs = uint32(quarantine.CrashRetention / time.Millisecond)
+	parts, suspects := make([]steward.PartView, quarantine.MaxQuarantinedParts), make([]steward.PartView, quarantine.MaxSuspectedParts)
+	for i := range parts {
+		parts[i] = steward.PartView{FirstCrashMs: retentionMs, DueMs: retentionMs, DueSharedMs: retentionMs}
+	}
+	for i := range suspects {
+		suspects[i] = steward.PartView{FirstCrashMs: retentionMs}
+	}
+	return len(wire.MustMarshal(steward.QuarantineView{
+		Revision: 1 << 40, Quarantined: prints, Suspects: prints[len(parts)+len(suspects):], Parts: parts, PartSuspects: suspects,
+	}))
 }
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -39,8 +39,8 @@
 	tooMany := func(list [][]quarantine.Fingerprint) bool {
 		return len(list) > maxTrials || slices.ContainsFunc(list, func(parts []quarantine.Fingerprint) bool { return len(parts) > maxTrials })
 	}
-	if tooMany(m.Asks) || tooMany(m.Trials) || tooMany(m.Unused) || len(m.Parts) > quarantine.MaxListed {
-		return eris.Errorf("entry: crashes: more than %d trials, %d parts of one, or %d quarantined parts", maxTrials, maxTrials, quarantine.MaxListed)
+	if tooMany(m.Asks) || tooMany(m.Trials) || tooMany(m.Unused) || len(m.Parts) > quarantine.MaxQuarantinedParts {
+		return eris.Errorf("entry: crashes: more than %d trials, %d parts of one, or %d quarantined parts", maxTrials, maxTrials, quarantine.MaxQuarantinedParts)
 	}
 	return nil
 }
--- a/internal/entry/parts_test.go
+++ b/internal/entry/parts_test.go
@@ -181,7 +181,7 @@
 	b := newTestEntry(t)
 	many := make([][]quarantine.Fingerprint, maxTrials+1)
 	for name, m := range map[string]partMessage{
-		"asks": {Asks: many}, "trials": {Trials: many}, "unused": {Unused: many}, "parts": {Parts: make([]quarantine.QuarantinedPart, quarantine.MaxListed+1)},
+		"asks": {Asks: many}, "trials": {Trials: many}, "unused": {Unused: many}, "parts": {Parts: make([]quarantine.QuarantinedPart, quarantine.MaxQuarantinedParts+1)},
 		"parts of one trial": {Trials: [][]quarantine.Fingerprint{make([]quarantine.Fingerprint, maxTrials+1)}},
 	} {
 		if b.ApplyCrashes(wire.MustMarshal(crashMessage{partMessage: m})) == nil {
--- a/internal/gateway/fleet_parts_model_test.go
+++ b/internal/gateway/fleet_parts_model_test.go
@@ -284,19 +284,20 @@
 // view returns the verdicts. The caller holds the lock.
 func (f *partFleet) view(now time.Time) *steward.QuarantineView {
 	first := f.tracker.FirstCrashes()
-	since := func(part quarantine.Fingerprint) time.Duration {
+	millis := func(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
+	since := func(part quarantine.Fingerprint) uint32 {
 		if c, found := first[part]; found {
-			return f.seen.Age(c, now)
+			return millis(f.seen.Age(c, now))
 		}
 		return 0
 	}
 	v := &steward.QuarantineView{Revision: f.tracker.Revision(), Quarantined: slices.Clone(f.tracker.Quarantined()), Suspects: slices.Clone(f.tracker.Suspects())}
 	for _, q := range f.tracker.QuarantinedParts() {
 		due, shared, _ := f.trials.Due(q.Part)
-		v.Parts = append(v.Parts, steward.PartView{Part: q.Part, FirstCrash: since(q.Part), Due: due.Sub(now), DueShared: shared.Sub(now)})
+		v.Parts = append(v.Parts, steward.PartView{Part: q.Part, FirstCrashMs: since(q.Part), DueMs: millis(due.Sub(now)), DueSharedMs: millis(shared.Sub(now))})
 	}
 	for _, part := range f.tracker.SuspectedParts() {
-		v.PartSuspects = append(v.PartSuspects, steward.PartView{Part: part, FirstCrash: since(part)})
+		v.PartSuspects = append(v.PartSuspects, steward.PartView{Part: part, FirstCrashMs: since(part)})
 	}
 	return v
 }
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -38,10 +38,11 @@
 // seen served since: they are sound. The caller holds the lock.
 func (s *state) applyParts(view *steward.QuarantineView, now time.Time) (cleared []quarantine.Fingerprint) {
 	before := s.verdicts.parts
+	millis := func(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 	verdictsOf := func(parts []steward.PartView) map[quarantine.Fingerprint]partVerdict {
 		verdicts := make(map[quarantine.Fingerprint]partVerdict, len(parts))
 		for _, p := range parts {
-			v := partVerdict{firstCrash: now.Add(-p.FirstCrash), due: now.Add(p.Due), dueShared: now.Add(p.DueShared), asked: before.quarantined[p.Part].asked}
+			v := partVerdict{firstCrash: now.Add(-millis(p.FirstCrashMs)), due: now.Add(millis(p.DueMs)), dueShared: now.Add(millis(p.DueSharedMs)), asked: before.quarantined[p.Part].asked}
 			if s.served.Parts.HasSince(p.Part, v.firstCrash, now) {
 				cleared = append(cleared, p.Part)
 				continue
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -36,10 +36,10 @@
 func applyParts(g *Gateway, revision uint64, due map[string]time.Duration, suspects ...string) {
 	view := &steward.QuarantineView{Revision: revision}
 	for id, wait := range due {
-		view.Parts = append(view.Parts, steward.PartView{Part: partOf(id), FirstCrash: time.Second, Due: wait})
+		view.Parts = append(view.Parts, steward.PartView{Part: partOf(id), FirstCrashMs: 1000, DueMs: uint32(wait.Milliseconds())})
 	}
 	for _, id := range suspects {
-		view.PartSuspects = append(view.PartSuspects, steward.PartView{Part: partOf(id), FirstCrash: time.Second})
+		view.PartSuspects = append(view.PartSuspects, steward.PartView{Part: partOf(id), FirstCrashMs: 1000})
 	}
 	g.ApplyAnswer(&steward.WatchAnswer{Partial: true, Quarantine: view}, time.Now())
 }
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"math"
 	"time"
 
 	"github.com/lovagereach/lovagereach/cacheindex"
@@ -143,16 +144,19 @@
 
 // PartView is a quarantined or suspected part of prompts.
 type PartView struct {
-	Part quarantine.Fingerprint `cbor:"1,keyasint"`
-	// FirstCrash is the time since the first crash that counts against it, zero if unknown. A part
-	// of which a request was served since is sound.
-	FirstCrash time.Duration `cbor:"2,keyasint,omitempty"`
-	// Due is the time until the next trial of a quarantined part with no other such part, DueShared
-	// until that with others. They are negative if it is overdue.
-	Due       time.Duration `cbor:"3,keyasint,omitempty"`
-	DueShared time.Duration `cbor:"4,keyasint,omitempty"`
+	_    struct{} `cbor:",toarray"`
+	Part quarantine.Fingerprint
+	// FirstCrashMs is the time in ms since the first crash that counts against it, zero if unknown. A
+	// part of which a request was served since is sound.
+	FirstCrashMs uint32
+	// DueMs is the time in ms until the next trial of a quarantined part with no other such part,
+	// DueSharedMs until that with others. They are zero if it is overdue.
+	DueMs, DueSharedMs uint32
 }
 
+// millis converts a time to ms; negative times are zero.
+func millis(d time.Duration) uint32 { return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32)) }
+
 // Report is an entry's report on requests that crash upstreams.
 type Report struct {
 	Crashes []quarantine.Crash `cbor:"1,keyasint,omitempty"`
--- a/internal/steward/trials.go
+++ b/internal/steward/trials.go
@@ -24,15 +24,16 @@
 func (m *Machine) quarantineView(now time.Time) *QuarantineView {
 	view := &QuarantineView{Revision: m.quarantine.Revision(), Quarantined: m.quarantine.Quarantined(), Suspects: m.quarantine.Suspects()}
 	for _, q := range m.quarantine.QuarantinedParts() {
-		part := PartView{Part: q.Part, FirstCrash: m.sinceFirstCrash(q.Part, now)}
+		part := PartView{Part: q.Part, FirstCrashMs: millis(m.sinceFirstCrash(q.Part, now))}
 		if due, shared, found := m.trialTimes.Due(q.Part); found {
-			part.Due, part.DueShared = due.Sub(now), shared.Sub(now)
+			part.DueMs, part.DueSharedMs = millis(due.Sub(now)), millis(shared.Sub(now))
 		}
 		view.Parts = append(view.Parts, part)
 	}
 	for _, part := range m.quarantine.SuspectedParts() {
-		view.PartSuspects = append(view.PartSuspects, PartView{Part: part, FirstCrash: m.sinceFirstCrash(part, now)})
+		view.PartSuspects = append(view.PartSuspects, PartView{Part: part, FirstCrashMs: millis(m.sinceFirstCrash(part, now))})
 	}
+	view.Suspects = view.Suspects[:min(len(view.Suspects), quarantine.MaxListed-len(view.Parts)-len(view.PartSuspects))]
 	return view
 }
 
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"bytes"
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -24,25 +26,49 @@
 	for _, q := range t.parts.quarantined {
 		t.parts.isQuarantined[q.Part] = true
 	}
-	for {
+	for full := false; !full; {
 		blamed := t.blamedParts()
 		if len(blamed) == 0 {
 			break
 		}
-		for _, f := range boundedList(blamed) {
-			t.parts.quarantine(f)
+		for _, f := range t.latestFirst(blamed) {
+			full = full || !t.parts.quarantine(f)
 		}
 	}
-	suspects := make(map[Fingerprint]bool)
+	suspects := t.suspectedParts()
+	changed := !slices.Equal(before, t.parts.quarantined) || !slices.Equal(suspects, t.parts.suspects)
+	t.parts.suspects = suspects
+	return changed
+}
+
+// suspectedParts returns the parts that were in flight at SuspectThreshold groups of unexplained
+// crashes or more, those at the most groups first, at most MaxSuspectedParts.
+func (t *Tracker) suspectedParts() []Fingerprint {
+	groups := make(map[Fingerprint]int)
 	for f, crashes := range t.unexplainedByPart(SuspectThreshold) {
-		if t.groups(crashes) >= SuspectThreshold {
-			suspects[f] = true
+		if n := t.groups(crashes); n >= SuspectThreshold {
+			groups[f] = n
 		}
 	}
-	list := boundedList(suspects)
-	changed := !slices.Equal(before, t.parts.quarantined) || !slices.Equal(list, t.parts.suspects)
-	t.parts.suspects = list
-	return changed
+	list := slices.SortedFunc(maps.Keys(groups), func(a, b Fingerprint) int {
+		return cmp.Or(groups[b]-groups[a], bytes.Compare(a[:], b[:]))
+	})
+	return list[:min(len(list), MaxSuspectedParts)]
+}
+
+// latestFirst returns parts by their latest crash, the latest first.
+func (t *Tracker) latestFirst(parts map[Fingerprint]bool) []Fingerprint {
+	var list []Fingerprint
+	for _, c := range slices.Backward(t.crashes) {
+		at := len(list)
+		for _, f := range c.Parts {
+			if parts[f] && !slices.Contains(list, f) {
+				list = append(list, f)
+			}
+		}
+		slices.SortFunc(list[at:], func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	}
+	return list
 }
 
 // blamedParts returns the parts to quarantine next, of those that were in flight at enough groups of
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -2,8 +2,12 @@
 
 import "slices"
 
-// MaxParts bounds the parts recorded for each crash.
-const MaxParts = 128
+const (
+	// MaxParts bounds the parts recorded for each crash.
+	MaxParts = 128
+	// MaxQuarantinedParts and MaxSuspectedParts bound the parts that are sent to entries.
+	MaxQuarantinedParts, MaxSuspectedParts = 64, 48
+)
 
 // QuarantinedPart is a part whose requests are sent to no upstream, except for trials.
 type QuarantinedPart struct {
@@ -79,13 +83,19 @@
 	return len(s.quarantined) > 0 && slices.ContainsFunc(crash.Parts, func(f Fingerprint) bool { return s.isQuarantined[f] })
 }
 
-// quarantine adds a part. Beyond the bound the one that was quarantined first is released.
-func (s *partState) quarantine(f Fingerprint) {
-	if len(s.quarantined) == MaxListed {
-		s.release(0)
+// quarantine adds a part. Beyond the bound the confirmed one that was quarantined first is released. It
+// reports false if there is none, so that deriving verdicts ends.
+func (s *partState) quarantine(f Fingerprint) bool {
+	if len(s.quarantined) == MaxQuarantinedParts {
+		first := slices.IndexFunc(s.quarantined, func(q QuarantinedPart) bool { return q.Confirmed })
+		if first < 0 {
+			return false
+		}
+		s.release(first)
 	}
 	s.quarantined = append(slices.Clone(s.quarantined), QuarantinedPart{Part: f})
 	s.isQuarantined[f] = true
+	return true
 }
 
 // release removes the quarantined part with an index.
@@ -94,12 +104,12 @@
 	s.quarantined = slices.Delete(slices.Clone(s.quarantined), index, index+1)
 }
 
-// QuarantinedParts returns the quarantined parts, at most MaxListed. The caller must not
+// QuarantinedParts returns the quarantined parts, at most MaxQuarantinedParts. The caller must not
 // modify it.
 func (t *Tracker) QuarantinedParts() []QuarantinedPart { return t.parts.quarantined }
 
-// SuspectedParts returns further parts, at most MaxListed, that one more group of crashes may
-// quarantine. The caller must not modify it.
+// SuspectedParts returns further parts, at most MaxSuspectedParts, that one more group of crashes
+// may quarantine. The caller must not modify it.
 func (t *Tracker) SuspectedParts() []Fingerprint { return t.parts.suspects }
 
 // ListsPart reports whether a part is quarantined or suspected.
@@ -113,12 +123,13 @@
 // AddQuarantined adds parts that another Tracker has quarantined, whose crashes are not known here.
 func (t *Tracker) AddQuarantined(parts ...QuarantinedPart) {
 	for _, q := range parts {
-		i := t.parts.find(q.Part)
-		if i < 0 {
-			t.parts.quarantine(q.Part)
-			i = t.parts.find(q.Part)
+		if t.parts.find(q.Part) < 0 {
+			if !t.parts.quarantine(q.Part) {
+				continue
+			}
 			t.revision++
 		}
+		i := t.parts.find(q.Part)
 		t.parts.quarantined = slices.Clone(t.parts.quarantined)
 		known := &t.parts.quarantined[i]
 		known.Trials, known.Shared, known.Confirmed = max(known.Trials, q.Trials), max(known.Shared, q.Shared), true
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -190,7 +190,7 @@
 // of another team that crashes upstreams is still found.
 func TestPartsAreBounded(t *testing.T) {
 	tr := NewTracker()
-	for i := range 2 * MaxListed {
+	for i := range 2 * MaxQuarantinedParts {
 		for j := range PartThreshold {
 			c := partCrash(fmt.Sprint(i, "-", j), fmt.Sprint(i, "-", j), fmt.Sprint("own-", i))
 			for n := range 2 * MaxParts {
@@ -202,7 +202,7 @@
 	for i := range PartThreshold {
 		tr.AddCrashes(partCrash(fmt.Sprint("other-", i), fmt.Sprint(i), "bad"))
 	}
-	if len(tr.QuarantinedParts()) != MaxListed || len(tr.parts.counts) > MaxCrashes*MaxParts || len(tr.SuspectedParts()) > MaxListed {
+	if len(tr.QuarantinedParts()) != MaxQuarantinedParts || len(tr.parts.counts) > MaxCrashes*MaxParts || len(tr.SuspectedParts()) > MaxSuspectedParts {
 		t.Fatalf("%d parts are quarantined, %d suspected, %d recorded", len(tr.QuarantinedParts()), len(tr.SuspectedParts()), len(tr.parts.counts))
 	}
 	if !slices.Contains(quarantinedParts(tr), part("bad")) {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -19,8 +19,8 @@
 	// recorded for each, which is more than an upstream runs at the same time.
 	// Together they allow 32,768 fingerprints, 0.5 MB.
 	MaxCrashes, MaxFingerprints = 256, 128
-	// MaxListed bounds the quarantined requests, the suspects, and the quarantined and
-	// suspected parts that are sent to entries.
+	// MaxListed bounds the quarantined requests, and the suspects, that are sent to
+	// entries.
 	MaxListed = 256
 )
 
