gateway tests: 300 entries before 100 runners, and what entries report

Cause: reports, state and log are to stay bounded at 300 entries, and no test of parts had so many. Change: the load of many entries has 300 before 100 runners; runs log the number and size of all reports.

--- a/internal/gateway/fleet_parts_model_test.go
+++ b/internal/gateway/fleet_parts_model_test.go
@@ -20,6 +20,7 @@
 	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/internal/wire"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/placement"
 	"github.com/lovagereach/lovagereach/quarantine"
@@ -84,6 +85,8 @@
 	// sound are the first attempts of requests that crash nothing, by time of arrival.
 	sound    []soundAttempt
 	requests int
+	// reports is the number of reports of all entries, reportBytes their size.
+	reports, reportBytes int
 }
 
 // soundAttempt is a first attempt; blamed indicates that it was refused because of a part.
@@ -201,6 +204,8 @@
 	if f.controlsDown {
 		return steward.ErrUnavailable
 	}
+	f.reports++
+	f.reportBytes += len(wire.MustMarshal(r))
 	for _, c := range r.Crashes {
 		c.Joined = f.groups.Joins(time.Now().Add(-c.Age))
 		f.tracker.AddCrashes(c)
--- a/internal/gateway/fleet_parts_test.go
+++ b/internal/gateway/fleet_parts_test.go
@@ -103,7 +103,7 @@
 			ordinary(f, n/10)
 		}
 	}},
-	"many entries": {entries: 60, runners: 40, bad: []string{"bad0"}, call: func(f *partFleet, _ int) { f.call("", "f1f1", "bad0") }},
+	"many entries": {entries: 300, runners: 100, bad: []string{"bad0"}, call: func(f *partFleet, _ int) { f.call("", "f1f1", "bad0") }},
 }
 
 // longPrompt returns the first part of all prompts and many parts of its own, with one among them.
@@ -165,6 +165,7 @@
 		}
 	}
 	after, served := f.soundBetween(last.Add(2*partSync), start.Add(badUntil))
+	f.logReports(t)
 	t.Logf("other requests served at the first attempt: %d of %d before, %d of %d after", servedBefore, before, served, after)
 	if min(before, after) >= minAttempts && float64(served)*float64(before) < partSoundShare*float64(servedBefore)*float64(after) {
 		t.Errorf("%d of %d other requests were served at the first attempt, before %d of %d", served, after, servedBefore, before)
@@ -201,6 +202,13 @@
 	return known, late
 }
 
+// logReports logs how much the entries reported.
+func (f *partFleet) logReports(t *testing.T) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.Logf("%d reports of %d bytes in all", f.reports, f.reportBytes)
+}
+
 // setBad sets whether requests with these parts crash runners.
 func (f *partFleet) setBad(bad bool, parts ...string) {
 	f.mu.Lock()
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -30,8 +30,9 @@
 		return nil
 	}
 	var list []quarantine.Fingerprint
+	p := quarantine.Part{Service: r.service, Team: r.callerTeam(), Model: prompt.Model}
 	for _, part := range prompt.Parts[:len(prompt.Parts)-1] {
-		p := quarantine.Part{Service: r.service, Team: r.callerTeam(), Model: prompt.Model, ID: part.ID}
+		p.ID = part.ID
 		if f := p.Fingerprint(); !slices.Contains(list, f) {
 			list = append(list, f)
 		}
