--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -11,4 +11,9 @@
 // A request that was served completely has crashed no upstream and is cleared.
 // Crashes expire after CrashRetention; a quarantined request is then tried again,
 // because the upstreams may have been fixed.
+//
+// A part of a prompt may crash upstreams too, under requests that differ in all else.
+// A part that was in flight at PartThreshold groups of crashes or more is quarantined,
+// unless one request or another part explains them. It stays quarantined until a trial,
+// one request in all at increasing delays, is served.
 package quarantine
