quarantine: a trial may have as many quarantined parts as there can be

What callers would see: requests that always hold the same 17 quarantined parts or more are refused for good, also once their upstreams are mended: no trial of them is ever allowed. Cause: a bound of 16 parts on a trial, below that of the parts that can be quarantined. Change: the bound is that of the quarantined parts, in both pipelines.

--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxTrials bounds the trials of one message, and the parts of one of them.
+	// maxTrials bounds the trials of one message.
 	maxTrials = 16
 	// minPartRetry is the shortest time after which the caller of a prompt with a quarantined part
 	// should retry.
@@ -37,10 +37,10 @@
 // check returns an error if a message exceeds its bounds.
 func (m *partMessage) check() error {
 	tooMany := func(list [][]quarantine.Fingerprint) bool {
-		return len(list) > maxTrials || slices.ContainsFunc(list, func(parts []quarantine.Fingerprint) bool { return len(parts) > maxTrials })
+		return len(list) > maxTrials || slices.ContainsFunc(list, func(parts []quarantine.Fingerprint) bool { return len(parts) > quarantine.MaxQuarantinedParts })
 	}
 	if tooMany(m.Asks) || tooMany(m.Trials) || tooMany(m.Unused) || len(m.Parts) > quarantine.MaxQuarantinedParts {
-		return eris.Errorf("entry: crashes: more than %d trials, %d parts of one, or %d quarantined parts", maxTrials, maxTrials, quarantine.MaxQuarantinedParts)
+		return eris.Errorf("entry: crashes: more than %d trials, or than %d parts", maxTrials, quarantine.MaxQuarantinedParts)
 	}
 	return nil
 }
@@ -110,7 +110,7 @@
 			due = alone
 		}
 	}
-	if len(parts) > maxTrials || !n.trials.Grant(parts, now) {
+	if !n.trials.Grant(parts, now) {
 		return false, false, due
 	}
 	if n.asks.Grants(parts, host, now) {
--- a/internal/gateway/fleet_parts_test.go
+++ b/internal/gateway/fleet_parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +50,9 @@
 			time.Sleep(10 * time.Second)
 			f.every(time.Second, 10*time.Second, func(int) { f.callSound("f1f1", "0ddd") })
 		}},
+	"always with the same parts, more than can be quarantined": {bad: []string{"bad0"}, call: func(f *partFleet, _ int) {
+		f.call("", slices.Concat(longPrompt(0, 100, ""), []string{"bad0"})...)
+	}},
 	"two parts at once": {bad: []string{"bad0", "bad1"}, call: func(f *partFleet, n int) {
 		f.call("", [][]string{{"f1f1", "bad0"}, {"f1f1", "bad1"}, {"f1f1", "a1", "bad1"}, {"bad0", "a2"}, {"f1f1", "bad1", "bad0"}}[n%5]...)
 	}},
@@ -224,6 +228,7 @@
 	f.setBad(false, c.bad...)
 	served := make(map[string]int)
 	f.every(500*time.Millisecond, 150*time.Second, func(int) {
+		c.call(f, 0)
 		for _, id := range append([]string{"f1f1", "0ddd", "a1"}, c.bad...) {
 			if f.call("", id) {
 				f.mu.Lock()
