A trial of a quarantined part reaches one upstream, and counts if it was refused

Cause: a trial that an upstream refused had not run, so that it was given back and due again after 2 s, and it was sent to further upstreams; upstreams that have just started refuse many requests. Change: a trial is sent to one upstream only, and given back only if it reached none. The same in the native pipeline.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -48,7 +48,9 @@
 	// possiblyRan is the outcome of an attempt that may have run. Once it is
 	// set, the request is never reported as not run.
 	possiblyRan error
-	finished    bool
+	// refused indicates that an engine refused an attempt.
+	refused  bool
+	finished bool
 }
 
 func newAnswer(ctx context.Context, e *Entry, j *job) *answer {
@@ -203,7 +205,7 @@
 // returns the outcome if no further attempt is permitted.
 func (a *answer) mayRetry(cause error) error {
 	j := a.job
-	if len(j.trial) > 0 && a.possiblyRan != nil || !a.entry.mayRepeat(a.ctx, j.fingerprint, j.parts, j.crashChecks, cause, a.possiblyRan) {
+	if len(j.trial) > 0 && a.reachedEngine() || !a.entry.mayRepeat(a.ctx, j.fingerprint, j.parts, j.crashChecks, cause, a.possiblyRan) {
 		return cause
 	}
 	call := retry.Call{
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -139,6 +139,7 @@
 	case errors.As(err, &notRun) && notRun.Reason == outcome.ReasonRefused:
 		// A refusal for lack of capacity shows that the upstream is healthy.
 		result = upstream.Succeeded
+		a.refused = true
 		a.overloaded()
 		a.backOff(backOffOf(err))
 	case errors.As(err, &unknown) && unknown.Reason == outcome.ReasonTimeout:
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -23,7 +23,7 @@
 	// Asks are trials that the entry on Host wants to send, by their parts.
 	Asks [][]quarantine.Fingerprint `cbor:"3,keyasint,omitempty"`
 	Host string                     `cbor:"4,keyasint,omitempty"`
-	// Trials are trials that are sent now, Unused those that no engine ran.
+	// Trials are trials that are sent now, Unused those that reached no engine.
 	Trials [][]quarantine.Fingerprint `cbor:"5,keyasint,omitempty"`
 	Unused [][]quarantine.Fingerprint `cbor:"6,keyasint,omitempty"`
 	// Parts are quarantined parts, for entries that have just started.
@@ -163,9 +163,13 @@
 	}
 }
 
-// returnTrial tells the other entries that a trial was not run, if it was not.
+// reachedEngine reports whether an engine has seen an attempt.
+func (a *answer) reachedEngine() bool { return a.refused || a.possiblyRan != nil || a.stream != nil }
+
+// returnTrial tells the other entries that a trial reached no engine, if it did not. One that was
+// refused counts: engines that refuse many requests would get one trial after the other.
 func (a *answer) returnTrial() {
-	if len(a.job.trial) == 0 || a.possiblyRan != nil || a.stream != nil {
+	if len(a.job.trial) == 0 || a.reachedEngine() {
 		return
 	}
 	message := crashMessage{partMessage: partMessage{Unused: [][]quarantine.Fingerprint{a.job.trial}}}
--- a/internal/gateway/fleet_parts_model_test.go
+++ b/internal/gateway/fleet_parts_model_test.go
@@ -45,7 +45,8 @@
 
 // partRunner is one incarnation of a runner.
 type partRunner struct {
-	record roster.Upstream
+	record  roster.Upstream
+	started time.Time
 	// crashed is closed when the process crashes.
 	crashed chan struct{}
 }
@@ -76,6 +77,8 @@
 	groups   quarantine.CrashGroups
 	seen     quarantine.CrashTimes
 	trials   quarantine.TrialTimes
+	// coldFor is the time from the start of a runner for which it refuses most requests.
+	coldFor time.Duration
 	// controlsDown indicates that no control host answers.
 	controlsDown bool
 	// bad are the parts that crash runners now, crashes and arrivals the times at which runners
@@ -116,7 +119,7 @@
 	f.revision++
 	record := roster.Upstream{ID: fmt.Sprint(address, "-", f.starts), Service: "llm", Address: address, State: roster.Serving, Slots: 32, StartedMs: f.starts,
 		Loaded: []roster.Loaded{{Model: "m", Version: 1}}}
-	f.runners[address] = &partRunner{record: record, crashed: make(chan struct{})}
+	f.runners[address] = &partRunner{record: record, started: time.Now(), crashed: make(chan struct{})}
 	for i := range f.listed {
 		if f.listed[i].Address == address {
 			f.listed[i].State = roster.Gone
@@ -324,6 +327,11 @@
 		f.mu.Unlock()
 		return nil, dialRefused()
 	}
+	if time.Since(runner.started) < f.coldFor && f.random.IntN(4) > 0 {
+		f.reach(send.Request)
+		f.mu.Unlock()
+		return refusal(Full), nil
+	}
 	bad := f.arrive(send.Request)
 	work, unframed := time.Duration(30+f.random.IntN(120))*time.Millisecond, f.random.IntN(2) == 0
 	f.mu.Unlock()
@@ -345,10 +353,10 @@
 		f.crashes[crashingBody] = append(f.crashes[crashingBody], time.Now())
 		return true
 	}
+	f.reach(r)
 	bad := false
 	for _, part := range r.Prompt.Parts[:len(r.Prompt.Parts)-1] {
 		if id := strings.ToLower(part.ID); f.bad[id] {
-			f.arrivals[id] = append(f.arrivals[id], time.Now())
 			f.crashes[id] = append(f.crashes[id], time.Now())
 			bad = true
 		}
@@ -356,6 +364,16 @@
 	return bad
 }
 
+// reach records that a request reached a runner, under its parts that crash runners. The caller holds
+// the lock.
+func (f *partFleet) reach(r *Request) {
+	for _, part := range r.Prompt.Parts[:len(r.Prompt.Parts)-1] {
+		if id := strings.ToLower(part.ID); f.bad[id] {
+			f.arrivals[id] = append(f.arrivals[id], time.Now())
+		}
+	}
+}
+
 // crashesWithin reports whether the runner crashed or the caller left within a time.
 func (r *partRunner) crashesWithin(ctx context.Context, d time.Duration) bool {
 	select {
--- a/internal/gateway/fleet_parts_test.go
+++ b/internal/gateway/fleet_parts_test.go
@@ -18,6 +18,8 @@
 	// with them.
 	bad  []string
 	call func(f *partFleet, n int)
+	// coldFor is the time from a runner's start for which it refuses most requests.
+	coldFor time.Duration
 	// sound sends one request that crashes nothing, with the first part or the key of the others.
 	sound func(f *partFleet, n int)
 	// before happens from the start of the load until then, beside meanwhile.
@@ -53,6 +55,11 @@
 	"always with the same parts, more than can be quarantined": {bad: []string{"bad0"}, call: func(f *partFleet, _ int) {
 		f.call("", slices.Concat(longPrompt(0, 100, ""), []string{"bad0"})...)
 	}},
+	"before runners that refuse most requests after a start": {bad: []string{"bad0"}, coldFor: 4 * time.Second, call: func(f *partFleet, _ int) {
+		for range 4 {
+			f.tasks.Go(func() { f.call("", "f1f1", "bad0") })
+		}
+	}},
 	"two parts at once": {bad: []string{"bad0", "bad1"}, call: func(f *partFleet, n int) {
 		f.call("", [][]string{{"f1f1", "bad0"}, {"f1f1", "bad1"}, {"f1f1", "a1", "bad1"}, {"bad0", "a2"}, {"f1f1", "bad1", "bad0"}}[n%5]...)
 	}},
@@ -139,7 +146,8 @@
 func (c partCase) run(t *testing.T, seed uint64) {
 	f := newPartFleet(t, max(c.entries, 7), max(c.runners, 9), seed)
 	defer f.stop()
-	time.Sleep(time.Second)
+	time.Sleep(time.Second + c.coldFor)
+	f.coldFor = c.coldFor
 	start := time.Now()
 	sound := c.sound
 	if sound == nil {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -132,9 +132,10 @@
 // sent once.
 func (r *run) isTrial() bool { return len(r.trials) > 0 }
 
-// returnTrial reports that a trial has not run, if it has not.
+// returnTrial reports a trial that reached no upstream. One that was refused counts: upstreams that
+// refuse many requests, as after a start, would get one trial after the other.
 func (r *run) returnTrial() {
-	if r.isTrial() && !r.mayHaveRun {
+	if r.isTrial() && r.sends == 0 && !r.mayHaveRun {
 		r.gateway.reports.add(steward.Report{Unused: [][]quarantine.Fingerprint{r.trials}})
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -83,7 +83,7 @@
 		}
 		return false, r.refusal(unsent.Reason, defaultRetryAfter, unsent.Detail)
 	case isRefused:
-		if (refused.sameUpstream || r.sends < r.maxAttempts()) && r.sends < r.maxAttempts()+1 && r.takeRetryBudget(now) {
+		if !r.isTrial() && (refused.sameUpstream || r.sends < r.maxAttempts()) && r.sends < r.maxAttempts()+1 && r.takeRetryBudget(now) {
 			return true, nil
 		}
 		return false, r.refusal(outcome.ReasonRefused, r.retryAfterRefusal(now), err.Error())
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -162,7 +162,7 @@
 	Crashes []quarantine.Crash `cbor:"1,keyasint,omitempty"`
 	// Served are suspected or quarantined requests that completed successfully, and parts of such.
 	Served []quarantine.Fingerprint `cbor:"2,keyasint,omitempty"`
-	// Unused are trials, by their parts, that were granted and that no upstream has run.
+	// Unused are trials, by their parts, that were granted and reached no upstream.
 	Unused [][]quarantine.Fingerprint `cbor:"3,keyasint,omitempty"`
 }
 
