Tests: a refused trial counts, reports name what was served before

Nothing held that reports name parts that were served before a crash. Change: TestRefusedTrialCounts, TestRefusedTrialOfBlockCounts (native), a case in TestCrashListsPartsOfAllRequests.

--- a/internal/entry/parts_test.go
+++ b/internal/entry/parts_test.go
@@ -216,3 +216,29 @@
 		}
 	})
 }
+
+// Guards against one trial after the other where engines refuse most prompts: one that was refused
+// counts and goes to no other engine.
+func TestRefusedTrialOfBlockCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestEntry(t)
+		for n := range 3 {
+			b.engine(t, fmt.Sprint("runner-", n), step{refuse: &outcome.NotRun{Reason: outcome.ReasonRefused, Detail: "full"}})
+		}
+		runEntries(t, b)
+		parts := promptParts(&Prompt{Caller: b.prompt(t, 1).Caller, Model: testModel, Tokens: append(blockOf(badBlock), 1)}, 10)
+		b.applyCrashes(crashMessage{partMessage: partMessage{Parts: []quarantine.QuarantinedPart{{Part: parts[0]}}}})
+		time.Sleep(quarantine.TrialDelay(0))
+		for n := range byte(4) {
+			_ = b.sendBlocks(t, n, badBlock)
+			time.Sleep(500 * time.Millisecond)
+		}
+		sent := 0
+		for _, f := range b.upstreams.engines {
+			sent += len(f.requests)
+		}
+		if held := b.crashes.tracker.QuarantinedParts(); sent != 1 || len(held) != 1 || held[0].Trials != 1 {
+			t.Errorf("%d engines got a trial, quarantined %+v, want one trial", sent, held)
+		}
+	})
+}
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -122,6 +122,34 @@
 	}
 }
 
+// Guards against one trial after the other where upstreams refuse most requests: one that was refused
+// counts and goes to no other upstream. One that reached no upstream is given back.
+func TestRefusedTrialCounts(t *testing.T) {
+	for _, refused := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g, sender := testGateway(t, func(int, *Send) (*Answer, error) {
+				if refused {
+					return refusal(Full), nil
+				}
+				return nil, dialRefused()
+			})
+			g.options.RequestTrial = func(context.Context, []quarantine.Fingerprint) bool { return true }
+			time.Sleep(time.Second)
+			applyParts(g, 1, map[string]time.Duration{"bad0": 0})
+			var notRun *outcome.NotRun
+			if rec := serve(g, withParts("bad0", "1")); !errors.As(rec.cause, &notRun) {
+				t.Errorf("refused %t: ends %q with %v", refused, rec.end, rec.cause)
+			}
+			if refused && sender.count() != 1 {
+				t.Errorf("a trial that was refused reached %d upstreams, want 1", sender.count())
+			}
+			if returned := len(g.reports.take().Unused) > 0; returned == refused {
+				t.Errorf("refused %t: given back %t", refused, returned)
+			}
+		})
+	}
+}
+
 // Guards against holding the first part of all prompts because it stands beside the part that crashes
 // upstreams: an entry that has seen it served since the first crash keeps sending it, and says so.
 func TestPartServedSinceCrashIsCleared(t *testing.T) {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -229,6 +229,7 @@
 func TestCrashListsPartsOfAllRequests(t *testing.T) {
 	now := time.Now()
 	var served Served
+	served.Record(Fingerprint{}, []Fingerprint{part("before")}, now.Add(-2*time.Second))
 	served.Record(Fingerprint{}, []Fingerprint{part("first")}, now)
 	var long []Fingerprint
 	for n := range 3 * MaxParts {
@@ -236,8 +237,11 @@
 	}
 	found := 0
 	for range 40 {
-		attempts := []Attempt{{Parts: long, Sent: now.Add(-time.Second)}, {Parts: []Fingerprint{part("first"), part("bad")}, Sent: now.Add(-time.Second)}}
+		attempts := []Attempt{{Parts: long, Sent: now.Add(-time.Second)}, {Parts: []Fingerprint{part("first"), part("bad"), part("before")}, Sent: now.Add(-time.Second)}}
 		c := NewCrash(Incarnation{}, attempts, &served, func(f Fingerprint) bool { return f == long[200] }, now)
+		if !slices.Equal(c.ServedBefore, []Fingerprint{part("before")}) {
+			t.Fatalf("%d parts are listed as served before, want one", len(c.ServedBefore))
+		}
 		if len(c.Parts) > MaxParts || slices.Contains(c.Parts, part("first")) || !slices.Contains(c.Parts, part("bad")) || !slices.Contains(c.Parts, long[200]) {
 			t.Fatalf("%d parts are listed, or not those that must be", len(c.Parts))
 		}
