--- a/internal/steward/follower_test.go
+++ b/internal/steward/follower_test.go
@@ -83,6 +83,27 @@
 	step("c1", true, true) // no relay answers: the leader must serve
 }
 
+// Guards against callers of Leader that are told no leader, or one that is lost, after an answer that
+// only redirects or a host that is silent.
+func TestFollowerTellsTheLeaderItFollows(t *testing.T) {
+	hosts := &scriptedHosts{answers: map[string]*WatchAnswer{"c1": {Redirect: true, Leader: "c2"}}}
+	f := testFollower(hosts)
+	step := func(want string) {
+		t.Helper()
+		f.once(context.Background(), &WatchRequest{Entry: &EntryView{Host: "e1"}}, func(*WatchAnswer, time.Time) {})
+		if got := f.Leader(); got != want || got != string(f.leader) {
+			t.Errorf("after the answer of %s: %q is told, %q is followed, want %q", hosts.lastHost, got, f.leader, want)
+		}
+	}
+	step("c2") // c1 names it
+	hosts.answers["c2"] = &WatchAnswer{Term: 1, Leader: "c2"}
+	step("c2")
+	hosts.answers["c2"] = nil
+	step("") // c2 is silent
+	hosts.answers["c1"] = &WatchAnswer{Term: 2, Leader: "c3"}
+	step("c3")
+}
+
 // Guards against an entry that keeps an old configuration because it tries one lost host after
 // the other. After two it queries the leader directly.
 func TestFollowerTriesFewSilentHosts(t *testing.T) {
