internal/steward: a follower tells the leader that it follows

Cause: Leader tells a copy of the leader's name, which setLeader keeps. An answer that only redirects, and a host that is silent, changed the name followed without the copy. The next answer of that leader was no change, so that Leader told none, or the one before it, until another was elected. An entry then asks a lost host, or no leader, what began a stream, where more than three control hosts run. Change: setLeader is the only place that changes the name.

--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -334,6 +334,7 @@
 	return true
 }
 
+// setLeader is the only place that changes leader, so that Leader tells the same host.
 func (f *Follower) setLeader(leader ident.Host) {
 	if f.leader != leader {
 		f.leaderName.Store(&leader)
--- a/internal/steward/follower_hosts.go
+++ b/internal/steward/follower_hosts.go
@@ -32,7 +32,7 @@
 		f.redirects[host]++
 	}
 	if answer.Leader != "" {
-		f.leader = ident.Host(answer.Leader)
+		f.setLeader(ident.Host(answer.Leader))
 	}
 	if answer.Shed {
 		f.avoided[host] = failure{until: f.Now().Add(time.Duration((0.5 + f.spread) * float64(shedBackoff)))}
@@ -40,7 +40,7 @@
 	if len(answer.Relays) > 0 {
 		f.relays = f.sortRelays(answer.Relays)
 	} else if f.leader == host {
-		f.leader = ""
+		f.setLeader("")
 	}
 }
 
@@ -72,7 +72,7 @@
 	}
 	f.avoided[host] = failure{until: f.Now().Add(silentBackoff), silent: true}
 	if f.leader == host {
-		f.leader = ""
+		f.setLeader("")
 	}
 }
 
