internal/gateway: waiting requests are tried again when the first upstream is due

Cause: waiting requests are tried again at events of their entry only: an answer, news of the control hosts. A share that becomes due, the end of a back-off, a pause, a grant's window or a probe's time is none. Ruled out: the shares themselves (with an event in 10 or 50 ms all are used). The native pipeline makes no request wait for these times: it refuses at once when all its replicas back off. Change: the search for candidates tells the time at which the first upstream that was left out is due, and one timer of the entry dispatches then, at least 5 ms after the last time. Before, each of these five reasons had a question of its own; now they have a time each.

Measured: TestWaitingRequestsGoOnWhenAnUpstreamIsDue failed in its five cases (refused after 1 s, due after 125 to 200 ms) and passes.

--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -23,15 +23,17 @@
 // version are excluded: the loader may fail to update a runner, and a prompt would start on
 // weights that the operator has replaced permanently. Runners of evacuated data centres are
 // excluded too. throttled indicates that some upstream was left out because it may get no
-// request now.
+// request now; the first of them may get one at r.dueAt.
 func (r *run) candidates(s *state, now time.Time) (list []*upstreamState, throttled bool) {
 	coldRate, fits := s.coldRate(r.service), r.softwareFilter(s)
+	r.dueAt = time.Time{}
 	eligible := func(u *upstreamState, withModel bool) bool {
-		switch {
-		case r.tried[u] || r.excludes(s, u, fits):
+		if r.tried[u] || r.excludes(s, u, fits) {
 			return false
-		case s.isThrottled(u, coldRate, now) || !s.limits.Allows(u.record.ID, now) || now.Before(u.pausedUntil) || u.backsOff(now):
+		}
+		if due := s.dueAt(u, coldRate, now); due.After(now) {
 			throttled = true
+			r.dueAt = earlier(r.dueAt, due)
 			return false
 		}
 		return r.request.Prompt == nil || withModel == (u.versionOf(r.request.Prompt.Model) != 0)
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -173,6 +173,7 @@
 	}
 	w := &waiter{run: r, granted: make(chan *plan, 1)}
 	s.enqueue(w)
+	s.dispatchAt(r.dueAt, now)
 	s.mu.Unlock()
 
 	timer := time.NewTimer(r.longestWait(s.waitLimits, now))
@@ -286,6 +287,7 @@
 // dispatch grants freed capacity to waiting requests. The caller holds the lock.
 func (s *state) dispatch(now time.Time) {
 	looked := make(map[string]int, 4)
+	var due time.Time
 	for at := 0; at < len(s.waiting); {
 		w := s.waiting[at]
 		if looked[w.run.service] >= dispatchDepth {
@@ -295,6 +297,7 @@
 		looked[w.run.service]++
 		p, err := w.run.tryPlan(now)
 		if p == nil && err == nil {
+			due = earlier(due, w.run.dueAt)
 			at++
 			continue
 		}
@@ -306,4 +309,5 @@
 		s.waiting = slices.Delete(s.waiting, at, at+1)
 		w.granted <- p
 	}
+	s.dispatchAt(due, now)
 }
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -38,21 +38,21 @@
 	return 0
 }
 
-// isThrottled reports whether a request must not be sent to an upstream now: it is cold and
-// this entry has no grant left, or it was lost and may be cold when it is available again. All
-// entries lose an upstream at the same time and find it idle when it is available, before they
-// are informed that it is cold. rate is what a cold upstream of its service sustains.
-func (s *state) isThrottled(u *upstreamState, rate float64, now time.Time) bool {
+// coldDueAt returns when a request may be sent to an upstream that is cold, as soon as this entry
+// has a grant, or that was lost and may be cold when it is available again. All entries lose an
+// upstream at the same time and find it idle when it is available, before they are informed that
+// it is cold. rate is what a cold upstream of its service sustains.
+func (s *state) coldDueAt(u *upstreamState, rate float64, now time.Time) time.Time {
 	if rate <= 0 {
-		return false
+		return now
 	}
 	if u.cold(now) {
-		return !s.allowance.Allows(u.record.ID, now)
+		return earlier(s.allowance.DueAt(u.record.ID, now), u.coldUntil)
 	}
 	if !u.answeredAt.IsZero() && now.Sub(u.answeredAt) >= s.announceWithin {
 		u.nextProbe, u.answeredAt = time.Time{}, time.Time{}
 	}
-	return now.Before(u.nextProbe)
+	return u.nextProbe
 }
 
 // recordRecovery records that a lost upstream answers again. It may be cold.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -221,6 +221,9 @@
 	crashChecks crash.Checks
 	// last is the latest send.
 	last *plan
+	// dueAt is when the first of the upstreams that may get no request yet may get one, zero if
+	// there is none.
+	dueAt time.Time
 	// headSent indicates that the caller has received the status and headers.
 	headSent bool
 	// lastEvent is the last event forwarded to the caller.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -151,6 +151,7 @@
 	served quarantine.Served
 	// waiting holds the requests that wait for capacity, in the order of dispatch.
 	waiting    []*waiter
+	wakeup     wakeup
 	waitLimits waitLimits
 	budgets    *budgets
 	// learned holds the estimates of each service's engines and prompts; startPerMs is their
--- a/internal/gateway/wakeup_test.go
+++ b/internal/gateway/wakeup_test.go
@@ -17,8 +17,10 @@
 		block func(g *Gateway, u *upstreamState, start time.Time)
 		wait  time.Duration
 	}{
-		"back-off": {func(_ *Gateway, u *upstreamState, start time.Time) { u.backOffUntil = start.Add(200 * time.Millisecond) }, 200 * time.Millisecond},
-		"pause":    {func(_ *Gateway, u *upstreamState, start time.Time) { u.pausedUntil = start.Add(200 * time.Millisecond) }, 200 * time.Millisecond},
+		"back-off": {func(_ *Gateway, u *upstreamState, start time.Time) {
+			u.backOffUntil = start.Add(200 * time.Millisecond)
+		}, 200 * time.Millisecond},
+		"pause": {func(_ *Gateway, u *upstreamState, start time.Time) { u.pausedUntil = start.Add(200 * time.Millisecond) }, 200 * time.Millisecond},
 		"share": {func(g *Gateway, u *upstreamState, start time.Time) {
 			g.state.limits.Record(u.record.ID, u.record.StartedMs, ratelimit.Limit{Limited: true, PerSecond: 8}, start, start)
 			g.state.limits.SetShares([]ratelimit.Share{{Upstream: "a1", PerSecond: 8}, {Upstream: "a2", PerSecond: 5}, {Upstream: "a3", PerSecond: 5}}, start, start)
--- a/ratelimit/allowance.go
+++ b/ratelimit/allowance.go
@@ -92,6 +92,20 @@
 	return !a.Limit(upstream).Limited || a.bucket(upstream, now).tokens >= 1
 }
 
+// DueAt returns when the next request may be sent to an upstream: now, if Allows, or later. The
+// time of an entry that has no rate is Validity ahead, when its shares are others.
+func (a *Allowance) DueAt(upstream string, now time.Time) time.Time {
+	if a.Allows(upstream, now) {
+		return now
+	}
+	rate := a.Rate(upstream, now)
+	missing := 1 - a.bucket(upstream, now).tokens
+	if rate <= 0 || missing >= rate*Validity.Seconds() {
+		return now.Add(Validity)
+	}
+	return now.Add(time.Duration(missing / rate * float64(time.Second)))
+}
+
 // RecordSent records a request to an upstream.
 func (a *Allowance) RecordSent(upstream string, now time.Time) {
 	if a.Limit(upstream).Limited {
--- a/warmup/allowance.go
+++ b/warmup/allowance.go
@@ -37,6 +37,22 @@
 	return a.recent(upstream, now) < a.grants[upstream]
 }
 
+// DueAt returns when the next request may be sent to a cold upstream by the grants that are known:
+// now, if Allows, or later. Without a grant it is Window ahead.
+func (a *Allowance) DueAt(upstream string, now time.Time) time.Time {
+	switch {
+	case a.Allows(upstream, now):
+		return now
+	case now.Before(a.validFrom):
+		return a.validFrom
+	case !now.Before(a.validUntil) || a.grants[upstream] == 0:
+		return now.Add(Window)
+	}
+	// As many of the requests in the window must leave it as are beyond the grant, and one.
+	sent := a.sent[upstream]
+	return sent[len(sent)-a.grants[upstream]].Add(Window + 1)
+}
+
 // RecordSent records a request to a cold upstream.
 func (a *Allowance) RecordSent(upstream string, now time.Time) {
 	a.recent(upstream, now)
