--- a/internal/gateway/wakeup.go
+++ b/internal/gateway/wakeup.go
@@ -6,8 +6,8 @@
 // time all upstreams of their services are looked at.
 const minDispatchPause = 5 * time.Millisecond
 
-// wakeup dispatches the waiting requests when an upstream is due that may get no request yet. No
-// answer need arrive here at that time.
+// wakeup dispatches the waiting requests when the first upstream is due that may get no request yet:
+// no event need happen at this entry at that time.
 type wakeup struct {
 	timer *time.Timer
 	// at is the time that the timer is set to, zero if it isn't set.
--- a/ratelimit/allowance.go
+++ b/ratelimit/allowance.go
@@ -92,8 +92,8 @@
 	return !a.Limit(upstream).Limited || a.bucket(upstream, now).tokens >= 1
 }
 
-// DueAt returns when the next request may be sent to an upstream: now, if Allows, or later. The
-// time of an entry that has no rate is Validity ahead, when its shares are others.
+// DueAt returns when the next request may be sent to an upstream: now if Allows, otherwise later.
+// Without a rate it is Validity ahead, by when the entry's shares are replaced or have expired.
 func (a *Allowance) DueAt(upstream string, now time.Time) time.Time {
 	if a.Allows(upstream, now) {
 		return now
--- a/warmup/allowance.go
+++ b/warmup/allowance.go
@@ -38,7 +38,7 @@
 }
 
 // DueAt returns when the next request may be sent to a cold upstream by the grants that are known:
-// now, if Allows, or later. Without a grant it is Window ahead.
+// now if Allows, otherwise later. Without a grant it is Window ahead.
 func (a *Allowance) DueAt(upstream string, now time.Time) time.Time {
 	switch {
 	case a.Allows(upstream, now):
@@ -48,7 +48,7 @@
 	case !now.Before(a.validUntil) || a.grants[upstream] == 0:
 		return now.Add(Window)
 	}
-	// As many of the requests in the window must leave it as are beyond the grant, and one.
+	// One request is allowed once fewer than the grant are left in the window.
 	sent := a.sent[upstream]
 	return sent[len(sent)-a.grants[upstream]].Add(Window + 1)
 }
