Settings: a section for decisions under hard load

Cause: decisions for crowded deployments must be switched on by a deployment's settings, one by one. Nothing reads them yet.

--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -55,7 +55,7 @@
 	g, err := gateway.New(gateway.Options{
 		Host: s.Host, DataCentre: string(s.DataCentre), Callers: s.Callers, Sender: upstreams, Peers: peers, Regions: s.DataCentres,
 		Budget: gateway.BudgetLimits{Ratio: s.RetryRatio, Extra: s.RetryExtra},
-		Rates:  placement.DefaultRates(), Capacity: gateway.HostCapacity{Cores: s.ProcessorShare * s.ProcessorSpeed, LinkMbps: s.LinkMbps},
+		Rates:  placement.DefaultRates(), Load: s.Load.Options(), Capacity: gateway.HostCapacity{Cores: s.ProcessorShare * s.ProcessorSpeed, LinkMbps: s.LinkMbps},
 		AnnounceEvery: s.AnnounceEvery(),
 		// The follower's clock counts suspensions of the machine.
 		ConfigExpired: func(time.Time) bool { return follower.ConfigExpired(follower.Now()) },
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 	Regions map[string]string
 	Budget  BudgetLimits
 	Rates   placement.Rates
+	Load    LoadOptions
 	// Capacity is the capacity of the host, from which the entry derives the request rate that
 	// it announces.
 	Capacity HostCapacity
--- /dev/null
+++ b/internal/gateway/load.go
@@ -0,0 +1,20 @@
+package gateway
+
+// LoadOptions switches on decisions for deployments under hard load. The zero value serves without
+// them.
+type LoadOptions struct {
+	// TeamShares orders waiting requests by their teams' shares and by whether they can still be in
+	// time.
+	TeamShares bool
+	// ExpectOthers makes choices account for the work that the other entries send before it is
+	// reported.
+	ExpectOthers bool
+	// UnevenUpstreams makes choices account for upstreams whose machines are slow at the moment, and
+	// for the output that callers expect.
+	UnevenUpstreams bool
+	// CopyMbps bounds the transfers of shared parts that are copied before they are lost, in Mbit/s
+	// over all entries; 0 copies none.
+	CopyMbps float64
+	// Handover makes an entry that starts ask its peers for what they have learned.
+	Handover bool
+}
