internal/gateway: a share of connections in use is a lack of capacity, no failure

An entry uses its own share of an upstream's connections.

A request is no longer placed at an upstream at which this entry's requests under way have reached its share: it goes elsewhere or waits. Requests under way and open connections agree, since idle connections are reused first and a body that isn't read to its end is now closed before its capacity is freed. Connections that are opened to check a path count as no request: a send that finds no connection all the same leaves health, reach and the list of tried upstreams as they are, its upstream gets no request for 60 ms, and the request is placed again for as long as requests wait for capacity.

--- a/internal/gateway/brittle.go
+++ b/internal/gateway/brittle.go
@@ -73,7 +73,7 @@
 
 // mayUse reports whether an upstream has capacity for a request and this entry may use it.
 func (s *state) mayUse(u *upstreamState, n need, now time.Time) bool {
-	if !u.hasCapacity(n) {
+	if !u.mayConnect(n.connections) || !u.hasCapacity(n) {
 		return false
 	}
 	if s.brittleness(u.record.Service, now) == 0 || u.record.Slots <= 0 {
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -121,11 +121,13 @@
 	// memory is the memory of a runner in tokens, 0 for a plain service. maxPendingPrefill
 	// bounds the pending prefill of a runner in tokens.
 	memory, maxPendingPrefill int
+	// connections bounds this entry's connections to the upstream, 0 for no limit.
+	connections int
 }
 
 // need returns the capacity that the request takes of an upstream of a service.
 func (r *run) need(s *state, service *catalog.Service, tokens, prefill int) need {
-	n := need{small: r.small(), tokens: tokens, prefillTokens: prefill}
+	n := need{small: r.small(), tokens: tokens, prefillTokens: prefill, connections: s.connections(service)}
 	if service != nil && service.Engine != nil {
 		n.memory = service.Engine.MemoryTokens
 		n.maxPendingPrefill = int(maxPendingPrefillMs * s.prefillOf(service.Name).PerMs())
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -12,8 +12,8 @@
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
-// connectionsUsed is the failure of a send for which no connection is left.
-func connectionsUsed() error {
+// noConnectionLeft is the failure of a send for which no connection is left.
+func noConnectionLeft() error {
 	return &outcome.NotRun{Reason: ReasonConnections, Detail: "all connections to the upstream are in use"}
 }
 
@@ -41,7 +41,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if used[s.Upstream] >= s.Connections {
-			return nil, connectionsUsed()
+			return nil, noConnectionLeft()
 		}
 		used[s.Upstream]++
 		return &Answer{Status: 200, Length: -1, Body: &gatedBody{gate}}, nil
@@ -98,7 +98,7 @@
 	const short = 5
 	g, sender := testGateway(t, func(n int, _ *Send) (*Answer, error) {
 		if n <= short {
-			return nil, connectionsUsed()
+			return nil, noConnectionLeft()
 		}
 		return status(200), nil
 	})
@@ -117,7 +117,7 @@
 // Guards against a request that is tried until its deadline at upstreams whose connections stay in
 // use: it is refused after the time that requests wait for capacity.
 func TestRequestWithoutConnectionIsRefusedInTime(t *testing.T) {
-	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return nil, connectionsUsed() })
+	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return nil, noConnectionLeft() })
 	withConnections(g, 4)
 	g.state.waitLimits = waitLimits{longest: 150 * time.Millisecond}
 	start := time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,9 +199,10 @@
 	// usualWait is the longest time limit of the requests on the route.
 	usualWait time.Duration
 	// sends is the number of sends that reached an upstream, unsent the number of those that
-	// didn't. forwardedTo is the host of the entry that the request was last forwarded to.
-	sends, unsent int
-	forwardedTo   string
+	// didn't because it could not be connected to, unconnected those that found all connections to
+	// it in use. forwardedTo is the host of the entry that the request was last forwarded to.
+	sends, unsent, unconnected int
+	forwardedTo                string
 	// handedOver indicates that another entry has taken the request. It must not be sent again:
 	// the peer may have used all attempts that the route allows.
 	handedOver bool
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -35,6 +35,8 @@
 	limitedSends *metrics.Counter
 	// backOffSends counts sends to upstreams that want no requests from this entry.
 	backOffSends *metrics.Counter
+	// connectionsUsed counts sends that found this entry's connections to an upstream in use.
+	connectionsUsed *metrics.Counter
 	// forwarded counts requests that were sent to another entry, received those that another
 	// entry forwarded to this one.
 	forwarded, received *metrics.Counter
@@ -80,6 +82,7 @@
 		}
 	}
 	m.limitedSends, m.backOffSends = counter("limited_sends"), counter("back_off_sends")
+	m.connectionsUsed = counter("connections_used")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
 	m.crashes, m.quarantined, m.trials = counter("upstream_ends"), counter("held"), counter("trials")
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -45,11 +45,6 @@
 	evictionRisk = 0.1
 	// maxRank is the lowest rank that upstreams know.
 	maxRank = 9
-	// connectionShare is the fraction of an upstream's connections that the entries use
-	// together; the rest is for entries that restart before their old connections are closed.
-	connectionShare = 0.8
-	// minConnections is the smallest connection limit of an entry at an upstream.
-	minConnections = 4
 )
 
 // plan is one send and the load that it is accounted for until it ends.
@@ -99,7 +94,7 @@
 	if r.request.Prompt != nil && service != nil && service.Engine != nil {
 		r.placePrompt(s, p, service, candidates, now)
 	} else {
-		p.upstream = r.leastLoaded(candidates, now)
+		p.upstream = r.leastLoaded(candidates, p.send.Connections, now)
 	}
 	p.send.Upstream, p.send.Address, p.send.StartedMs = p.upstream.record.ID, p.upstream.record.Address, p.upstream.record.StartedMs
 	p.origin = s.originAt(p.upstream)
@@ -120,21 +115,12 @@
 	p.upstream.own.Tokens += p.tokens
 	p.upstream.own.Unread += p.prefillTokens
 	s.retriesOf(r).Sent(now)
-	if r.sends == 0 && r.unsent == 0 {
+	if r.sends == 0 && r.unsent == 0 && r.unconnected == 0 {
 		s.budgets.countRequest(r.service, now)
 	}
 	return p, nil
 }
 
-// connections returns this entry's share of an upstream's connections.
-func (s *state) connections(service *catalog.Service) int {
-	if service == nil || service.MaxConnections <= 0 {
-		return 0
-	}
-	share := connectionShare * float64(service.MaxConnections) / float64(max(s.entries, 1))
-	return max(int(share), minConnections)
-}
-
 // penalty is the predicted cost of an upstream besides its load.
 func (r *run) penalty(u *upstreamState, now time.Time) time.Duration {
 	cost := u.health.penalty(now, u.silent)
@@ -156,8 +142,9 @@
 	return cost
 }
 
-// leastLoaded chooses among the replicas of a plain service.
-func (r *run) leastLoaded(candidates []*upstreamState, now time.Time) *upstreamState {
+// leastLoaded chooses among the replicas of a plain service, at each of which this entry may use a
+// number of connections.
+func (r *run) leastLoaded(candidates []*upstreamState, connections int, now time.Time) *upstreamState {
 	s := r.gateway.state
 	var best *upstreamState
 	var lowest float64
@@ -166,7 +153,7 @@
 		u := candidates[(start+i)%len(candidates)]
 		load := float64(u.own.Requests+u.others.Requests) + loadUncertainty*rand.Float64()
 		cost := load*r.gateway.options.Rates.SlotMs/float64(max(u.record.Slots, 1)) + milliseconds(r.penalty(u, now))
-		if s.brittleness(r.service, now) > 0 && !s.mayUse(u, need{small: true}, now) {
+		if !u.mayConnect(connections) || s.brittleness(r.service, now) > 0 && !s.mayUse(u, need{small: true}, now) {
 			cost += milliseconds(noCapacityCost)
 		}
 		if excess := int(load) + 1 - u.record.Slots; excess > 0 {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -242,7 +242,7 @@
 	if r.pinned {
 		origin = r.origin
 	}
-	record := resumption.Record{Key: r.originKey(), Origin: origin, Send: r.sends + r.unsent + 1}
+	record := resumption.Record{Key: r.originKey(), Origin: origin, Send: r.sends + r.unsent + r.unconnected + 1}
 	s := r.gateway.state
 	s.mu.Lock()
 	s.origins.Put(record, time.Now())
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -71,8 +71,10 @@
 		return false, &outcome.Unknown{Reason: outcome.ReasonCallerGone, Detail: err.Error()}
 	case r.deadline.Sub(now) < minWait:
 		return false, r.deadlineError(err)
+	case connectionsUsed(err) && r.mayAwaitConnection():
+		return true, nil
 	case isUnsent && !triesNext(unsent.Reason):
-		// Nothing was tried: no upstream is known, or none had capacity.
+		// Nothing was tried: no upstream is known, or none had capacity or a connection left.
 		return false, r.refusal(unsent.Reason, unsent.RetryAfter, unsent.Detail)
 	case isUnsent:
 		// No byte was sent, so this doesn't count as a send, and any kind of request may try
@@ -99,7 +101,7 @@
 
 // triesNext reports whether a request that was not sent to an upstream may be sent to the next one.
 func triesNext(reason outcome.Reason) bool {
-	return reason == outcome.ReasonDial || reason == ReasonConnections || reason == ReasonRestarted
+	return reason == outcome.ReasonDial || reason == ReasonRestarted
 }
 
 // unknownOutcome returns the final answer after a send that may have run.
@@ -173,6 +175,10 @@
 	}
 	r.registerOrigin(p)
 	answer, err := r.gateway.options.Sender.Send(ctx, p.send)
+	if connectionsUsed(err) {
+		r.recordConnectionsUsed(p)
+		return err
+	}
 	if err != nil {
 		var unsent *outcome.NotRun
 		if !errors.As(err, &unsent) {
@@ -197,6 +203,7 @@
 	r.mayHaveRun = true
 	r.confirmVersion(p)
 	if r.retriesFailure(answer) {
+		answer.Body.Close()
 		r.complete(p, false)
 		r.tried[p.upstream] = true
 		return &retryError{status: answer.Status}
@@ -204,6 +211,7 @@
 	if r.headSent && answer.Status/100 != 2 {
 		// The caller has received some of the events. If the body of a failure were forwarded
 		// and the answer ended normally, a part of the stream would look complete.
+		answer.Body.Close()
 		r.complete(p, answer.Status < 500)
 		r.tried[p.upstream] = true
 		return &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: "the stream was to go on, and a failure was answered"}
@@ -236,6 +244,7 @@
 
 // handleRefusal handles an upstream's statement that it did not run the request.
 func (r *run) handleRefusal(p *plan, answer *Answer) error {
+	answer.Body.Close()
 	s := r.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -278,7 +287,8 @@
 	p.upstream.learn(r.request.Prompt.Model, p.send.Prompt.Version)
 }
 
-// forward forwards an answer to its end.
+// forward forwards an answer to its end. A body that isn't read to its end is closed before the send
+// is released: a waiting request is sent immediately then, and needs the connection.
 func (r *run) forward(ctx context.Context, respond Responder, p *plan, answer *Answer) error {
 	fw := &forwarder{run: r, respond: respond, answer: answer, buffering: r.route.Kind == catalog.Safe}
 	begun := false
@@ -294,6 +304,7 @@
 				}
 			}
 			if err := fw.begin(); err != nil {
+				answer.Body.Close()
 				r.release(p)
 				return err
 			}
@@ -305,6 +316,7 @@
 			return nil
 		}
 		if err != nil {
+			answer.Body.Close()
 			r.recordFailure(ctx, p, err)
 			return err
 		}
@@ -317,6 +329,7 @@
 			begun = true
 		}
 		if err := fw.piece(piece); err != nil {
+			answer.Body.Close()
 			r.release(p)
 			return err
 		}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -47,6 +47,9 @@
 	// pausedUntil is the time until which the upstream gets no requests because it has refused
 	// one and can't refuse many.
 	pausedUntil time.Time
+	// connectionsUsedUntil is the time until which it gets no request because one found this
+	// entry's share of its connections in use.
+	connectionsUsedUntil time.Time
 	// leaving indicates that the upstream has stated in an answer that it leaves.
 	leaving bool
 	// backOffFrom and backOffUntil are the time in which the upstream wants no requests from this
--- a/internal/gateway/wakeup.go
+++ b/internal/gateway/wakeup.go
@@ -17,7 +17,7 @@
 // dueAt returns when a request may be sent to an upstream: now or before if it may be sent now. The
 // caller holds the lock.
 func (s *state) dueAt(u *upstreamState, coldRate float64, now time.Time) time.Time {
-	due := later(u.pausedUntil, u.backOffUntil)
+	due := later(later(u.pausedUntil, u.backOffUntil), u.connectionsUsedUntil)
 	due = later(due, s.coldDueAt(u, coldRate, now))
 	return later(due, s.limits.DueAt(u.record.ID, now))
 }
