Control hosts: the loads of an entry that changes its host count once

Cause: an entry reports its loads to the control host that it follows, which counted them until the entry had been silent for 1.2 s, also if it had changed its host. Under a crowd entries change it some three times a second, and their work counted two to three times: all own requests added up to 1,200 to 2,600, in the entries' view there were 2,500 to 5,800, and 230,000 tokens at a runner with memory for 90,000. Only 2 to 9 of 45 runners counted as having room, and all entries sent there.

Change: an entry that has been answered by a host withdraws its loads from the others that it has reported them to. A lost message costs what each change cost before.

--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -104,6 +104,8 @@
 	redirects map[ident.Host]int
 	// lastHost is the host of the latest answer.
 	lastHost ident.Host
+	// reportedTo holds the hosts that may count loads of this entry.
+	reportedTo map[ident.Host]bool
 	// term is the highest term of all answers. entries is the number of entries in the latest
 	// answer whose leader knew it.
 	term    uint64
@@ -157,7 +159,7 @@
 // NewFollower returns a follower; Run starts it.
 func NewFollower(options FollowerOptions) *Follower {
 	f := &Follower{
-		options: options, avoided: make(map[ident.Host]failure), redirects: make(map[ident.Host]int), results: make(chan *watchCall), epoch: readClock(options.Clock),
+		options: options, avoided: make(map[ident.Host]failure), redirects: make(map[ident.Host]int), reportedTo: make(map[ident.Host]bool), results: make(chan *watchCall), epoch: readClock(options.Clock),
 		spread: float64(xxhash.Sum64String(string(options.Self))>>11) / (1 << 53),
 	}
 	f.counters = newFollowerMetrics(f)
@@ -219,7 +221,11 @@
 		select {
 		case result := <-f.results:
 			if result == call {
-				return f.resolve(call, deliver)
+				applied := f.resolve(call, deliver)
+				if applied {
+					f.withdrawLoads(ctx, request.Entry)
+				}
+				return applied
 			}
 			f.applyLate(result, deliver)
 		case <-overdue.C:
@@ -278,11 +284,33 @@
 	}
 }
 
+// withdrawLoads withdraws the loads of this entry from the hosts that it has left. Otherwise each
+// change of the host would count them once more, until the hosts take the entry for lost. If the
+// message is lost, they do.
+func (f *Follower) withdrawLoads(ctx context.Context, entry *EntryView) {
+	for host := range f.reportedTo {
+		if host == f.lastHost {
+			continue
+		}
+		delete(f.reportedTo, host)
+		address := net.JoinHostPort(string(host), strconv.Itoa(f.options.PeerPort))
+		body := wire.MustMarshal(&WatchRequest{Entry: entry, Moved: true})
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+			defer cancel()
+			_, _ = f.options.Transport.Call(ctx, address, methodWatch, body)
+		}()
+	}
+}
+
 // send makes a call; its result is delivered on results.
 func (f *Follower) send(ctx context.Context, host ident.Host, request *WatchRequest) *watchCall {
 	call := &watchCall{host: host, sent: f.Now(), after: f.applied}
 	address := net.JoinHostPort(string(host), strconv.Itoa(f.options.PeerPort))
 	body := wire.MustMarshal(request)
+	if len(request.Loads) > 0 && request.Entry != nil {
+		f.reportedTo[host] = true
+	}
 	go func() {
 		bound, cancel := context.WithTimeout(ctx, lateTimeout)
 		defer cancel()
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -104,6 +104,9 @@
 	LimitsRevision uint64                  `cbor:"22,keyasint,omitempty"`
 	// ReadingRoster is set while the caller receives the complete roster, page by page.
 	ReadingRoster bool `cbor:"18,keyasint,omitempty"`
+	// Moved is set by an entry that has been answered by another control host: it withdraws its
+	// loads, which it has reported there.
+	Moved bool `cbor:"23,keyasint,omitempty"`
 }
 
 // RelayView is a control host that answers the watches of entries.
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/internal/wire"
@@ -126,6 +127,10 @@
 // watch answers a watch, immediately or when there is a change for its caller.
 func (s *Steward) watch(ctx context.Context, from port.Peer, request *WatchRequest) *WatchAnswer {
 	receivedAt := time.Now()
+	if request.Moved {
+		s.withdrawLoads(from.Host)
+		return &WatchAnswer{Redirect: true}
+	}
 	if request.Entry != nil {
 		s.relay.recordCaller(request.Entry.Host, s.relay.now())
 	}
@@ -166,6 +171,14 @@
 	return answer
 }
 
+// withdrawLoads forgets the loads of an entry that reports them to another control host.
+func (s *Steward) withdrawLoads(entry ident.Host) {
+	s.relay.watchers.withdrawLoads(entry)
+	if l := s.leading.Load(); l != nil {
+		l.watchers.withdrawLoads(entry)
+	}
+}
+
 // pauseAfter returns the time that a watcher should wait before its next request. An entry with
 // requests that has received only a part of the roster or of the inventories requests the rest
 // immediately: until it has all, it knows only some of the upstreams, and its prompts are
--- a/internal/steward/watchers.go
+++ b/internal/steward/watchers.go
@@ -161,6 +161,16 @@
 	}
 }
 
+// withdrawLoads forgets the loads of a watcher that reports them to another host.
+func (w *watchers) withdrawLoads(host ident.Host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if known := w.byHost[host]; known != nil {
+		w.addLoads(known.loads, -1)
+		known.loads = nil
+	}
+}
+
 // expire drops the watchers that have not called within watcherTTL. The caller holds the lock.
 func (w *watchers) expire(now time.Time) {
 	now = w.clock.at(now)
