Control hosts: answer entries with the leader's first answer after a restart of all

Cause: a host that follows a new leader learned only with its second answer, up to 120 ms later, that it is to answer entries, since the leader didn't know their number yet; it was listed after a third request. Entries that asked it before its first answer were sent to the leader, which turned them away. Change (load.handover): while the entries are being counted all hosts answer them, and a watch is kept open until the first answer of a leader that is known to be elected, within the time it is kept open during an election.

--- a/cmd/lovage-fleet/control.go
+++ b/cmd/lovage-fleet/control.go
@@ -140,9 +140,9 @@
 		Seeds: *c.seeds.Load(), Bootstrap: s.Bootstrap, Tolerated: s.ToleratedDisks,
 		Cluster: cluster, Key: []byte(peerKey), Data: s.Data,
 		MaxConcurrentLoads: maxConcurrentLoads, VersionTime: s.VersionTime(), HolderLease: s.HolderLease(),
-		AnnounceEvery: s.AnnounceEvery(),
-		DataCentres:   slices.Sorted(maps.Keys(s.DataCentres)),
-		Stores:        management, Runners: management, Log: c.env.Log,
+		AnnounceEvery: s.AnnounceEvery(), Handover: s.Load.Handover,
+		DataCentres: slices.Sorted(maps.Keys(s.DataCentres)),
+		Stores:      management, Runners: management, Log: c.env.Log,
 	})
 	if err != nil {
 		return err
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -341,7 +341,9 @@
 	answer.Silent, answer.SilentRevision = l.recentSilent(now)
 	answer.ActiveEntries = l.activeCount(entries, now)
 	answer.RelayedRevision = l.watchers.relayedRevision(from.Host)
-	answer.Relaying = answer.EntryCount > maxDirectEntries
+	// After a restart of all hosts the number of entries is unknown, and hosts that wait for it
+	// before they answer entries delay most of them.
+	answer.Relaying = answer.EntryCount > maxDirectEntries || answer.Counting && l.steward.options.Handover
 	answer.Relays = l.relays(now)
 	answer.Loading = l.loader.loading()
 	answer.MinVersions = l.raiseMinVersions(now)
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -126,8 +126,11 @@
 	AnnounceEvery time.Duration
 	// DataCentres are the data centres of the deployment, empty if the settings list none.
 	DataCentres []string
-	Stores      Stores
-	Runners     Runners
+	// Handover lets entries that start serve sooner: hosts that don't lead answer them as soon as
+	// they have the leader's state, and all get what other entries have learned.
+	Handover bool
+	Stores   Stores
+	Runners  Runners
 	// Clock is the clock by which leases count, boottime.Now if nil. It must be monotonic and
 	// count the time in which the machine is suspended.
 	Clock func() time.Time
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -94,7 +94,7 @@
 // awaitWatchSource is watchSource, after a wait while no leader is known.
 func (s *Steward) awaitWatchSource(ctx context.Context, request *WatchRequest) (b watchSource, shed bool) {
 	b, shed = s.watchSource(request)
-	for end := time.Now().Add(electionWait); b == nil && s.Leader() == "" && time.Now().Before(end); {
+	for end := time.Now().Add(electionWait); b == nil && (s.Leader() == "" || s.hasNewLeader(request)) && time.Now().Before(end); {
 		if !wait.For(ctx, leaderPoll) {
 			break
 		}
@@ -103,6 +103,15 @@
 	return b, shed
 }
 
+// hasNewLeader reports whether a leader is elected whose state this host will have shortly, for
+// the first time since its start: the caller has no better host to query.
+func (s *Steward) hasNewLeader(request *WatchRequest) bool {
+	if !s.options.Handover || s.leading.Load() != nil || s.relay.hasLeaderContact() {
+		return false
+	}
+	return request.Entry != nil || s.Leader() == string(s.options.Self)
+}
+
 // finishAnswer adds the content of every answer.
 func (s *Steward) finishAnswer(b watchSource, from port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time) {
 	b.addCommon(from, answer, now)
