handover: what entries have learned, pooled at the control hosts and given to entries

Cause: an entry forgets paces, sizes and usual waits with its process, and with 64 entries none has enough observations of its own for its first seconds. Change (load.handover): entries report their observations with their watch requests, rarely; control hosts pool them, commit the result to the log and give it to entries that lack it. They only replace the values that an entry would assume otherwise.

--- a/estimate/prefill_time.go
+++ b/estimate/prefill_time.go
@@ -1,9 +1,6 @@
 package estimate
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// prefillDecay is the factor by which an observation's weight decreases with each newer
@@ -27,11 +24,7 @@
 // constant time per prompt, by a linear regression with exponentially decaying weights.
 type PrefillTime struct {
 	start, startBase float64
-	weight           float64
-	// Weighted means of tokens and milliseconds, and weighted sums of the squares and
-	// products of their deviations.
-	tokens, ms           float64
-	tokensSq, tokensByMs float64
+	observed         Regression
 }
 
 // NewPrefillTime returns an estimate that starts at perMs tokens a millisecond and the
@@ -47,18 +40,19 @@
 		return
 	}
 	x, y := float64(tokens), toMs(took)
-	if p.weight >= prefillMinWeight {
+	o := &p.observed
+	if o.Weight >= prefillMinWeight {
 		// A single delayed answer must not distort the estimate of the prefill time.
 		predicted := p.BaseMs() + x/p.PerMs()
 		y = min(y, 4*predicted)
 	}
-	p.weight = p.weight*prefillDecay + 1
-	share := 1 / p.weight
-	dx, dy := x-p.tokens, y-p.ms
-	p.tokens += share * dx
-	p.ms += share * dy
-	p.tokensSq = p.tokensSq*prefillDecay + dx*(x-p.tokens)
-	p.tokensByMs = p.tokensByMs*prefillDecay + dx*(y-p.ms)
+	o.Weight = o.Weight*prefillDecay + 1
+	share := 1 / o.Weight
+	dx, dy := x-o.Tokens, y-o.Ms
+	o.Tokens += share * dx
+	o.Ms += share * dy
+	o.TokensSq = o.TokensSq*prefillDecay + dx*(x-o.Tokens)
+	o.TokensByMs = o.TokensByMs*prefillDecay + dx*(y-o.Ms)
 }
 
 // PerMs returns the estimated prefill speed in tokens a millisecond.
@@ -75,19 +69,7 @@
 
 // line returns the speed in tokens a millisecond and the constant time in milliseconds of the
 // regression line.
-func (p *PrefillTime) line() (perMs, base float64) {
-	if p.weight < prefillMinWeight {
-		return p.start, p.startBase
-	}
-	spread := math.Sqrt(p.tokensSq/p.weight) / p.tokens
-	if spread < prefillMinSpread || p.tokensByMs <= 0 {
-		// With prompts of one size, all time beyond the start's base counts as prefill.
-		base = min(p.startBase, 0.9*p.ms)
-		return clamp(p.tokens/(p.ms-base), minPerMs, maxPerMs), base
-	}
-	perMs = clamp(p.tokensSq/p.tokensByMs, minPerMs, maxPerMs)
-	return perMs, clamp(p.ms-p.tokens/perMs, 0, maxBaseMs)
-}
+func (p *PrefillTime) line() (perMs, base float64) { return p.observed.Line(p.start, p.startBase) }
 
 func clamp(v, low, high float64) float64 { return min(max(v, low), high) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,7 +101,7 @@
 	if options.Clock != nil {
 		g.state.clockNow, g.state.versions = options.Clock, resumption.NewVersions(options.Clock())
 	}
-	g.state.budgets.limits = options.Budget
+	g.state.budgets.limits, g.state.exchange.enabled = options.Budget, options.Load.Handover
 	if options.AnnounceEvery > 0 {
 		g.state.announceWithin = options.AnnounceEvery + announceDelay
 		g.state.restartKnownWithin = restartIntervals*options.AnnounceEvery + announceDelay
@@ -129,6 +129,7 @@
 	g.applyQuarantine(answer.Quarantine, time.Now())
 	g.state.mu.Unlock()
 	index, records := g.state.apply(answer, sent)
+	g.applyLearned(answer, time.Now())
 	g.origins.add(records...)
 	if index != nil {
 		g.options.Log.Info("configuration in force", "version", index.Version(), "routes", len(index.Document().Routes))
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -44,6 +44,7 @@
 			prefill: estimate.NewPrefillTime(s.startPerMs, initialBaseTime),
 			size:    estimate.NewSize(smallTokens),
 		}
+		s.setStart(service, l)
 		s.learned[service] = l
 	}
 	return l
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/handover"
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
@@ -38,6 +40,12 @@
 	// forwarded counts requests that were sent to another entry, received those that another
 	// entry forwarded to this one.
 	forwarded, received *metrics.Counter
+	// snapshots counts what was received of other entries' estimates, by what became of it.
+	snapshots map[handover.Result]*metrics.Counter
+	// startedAt is the time at which this entry was created; firstServed is the time from then to
+	// its first served request in milliseconds, 0 before it.
+	startedAt   time.Time
+	firstServed atomic.Int64
 	// unframed counts answers that ended with their connection, without a length or chunks.
 	unframed *metrics.Counter
 	// crashes counts upstreams that were found to have crashed under requests.
@@ -58,7 +66,7 @@
 }
 
 func newMeter(s *state, open func() float64) *meter {
-	m := &meter{set: metrics.NewSet(), notRun: make(map[outcome.Reason]*metrics.Counter)}
+	m := &meter{set: metrics.NewSet(), notRun: make(map[outcome.Reason]*metrics.Counter), startedAt: time.Now()}
 	for kind := range m.ended {
 		name := "none"
 		if kind > 0 {
@@ -83,6 +91,11 @@
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
 	m.crashes, m.quarantined, m.trials = counter("upstream_ends"), counter("held"), counter("trials")
+	m.snapshots = make(map[handover.Result]*metrics.Counter)
+	for _, result := range handover.Results {
+		m.snapshots[result] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_learned_snapshots_total{result=%q}`, result.String()))
+	}
+	m.set.NewGauge("lovagereach_gateway_first_served_seconds", func() float64 { return float64(m.firstServed.Load()) / 1000 })
 	for _, reason := range countedReasons {
 		m.notRun[reason] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_not_run_total{reason=%q}`, reason))
 	}
@@ -152,6 +165,13 @@
 	m.other.Inc()
 }
 
+// served records that a request was served.
+func (m *meter) served(now time.Time) {
+	if m.firstServed.Load() == 0 {
+		m.firstServed.CompareAndSwap(0, max(now.Sub(m.startedAt).Milliseconds(), 1))
+	}
+}
+
 // Metrics returns the entry's counters and histograms.
 func (g *Gateway) Metrics() *metrics.Set { return g.meter.set }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -70,6 +70,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	r.gateway.meter.served(now)
 	s.served.Record(p, r.parts, now)
 	cleared := s.verdicts.parts.clear(r.parts, now)
 	if s.verdicts.quarantined[p] || s.verdicts.suspects[p] {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -158,6 +158,7 @@
 	// initial prefill rate in tokens per millisecond.
 	learned    map[string]*learned
 	startPerMs float64
+	exchange   exchange
 	// usualWaits are the longest time limits of requests, by route.
 	usualWaits map[string]*estimate.Longest
 	// announceWithin is the time within which an upstream's next announcement is known to this
@@ -240,6 +241,7 @@
 		Entry: &view, Weights: s.weightsRevision, Roster: s.rosterRevision, Term: s.term,
 		Quarantine: s.verdicts.revision, Evacuation: s.evacuation.Revision, ReadingRoster: s.rosterListed != nil, SilentRevision: s.silentRevision,
 		Limits: s.limits.Unlisted(time.Now()), LimitsRevision: s.limitsRevision,
+		Learned: s.reportLearned(time.Now()), LearnedRevision: s.exchange.revision,
 	}
 	if time.Since(s.inventoriesAt) > inventoryRefreshAge {
 		// A control host answers immediately if the term differs from its own.
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -59,6 +59,10 @@
 
 	announceEvery announceInterval
 
+	// learnedCheckedAt and learnedSharedAt are the times at which what entries have learned was
+	// checked and committed. Only housekeep uses them.
+	learnedCheckedAt, learnedSharedAt time.Time
+
 	// granting is held while a trial of quarantined parts is granted.
 	granting sync.Mutex
 
@@ -199,10 +203,11 @@
 	return l.minVersionsList
 }
 
-// housekeep removes lost upstreams and expired crashes.
+// housekeep removes lost upstreams and expired crashes, and commits what entries have learned.
 func (l *leadership) housekeep(ctx context.Context) {
 	for wait.For(ctx, housekeeping) {
 		l.forgetCrashes(ctx, time.Now())
+		l.shareLearned(ctx, time.Now())
 		for _, u := range l.lost(l.steward.machine.live(), time.Now()) {
 			u.State = roster.Gone
 			l.steward.options.Log.Info("upstream given up", "upstream", u.ID, "address", u.Address)
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -31,6 +31,8 @@
 	Upstreams []roster.Upstream `cbor:"8,keyasint,omitempty"`
 	// Trial lists the quarantined parts of a request that is sent as a trial.
 	Trial []quarantine.Fingerprint `cbor:"9,keyasint,omitempty"`
+	// Learned is what entries have learned together.
+	Learned []byte `cbor:"10,keyasint,omitempty"`
 }
 
 // storeIncarnation is the incarnation in which a store was last opened to entries. A new leader
@@ -75,7 +77,10 @@
 	// software tracks the software versions of the upstreams, by the times at which this host
 	// learnt of them.
 	software *resumption.Versions
-	pages    rosterPages
+	// learned is what entries have learned together, of revision learnedRevision.
+	learned         []byte
+	learnedRevision uint64
+	pages           rosterPages
 	// changed is closed and replaced at each change, and orderChanged at each change that
 	// operators ordered or that affects the quarantine.
 	changed, orderChanged chan struct{}
@@ -117,6 +122,8 @@
 		m.applyForget(c.Forget)
 	case len(c.Trial) > 0:
 		m.applyTrial(c.Trial)
+	case len(c.Learned) > 0:
+		m.applyLearned(c.Learned)
 	case c.Evacuate != nil:
 		m.applyEvacuation(*c.Evacuate)
 	}
@@ -183,6 +190,8 @@
 	StoreIncarnations map[string]uint64 `cbor:"5,keyasint"`
 	Quarantine        quarantine.State  `cbor:"6,keyasint"`
 	Evacuation        evacuation.View   `cbor:"7,keyasint"`
+	Learned           []byte            `cbor:"8,keyasint,omitempty"`
+	LearnedRevision   uint64            `cbor:"9,keyasint,omitempty"`
 }
 
 // Snapshot implements port.StateMachine.
@@ -197,6 +206,8 @@
 		StoreIncarnations: m.storeIncarnations,
 		Quarantine:        m.quarantine.Save(),
 		Evacuation:        m.evacuation.View(),
+		Learned:           m.learned,
+		LearnedRevision:   m.learnedRevision,
 	}
 	data, err := wire.Marshal(saved)
 	return data, eris.Wrap(err, "steward: encode snapshot")
@@ -226,6 +237,7 @@
 	}
 	m.quarantine.Restore(saved.Quarantine)
 	m.evacuation.Restore(saved.Evacuation)
+	m.learned, m.learnedRevision = saved.Learned, saved.LearnedRevision
 	m.syncQuarantineTimes(time.Now())
 	m.notifyOrder()
 	return nil
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -102,6 +102,10 @@
 	// LimitsRevision, received in Term, lacks.
 	Limits         []ratelimit.Observation `cbor:"21,keyasint,omitempty"`
 	LimitsRevision uint64                  `cbor:"22,keyasint,omitempty"`
+	// Learned is a report on what the caller has learned, left out if it has changed little since
+	// its latest one, and LearnedRevision the revision of what it holds of others.
+	Learned         []byte `cbor:"23,keyasint,omitempty"`
+	LearnedRevision uint64 `cbor:"24,keyasint,omitempty"`
 	// ReadingRoster is set while the caller receives the complete roster, page by page.
 	ReadingRoster bool `cbor:"18,keyasint,omitempty"`
 }
@@ -264,6 +268,10 @@
 	// Peers are entries to which the caller, an entry that doesn't reach all upstreams, may
 	// forward requests.
 	Peers []PeerView `cbor:"39,keyasint,omitempty"`
+	// Learned is what entries have learned together, of revision LearnedRevision. It is left out if
+	// the caller holds that revision.
+	Learned         []byte `cbor:"40,keyasint,omitempty"`
+	LearnedRevision uint64 `cbor:"41,keyasint,omitempty"`
 	// EntriesUnchanged is set if Entries is left out because the list last sent to the caller,
 	// a control host, still holds.
 	EntriesUnchanged bool `cbor:"29,keyasint,omitempty"`
--- a/internal/steward/metrics.go
+++ b/internal/steward/metrics.go
@@ -1,11 +1,13 @@
 package steward
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/handover"
 )
 
 // controlMetrics holds a control host's counters.
@@ -42,6 +44,10 @@
 	m.commits, m.failed = m.set.NewHistogram("lovagereach_steward_commit_seconds"), counter("commit_failures_total")
 	m.orders, m.shed = counter("orders_total"), counter("watches_shed_total")
 	m.announced, m.unannounced = m.set.NewHistogram("lovagereach_steward_announcement_seconds"), counter("announcement_failures_total")
+	s.learned.results = make(map[handover.Result]*metrics.Counter)
+	for _, result := range handover.Results {
+		s.learned.results[result] = counter(fmt.Sprintf("learned_reports_total{result=%q}", result.String()))
+	}
 	gauge := func(part string, read func(now time.Time) float64) {
 		m.set.NewGauge("lovagereach_steward_"+part, func() float64 { return read(time.Now()) })
 	}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -72,6 +72,8 @@
 	relay *relayState
 	// origins are the software versions that began streams, as told by entries.
 	origins originRecords
+	// learned holds what entries have learned.
+	learned learnedReports
 	pacer   pacer
 	// stalls measures for how long this process did not run, by the monotonic clock.
 	stalls stall.Meter
@@ -110,7 +112,7 @@
 	s.relay.clock = options.Clock
 	s.origins.records = resumption.NewRecords()
 	s.startedAt = time.Now()
-	s.upstreamLog.log, s.forwardLog.log = options.Log, options.Log
+	s.upstreamLog.log, s.forwardLog.log, s.learned.log.log = options.Log, options.Log, options.Log
 	s.deferred.announceEvery = announceInterval(options.AnnounceEvery)
 	s.relay.contacts.announceEvery = announceInterval(options.AnnounceEvery)
 	s.commitBatcher, s.forwardBatcher = newBatcher(s.commitAnnouncements), newBatcher(s.forwardAnnouncements)
--- a/internal/steward/testgroup_test.go
+++ b/internal/steward/testgroup_test.go
@@ -125,6 +125,8 @@
 	incarnations map[ident.Host]ident.Incarnation
 	// files are disks in memory by name, if a test injects faults.
 	files map[string]*disktest.FS
+	// handover switches on Options.Handover at all hosts.
+	handover bool
 	// clock is the clock of all hosts, nil for the default.
 	clock func() time.Time
 }
@@ -178,7 +180,7 @@
 		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, Bootstrap: bootstrap, Tolerated: 1,
 		Cluster: "test", Key: []byte("a key of the test processes"), Data: filepath.Join(f.dir, folder),
 		MaxConcurrentLoads: 2, VersionTime: 10 * time.Second, HolderLease: 50 * time.Millisecond,
-		Stores: f.stores, Runners: f.runners, Log: log.New(io.Discard), Files: f.filesOf(folder), Clock: f.clock,
+		Handover: f.handover, Stores: f.stores, Runners: f.runners, Log: log.New(io.Discard), Files: f.filesOf(folder), Clock: f.clock,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -121,6 +121,7 @@
 	}
 	b.addGrants(from, request, answer, now)
 	b.addLimits(request, answer, now)
+	s.addLearned(request, answer)
 	if request.Entry != nil && request.Entry.Unreached > 0 {
 		answer.Peers = choosePeers(s.entryList(), request.Entry)
 	}
@@ -144,6 +145,9 @@
 		return s.redirect(request, shed, waited)
 	}
 	b.recordWatcher(from, request, b.now())
+	if s.options.Handover && len(request.Learned) > 0 {
+		s.learned.record(from.Host, request.Learned, time.Now())
+	}
 	answer := &WatchAnswer{}
 	machineChanges, orderChanges, inventoryChanges := s.machine.changes(), s.machine.orderChanges(), s.index.changes()
 	asOf, found := s.fill(b, request, answer)
@@ -284,7 +288,11 @@
 		if s.leading.Load() != nil {
 			return nil
 		}
-		return s.relay.request(s.relay.now())
+		request := s.relay.request(s.relay.now())
+		if request.Relay && s.options.Handover {
+			request.Learned = s.learned.report(time.Now())
+		}
+		return request
 	}, func(answer *WatchAnswer, requestedAt time.Time) {
 		s.relay.apply(answer, requestedAt, s.relay.now())
 	})
