--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -31,12 +31,17 @@
 	// continued counts the streams that went on after an interruption, by who resumed them and
 	// by whether the upstream's software version is the one that began them.
 	continued map[continuation]*metrics.Counter
+	// choices counts choices of an upstream, also those that found no capacity. Each takes some
+	// 100 us of processor time.
+	choices *metrics.Counter
 	// budgetRefusals counts retries that the shared budget didn't allow.
 	budgetRefusals *metrics.Counter
 	// limitedSends counts sends to upstreams that name a limit.
 	limitedSends *metrics.Counter
 	// backOffSends counts sends to upstreams that want no requests from this entry.
 	backOffSends *metrics.Counter
+	// connectionsUsed counts sends that found this entry's connections to an upstream in use.
+	connectionsUsed *metrics.Counter
 	// forwarded counts requests that were sent to another entry, received those that another
 	// entry forwarded to this one.
 	forwarded, received *metrics.Counter
@@ -79,7 +84,7 @@
 		m.waited[kind] = m.set.NewHistogram(fmt.Sprintf(`lovagereach_gateway_waited_seconds{kind=%q}`, name))
 	}
 	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_gateway_" + part + "_total") }
-	m.late, m.sends, m.retried = counter("late"), counter("sends"), counter("sent_again")
+	m.late, m.sends, m.retried, m.choices = counter("late"), counter("sends"), counter("sent_again"), counter("choices")
 	m.resumed, m.budgetRefusals = counter("resumed"), counter("budget_refusals")
 	m.continued = make(map[continuation]*metrics.Counter)
 	for _, by := range []string{byEntry, byCaller} {
@@ -88,6 +93,7 @@
 		}
 	}
 	m.limitedSends, m.backOffSends = counter("limited_sends"), counter("back_off_sends")
+	m.connectionsUsed = counter("connections_used")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
 	m.crashes, m.quarantined, m.trials = counter("upstream_ends"), counter("held"), counter("trials")
