Entries: prefill rates are learned from busy runners too

Cause: a rate was learned from prompts that an idle runner computed in full; under load there are hardly any, and the pooled reports of 64 entries held too few. All assumed 120 tokens a ms where about 50 are computed. Change (load.handover): a prompt that finds no pending prefill counts. Which of its parts were cached is told by the answer's time, if that is clear.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -10,11 +11,17 @@
 	"github.com/lovagereach/lovagereach/estimate"
 	"github.com/lovagereach/lovagereach/handover"
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/placement"
 )
 
 // thrownAwayLogEvery is the minimum time between two log lines about snapshots that can't be used.
 const thrownAwayLogEvery = 10 * time.Second
 
+// distinctMs is the time in milliseconds by which the prefill of a prompt with all its parts must
+// exceed that of its last part for the answer's time to tell which was computed. Answers come up to
+// this much earlier or later for other reasons.
+const distinctMs = 20.0
+
 // exchange is what an entry passes on of what it has learned, and what it was given of others.
 type exchange struct {
 	enabled  bool
@@ -23,9 +30,7 @@
 	revision uint64
 	// services holds the values to start from by service.
 	services map[string]handover.Service
-	// used is set once a snapshot was used, thrownAwayAt the time of the latest log line about one
-	// that was not.
-	used         bool
+	// thrownAwayAt is the time of the latest log line about a snapshot that was not used.
 	thrownAwayAt time.Time
 }
 
@@ -78,10 +83,7 @@
 		return
 	}
 	s.startFrom(&estimates)
-	if !x.used {
-		x.used = true
-		logStart(g.options.Log, s, &estimates)
-	}
+	logStart(g.options.Log, s, &estimates)
 }
 
 func logStart(logger *log.Logger, s *state, e *handover.Estimates) {
@@ -114,6 +116,40 @@
 	}
 }
 
+// observeAnyPrefill learns the prefill rate from a prompt that found no pending prefill at its
+// runner, although other answers were under way and it is unknown which of its shared parts were
+// cached: under load, runners are never idle, and most prompts go to where their parts may be.
+func (s *state) observeAnyPrefill(p *plan, now time.Time) {
+	if p.send.Prompt == nil || p.logged.PendingPrefill > 0 || p.logged.Fetched > 0 {
+		return
+	}
+	rate, took := s.prefillOf(p.upstream.record.Service), now.Sub(p.sent)
+	tookMs := float64(took)/float64(time.Millisecond) - rate.BaseMs()
+	if tokens, clear := likelyPrefill(p.send.Request.Prompt.Parts, p.choice.FullPrefill, rate.PerMs(), tookMs); clear {
+		rate.Observe(tokens, took)
+	}
+}
+
+// likelyPrefill returns how many tokens of a prompt were computed in tookMs, and whether that is
+// clear. A runner caches the first parts or none, so few numbers are possible; the one whose time
+// is nearest counts, if they are far enough apart.
+func likelyPrefill(parts []placement.Part, full bool, perMs, tookMs float64) (tokens int, clear bool) {
+	likely, apart, last := 0, math.Inf(1), 0
+	for i, part := range slices.Backward(parts) {
+		tokens += part.Tokens
+		if i == len(parts)-1 {
+			last = tokens
+		}
+		if off := math.Abs(float64(tokens)/perMs - tookMs); off < apart {
+			likely, apart = tokens, off
+		}
+	}
+	if full || len(parts) == 1 {
+		return tokens, true
+	}
+	return likely, float64(tokens-last)/perMs >= distinctMs
+}
+
 // setStart makes the estimates of a service start from those of others, if there are any.
 func (s *state) setStart(service string, l *learned) {
 	given, known := s.exchange.services[service]
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -61,6 +61,10 @@
 // observePrefill learns the prefill rate from a prompt whose answer has begun, if its runner
 // was idle and computed all of the prompt.
 func (s *state) observePrefill(p *plan, now time.Time) {
+	if s.exchange.enabled {
+		s.observeAnyPrefill(p, now)
+		return
+	}
 	if p.send.Prompt == nil || !p.choice.FullPrefill || p.logged.Requests > 0 {
 		return
 	}
