A request is not sent once its caller has closed, also if the close has not been read

Waking, a process reads the requests that have arrived before their closes. Change: right before each send the entry peeks at the caller's connection for a close.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -412,3 +412,20 @@
 		t.Fatalf("a later request ends %q", rec.end)
 	}
 }
+
+// Guards against a send for a caller whose close this process has not read yet, as after a stall.
+func TestNoSendForACallerThatHasClosed(t *testing.T) {
+	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return status(200), nil })
+	r := request("/safe/x")
+	r.Left = func() bool { return true }
+	rec := &recorder{}
+	g.Serve(context.Background(), r, rec)
+	if sender.count() != 0 || rec.end != "refused" || outcome.KindOf(rec.cause) != outcome.KindUnknown {
+		t.Errorf("%d sends, ended as %s: %v", sender.count(), rec.end, rec.cause)
+	}
+	for id, u := range g.state.upstreams {
+		if u.own.Requests != 0 {
+			t.Errorf("%s has %d requests under way", id, u.own.Requests)
+		}
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -226,7 +226,7 @@
 		return err
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled), r.request.Left != nil && r.request.Left():
 		return errCallerGone
 	case time.Until(r.deadline) < minWait:
 		return &outcome.NotRun{Reason: outcome.ReasonDeadline, Detail: "the time was up before it was sent"}
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -73,6 +73,9 @@
 	// Forwarded indicates that another entry forwarded the request to this one, which must not
 	// forward it again.
 	Forwarded bool
+	// Left reports whether the caller has closed its connection, also if the close has not been read
+	// yet; nil if that can't be told.
+	Left func() bool
 }
 
 // PromptSend is the placement of a prompt's parts.
