placement, replicate: chains are fetched as a whole, ended transfers don't queue

A fetch counted as queued at its store until the answer began, which in a crowd takes 0.5 s and more, while the transfer takes 30 to 90 ms.

Change: a transfer counts until its predicted end; what other entries reported is taken to go on at the rate of the link; a part is fetched if it pays together with those behind it; entries report the large parts that runners are reading for them, with their loads, and go there.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -32,6 +32,7 @@
 	}
 	if !p.answerStarted {
 		s.prefillDone(p)
+		p.failReads()
 	}
 	s.dispatch(time.Now())
 }
@@ -43,11 +44,7 @@
 	if p.send.Prompt == nil {
 		return
 	}
-	for i, source := range p.sources {
-		if source != nil {
-			source.own -= p.send.Prompt.Fetch[i].Tokens
-		}
-	}
+	p.endTransfers()
 }
 
 // cancel releases a plan that is not sent. The caller holds the lock.
@@ -94,6 +91,7 @@
 		p.answerStarted = true
 		s.prefillDone(p)
 		now := time.Now()
+		p.endReads(now)
 		s.observePrefill(p, now)
 		r.gateway.observeFetches(p, now)
 		s.dispatch(time.Now())
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -122,6 +122,7 @@
 			s.loadedByOthers[u] = struct{}{}
 		}
 	}
+	s.applyReads(answer.Loads)
 	for _, load := range answer.Loads {
 		if u := s.upstreams[load.Upstream]; u != nil {
 			u.others = load
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -118,7 +118,7 @@
 		store, inventory := s.stores[address], s.caches.Inventory(address)
 		d.Stores = append(d.Stores, DumpedStore{
 			Address: address, Open: store.open, Incarnation: inventory.Incarnation(), Parts: inventory.Len(), Tokens: inventory.Tokens(),
-			Queued: store.own + store.others, Slowness: store.slowdown.current(now),
+			Queued: store.ownQueued(s, now) + store.others, Slowness: store.slowdown.current(now),
 		})
 	}
 	for _, service := range slices.Sorted(maps.Keys(s.learned)) {
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -12,6 +12,9 @@
 	// UnevenUpstreams makes choices account for upstreams whose machines are slow at the moment, and
 	// for the output that callers expect.
 	UnevenUpstreams bool
+	// ShareParts makes choices account for the parts of prompts that runners are reading at the
+	// moment, and for the transfers from stores that have ended.
+	ShareParts bool
 	// CopyMbps bounds the transfers of shared parts that are copied before they are lost, in Mbit/s
 	// over all entries; 0 copies none.
 	CopyMbps float64
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -72,7 +72,7 @@
 		sources = append(sources, f.Address)
 		if store := s.stores[f.Address]; store != nil {
 			p.logged.Slowdown = max(p.logged.Slowdown, store.slowdown.current(now))
-			p.logged.Queue = max(p.logged.Queue, store.own+store.others)
+			p.logged.Queue = max(p.logged.Queue, store.ownQueued(s, now)+store.others)
 		}
 	}
 	p.logged.Sources = strings.Join(sources, ",")
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -46,6 +46,9 @@
 	quarantined *metrics.Counter
 	// trials counts requests that were sent although a part of their prompt is quarantined.
 	trials *metrics.Counter
+	// partsRead counts the tokens of shared parts that runners are expected to read, partsReadAgain
+	// those of parts that some store or runner is known to hold or to be reading.
+	partsRead, partsReadAgain *metrics.Counter
 	// notRun counts requests that did not run, by reason.
 	notRun map[outcome.Reason]*metrics.Counter
 	other  *metrics.Counter
@@ -82,6 +85,7 @@
 	m.limitedSends, m.backOffSends = counter("limited_sends"), counter("back_off_sends")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
+	m.partsRead, m.partsReadAgain = counter("shared_tokens_read"), counter("shared_tokens_read_again")
 	m.crashes, m.quarantined, m.trials = counter("upstream_ends"), counter("held"), counter("trials")
 	for _, reason := range countedReasons {
 		m.notRun[reason] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_not_run_total{reason=%q}`, reason))
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -8,6 +8,7 @@
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/placement"
+	"github.com/lovagereach/lovagereach/replicate"
 	"github.com/lovagereach/lovagereach/resumption"
 )
 
@@ -70,6 +71,15 @@
 	keys       []cacheindex.Key
 	// sources are the stores whose queue accounts for the fetches, part by part.
 	sources []*storeState
+	// transfers are those of sources that count, transferTimes their predicted times.
+	transfers     []sourceTransfer
+	transferTimes []time.Duration
+	// reads are the large parts that the runner is expected to read, toRead their indices.
+	reads  []*replicate.Ongoing
+	toRead []int
+	// sharedRead are the tokens of shared parts that the runner is expected to read, readAgain
+	// those of them that are known to be held elsewhere.
+	sharedRead, readAgain int
 	// fetchMs is the predicted time of the fetches in milliseconds at the nominal rate of the
 	// links, sent the time of the send.
 	fetchMs float64
@@ -114,6 +124,8 @@
 	s.limits.RecordSent(p.upstream.record.ID, now)
 	s.reach.Sent(p.upstream.record.ID, now)
 	r.gateway.countSent(p.upstream, now)
+	r.gateway.meter.partsRead.Add(p.sharedRead)
+	r.gateway.meter.partsReadAgain.Add(p.readAgain)
 	r.gateway.countBackOff(p.upstream, now)
 	p.upstream.own.Requests++
 	s.activeUpstreams[p.upstream.record.ID] = p.upstream
--- a/internal/gateway/recent.go
+++ b/internal/gateway/recent.go
@@ -55,3 +55,9 @@
 	part, known := r.last[key]
 	return known && part.runner == runner && now.Sub(part.at) <= recentTTL
 }
+
+// knows reports whether a part was sent to any runner lately.
+func (r *recentParts) knows(key cacheindex.Key, now time.Time) bool {
+	part, known := r.last[key]
+	return known && now.Sub(part.at) <= recentTTL
+}
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -28,7 +28,7 @@
 
 func (s *state) describePrompt(prompt *Prompt, salt string, engine *catalog.Engine, candidates []*upstreamState, addresses []string, now time.Time) promptView {
 	d := promptView{salt: salt, keys: make([]cacheindex.Key, len(prompt.Parts))}
-	d.prompt = placement.Prompt{Parts: prompt.Parts, Output: prompt.Output, TokenBytes: engine.TokenBytes, Complete: make([][]int, len(prompt.Parts))}
+	d.prompt = placement.Prompt{Parts: prompt.Parts, Output: prompt.Output, TokenBytes: engine.TokenBytes, JointFetches: s.shareParts, Complete: make([][]int, len(prompt.Parts))}
 	d.prompt.CachesKnown = s.cachesKnown(candidates)
 	for i, part := range prompt.Parts {
 		d.keys[i] = cacheindex.Key{Salt: salt, Part: part.ID}
@@ -38,12 +38,13 @@
 			}
 		}
 	}
+	readers := s.readersOf(prompt.Parts, d.keys, now)
 	d.prompt.Cached = func(runner, part int) bool {
 		u := candidates[runner]
 		if now.After(u.cacheStaleUntil) && s.caches.ReadableTokens(u.record.Address, d.keys[part]) >= prompt.Parts[part].Tokens {
 			return true
 		}
-		return s.recent.has(d.keys[part], u.incarnation(), now)
+		return s.recent.has(d.keys[part], u.incarnation(), now) || readers != nil && readers[part] == u.record.ID
 	}
 	return d
 }
@@ -74,7 +75,7 @@
 			Address: service.Store.Address, DataCentre: service.Store.DataCentre, LinkMbps: service.Store.LinkMbps,
 			FirstByte: service.Store.FirstByte, Capacity: service.Store.CapacityTokens,
 			Used: s.caches.Inventory(service.Store.Address).Tokens() + known.pendingTokens(now), Open: valid && known.open,
-			Queued: known.own + known.others,
+			Queued: known.queued(s, service.Store.LinkMbps, engine.TokenBytes, now),
 		})
 		addresses = append(addresses, service.Store.Address)
 	}
@@ -86,7 +87,7 @@
 		stores = append(stores, placement.Store{
 			Address: u.record.Address, DataCentre: u.record.DataCentre, LinkMbps: engine.LinkMbps,
 			Open: valid && !now.Before(u.health.ejectedUntil) && !u.silent, Risk: evictionRisk,
-			Queued: known.own + known.others,
+			Queued: known.queued(s, engine.LinkMbps, engine.TokenBytes, now),
 		})
 		addresses = append(addresses, u.record.Address)
 	}
@@ -152,12 +153,14 @@
 	}
 	if fetches {
 		p.send.Prompt.Fetch = fetch
+		p.transferTimes = transferTimes(rates, &view.prompt, choice, p.upstream.record.DataCentre, stores)
 		p.send.Prompt.FetchDeadlineMs = s.upstreamsClock(now) + steward.FetchPermit.Milliseconds()
 	}
 	if saves {
 		p.send.Prompt.Save = save
 	}
 	p.keys = view.keys
+	s.planReads(p, view, choice, now)
 }
 
 // commit records the parts that a plan brings to its runner and stores.
@@ -173,9 +176,10 @@
 	for i, from := range p.send.Prompt.Fetch {
 		if from.Address != "" {
 			p.sources[i] = s.stores[from.Address]
-			p.sources[i].own += from.Tokens
+			s.startTransfer(p, i, p.sources[i], from.Tokens, now)
 		}
 	}
+	s.beginReads(p, now)
 	for i, address := range p.send.Prompt.Save {
 		if address != "" {
 			s.stores[address].pending[p.keys[i]] = pendingSave{tokens: parts[i].Tokens, until: now.Add(saveTimeout)}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -14,6 +14,7 @@
 	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/ratelimit"
 	"github.com/lovagereach/lovagereach/reach"
+	"github.com/lovagereach/lovagereach/replicate"
 	"github.com/lovagereach/lovagereach/resumption"
 	"github.com/lovagereach/lovagereach/roster"
 	"github.com/lovagereach/lovagereach/warmup"
@@ -171,6 +172,9 @@
 	versions   *resumption.Versions
 	rosterAsOf time.Time
 	clockNow   func() time.Time
+	// shareParts is LoadOptions.ShareParts; reads are the parts that runners are reading.
+	shareParts bool
+	reads      replicate.Reads
 	// origins holds what began the streams of this entry that are not complete.
 	origins *resumption.Records
 }
@@ -181,7 +185,9 @@
 	// own and others are the tokens queued by prompts under way, of this entry and of the
 	// other entries.
 	own, others int
-	slowdown    slowdown
+	// queue are the transfers of this entry's prompts that have not ended.
+	queue    replicate.Queue
+	slowdown slowdown
 	// pending holds the saves under way, with the time at which they no longer count.
 	pending map[cacheindex.Key]pendingSave
 }
@@ -236,6 +242,7 @@
 func (s *state) request(view steward.EntryView) *steward.WatchRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	request := &steward.WatchRequest{
 		Entry: &view, Weights: s.weightsRevision, Roster: s.rosterRevision, Term: s.term,
 		Quarantine: s.verdicts.revision, Evacuation: s.evacuation.Revision, ReadingRoster: s.rosterListed != nil, SilentRevision: s.silentRevision,
@@ -251,10 +258,11 @@
 		request.Document = s.index.Version()
 	}
 	for address, store := range s.stores {
-		if store.own > 0 {
-			request.Loads = append(request.Loads, steward.Load{Upstream: address, Unread: store.own})
+		if queued := store.ownQueued(s, now); queued > 0 {
+			request.Loads = append(request.Loads, steward.Load{Upstream: address, Unread: queued})
 		}
 	}
+	request.Loads = s.appendReads(request.Loads, now)
 	for id, u := range s.activeUpstreams {
 		if s.upstreams[id] == u {
 			load := u.own
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -109,6 +109,9 @@
 	CachesKnown bool
 	// TokenBytes is the KV memory of one token in bytes.
 	TokenBytes int
+	// JointFetches weighs the fetch of a part together with those of the parts after it, which
+	// are of no use without it.
+	JointFetches bool
 }
 
 // Tokens returns the length of the prompt in tokens.
@@ -263,7 +266,8 @@
 			// here would draw the prompt away from that runner.
 			missProbability = 1 - rates.HomeHitUnstored
 		}
-		if store >= 0 && contiguous && fetchMs < rates.recomputeMs(part) {
+		cheaper := fetchMs < rates.recomputeMs(part) || p.JointFetches && contiguous && store >= 0 && p.fetchesPay(rates, i, fetchMs, r, stores)
+		if store >= 0 && contiguous && cheaper {
 			c.Fetch[i] = store
 			c.FullPrefill = false
 			ms += missProbability * (fetchMs + rates.MoveMsPerToken*float64(part.Tokens))
@@ -284,6 +288,20 @@
 	return c
 }
 
+// fetchesPay reports whether fetching a part, at a cost of fetchMs, and some of the parts that
+// follow it costs less than recomputing them all.
+func (p *Prompt) fetchesPay(rates *Rates, part int, fetchMs float64, r *Runner, stores []Store) bool {
+	balance := fetchMs - rates.recomputeMs(p.Parts[part])
+	for next := part + 1; next < len(p.Parts)-1 && balance >= 0; next++ {
+		store, ms := p.bestSource(rates, next, r, stores)
+		if store < 0 {
+			return false
+		}
+		balance += ms - rates.recomputeMs(p.Parts[next])
+	}
+	return balance < 0
+}
+
 // pressure returns the cost of a runner's memory and slot usage in milliseconds. Memory
 // usage has a cost above three quarters: beyond that, the parts cached for other requests
 // are evicted first.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -260,3 +260,28 @@
 		t.Errorf("%d runners serve as home of one part, want %d", len(homes), homeCandidates)
 	}
 }
+
+// Guards against a chain that is read as a whole because its short first part alone is read faster
+// than it is fetched: the parts after it are of no use without it.
+func TestChainIsFetchedIfItPaysAsAWhole(t *testing.T) {
+	fast := Store{Address: "s", DataCentre: "north", LinkMbps: 130000, FirstByte: 500 * time.Microsecond, Capacity: 500000, Open: true, Queued: 12000}
+	p := &Prompt{Parts: []Part{{"head", 55}, {"body", 400}, {"own", 80}}, Output: 11, TokenBytes: 35136, Complete: [][]int{{0}, {0}, nil}}
+	// The home runner, which may have the parts cached, is out of reach.
+	list := runners(2)
+	list[p.homeRunner(p.key("m.1"), list)].HealthPenalty = time.Minute
+	if c := choose(t, p, list, []Store{fast}); c.Fetch[1] >= 0 {
+		t.Fatalf("fetches %v part by part: the test shows nothing", c.Fetch)
+	}
+	p.JointFetches = true
+	if c := choose(t, p, list, []Store{fast}); c.Fetch[0] != 0 || c.Fetch[1] != 0 {
+		t.Errorf("fetches %v, want both parts", c.Fetch)
+	}
+	fast.Queued = 60000
+	if c := choose(t, p, list, []Store{fast}); c.Fetch[0] >= 0 || c.Fetch[1] >= 0 {
+		t.Errorf("fetches %v although reading both is sooner", c.Fetch)
+	}
+	fast.Queued, p.Complete[1] = 12000, nil
+	if c := choose(t, p, list, []Store{fast}); c.Fetch[0] >= 0 {
+		t.Errorf("fetches %v although nothing follows the first part", c.Fetch)
+	}
+}
