--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -59,6 +59,9 @@
 	quarantined *metrics.Counter
 	// trials counts requests that were sent although a part of their prompt is quarantined.
 	trials *metrics.Counter
+	// partsRead counts the tokens of shared parts that runners are expected to read, partsReadAgain
+	// those of parts that some store or runner is known to hold or to be reading.
+	partsRead, partsReadAgain *metrics.Counter
 	// notRun counts requests that did not run, by reason.
 	notRun map[outcome.Reason]*metrics.Counter
 	other  *metrics.Counter
@@ -96,6 +99,7 @@
 	m.connectionsUsed = counter("connections_used")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
+	m.partsRead, m.partsReadAgain = counter("shared_tokens_read"), counter("shared_tokens_read_again")
 	m.crashes, m.quarantined, m.trials = counter("upstream_ends"), counter("held"), counter("trials")
 	m.snapshots = make(map[handover.Result]*metrics.Counter)
 	for _, result := range handover.Results {
