--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -125,7 +125,7 @@
 		if n := limitedUpstreams(g); n != 3 {
 			t.Fatalf("%d of 3 upstreams count as limited", n)
 		}
-		for range 20 {
+		for range 200 {
 			later := request("/unsafe/x")
 			later.ID = "slow"
 			serve(g, later)
