Control hosts: entries get their configuration before the stores are read

Cause: after a restart of all hosts a new leader reads the listings of all stores, which takes its share of the processor for 0.2 s, before it answers the hosts that answer the entries; these send the inventories with the configuration; and an entry that had waited 0.2 s at a host was turned away just before its first answer. Change (load.handover): stores are read once the other voters have called, 0.15 s after the election at the latest; an entry without a configuration gets it before the inventories, and waits up to 0.45 s at a host that has just started.

--- a/internal/steward/inventories.go
+++ b/internal/steward/inventories.go
@@ -89,6 +89,7 @@
 
 // run follows the stores of the current configuration.
 func (k *inventoryFollower) run(ctx context.Context) {
+	k.leadership.awaitControlHosts(ctx)
 	for ctx.Err() == nil {
 		changes := k.leadership.steward.machine.changes()
 		d := k.leadership.steward.machine.Document()
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -27,6 +27,10 @@
 	// relaysWithin is the time after an election within which other control hosts become
 	// relays. They need the inventories first, which takes 0.5 s.
 	relaysWithin = 2 * time.Second
+	// controlHostsWithin is the time after an election within which the other control hosts call.
+	controlHostsWithin = 150 * time.Millisecond
+	// maxControlHosts bounds the control hosts whose calls are recorded.
+	maxControlHosts = 64
 	// housekeeping is the interval at which silent upstreams are checked.
 	housekeeping = 500 * time.Millisecond
 )
@@ -67,6 +71,8 @@
 	granting sync.Mutex
 
 	mu sync.Mutex
+	// controlHosts are the control hosts that have called.
+	controlHosts map[ident.Host]bool
 	// lastContacts holds the time of each upstream's latest contact, by the listening clock.
 	lastContacts map[string]time.Time
 	// successions tracks announcements of incarnations with earlier start times.
@@ -224,6 +230,12 @@
 	l.mu.Lock()
 	l.reportedEntries = max(l.reportedEntries, request.Entries)
 	l.sizeKnown = l.sizeKnown || request.Entries > 0
+	if request.Entry == nil && len(l.controlHosts) < maxControlHosts {
+		if l.controlHosts == nil {
+			l.controlHosts = make(map[ident.Host]bool)
+		}
+		l.controlHosts[from.Host] = true
+	}
 	l.mu.Unlock()
 	for _, contact := range request.LastContacts {
 		l.recordContact(contact.Upstream, now.Add(-contact.Age))
@@ -232,6 +244,23 @@
 	l.watchers.record(from, request, now)
 }
 
+// awaitControlHosts waits until the other voters have called, within controlHostsWithin. After a
+// restart of all hosts they answer the entries, for which they need only the leader's first answer;
+// reading the stores takes its processor several times as long as all their answers.
+func (l *leadership) awaitControlHosts(ctx context.Context) {
+	if !l.steward.options.Handover {
+		return
+	}
+	for end := l.since.Add(controlHostsWithin); time.Now().Before(end); {
+		l.mu.Lock()
+		called := len(l.controlHosts)
+		l.mu.Unlock()
+		if called >= len(l.steward.replica().Status().Voters)-1 || !wait.For(ctx, leaderPoll) {
+			return
+		}
+	}
+}
+
 // now implements watchSource.
 func (l *leadership) now() time.Time { return time.Now() }
 
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -19,6 +19,10 @@
 	// caller is then notified of the new leader immediately; otherwise it would query the hosts
 	// in turn, and learn of an election 0.1 s after it on average.
 	electionWait = 200 * time.Millisecond
+	// startingWait replaces it for entries without a configuration at a host that has started since
+	// it last knew a leader: all hosts may have, and no other knows more. It leaves time for the
+	// answer within watchTimeout.
+	startingWait = 450 * time.Millisecond
 	// idleWait is the longest time that a watch of an entry without requests is kept open. It
 	// ends immediately at a change of orders; upstreams come and go all the time in a large
 	// fleet, and nearly all of its entries are idle.
@@ -94,7 +98,11 @@
 // awaitWatchSource is watchSource, after a wait while no leader is known.
 func (s *Steward) awaitWatchSource(ctx context.Context, request *WatchRequest) (b watchSource, shed bool) {
 	b, shed = s.watchSource(request)
-	for end := time.Now().Add(electionWait); b == nil && (s.Leader() == "" || s.hasNewLeader(request)) && time.Now().Before(end); {
+	longest := electionWait
+	if s.options.Handover && request.Entry != nil && request.Document == 0 && !s.relay.hasLeaderContact() {
+		longest = startingWait
+	}
+	for end := time.Now().Add(longest); b == nil && (s.Leader() == "" || s.hasNewLeader(request)) && time.Now().Before(end); {
 		if !wait.For(ctx, leaderPoll) {
 			break
 		}
@@ -210,6 +218,10 @@
 		return time.Time{}, false
 	}
 	found := s.machine.fill(request, answer)
+	if found && s.options.Handover && request.Entry != nil && request.Document == 0 {
+		// The entry can serve by these alone, and asks for the inventories at once.
+		return asOf, true
+	}
 	lacks := b.fill(request, answer)
 	if request.Idle && request.Roster != 0 && !request.ReadingRoster {
 		return asOf, answer.orders()
