Entries: what waited for the start is released by what the runners read

Cause: late requests were released over a fixed 0.4 s, right for one size only, and requests were released before the handed over estimates applied. Change (load.handover): the time follows from the tokens that waited, the numbers of entries (handed over too) and runners and the learned rate, half of which is left for what arrives meanwhile; a prompt whose answer can't begin before its deadline is refused at once; estimates apply together with the configuration.

--- a/handover/estimates.go
+++ b/handover/estimates.go
@@ -19,6 +19,8 @@
 	// maxSize is the largest size of a prompt in tokens, maxWait the longest time limit of a
 	// request.
 	maxSize, maxWait = 10_000_000, 24 * time.Hour
+	// maxEntries is the largest number of entries.
+	maxEntries = 100_000
 	// outlierFactor is the factor by which an observer's mean time may differ from what the pooled
 	// line predicts for its prompts, relative to the median observer. One that is off by more is left
 	// out: it is wrong, or saw requests that waited behind others.
@@ -52,6 +54,8 @@
 type Estimates struct {
 	Services []Service `cbor:"1,keyasint,omitempty"`
 	Routes   []Route   `cbor:"2,keyasint,omitempty"`
+	// Entries is the number of entries, 0 if unknown.
+	Entries int `cbor:"3,keyasint,omitempty"`
 }
 
 // Empty reports whether nothing was learned.
@@ -59,7 +63,7 @@
 
 // valid reports whether observations can have led to e.
 func (e *Estimates) valid() bool {
-	if len(e.Services) > MaxServices || len(e.Routes) > MaxRoutes {
+	if len(e.Services) > MaxServices || len(e.Routes) > MaxRoutes || e.Entries < 0 || e.Entries > maxEntries {
 		return false
 	}
 	for _, s := range e.Services {
@@ -92,6 +96,7 @@
 // value the observers' median counts or, for prefill times, the pooled observations of those that
 // are near the median: none of them has enough alone.
 func Merge(before Estimates, observers []Estimates) Estimates {
+	var entries []int
 	prefill, small, waits := make(map[string][]estimate.Regression), make(map[string][]int), make(map[string][]int64)
 	add := func(e *Estimates, share float64) {
 		for _, s := range e.Services {
@@ -106,6 +111,9 @@
 				prefill[s.Name] = nil
 			}
 		}
+		if e.Entries > 0 {
+			entries = append(entries, e.Entries)
+		}
 		for _, r := range e.Routes {
 			waits[r.Name] = append(waits[r.Name], r.WaitMs)
 		}
@@ -114,7 +122,7 @@
 	for i := range observers {
 		add(&observers[i], 1)
 	}
-	var merged Estimates
+	merged := Estimates{Entries: median(entries)}
 	for name, list := range prefill {
 		merged.Services = append(merged.Services, Service{Name: name, Prefill: estimate.Pool(withoutOutliers(list)), Small: median(small[name])})
 	}
@@ -156,6 +164,9 @@
 
 // Changed reports whether a value differs from the one before by more than a step, or is new.
 func Changed(before, now Estimates) bool {
+	if differ(float64(before.Entries), float64(now.Entries)) {
+		return true
+	}
 	services := make(map[string]Service, len(before.Services))
 	for _, s := range before.Services {
 		services[s.Name] = s
--- a/handover/handover_test.go
+++ b/handover/handover_test.go
@@ -168,6 +168,26 @@
 	}
 }
 
+// Guards against a release that is right for one size of the deployment only: the runners read what
+// waited in the time over which it is released, whatever the numbers of entries and runners.
+func TestReleaseFollowsSize(t *testing.T) {
+	for _, c := range []struct {
+		crowd Crowd
+		want  time.Duration
+	}{
+		{Crowd{Tokens: 0, Entries: 64, Runners: 60, PerMs: 50}, 0},
+		{Crowd{Tokens: 6000, Entries: 64, Runners: 60, PerMs: 50}, 256 * time.Millisecond},
+		{Crowd{Tokens: 6000, Entries: 128, Runners: 120, PerMs: 50}, 256 * time.Millisecond},
+		{Crowd{Tokens: 6000, Entries: 7, Runners: 60, PerMs: 50}, 28 * time.Millisecond},
+		{Crowd{Tokens: 6000, Entries: 64, Runners: 60, PerMs: 5}, maxRelease},
+		{Crowd{Tokens: 6000, Entries: 64}, maxRelease},
+	} {
+		if got := c.crowd.ReleaseTime(); got != c.want {
+			t.Errorf("%+v: released over %v, want %v", c.crowd, got, c.want)
+		}
+	}
+}
+
 func BenchmarkMerge(b *testing.B) {
 	random := rand.New(rand.NewPCG(6, 6))
 	var observers []Estimates
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -21,6 +21,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	adopted := s.adopt(index)
+	s.takeLearned(answer, time.Now())
 	if answer.Weights != nil && answer.Weights.Revision >= s.weightsRevision {
 		s.weightsRevision = answer.Weights.Revision
 		for _, w := range answer.Weights.Newest {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,7 @@
 	g.applyQuarantine(answer.Quarantine, time.Now())
 	g.state.mu.Unlock()
 	index, records := g.state.apply(answer, sent)
-	g.applyLearned(answer, time.Now())
+	g.logLearned(time.Now())
 	g.origins.add(records...)
 	if index != nil {
 		g.options.Log.Info("configuration in force", "version", index.Version(), "routes", len(index.Document().Routes))
@@ -266,7 +266,7 @@
 		return nil, notRun(ReasonTooLong, 0, fmt.Sprintf("the body is over %d bytes", limit))
 	}
 	if waited {
-		spread(ctx, request, route)
+		g.spread(ctx, request, route)
 	}
 	r := &run{
 		gateway: g, request: request, index: index, route: route,
@@ -285,6 +285,9 @@
 	r.deadline = request.Arrived.Add(timeout)
 	r.usualWait = g.state.observeWait(route.Name, timeout)
 	r.service = pickTarget(route.Targets)
+	if waited && g.state.cannotBeServed(r, time.Now()) {
+		return nil, notRun(outcome.ReasonDeadline, 0, "the time was up while this entry started")
+	}
 	r.fingerprint, r.parts = r.computeFingerprint(), r.partFingerprints()
 	if request.Prompt != nil {
 		r.smallUpTo = r.smallLimit(index.Service(r.service))
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -30,6 +30,12 @@
 	revision uint64
 	// services holds the values to start from by service.
 	services map[string]handover.Service
+	// entries is the number of entries as others knew it, 0 if unknown.
+	entries int
+	// startTokens is the number of tokens of the prompts that waited for the start.
+	startTokens int
+	// taken is the latest snapshot until it is logged.
+	taken *takenSnapshot
 	// thrownAwayAt is the time of the latest log line about a snapshot that was not used.
 	thrownAwayAt time.Time
 }
@@ -45,7 +51,7 @@
 
 // ownEstimates returns what this entry has observed itself.
 func (s *state) ownEstimates() handover.Estimates {
-	var e handover.Estimates
+	e := handover.Estimates{Entries: s.entries}
 	for name, l := range s.learned {
 		service := handover.Service{Name: name, Prefill: l.prefill.Observed()}
 		if l.size.Sampled() {
@@ -63,27 +69,47 @@
 	return e
 }
 
-// applyLearned starts this entry's estimates from what others have learned. It takes the lock.
-func (g *Gateway) applyLearned(answer *steward.WatchAnswer, now time.Time) {
-	s := g.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// takeLearned starts this entry's estimates from what others have learned. It is applied together
+// with the configuration: requests that wait for that are placed by it.
+func (s *state) takeLearned(answer *steward.WatchAnswer, now time.Time) {
 	x := &s.exchange
 	if !x.enabled || answer.LearnedRevision == 0 || answer.LearnedRevision == x.revision || s.index == nil {
 		return
 	}
 	x.revision = answer.LearnedRevision
 	estimates, result := handover.Decode(answer.Learned, now)
-	g.meter.snapshots[result].Inc()
-	if result != handover.Used {
-		if now.Sub(x.thrownAwayAt) >= thrownAwayLogEvery {
-			x.thrownAwayAt = now
-			g.options.Log.Warn("learned estimates thrown away", "reason", result.String(), "revision", x.revision, "bytes", len(answer.Learned))
-		}
+	if result == handover.Used {
+		s.startFrom(&estimates)
+	}
+	x.taken = &takenSnapshot{estimates: estimates, result: result, bytes: len(answer.Learned)}
+}
+
+// takenSnapshot is what became of a snapshot.
+type takenSnapshot struct {
+	estimates handover.Estimates
+	result    handover.Result
+	bytes     int
+}
+
+// logLearned counts and logs what became of the latest snapshot. It takes the lock.
+func (g *Gateway) logLearned(now time.Time) {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := &s.exchange
+	taken := x.taken
+	if taken == nil {
 		return
 	}
-	s.startFrom(&estimates)
-	logStart(g.options.Log, s, &estimates)
+	x.taken = nil
+	g.meter.snapshots[taken.result].Inc()
+	switch {
+	case taken.result == handover.Used:
+		logStart(g.options.Log, s, &taken.estimates)
+	case now.Sub(x.thrownAwayAt) >= thrownAwayLogEvery:
+		x.thrownAwayAt = now
+		g.options.Log.Warn("learned estimates thrown away", "reason", taken.result.String(), "revision", x.revision, "bytes", taken.bytes)
+	}
 }
 
 func logStart(logger *log.Logger, s *state, e *handover.Estimates) {
@@ -100,7 +126,7 @@
 			services[service.Name] = service
 		}
 	}
-	s.exchange.services = services
+	s.exchange.services, s.exchange.entries = services, e.Entries
 	for name := range services {
 		s.setStart(name, s.learnedOf(name))
 	}
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/handover"
 	"github.com/lovagereach/lovagereach/internal/wait"
 )
 
@@ -25,6 +26,8 @@
 	// that the next answer of the control hosts reports the loads of the other entries
 	// meanwhile.
 	startSpread = 400 * time.Millisecond
+	// certainShare is the fraction of the constant time per prompt that no runner is faster than.
+	certainShare = 0.5
 	// maxStarting bounds the requests waiting for the start. Each takes a few KB.
 	maxStarting = 1024
 )
@@ -38,6 +41,7 @@
 	if index != nil && (request.Prompt == nil || g.state.hasInventories()) {
 		return index, false
 	}
+	g.state.countStarting(request)
 	if g.starting.Add(1) <= maxStarting {
 		longest := startWait
 		if request.Wait > 0 {
@@ -58,12 +62,49 @@
 // entries start at the same time and don't know each other's requests yet: if the waiting
 // requests were released together, they would delay the requests after them beyond their
 // targets.
-func spread(ctx context.Context, request *Request, route *catalog.Route) {
+func (g *Gateway) spread(ctx context.Context, request *Request, route *catalog.Route) {
 	if time.Since(request.Arrived) > route.Target {
-		wait.For(ctx, rand.N(startSpread))
+		wait.For(ctx, rand.N(max(g.state.releaseTime(route), 1)))
 	}
 }
 
+// countStarting counts the tokens of a prompt that waits for the start. It takes the lock.
+func (s *state) countStarting(request *Request) {
+	if request.Prompt == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.exchange.startTokens += request.Prompt.size() - request.Prompt.Output
+}
+
+// releaseTime returns the time over which the late requests of a route are released. It takes the
+// lock.
+func (s *state) releaseTime(route *catalog.Route) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.exchange.enabled {
+		return startSpread
+	}
+	service := route.Targets[0].Service
+	return handover.Crowd{
+		Tokens: s.exchange.startTokens, Entries: max(s.entries, s.exchange.entries), Runners: len(s.serving[service]),
+		PerMs: s.prefillOf(service).PerMs(),
+	}.ReleaseTime()
+}
+
+// cannotBeServed reports whether the answer to a prompt that waited for the start can't begin before
+// its caller's deadline, even at an idle runner.
+func (s *state) cannotBeServed(r *run, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.exchange.enabled || r.request.Prompt == nil {
+		return false
+	}
+	baseMs := s.prefillOf(r.service).BaseMs()
+	return r.deadline.Sub(now) < time.Duration(certainShare*baseMs*float64(time.Millisecond))
+}
+
 func awaitClosed(ctx context.Context, closed <-chan struct{}) {
 	select {
 	case <-closed:
