--- a/internal/steward/relaying_test.go
+++ b/internal/steward/relaying_test.go
@@ -67,7 +67,14 @@
 // is sent again, and none of the work completes. With many entries the leader redirects them to
 // the other control hosts, also after the loss of a leader.
 func TestManyEntriesAreAnsweredByAllControlHosts(t *testing.T) {
+	for _, handover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("handover %v", handover), func(t *testing.T) { testManyEntries(t, handover) })
+	}
+}
+
+func testManyEntries(t *testing.T, handover bool) {
 	f := newTestGroup(t)
+	f.handover = handover
 	f.startThree()
 	f.stores.add(cacheindex.Change{Key: cacheindex.Key{Salt: "s", Part: "p0"}, Tokens: 10})
 	f.put(1, "one")
