--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -110,7 +110,7 @@
 	ReadingRoster bool `cbor:"18,keyasint,omitempty"`
 	// Moved is set by an entry that has been answered by another control host: it withdraws its
 	// loads, which it has reported there.
-	Moved bool `cbor:"23,keyasint,omitempty"`
+	Moved bool `cbor:"25,keyasint,omitempty"`
 }
 
 // RelayView is a control host that answers the watches of entries.
