steward: an entry withdraws its loads by a method of its own

Cause: the withdrawal was a watch with a flag. Change: method steward.withdraw; hosts that don't know it refuse it, which costs what a lost message costs.

--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -223,7 +223,7 @@
 			if result == call {
 				applied := f.resolve(call, deliver)
 				if applied {
-					f.withdrawLoads(ctx, request.Entry)
+					f.withdrawLoads(ctx)
 				}
 				return applied
 			}
@@ -287,18 +287,17 @@
 // withdrawLoads withdraws the loads of this entry from the hosts that it has left. Otherwise each
 // change of the host would count them once more, until the hosts take the entry for lost. If the
 // message is lost, they do.
-func (f *Follower) withdrawLoads(ctx context.Context, entry *EntryView) {
+func (f *Follower) withdrawLoads(ctx context.Context) {
 	for host := range f.reportedTo {
 		if host == f.lastHost {
 			continue
 		}
 		delete(f.reportedTo, host)
 		address := net.JoinHostPort(string(host), strconv.Itoa(f.options.PeerPort))
-		body := wire.MustMarshal(&WatchRequest{Entry: entry, Moved: true})
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 			defer cancel()
-			_, _ = f.options.Transport.Call(ctx, address, methodWatch, body)
+			_, _ = f.options.Transport.Call(ctx, address, methodWithdraw, nil)
 		}()
 	}
 }
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -23,6 +23,10 @@
 	methodReport port.Method = "steward.report"
 	methodOrigin port.Method = "steward.origin"
 	methodTrial  port.Method = "steward.trial"
+	// methodWithdraw withdraws the loads that an entry has reported to a control host which it has
+	// left. A method of its own: a host that doesn't know it must not take the caller for an entry
+	// without a configuration.
+	methodWithdraw port.Method = "steward.withdraw"
 )
 
 // Load is one entry's work in progress at an upstream, or its outstanding reads from a store.
@@ -108,9 +112,6 @@
 	LearnedRevision uint64 `cbor:"24,keyasint,omitempty"`
 	// ReadingRoster is set while the caller receives the complete roster, page by page.
 	ReadingRoster bool `cbor:"18,keyasint,omitempty"`
-	// Moved is set by an entry that has been answered by another control host: it withdraws its
-	// loads, which it has reported there.
-	Moved bool `cbor:"25,keyasint,omitempty"`
 }
 
 // RelayView is a control host that answers the watches of entries.
--- a/internal/steward/moved_test.go
+++ b/internal/steward/moved_test.go
@@ -21,16 +21,16 @@
 	hosts map[string]*Steward
 }
 
-func (c *countingHosts) Call(_ context.Context, address string, _ port.Method, body []byte) ([]byte, error) {
+func (c *countingHosts) Call(ctx context.Context, address string, method port.Method, body []byte) ([]byte, error) {
 	host, _, _ := net.SplitHostPort(address)
+	s := c.hosts[host]
+	if method == methodWithdraw {
+		return s.handleWithdraw(ctx, entryPeer("e1"), method, body)
+	}
 	request := WatchRequest{}
 	if err := wire.Unmarshal(body, &request); err != nil {
 		return nil, err
 	}
-	s := c.hosts[host]
-	if request.Moved {
-		return wire.MustMarshal(s.watch(context.Background(), entryPeer("e1"), &request)), nil
-	}
 	s.relay.watchers.record(entryPeer("e1"), &request, time.Now())
 	if c.down[host] {
 		return nil, context.DeadlineExceeded
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -179,6 +179,7 @@
 	s.transport.Handle(methodSubmit, port.PeerHandlerFunc(s.handleSubmit))
 	s.transport.Handle(methodReport, port.PeerHandlerFunc(s.handleReport))
 	s.transport.Handle(methodOrigin, port.PeerHandlerFunc(s.handleOrigin))
+	s.transport.Handle(methodWithdraw, port.PeerHandlerFunc(s.handleWithdraw))
 	s.transport.Handle(methodTrial, port.PeerHandlerFunc(s.handleTrial))
 	s.transport.Handle(methodJoin, port.PeerHandlerFunc(s.handleJoin))
 	return nil
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -145,10 +145,6 @@
 // watch answers a watch, immediately or when there is a change for its caller.
 func (s *Steward) watch(ctx context.Context, from port.Peer, request *WatchRequest) *WatchAnswer {
 	receivedAt := time.Now()
-	if request.Moved {
-		s.withdrawLoads(from.Host)
-		return &WatchAnswer{Redirect: true}
-	}
 	if request.Entry != nil {
 		s.relay.recordCaller(request.Entry.Host, s.relay.now())
 	}
@@ -192,6 +188,12 @@
 	return answer
 }
 
+// handleWithdraw handles the withdrawal of the loads of an entry that has left this host.
+func (s *Steward) handleWithdraw(_ context.Context, from port.Peer, _ port.Method, _ []byte) ([]byte, error) {
+	s.withdrawLoads(from.Host)
+	return nil, nil
+}
+
 // withdrawLoads forgets the loads of an entry that reports them to another control host.
 func (s *Steward) withdrawLoads(entry ident.Host) {
 	s.relay.watchers.withdrawLoads(entry)
