Entries: large prompts that waited for the inventories are sent one after the other

Cause: all large prompts that waited at all entries were sent at the moment at which the inventories came, and kept the runners from small ones for 0.3 s. Change (load.handover): each waits a random part of the release time, and no longer than it can still be in time.

--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -63,9 +63,30 @@
 // requests were released together, they would delay the requests after them beyond their
 // targets.
 func (g *Gateway) spread(ctx context.Context, request *Request, route *catalog.Route) {
-	if time.Since(request.Arrived) > route.Target {
+	elapsed := time.Since(request.Arrived)
+	switch {
+	case elapsed > route.Target:
 		wait.For(ctx, rand.N(max(g.state.releaseTime(route), 1)))
+	case request.Prompt != nil && request.Prompt.size() > smallTokens:
+		// All large prompts waited for the inventories, and would keep the runners from the small
+		// ones for as long as their prefill takes together.
+		if slack := g.state.slackOf(request, route, elapsed); slack > 0 {
+			wait.For(ctx, rand.N(min(slack, g.state.releaseTime(route))+1))
+		}
+	}
+}
+
+// slackOf returns how long a large prompt may wait and still be answered in time by a runner that
+// computes all of it, 0 if that is not switched on. It takes the lock.
+func (s *state) slackOf(request *Request, route *catalog.Route, elapsed time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.exchange.enabled {
+		return 0
 	}
+	rate := s.prefillOf(route.Targets[0].Service)
+	needMs := rate.BaseMs() + float64(request.Prompt.size()-request.Prompt.Output)/rate.PerMs()
+	return route.Target - elapsed - time.Duration(needMs*float64(time.Millisecond))
 }
 
 // countStarting counts the tokens of a prompt that waits for the start. It takes the lock.
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,3 +125,59 @@
 		}
 	})
 }
+
+// Guards against large prompts that keep the runners from small ones for as long as their prefill
+// takes together, because all that waited for the inventories are sent at the same moment. They are
+// sent one after the other, none later than it can be in time; small ones go at once.
+func TestLargePromptsAreReleasedOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		var large, small []time.Duration
+		began := time.Now()
+		g, _ := testGateway(t, func(_ int, s *Send) (*Answer, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if s.Request.Prompt.size() > smallTokens {
+				large = append(large, time.Since(began))
+			} else {
+				small = append(small, time.Since(began))
+			}
+			return stream(io.EOF, "1"), nil
+		})
+		full, bare := testAnswer(), testAnswer()
+		g.state = newState("e1", placement.DefaultRates().PrefillPerMs)
+		g.state.exchange.enabled = true
+		bare.Inventories, full.Document, full.Roster = nil, nil, nil
+		g.ApplyAnswer(bare, time.Now())
+		const ready = 200 * time.Millisecond
+		time.AfterFunc(ready, func() { g.ApplyAnswer(full, time.Now()) })
+		var callers sync.WaitGroup
+		for range 12 {
+			for _, size := range []int{5000, 100} {
+				callers.Go(func() {
+					r := request("/stream/x")
+					r.Prompt = prompt(placement.Part{ID: "own", Tokens: size})
+					serve(g, r)
+				})
+			}
+		}
+		callers.Wait()
+		slices.Sort(large)
+		if len(small) != 12 || slices.Max(small) > 0 {
+			t.Errorf("small prompts were sent after %v", small)
+		}
+		target := g.state.index.Route("h", "/stream/x").Target
+		if len(large) != 12 || large[11]-large[0] < 100*time.Millisecond || large[11] > target {
+			t.Errorf("large prompts were sent after %v, their target is %v", large, target)
+		}
+		within := 0
+		for _, at := range large {
+			if at < ready+20*time.Millisecond {
+				within++
+			}
+		}
+		if within > 6 {
+			t.Errorf("%d of 12 large prompts were sent within 20 ms of the inventories", within)
+		}
+	})
+}
