quorum: learners take part in recognizing a restart of all

Cause: a learner sends no pre-votes, so that a group with one never recognized a restart of all; a bound node's pre-vote could also make one give up its own that was free to be elected. Change: a bound node and a learner send pre-votes that nobody grants.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -24,21 +24,18 @@
 	n.counters.PreVotes++
 	n.campaign.force = false
 	n.campaign.round++
-	n.campaign.votes = map[ident.Host]bool{n.opts.Self: !n.leaderAlive()}
+	n.campaign.votes = map[ident.Host]bool{n.opts.Self: true}
 	// A rejected pre-vote changes no state and is retried after one to three
 	// heartbeats: the voters may have received the lost leader's last message
 	// slightly later than this node did.
 	n.electionDeadline = n.now.Add(n.opts.Heartbeat + n.random(2*n.opts.Heartbeat))
-	if n.restart != nil {
-		n.electionDeadline = n.now.Add(n.opts.Heartbeat/2 + n.random(n.opts.Heartbeat/2))
-	}
 	n.sendToVoters(Message{
 		Type:    MsgPreVote,
 		Round:   n.campaign.round,
 		Index:   n.log.last(),
 		LogTerm: n.log.lastTerm(),
 	})
-	if n.hasVoteQuorum() && !n.leaderAlive() {
+	if n.hasVoteQuorum() {
 		n.startCampaign()
 	}
 }
@@ -111,7 +108,7 @@
 	if n.role != RolePreCandidate || m.Round != n.campaign.round || m.Reject {
 		return
 	}
-	if n.recordVote(m) && !n.leaderAlive() {
+	if n.recordVote(m) {
 		n.startCampaign()
 	}
 }
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -69,7 +69,7 @@
 	n.campaign.round = opts.Rand.Uint64()
 	n.lastLeaderContact = now
 	n.resetElection()
-	n.probe()
+	n.restart = n.newRestart()
 	return n, nil
 }
 
@@ -96,6 +96,7 @@
 		n.tickLeader()
 		return
 	}
+	n.tickRestart()
 	if now.Before(n.electionDeadline) {
 		return
 	}
--- a/quorum/restart.go
+++ b/quorum/restart.go
@@ -1,5 +1,7 @@
 package quorum
 
+import "time"
+
 // restart tells whether all members have been restarted since this node's earlier incarnation last
 // acknowledged a leader. That acknowledgement may have given a leader its lease, so that the node
 // must not vote within ElectionMin of its start. If the process that held the lease has ended, the
@@ -13,6 +15,8 @@
 type restart struct {
 	// awaited holds, by disk, the start count that its next pre-vote must exceed.
 	awaited map[Member]uint64
+	// probeAt is the time of the next probe.
+	probeAt time.Time
 }
 
 // newRestart returns nil if the stored state doesn't tell which disk may hold a lease.
@@ -37,11 +41,21 @@
 	return &restart{awaited: awaited}
 }
 
-// probe makes the node send pre-votes from its start on, by which the members recognize a restart of
-// all. A leader and those that follow one reject them.
+// probe sends a pre-vote that nobody grants, by which the voters recognize a restart of all. It
+// names no term of its last entry: a node that is bound must not be elected, and a learner never is.
 func (n *Node) probe() {
-	if n.restart = n.newRestart(); n.restart != nil {
-		n.electionDeadline = n.now
+	n.restart.probeAt = n.now.Add(n.opts.Heartbeat/2 + n.random(n.opts.Heartbeat/2))
+	n.sendToVoters(Message{Type: MsgPreVote, Round: n.campaign.round, Index: n.log.last()})
+}
+
+// tickRestart probes until the bound of the earlier incarnation ends.
+func (n *Node) tickRestart() {
+	switch {
+	case n.restart == nil:
+	case !n.leaderAlive():
+		n.restart = nil
+	case !n.now.Before(n.restart.probeAt):
+		n.probe()
 	}
 }
 
--- a/quorum/restart_test.go
+++ b/quorum/restart_test.go
@@ -30,8 +30,17 @@
 		quick, away bool
 	}{{false, false}, {true, false}, {true, true}} {
 		for seed := range uint64(20) {
-			s := newSim(t, seed, 5, 5, func(s *sim) { s.opts.QuickRestart = c.quick })
+			// Half of the groups have a learner.
+			voters := 5 - int(seed%2)*2
+			s := newSim(t, seed, voters+int(seed%2), voters, func(s *sim) { s.opts.QuickRestart = c.quick })
 			s.awaitLeader()
+			if voters < len(s.hosts) {
+				l, h := s.leader(), s.hosts[voters]
+				if _, _, err := l.node.ProposeMembers(s.local(l), MemberChange{AddLearner, h.host, h.disk.HardState.Disk}); err != nil {
+					t.Fatal(err)
+				}
+				s.drain(l)
+			}
 			s.run(2 * time.Second)
 			s.write(0, 1)
 			s.run(time.Second)
