Directory: entries that start are listed, and their reports from before don't linger

Cause: an entry that turned to another host after its first answer was reported there as ready and at the first host as not ready for 1.2 s more, which counted as not ready. Change (load.handover): entries say that they start; such an entry is listed to callers, whose requests wait for its configuration, and its report from then gives way to a later one.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,7 +117,7 @@
 	rate, maxRate := g.traffic.rates(now, g.options.Capacity)
 	request := g.state.request(steward.EntryView{
 		Host: g.options.Host, DataCentre: g.options.DataCentre, Callers: g.options.Callers, Ready: g.Ready(),
-		Rate: rate, Most: maxRate, Unreached: g.Unreached(),
+		Rate: rate, Most: maxRate, Unreached: g.Unreached(), Starting: g.options.Load.Handover && !g.leaving.Load() && g.Index() == nil,
 	})
 	request.Idle = g.traffic.idle(now)
 	return request
--- a/internal/steward/directory.go
+++ b/internal/steward/directory.go
@@ -63,7 +63,7 @@
 	least := leastUnreached(views)
 	for _, view := range views {
 		// Callers of an entry that others outdo are served through those, by a longer way.
-		if view.Ready && view.Unreached < least+reachMargin {
+		if (view.Ready || view.Starting) && view.Unreached < least+reachMargin {
 			ready = append(ready, subset.Entry{Host: view.Host, DataCentre: view.DataCentre, Rate: view.Rate, Capacity: view.Most})
 			callers = append(callers, view.Callers)
 		}
--- a/internal/steward/handover_test.go
+++ b/internal/steward/handover_test.go
@@ -79,3 +79,34 @@
 		})
 	}
 }
+
+// Guards against callers that are all given the one entry that reports first after a restart of all,
+// and keep it for seconds: entries that start are listed too, and a report from before an entry had
+// its configuration doesn't outlast its next one, to another host. An entry that leaves is not listed,
+// whatever the other report says.
+func TestCallersAreGivenEntriesThatStart(t *testing.T) {
+	now := time.Now()
+	report := func(w *watchers, by string, view EntryView) {
+		view.Callers = view.Host + ":1"
+		w.record(controlPeer(by), &WatchRequest{Relay: true, RelayedEntries: []EntryView{view}}, now)
+	}
+	for _, c := range []struct {
+		name          string
+		first, second EntryView
+		listed        bool
+	}{
+		{"starts", EntryView{Starting: true}, EntryView{Starting: true}, true},
+		{"has started, known by one", EntryView{Starting: true}, EntryView{Ready: true}, true},
+		{"has started, known by the other", EntryView{Ready: true}, EntryView{Starting: true}, true},
+		{"leaves", EntryView{Ready: true}, EntryView{}, false},
+		{"has started and leaves", EntryView{Starting: true}, EntryView{}, false},
+	} {
+		w := newWatchers(log.New(io.Discard))
+		c.first.Host, c.second.Host = "e1", "e1"
+		report(w, "c1", c.first)
+		report(w, "c2", c.second)
+		if listed := len(chooseAddresses(w.entries(now), "north", 8)) > 0; listed != c.listed {
+			t.Errorf("%s: listed %v", c.name, listed)
+		}
+	}
+}
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -54,6 +54,9 @@
 	Document   catalog.Version `cbor:"8,keyasint,omitempty"`
 	// Unreached is the share of the upstreams that the entry doesn't reach, in percent.
 	Unreached int `cbor:"9,keyasint,omitempty"`
+	// Starting is set while the entry has not had a configuration yet, and isn't leaving. Callers may
+	// use it: their requests wait until it has.
+	Starting bool `cbor:"10,keyasint,omitempty"`
 }
 
 // WatchRequest requests the state that the caller lacks.
--- a/internal/steward/watchers.go
+++ b/internal/steward/watchers.go
@@ -223,7 +223,13 @@
 			merged = append(merged, view)
 			continue
 		}
-		merged[last].Ready = merged[last].Ready && view.Ready
+		switch {
+		case merged[last].Starting:
+			// The report is from before the entry had a configuration, and turned to another host.
+			merged[last].Ready, merged[last].Starting = view.Ready, view.Starting
+		case !view.Starting:
+			merged[last].Ready = merged[last].Ready && view.Ready
+		}
 		merged[last].Evacuation = min(merged[last].Evacuation, view.Evacuation)
 		merged[last].Document = min(merged[last].Document, view.Document)
 	}
