--- a/internal/steward/handover_test.go
+++ b/internal/steward/handover_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagereach/lovagereach/cacheindex"
 	"github.com/lovagereach/lovagereach/internal/port"
+	"github.com/lovagereach/lovagereach/internal/wire"
 )
 
 // followingReplica is the group on a host that has heard of the leader c1.
@@ -53,22 +54,32 @@
 // watches open, and doesn't send them to a leader that redirects them. If the leader stays
 // silent, the entries are told so.
 func TestWatchWaitsForFirstAnswerOfLeader(t *testing.T) {
+	behind := relayingAnswer(3)
+	behind.Document = testDocument(6, "two")
 	for _, c := range []struct {
 		name     string
 		handover bool
+		// log is when the log of the host reaches that of the leader, 0 if it isn't behind.
+		log time.Duration
 		// answered is when the leader's answer arrives, 0 for never; took how long the watch is
 		// kept open at most.
 		answered, took time.Duration
 		redirect       bool
 	}{
-		{"answered soon", true, 60 * time.Millisecond, 60*time.Millisecond + leaderPoll, false},
-		{"never answered", true, 0, startingWait + leaderPoll, true},
-		{"not switched on", false, 60 * time.Millisecond, 0, true},
+		{"answered soon", true, 0, 60 * time.Millisecond, 60*time.Millisecond + leaderPoll, false},
+		{"answered before its log is complete", true, 120 * time.Millisecond, 60 * time.Millisecond, 120*time.Millisecond + leaderPoll, false},
+		{"never answered", true, 0, 0, startingWait + leaderPoll, true},
+		{"not switched on", false, 0, 60 * time.Millisecond, 0, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			s := restartedFollower(c.handover)
 			if c.answered > 0 {
-				time.AfterFunc(c.answered, func() { s.relay.apply(relayingAnswer(3), time.Now(), time.Now()) })
+				first := relayingAnswer(3)
+				if c.log > 0 {
+					first = behind
+					time.AfterFunc(c.log, func() { s.machine.Apply(1, wire.MustMarshal(command{Document: behind.Document})) })
+				}
+				time.AfterFunc(c.answered, func() { s.relay.apply(first, time.Now(), time.Now()) })
 			}
 			began := time.Now()
 			answer := s.watch(t.Context(), entryPeer("e1"), entryWatch("e1", 0, cacheindex.Query{ByProgress: true}))
--- a/internal/steward/relaystate.go
+++ b/internal/steward/relaystate.go
@@ -347,6 +347,15 @@
 	return !b.knownAt.IsZero()
 }
 
+// awaitsLog reports whether this host will answer watches as soon as its own log has reached the
+// position that the leader's had: after a restart, it learns with the next heartbeat how much of it
+// is committed.
+func (b *relayState) awaitsLog() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.latest.Relaying && !b.machine.currentRevisions().covers(b.required)
+}
+
 // leaderContactAge returns the time since the latest successful request to the leader, 0 if
 // there was none.
 func (b *relayState) leaderContactAge(now time.Time) time.Duration {
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -100,7 +100,7 @@
 func (s *Steward) awaitWatchSource(ctx context.Context, request *WatchRequest) (b watchSource, shed bool) {
 	b, shed = s.watchSource(request)
 	longest := electionWait
-	if s.options.Handover && request.Entry != nil && request.Document == 0 && !s.relay.hasLeaderContact() {
+	if s.options.Handover && request.Entry != nil && request.Document == 0 && (!s.relay.hasLeaderContact() || s.relay.awaitsLog()) {
 		longest = startingWait
 	}
 	for end := time.Now().Add(longest); b == nil && (s.Leader() == "" || s.hasNewLeader(request)) && time.Now().Before(end); {
@@ -115,7 +115,7 @@
 // hasNewLeader reports whether a leader is elected whose state this host will have shortly, for
 // the first time since its start: the caller has no better host to query.
 func (s *Steward) hasNewLeader(request *WatchRequest) bool {
-	if !s.options.Handover || s.leading.Load() != nil || s.relay.hasLeaderContact() {
+	if !s.options.Handover || s.leading.Load() != nil || s.relay.hasLeaderContact() && !s.relay.awaitsLog() {
 		return false
 	}
 	return request.Entry != nil || s.Leader() == string(s.options.Self)
