--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -41,6 +41,8 @@
 	length                    time.Duration
 	// seed selects another sequence of callers.
 	seed uint64
+	// shareParts is LoadOptions.ShareParts.
+	shareParts bool
 	// stored indicates that all shared parts of long prompts are in stores from the start.
 	stored bool
 	// coldPerS is the number of requests per second that a cold runner sustains, 0 if no
@@ -153,6 +155,7 @@
 		g, err := New(Options{
 			Host: fmt.Sprintf("e%d", i), DataCentre: f.zone(i), Sender: &modelSender{fleet: f, entry: fmt.Sprintf("e%d", i)}, Peers: f,
 			Budget: BudgetLimits{Ratio: 0.2, Extra: 200}, Rates: placement.DefaultRates(), Log: quiet, Decisions: decision.New(quiet),
+			Load: LoadOptions{ShareParts: shape.shareParts},
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,7 +98,7 @@
 		return nil, eris.New("gateway: Sender, Log and Decisions are required")
 	}
 	g := &Gateway{options: options, state: newState(options.Host, options.Rates.PrefillPerMs), reports: newReports(), origins: newOriginSender(options.Origins)}
-	g.state.shareParts = options.Load.ShareParts
+	g.state.shareParts, g.state.copies.mbps = options.Load.ShareParts, options.Load.CopyMbps
 	if options.Clock != nil {
 		g.state.clockNow, g.state.versions = options.Clock, resumption.NewVersions(options.Clock())
 	}
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -9,6 +9,7 @@
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/outcome"
+	"github.com/lovagereach/lovagereach/replicate"
 )
 
 // meter holds an entry's counters and histograms. Their number is fixed: no label takes its
@@ -98,6 +99,13 @@
 			return read(s, time.Now())
 		})
 	}
+	for decision, name := range map[replicate.Decision]string{replicate.Copy: "made", replicate.NoBudget: "no_budget", replicate.NoRoom: "no_room"} {
+		m.set.NewGauge(fmt.Sprintf(`lovagereach_gateway_part_copies_total{result=%q}`, name), func() float64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return float64(s.copies.decided[decision])
+		})
+	}
 	m.set.NewGauge("lovagereach_gateway_open_requests", open)
 	gauge("waiting_requests", func(s *state, _ time.Time) float64 { return float64(len(s.waiting)) })
 	gauge("config_version", func(s *state, _ time.Time) float64 { return float64(s.version()) })
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -71,12 +71,14 @@
 	keys       []cacheindex.Key
 	// sources are the stores whose queue accounts for the fetches, part by part.
 	sources []*storeState
-	// transfers are those of sources that count, transferTimes their predicted times.
-	transfers     []sourceTransfer
-	transferTimes []time.Duration
+	// transfers are those of sources that count, planned the predictions, part by part.
+	transfers []sourceTransfer
+	planned   []plannedTransfer
 	// reads are the large parts that the runner is expected to read, toRead their indices.
 	reads  []*replicate.Ongoing
 	toRead []int
+	// copies are the second copies that the send may make.
+	copies []plannedCopy
 	// sharedRead are the tokens of shared parts that the runner is expected to read, readAgain
 	// those of them that are known to be held elsewhere.
 	sharedRead, readAgain int
--- a/internal/gateway/shareparts.go
+++ b/internal/gateway/shareparts.go
@@ -9,12 +9,17 @@
 	"github.com/lovagereach/lovagereach/replicate"
 )
 
+// othersDrain is the share of a link's rate at which the transfers that other entries have reported
+// are taken to become fewer: as if the link were half used by those that they request meanwhile.
+const othersDrain = 0.5
+
 // queued returns the tokens that prompts of all entries still have to fetch from a store whose link
-// has a rate of linkMbps. What the other entries reported has been sent in part since.
+// has a rate of linkMbps. What the other entries reported has been sent in part since, and they have
+// requested more.
 func (st *storeState) queued(s *state, linkMbps float64, tokenBytes int, now time.Time) int {
 	others := st.others
 	if s.shareParts && tokenBytes > 0 {
-		sent := linkMbps * 1000 / 8 / float64(tokenBytes) * milliseconds(now.Sub(s.loadsAt))
+		sent := linkMbps * 1000 / 8 / float64(tokenBytes) * milliseconds(now.Sub(s.loadsAt)) * othersDrain
 		others = max(others-int(sent), 0)
 	}
 	return st.ownQueued(s, now) + others
@@ -28,26 +33,36 @@
 	return st.own
 }
 
-// transferTimes predicts how long the transfers of a choice take after the send, part by part.
-func transferTimes(rates *placement.Rates, p *placement.Prompt, choice placement.Choice, dataCentre string, stores []placement.Store) []time.Duration {
-	times := make([]time.Duration, len(choice.Fetch))
+// plannedTransfer is the predicted transfer of a part after its send.
+type plannedTransfer struct {
+	// tokens is the size of a transfer within the data centre that takes the source's link as long.
+	tokens int
+	time   time.Duration
+}
+
+// planTransfers predicts the transfers of a choice, part by part.
+func planTransfers(rates *placement.Rates, p *placement.Prompt, choice placement.Choice, dataCentre string, stores []placement.Store) []plannedTransfer {
+	transfers := make([]plannedTransfer, len(choice.Fetch))
 	for part, at := range choice.Fetch {
-		if at >= 0 {
-			ms := placement.TransferMs(p, part, &stores[at])
-			if stores[at].DataCentre != dataCentre {
-				ms *= rates.CrossFactor
-			}
-			times[part] = time.Duration(ms * float64(time.Millisecond))
+		if at < 0 {
+			continue
 		}
+		store, extra := stores[at], 0
+		if store.DataCentre != dataCentre {
+			extra = int((rates.CrossFactor - 1) * float64(p.Parts[part].Tokens))
+		}
+		store.Queued += extra
+		transfers[part] = plannedTransfer{tokens: p.Parts[part].Tokens + extra, time: time.Duration(placement.TransferMs(p, part, &store) * float64(time.Millisecond))}
 	}
-	return times
+	return transfers
 }
 
 // startTransfer accounts for a fetch of a plan.
 func (s *state) startTransfer(p *plan, part int, source *storeState, tokens int, now time.Time) {
 	source.own += tokens
-	if s.shareParts && part < len(p.transferTimes) {
-		p.transfers = append(p.transfers, sourceTransfer{source, source.queue.Add(tokens, now, now.Add(p.transferTimes[part]))})
+	if s.shareParts && part < len(p.planned) {
+		planned := p.planned[part]
+		p.transfers = append(p.transfers, sourceTransfer{source, source.queue.Add(planned.tokens, now, now.Add(planned.time))})
 	}
 }
 
@@ -91,6 +106,17 @@
 	return readers
 }
 
+// waitForReader bounds the work in front of a part at the runner that reads it, as a multiple of
+// the part: with more, another runner has it sooner.
+const waitForReader = 2
+
+// soonReads reports whether a prompt of the given size gets a part of the given tokens sooner at
+// this runner, which is reading it, than at one that begins to.
+func (u *upstreamState) soonReads(part, size, memory int) bool {
+	unread, tokens := u.own.Unread+u.others.Unread, u.own.Tokens+u.others.Tokens
+	return unread <= waitForReader*part && (memory == 0 || tokens+size <= memory)
+}
+
 // planReads finds the parts that the runner of a choice is expected to read.
 func (s *state) planReads(p *plan, view *promptView, choice placement.Choice, now time.Time) {
 	parts := view.prompt.Parts
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -44,7 +44,7 @@
 		if now.After(u.cacheStaleUntil) && s.caches.ReadableTokens(u.record.Address, d.keys[part]) >= prompt.Parts[part].Tokens {
 			return true
 		}
-		return s.recent.has(d.keys[part], u.incarnation(), now) || readers != nil && readers[part] == u.record.ID
+		return s.recent.has(d.keys[part], u.incarnation(), now) || readers != nil && readers[part] == u.record.ID && u.soonReads(prompt.Parts[part].Tokens, prompt.size(), engine.MemoryTokens)
 	}
 	return d
 }
@@ -141,19 +141,24 @@
 		if at := choice.Fetch[i]; at >= 0 {
 			fetch[i] = FetchSource{Address: addresses[at], Tokens: parts[i].Tokens}
 			fetches = true
+		}
+		if at := s.planCopy(rates, p, view, i, stores, addresses, now); at >= 0 {
+			save[i], saves = addresses[at], true
+		}
+		if choice.Fetch[i] >= 0 {
 			continue
 		}
 		if len(view.prompt.Complete[i]) > 0 || s.isPending(view.keys[i], now) || s.isRetired(view.keys[i], addresses) {
 			continue
 		}
-		if at := placement.KeepAt(rates, view.salt, parts[i], view.prompt.TokenBytes, stores); at >= 0 {
+		if at := placement.KeepAt(rates, s.keepSalt(view.salt, now), parts[i], view.prompt.TokenBytes, stores); at >= 0 {
 			save[i] = addresses[at]
 			saves = true
 		}
 	}
 	if fetches {
 		p.send.Prompt.Fetch = fetch
-		p.transferTimes = transferTimes(rates, &view.prompt, choice, p.upstream.record.DataCentre, stores)
+		p.planned = planTransfers(rates, &view.prompt, choice, p.upstream.record.DataCentre, stores)
 		p.send.Prompt.FetchDeadlineMs = s.upstreamsClock(now) + steward.FetchPermit.Milliseconds()
 	}
 	if saves {
@@ -180,6 +185,7 @@
 		}
 	}
 	s.beginReads(p, now)
+	s.takeCopies(p, now)
 	for i, address := range p.send.Prompt.Save {
 		if address != "" {
 			s.stores[address].pending[p.keys[i]] = pendingSave{tokens: parts[i].Tokens, until: now.Add(saveTimeout)}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -175,6 +175,7 @@
 	// shareParts is LoadOptions.ShareParts; reads are the parts that runners are reading.
 	shareParts bool
 	reads      replicate.Reads
+	copies     copies
 	// origins holds what began the streams of this entry that are not complete.
 	origins *resumption.Records
 }
