--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -34,7 +34,7 @@
 		s.prefillDone(p)
 		p.failReads()
 	}
-	s.dispatch(time.Now())
+	s.dispatchTo(p.upstream, time.Now())
 }
 
 // prefillDone ends the accounting of the pending prefill and fetches of a send. The caller
@@ -94,7 +94,7 @@
 		p.endReads(now)
 		s.observePrefill(p, now)
 		r.gateway.observeFetches(p, now)
-		s.dispatch(time.Now())
+		s.dispatchTo(p.upstream, now)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 	if options.Clock != nil {
 		g.state.clockNow, g.state.versions = options.Clock, resumption.NewVersions(options.Clock())
 	}
-	g.state.budgets.limits = options.Budget
+	g.state.budgets.limits, g.state.exchange.enabled = options.Budget, options.Load.Handover
 	if options.AnnounceEvery > 0 {
 		g.state.announceWithin = options.AnnounceEvery + announceDelay
 		g.state.restartKnownWithin = restartIntervals*options.AnnounceEvery + announceDelay
@@ -130,6 +130,7 @@
 	g.applyQuarantine(answer.Quarantine, time.Now())
 	g.state.mu.Unlock()
 	index, records := g.state.apply(answer, sent)
+	g.logLearned(time.Now())
 	g.origins.add(records...)
 	if index != nil {
 		g.options.Log.Info("configuration in force", "version", index.Version(), "routes", len(index.Document().Routes))
@@ -200,9 +201,10 @@
 	// usualWait is the longest time limit of the requests on the route.
 	usualWait time.Duration
 	// sends is the number of sends that reached an upstream, unsent the number of those that
-	// didn't. forwardedTo is the host of the entry that the request was last forwarded to.
-	sends, unsent int
-	forwardedTo   string
+	// didn't because it could not be connected to, unconnected those that found all connections to
+	// it in use. forwardedTo is the host of the entry that the request was last forwarded to.
+	sends, unsent, unconnected int
+	forwardedTo                string
 	// handedOver indicates that another entry has taken the request. It must not be sent again:
 	// the peer may have used all attempts that the route allows.
 	handedOver bool
@@ -265,7 +267,7 @@
 		return nil, notRun(ReasonTooLong, 0, fmt.Sprintf("the body is over %d bytes", limit))
 	}
 	if waited {
-		spread(ctx, request, route)
+		g.spread(ctx, request, route)
 	}
 	r := &run{
 		gateway: g, request: request, index: index, route: route,
@@ -284,6 +286,9 @@
 	r.deadline = request.Arrived.Add(timeout)
 	r.usualWait = g.state.observeWait(route.Name, timeout)
 	r.service = pickTarget(route.Targets)
+	if waited && g.state.cannotBeServed(r, time.Now()) {
+		return nil, notRun(outcome.ReasonDeadline, 0, "the time was up while this entry started")
+	}
 	r.fingerprint, r.parts = r.computeFingerprint(), r.partFingerprints()
 	if request.Prompt != nil {
 		r.smallUpTo = r.smallLimit(index.Service(r.service))
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -44,6 +44,7 @@
 			prefill: estimate.NewPrefillTime(s.startPerMs, initialBaseTime),
 			size:    estimate.NewSize(smallTokens),
 		}
+		s.setStart(service, l)
 		s.learned[service] = l
 	}
 	return l
@@ -60,6 +61,10 @@
 // observePrefill learns the prefill rate from a prompt whose answer has begun, if its runner
 // was idle and computed all of the prompt.
 func (s *state) observePrefill(p *plan, now time.Time) {
+	if s.exchange.enabled {
+		s.observeAnyPrefill(p, now)
+		return
+	}
 	if p.send.Prompt == nil || !p.choice.FullPrefill || p.logged.Requests > 0 {
 		return
 	}
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/handover"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/replicate"
 )
@@ -30,15 +32,26 @@
 	// continued counts the streams that went on after an interruption, by who resumed them and
 	// by whether the upstream's software version is the one that began them.
 	continued map[continuation]*metrics.Counter
+	// choices counts choices of an upstream, also those that found no capacity. Each takes some
+	// 100 us of processor time.
+	choices *metrics.Counter
 	// budgetRefusals counts retries that the shared budget didn't allow.
 	budgetRefusals *metrics.Counter
 	// limitedSends counts sends to upstreams that name a limit.
 	limitedSends *metrics.Counter
 	// backOffSends counts sends to upstreams that want no requests from this entry.
 	backOffSends *metrics.Counter
+	// connectionsUsed counts sends that found this entry's connections to an upstream in use.
+	connectionsUsed *metrics.Counter
 	// forwarded counts requests that were sent to another entry, received those that another
 	// entry forwarded to this one.
 	forwarded, received *metrics.Counter
+	// snapshots counts what was received of other entries' estimates, by what became of it.
+	snapshots map[handover.Result]*metrics.Counter
+	// startedAt is the time at which this entry was created; firstServed is the time from then to
+	// its first served request in milliseconds, 0 before it.
+	startedAt   time.Time
+	firstServed atomic.Int64
 	// unframed counts answers that ended with their connection, without a length or chunks.
 	unframed *metrics.Counter
 	// crashes counts upstreams that were found to have crashed under requests.
@@ -62,7 +75,7 @@
 }
 
 func newMeter(s *state, open func() float64) *meter {
-	m := &meter{set: metrics.NewSet(), notRun: make(map[outcome.Reason]*metrics.Counter)}
+	m := &meter{set: metrics.NewSet(), notRun: make(map[outcome.Reason]*metrics.Counter), startedAt: time.Now()}
 	for kind := range m.ended {
 		name := "none"
 		if kind > 0 {
@@ -75,7 +88,7 @@
 		m.waited[kind] = m.set.NewHistogram(fmt.Sprintf(`lovagereach_gateway_waited_seconds{kind=%q}`, name))
 	}
 	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_gateway_" + part + "_total") }
-	m.late, m.sends, m.retried = counter("late"), counter("sends"), counter("sent_again")
+	m.late, m.sends, m.retried, m.choices = counter("late"), counter("sends"), counter("sent_again"), counter("choices")
 	m.resumed, m.budgetRefusals = counter("resumed"), counter("budget_refusals")
 	m.continued = make(map[continuation]*metrics.Counter)
 	for _, by := range []string{byEntry, byCaller} {
@@ -84,10 +97,16 @@
 		}
 	}
 	m.limitedSends, m.backOffSends = counter("limited_sends"), counter("back_off_sends")
+	m.connectionsUsed = counter("connections_used")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
 	m.partsRead, m.partsReadAgain = counter("shared_tokens_read"), counter("shared_tokens_read_again")
 	m.crashes, m.quarantined, m.trials = counter("upstream_ends"), counter("held"), counter("trials")
+	m.snapshots = make(map[handover.Result]*metrics.Counter)
+	for _, result := range handover.Results {
+		m.snapshots[result] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_learned_snapshots_total{result=%q}`, result.String()))
+	}
+	m.set.NewGauge("lovagereach_gateway_first_served_seconds", func() float64 { return float64(m.firstServed.Load()) / 1000 })
 	for _, reason := range countedReasons {
 		m.notRun[reason] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_not_run_total{reason=%q}`, reason))
 	}
@@ -164,6 +183,13 @@
 	m.other.Inc()
 }
 
+// served records that a request was served.
+func (m *meter) served(now time.Time) {
+	if m.firstServed.Load() == 0 {
+		m.firstServed.CompareAndSwap(0, max(now.Sub(m.startedAt).Milliseconds(), 1))
+	}
+}
+
 // Metrics returns the entry's counters and histograms.
 func (g *Gateway) Metrics() *metrics.Set { return g.meter.set }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -48,6 +48,9 @@
 	// pausedUntil is the time until which the upstream gets no requests because it has refused
 	// one and can't refuse many.
 	pausedUntil time.Time
+	// connectionsUsedUntil is the time until which it gets no request because one found this
+	// entry's share of its connections in use.
+	connectionsUsedUntil time.Time
 	// leaving indicates that the upstream has stated in an answer that it leaves.
 	leaving bool
 	// backOffFrom and backOffUntil are the time in which the upstream wants no requests from this
@@ -159,6 +162,7 @@
 	// initial prefill rate in tokens per millisecond.
 	learned    map[string]*learned
 	startPerMs float64
+	exchange   exchange
 	// usualWaits are the longest time limits of requests, by route.
 	usualWaits map[string]*estimate.Longest
 	// announceWithin is the time within which an upstream's next announcement is known to this
@@ -248,6 +252,7 @@
 		Entry: &view, Weights: s.weightsRevision, Roster: s.rosterRevision, Term: s.term,
 		Quarantine: s.verdicts.revision, Evacuation: s.evacuation.Revision, ReadingRoster: s.rosterListed != nil, SilentRevision: s.silentRevision,
 		Limits: s.limits.Unlisted(time.Now()), LimitsRevision: s.limitsRevision,
+		Learned: s.reportLearned(time.Now()), LearnedRevision: s.exchange.revision,
 	}
 	if time.Since(s.inventoriesAt) > inventoryRefreshAge {
 		// A control host answers immediately if the term differs from its own.
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/internal/wire"
@@ -19,6 +20,10 @@
 	// caller is then notified of the new leader immediately; otherwise it would query the hosts
 	// in turn, and learn of an election 0.1 s after it on average.
 	electionWait = 200 * time.Millisecond
+	// startingWait replaces it for entries without a configuration at a host that has started since
+	// it last knew a leader: all hosts may have, and no other knows more. It leaves time for the
+	// answer within watchTimeout.
+	startingWait = 450 * time.Millisecond
 	// idleWait is the longest time that a watch of an entry without requests is kept open. It
 	// ends immediately at a change of orders; upstreams come and go all the time in a large
 	// fleet, and nearly all of its entries are idle.
@@ -94,7 +99,11 @@
 // awaitWatchSource is watchSource, after a wait while no leader is known.
 func (s *Steward) awaitWatchSource(ctx context.Context, request *WatchRequest) (b watchSource, shed bool) {
 	b, shed = s.watchSource(request)
-	for end := time.Now().Add(electionWait); b == nil && s.Leader() == "" && time.Now().Before(end); {
+	longest := electionWait
+	if s.options.Handover && request.Entry != nil && request.Document == 0 && !s.relay.hasLeaderContact() {
+		longest = startingWait
+	}
+	for end := time.Now().Add(longest); b == nil && (s.Leader() == "" || s.hasNewLeader(request)) && time.Now().Before(end); {
 		if !wait.For(ctx, leaderPoll) {
 			break
 		}
@@ -103,6 +112,15 @@
 	return b, shed
 }
 
+// hasNewLeader reports whether a leader is elected whose state this host will have shortly, for
+// the first time since its start: the caller has no better host to query.
+func (s *Steward) hasNewLeader(request *WatchRequest) bool {
+	if !s.options.Handover || s.leading.Load() != nil || s.relay.hasLeaderContact() {
+		return false
+	}
+	return request.Entry != nil || s.Leader() == string(s.options.Self)
+}
+
 // finishAnswer adds the content of every answer.
 func (s *Steward) finishAnswer(b watchSource, from port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time) {
 	b.addCommon(from, answer, now)
@@ -112,6 +130,7 @@
 	}
 	b.addGrants(from, request, answer, now)
 	b.addLimits(request, answer, now)
+	s.addLearned(request, answer)
 	if request.Entry != nil && request.Entry.Unreached > 0 {
 		answer.Peers = choosePeers(s.entryList(), request.Entry)
 	}
@@ -126,6 +145,10 @@
 // watch answers a watch, immediately or when there is a change for its caller.
 func (s *Steward) watch(ctx context.Context, from port.Peer, request *WatchRequest) *WatchAnswer {
 	receivedAt := time.Now()
+	if request.Moved {
+		s.withdrawLoads(from.Host)
+		return &WatchAnswer{Redirect: true}
+	}
 	if request.Entry != nil {
 		s.relay.recordCaller(request.Entry.Host, s.relay.now())
 	}
@@ -135,6 +158,9 @@
 		return s.redirect(request, shed, waited)
 	}
 	b.recordWatcher(from, request, b.now())
+	if s.options.Handover && len(request.Learned) > 0 {
+		s.learned.record(from.Host, request.Learned, time.Now())
+	}
 	answer := &WatchAnswer{}
 	machineChanges, orderChanges, inventoryChanges := s.machine.changes(), s.machine.orderChanges(), s.index.changes()
 	asOf, found := s.fill(b, request, answer)
@@ -166,6 +192,14 @@
 	return answer
 }
 
+// withdrawLoads forgets the loads of an entry that reports them to another control host.
+func (s *Steward) withdrawLoads(entry ident.Host) {
+	s.relay.watchers.withdrawLoads(entry)
+	if l := s.leading.Load(); l != nil {
+		l.watchers.withdrawLoads(entry)
+	}
+}
+
 // pauseAfter returns the time that a watcher should wait before its next request. An entry with
 // requests that has received only a part of the roster or of the inventories requests the rest
 // immediately: until it has all, it knows only some of the upstreams, and its prompts are
@@ -197,6 +231,10 @@
 		return time.Time{}, false
 	}
 	found := s.machine.fill(request, answer)
+	if found && s.options.Handover && request.Entry != nil && request.Document == 0 {
+		// The entry can serve by these alone, and asks for the inventories at once.
+		return asOf, true
+	}
 	lacks := b.fill(request, answer)
 	if request.Idle && request.Roster != 0 && !request.ReadingRoster {
 		return asOf, answer.orders()
@@ -275,7 +313,11 @@
 		if s.leading.Load() != nil {
 			return nil
 		}
-		return s.relay.request(s.relay.now())
+		request := s.relay.request(s.relay.now())
+		if request.Relay && s.options.Handover {
+			request.Learned = s.learned.report(time.Now())
+		}
+		return request
 	}, func(answer *WatchAnswer, requestedAt time.Time) {
 		s.relay.apply(answer, requestedAt, s.relay.now())
 	})
