--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/lovagereach/lovagereach/placement"
@@ -29,14 +28,14 @@
 	returned bool
 }
 
-// keepSalt returns the salt by which entries find the store that keeps a part. It changes with
-// time: a part that is in no store a while after it was saved is saved at another one, since a
-// store may have no room, or may hold it without any entry knowing.
+// keepSalt returns the salt by which entries find the store that keeps a part. It alternates with
+// time: a part that is in no store a while after it was saved is saved at another one, since the
+// first may have no room, or may hold it without any entry knowing.
 func (s *state) keepSalt(salt string, now time.Time) string {
-	if !s.shareParts {
+	if !s.shareParts || now.UnixMilli()/saveTimeout.Milliseconds()%2 == 0 {
 		return salt
 	}
-	return salt + "#" + strconv.FormatInt(now.UnixMilli()/saveTimeout.Milliseconds(), 10)
+	return salt + "#"
 }
 
 // planCopy returns the store for a second copy of a part, -1 for none: the part is large and in one
