Entries: choices account for work of other entries that is not reported yet

Change, behind load.expect_others: expected work counts in the costs of runners and plain upstreams, and among runners that cost about the same one is drawn in proportion to its room. Work counts in uncached tokens, and the prefill rate is learnt in them at runners without other prefill: with 64 entries no runner is idle in a crowd, and the rate stayed at its start value, twice the real one. The pending prefill before a large prompt is bounded by half of its target. Always: log fields predicted_ms, took_ms, unreported, open; histogram lovagereach_gateway_first_excess_seconds and counter lovagereach_gateway_behind_prediction_total.

--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -27,6 +27,13 @@
 	Sources  string
 	Slowdown float64
 	Queue    int
+	// Unreported is the number of pending tokens that the other entries were expected to have sent
+	// there unreported. Predicted is the expected time from the send to the first event, zero if
+	// there is no prediction, and Took the actual one.
+	Unreported int
+	// Open is the number of candidates that had capacity.
+	Open            int
+	Predicted, Took time.Duration
 	// HealthPenalty is the cost added for earlier failures.
 	HealthPenalty time.Duration
 	// Version is the version of the weights, Software that of the upstream's software.
@@ -153,6 +160,9 @@
 	if c.Upstream == "" {
 		return fields
 	}
+	if c.Predicted > 0 {
+		fields = append(fields, "open", c.Open, "unreported", c.Unreported, "predicted_ms", ms(c.Predicted), "took_ms", ms(c.Took))
+	}
 	return append(fields,
 		"upstream", c.Upstream, "candidates", c.Candidates, "requests", c.Requests, "tokens", c.Tokens, "unread", c.PendingPrefill,
 		"reads", c.PrefillTokens, "cost_ms", int(c.CostMs), "home", c.Home, "fetched", c.Fetched, "saved", c.Saved,
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -77,6 +77,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p.upstream.queued, p.upstream.queuedAt = load.Waiting, time.Now()
+	p.upstream.loadAt = p.upstream.queuedAt
 	p.upstream.others.Requests = max(load.Running+load.Waiting-p.upstream.own.Requests, 0)
 	s.loadedByOthers[p.upstream] = struct{}{}
 }
@@ -94,6 +95,7 @@
 		p.endReads(now)
 		s.observePrefill(p, now)
 		r.gateway.observeFetches(p, now)
+		r.observePrediction(p, now)
 		s.dispatchTo(p.upstream, now)
 	}
 }
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -49,6 +49,7 @@
 	}
 	s.applyLoads(answer)
 	s.loadsAt = time.Now().Add(-answer.StateAge)
+	s.reportInterval.Observe(time.Now())
 	s.applyInventories(answer, sent)
 	s.checkInventoriesReady(time.Now())
 	s.entries, s.activeEntries = answer.EntryCount, answer.ActiveEntries
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -132,7 +132,7 @@
 	n := need{small: r.small(), tokens: tokens, prefillTokens: prefill, connections: s.connections(service)}
 	if service != nil && service.Engine != nil {
 		n.memory = service.Engine.MemoryTokens
-		n.maxPendingPrefill = int(maxPendingPrefillMs * s.prefillOf(service.Name).PerMs())
+		n.maxPendingPrefill = int(r.maxPendingPrefill() * s.prefillOf(service.Name).PerMs())
 	}
 	return n
 }
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -7,6 +7,7 @@
 	"github.com/lovagereach/lovagereach/estimate"
 	"github.com/lovagereach/lovagereach/placement"
 	"github.com/lovagereach/lovagereach/retry"
+	"github.com/lovagereach/lovagereach/staleload"
 )
 
 // maxLearned bounds the services whose estimates are kept; each takes about 200 bytes.
@@ -21,6 +22,9 @@
 	retries, smallRetries retry.Schedule
 	// brittle is what the service's upstreams stated about refusals.
 	brittle brittle
+	// sentWork is the rate of the work that this entry sends: pending prefill in tokens or, for a
+	// plain service, requests.
+	sentWork staleload.Rate
 }
 
 // retriesOf returns the retry schedule for the request's caller.
@@ -59,8 +63,16 @@
 }
 
 // observePrefill learns the prefill rate from a prompt whose answer has begun, if its runner
-// was idle and computed all of the prompt.
+// was idle and computed all of the prompt. Under load hardly a runner is idle; where work is
+// counted in uncached tokens, one without other prefill is enough; fetches take
+// longer than predicted under load, and are left out.
 func (s *state) observePrefill(p *plan, now time.Time) {
+	if p.uncachedTokens > 0 {
+		if p.logged.Fetched == 0 && p.logged.PendingPrefill == 0 {
+			s.prefillOf(p.upstream.record.Service).Observe(p.uncachedTokens, now.Sub(p.sent))
+		}
+		return
+	}
 	if s.exchange.enabled {
 		s.observeAnyPrefill(p, now)
 		return
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -46,7 +46,9 @@
 	if r.last == nil {
 		return decision.Choice{}
 	}
-	return r.last.logged
+	logged := r.last.logged
+	logged.Took = r.last.took
+	return logged
 }
 
 // describePlan records the inputs of the choice of an upstream. The caller holds the lock; the
@@ -58,7 +60,7 @@
 		Requests: u.own.Requests + u.others.Requests, Tokens: u.own.Tokens + u.others.Tokens, PendingPrefill: u.own.Unread + u.others.Unread,
 		PrefillTokens: p.prefillTokens, CostMs: p.choice.CostMs, Home: p.choice.Home, HealthPenalty: u.health.penalty(now, u.silent),
 	}
-	p.logged.Software = p.origin.Software
+	p.logged.Open, p.logged.Software, p.logged.Unreported, p.logged.Predicted = p.open, p.origin.Software, p.unreported, p.predicted
 	if p.send.Prompt == nil {
 		return
 	}
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -25,6 +25,11 @@
 	first, waited [catalog.Stream + 1]*metrics.Histogram
 	// late counts answers that began after their route's target.
 	late *metrics.Counter
+	// excess is the time by which first events came later than predicted, and behindPrediction counts
+	// those that came later by more than the route's target. Many of them at a time show that entries
+	// choose the same upstreams without knowing it of each other.
+	excess           *metrics.Histogram
+	behindPrediction *metrics.Counter
 	// sends counts all sends, retried the sends after the first of a request, resumed the
 	// streams that were resumed at another upstream.
 	sends, retried, resumed *metrics.Counter
@@ -87,6 +92,8 @@
 		m.waited[kind] = m.set.NewHistogram(fmt.Sprintf(`lovagereach_gateway_waited_seconds{kind=%q}`, name))
 	}
 	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_gateway_" + part + "_total") }
+	m.excess = m.set.NewHistogram("lovagereach_gateway_first_excess_seconds")
+	m.behindPrediction = counter("behind_prediction")
 	m.late, m.sends, m.retried, m.choices = counter("late"), counter("sends"), counter("sent_again"), counter("choices")
 	m.resumed, m.budgetRefusals = counter("resumed"), counter("budget_refusals")
 	m.continued = make(map[continuation]*metrics.Counter)
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -56,8 +56,11 @@
 	origin        resumption.Origin
 	tokens        int
 	prefillTokens int
-	answerStarted bool
-	released      bool
+	// uncachedTokens is the number of tokens that the runner prefills unless it caches more than is
+	// known, 0 if work isn't counted in them.
+	uncachedTokens int
+	answerStarted  bool
+	released       bool
 	// checked indicates that it is known, or being checked, whether the upstream has crashed.
 	checked bool
 	choice  placement.Choice
@@ -80,6 +83,12 @@
 	fetchMs float64
 	sent    time.Time
 	logged  decision.Choice
+	// unreported is the number of pending tokens that the other entries were expected to have sent
+	// to the runner. predicted is the time from the send to the first event by the entry's view,
+	// zero for a plain service, and took the actual one.
+	// open is the number of candidates that had capacity.
+	unreported, open int
+	predicted, took  time.Duration
 }
 
 // tryPlan chooses an upstream and accounts for the send. It returns nil if no upstream has
@@ -111,7 +120,7 @@
 	p.origin = s.originAt(p.upstream)
 	s.describePlan(p, now)
 	r.last = p
-	if !s.mayUse(p.upstream, r.need(s, service, p.tokens, p.prefillTokens), now) {
+	if !s.mayUse(p.upstream, r.need(s, service, p.tokens, p.choice.PrefillTokens), now) {
 		return nil, nil
 	}
 	p.sent = now
@@ -127,6 +136,7 @@
 	s.activeUpstreams[p.upstream.record.ID] = p.upstream
 	p.upstream.own.Tokens += p.tokens
 	p.upstream.own.Unread += p.prefillTokens
+	r.recordWork(s, p, now)
 	s.retriesOf(r).Sent(now)
 	if r.sends == 0 && r.unsent == 0 && r.unconnected == 0 {
 		s.budgets.countRequest(r.service, now)
@@ -162,9 +172,13 @@
 	var best *upstreamState
 	var lowest float64
 	start := rand.IntN(len(candidates))
+	unreported := r.unreportedRequests(s, candidates, now)
 	for i := range candidates {
 		u := candidates[(start+i)%len(candidates)]
 		load := float64(u.own.Requests+u.others.Requests) + loadUncertainty*rand.Float64()
+		if unreported != nil {
+			load += unreported[(start+i)%len(candidates)]
+		}
 		cost := load*r.gateway.options.Rates.SlotMs/float64(max(u.record.Slots, 1)) + milliseconds(r.penalty(u, now))
 		if !u.mayConnect(connections) || s.brittleness(r.service, now) > 0 && !s.mayUse(u, need{small: true}, now) {
 			cost += milliseconds(noCapacityCost)
@@ -203,6 +217,8 @@
 		full := !s.mayUse(u, needed, now)
 		if full {
 			extra += noCapacity
+		} else {
+			p.open++
 		}
 		runners[i] = placement.Runner{
 			ID: u.record.ID, DataCentre: u.record.DataCentre, Slots: u.record.Slots, Memory: service.Engine.MemoryTokens,
@@ -214,18 +230,28 @@
 	// The choice assumes the newest version among the candidates; the version of the chosen
 	// runner decides what may be fetched.
 	view := s.describePrompt(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates, addresses, now)
+	if r.gateway.options.Load.ExpectOthers {
+		r.expectOthers(s, &view.prompt, &rates, candidates, runners, now)
+	}
 	choice, _ := placement.Choose(&rates, view.salt, &view.prompt, runners, stores)
-	p.upstream = candidates[choice.Runner]
+	at := choice.Runner
+	p.upstream = candidates[at]
 	if has := r.versionOf(p.upstream); has != version {
 		version = has
-		chosen := choice.Runner
-		view = s.describePrompt(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates[chosen:chosen+1], addresses, now)
-		choice, _ = placement.Choose(&rates, view.salt, &view.prompt, runners[chosen:chosen+1], stores)
+		view = s.describePrompt(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates[at:at+1], addresses, now)
+		choice, _ = placement.Choose(&rates, view.salt, &view.prompt, runners[at:at+1], stores)
 	}
 	p.choice = choice
+	p.unreported = runners[at].Unreported
 	p.fetchMs = fetchMs(&view.prompt, choice, stores)
 	p.tokens = view.prompt.Tokens() + prompt.Output
 	p.prefillTokens = choice.PrefillTokens
+	if r.gateway.options.Load.ExpectOthers {
+		// That the home runner may have got a part just now counts for the choice. As work it
+		// counts in full, and the prefill rate is learnt in the same measure.
+		p.prefillTokens, p.uncachedTokens = choice.UncachedTokens, choice.UncachedTokens
+	}
+	p.predicted = s.predict(p, service.Name, &runners[at])
 	p.send.Prompt = &PromptSend{Salt: view.salt, Version: version}
 	s.fetchAndSave(&rates, p, &view, choice, stores, addresses, now)
 }
--- a/internal/gateway/plan_bench_test.go
+++ b/internal/gateway/plan_bench_test.go
@@ -16,15 +16,21 @@
 )
 
 // BenchmarkPlan measures one decision on a prompt among 72, 300 and 12,000 runners.
-func BenchmarkPlan(b *testing.B) {
+func BenchmarkPlan(b *testing.B) { benchmarkPlan(b, LoadOptions{}) }
+
+// BenchmarkPlanExpectOthers is BenchmarkPlan with the work of 63 other entries expected.
+func BenchmarkPlanExpectOthers(b *testing.B) { benchmarkPlan(b, LoadOptions{ExpectOthers: true}) }
+
+func benchmarkPlan(b *testing.B, load LoadOptions) {
 	for _, runners := range []int{72, 300, 12000} {
 		b.Run(fmt.Sprint(runners), func(b *testing.B) {
 			quiet := log.New(io.Discard)
-			g, err := New(Options{Host: "e1", Sender: &scriptedSender{}, Rates: placement.DefaultRates(), Log: quiet, Decisions: decision.New(quiet)})
+			g, err := New(Options{Host: "e1", Sender: &scriptedSender{}, Rates: placement.DefaultRates(), Load: load, Log: quiet, Decisions: decision.New(quiet)})
 			if err != nil {
 				b.Fatal(err)
 			}
 			answer := testAnswer()
+			answer.EntryCount, answer.ActiveEntries = 64, 64
 			view := &steward.RosterView{Revision: 2}
 			for i := range runners {
 				id := fmt.Sprintf("l%d", i)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -17,6 +17,7 @@
 	"github.com/lovagereach/lovagereach/replicate"
 	"github.com/lovagereach/lovagereach/resumption"
 	"github.com/lovagereach/lovagereach/roster"
+	"github.com/lovagereach/lovagereach/staleload"
 	"github.com/lovagereach/lovagereach/warmup"
 )
 
@@ -59,6 +60,8 @@
 	// queued is the number of waiting requests that the upstream reported at queuedAt.
 	queued   int
 	queuedAt time.Time
+	// loadAt is the time at which the upstream last reported its load with an answer.
+	loadAt time.Time
 	// draw is this entry's latest draw for its free capacity.
 	draw draw
 	// disconnectedAt is the time at which a connection to the upstream was last lost or
@@ -122,6 +125,9 @@
 	silentRevision uint64
 	// loadsAt is the time as of which the loads of the other entries are known.
 	loadsAt time.Time
+	// reportInterval is the interval between the reports of this entry, and so about that of the
+	// others.
+	reportInterval staleload.Interval
 	// clock is the upstreams' clock in milliseconds at clockAt, 0 if unknown.
 	clock   int64
 	clockAt time.Time
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -93,6 +93,11 @@
 	HealthPenalty time.Duration
 	// Full indicates that the runner has no capacity for the prompt now.
 	Full bool
+	// Unreported is the number of pending tokens that the other entries are expected to have sent
+	// since they were last known, in addition to PendingPrefill, and Room the weight with which the
+	// runner is drawn among those that cost about the same.
+	Unreported int
+	Room       float64
 }
 
 // Prompt is a prompt to be placed.
@@ -109,6 +114,10 @@
 	CachesKnown bool
 	// TokenBytes is the KV memory of one token in bytes.
 	TokenBytes int
+	// Draw is a random number by which a runner is drawn among those whose costs differ by at most
+	// ToleranceMs, in proportion to their room; 0 decides among them by hash.
+	Draw        uint64
+	ToleranceMs float64
 	// JointFetches weighs the fetch of a part together with those of the parts after it, which
 	// are of no use without it.
 	JointFetches bool
@@ -134,6 +143,8 @@
 	Fetch []int
 	// PrefillTokens is the number of tokens that the runner is expected to prefill.
 	PrefillTokens int
+	// UncachedTokens is the number of tokens that it prefills unless it caches more than is known.
+	UncachedTokens int
 	// FullPrefill indicates that the runner prefills the complete prompt: no part of it is
 	// known or assumed to be cached there, and nothing is fetched.
 	FullPrefill bool
@@ -156,6 +167,11 @@
 	// of the time.
 	spare := make([]int, len(p.Parts))
 	best.Fetch = make([]int, len(p.Parts))
+	if p.Draw != 0 {
+		if i := drawn(rates, p, key, homeRunner, runners, stores, spare); i >= 0 {
+			return evaluate(rates, p, i, runners, stores, i == homeRunner, best.Fetch), true
+		}
+	}
 	bestStep, bestScore := 0.0, uint64(0)
 	for i := range runners {
 		choice := evaluate(rates, p, i, runners, stores, i == homeRunner, spare)
@@ -172,6 +188,40 @@
 	return best, true
 }
 
+// drawn returns a runner drawn in proportion to its room among those that cost at most the
+// prompt's tolerance more than the best one, or -1 if the best one has no room: then it is better
+// for another reason than its load.
+func drawn(rates *Rates, p *Prompt, key string, homeRunner int, runners []Runner, stores []Store, fetch []int) int {
+	costs := make([]float64, len(runners))
+	cheapest := 0
+	for i := range runners {
+		costs[i] = evaluate(rates, p, i, runners, stores, i == homeRunner, fetch).CostMs
+		if costs[i] < costs[cheapest] {
+			cheapest = i
+		}
+	}
+	if runners[cheapest].Room <= 0 {
+		return -1
+	}
+	best, bestScore := cheapest, math.Inf(-1)
+	for i := range runners {
+		if runners[i].Room <= 0 || costs[i] > costs[cheapest]+p.ToleranceMs {
+			continue
+		}
+		if score := weightedScore(mix(hash(runners[i].ID, key)^p.Draw), runners[i].Room); score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a number over all bits of the result (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // costStepMs is the difference in milliseconds within which two runners count as equally
 // good. The hash decides between them: if the order of a list decided, or a difference that
 // is reported to all entries alike, all entries would choose the same runner.
@@ -244,13 +294,14 @@
 	r := &runners[index]
 	c := Choice{Runner: index, Home: isHome, Fetch: fetch, FullPrefill: true}
 	ms := 0.0
-	prefillTokens := 0.0
+	prefillTokens, uncached := 0.0, 0
 	contiguous := true // no part so far needs prefill
 	for i, part := range p.Parts {
 		c.Fetch[i] = -1
 		last := i == len(p.Parts)-1
 		if last {
 			prefillTokens += float64(part.Tokens)
+			uncached += part.Tokens
 			break
 		}
 		store, fetchMs := p.bestSource(rates, i, r, stores)
@@ -273,6 +324,9 @@
 			ms += missProbability * (fetchMs + rates.MoveMsPerToken*float64(part.Tokens))
 			continue
 		}
+		if p.Cached == nil || !p.Cached(index, i) {
+			uncached += part.Tokens
+		}
 		if missProbability == 1 {
 			contiguous = false
 		} else if !p.CachesKnown {
@@ -281,8 +335,8 @@
 		prefillTokens += missProbability * float64(part.Tokens)
 		ms += missProbability * rates.RecomputeMsPerToken * float64(part.Tokens)
 	}
-	c.PrefillTokens = int(prefillTokens)
-	ms += (prefillTokens + float64(r.PendingPrefill)) / rates.PrefillPerMs
+	c.PrefillTokens, c.UncachedTokens = int(prefillTokens), uncached
+	ms += (prefillTokens + float64(r.PendingPrefill+r.Unreported)) / rates.PrefillPerMs
 	ms += pressure(rates, p, r)
 	c.CostMs = ms + milliseconds(r.HealthPenalty)
 	return c
