partition: upstreams divided between small and large prompts

Package partition divides the upstreams of a service in proportion to the work for small and for large prompts, by a hash, so that entries need no message.

--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -32,8 +32,16 @@
 	// Version is the version of the weights, Software that of the upstream's software.
 	Version  uint64
 	Software string
+	// Serves is the size of the prompts that the upstream serves, empty if it serves all.
+	Serves string
 }
 
+// Sizes of prompts.
+const (
+	Small = "small"
+	Large = "large"
+)
+
 // View describes how recent the inputs were.
 type View struct {
 	Config uint64
@@ -153,6 +161,9 @@
 	if c.Upstream == "" {
 		return fields
 	}
+	if c.Serves != "" {
+		fields = append(fields, "serves", c.Serves)
+	}
 	return append(fields,
 		"upstream", c.Upstream, "candidates", c.Candidates, "requests", c.Requests, "tokens", c.Tokens, "unread", c.PendingPrefill,
 		"reads", c.PrefillTokens, "cost_ms", int(c.CostMs), "home", c.Home, "fetched", c.Fetched, "saved", c.Saved,
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -21,6 +21,8 @@
 	retries, smallRetries retry.Schedule
 	// brittle is what the service's upstreams stated about refusals.
 	brittle brittle
+	// divided is the division of its upstreams between small and large prompts.
+	divided divided
 }
 
 // retriesOf returns the retry schedule for the request's caller.
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
@@ -37,6 +38,9 @@
 	backOffSends *metrics.Counter
 	// connectionsUsed counts sends that found this entry's connections to an upstream in use.
 	connectionsUsed *metrics.Counter
+	// sizeSpills counts choices for prompts of one size among all upstreams, for lack of capacity at
+	// those for their size.
+	sizeSpills *metrics.Counter
 	// forwarded counts requests that were sent to another entry, received those that another
 	// entry forwarded to this one.
 	forwarded, received *metrics.Counter
@@ -82,7 +86,7 @@
 		}
 	}
 	m.limitedSends, m.backOffSends = counter("limited_sends"), counter("back_off_sends")
-	m.connectionsUsed = counter("connections_used")
+	m.connectionsUsed, m.sizeSpills = counter("connections_used"), counter("size_spills")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
 	m.crashes, m.quarantined, m.trials = counter("upstream_ends"), counter("held"), counter("trials")
@@ -111,6 +115,7 @@
 	upstreams("upstreams_avoided", func(u *upstreamState, now time.Time) bool { return now.Before(u.health.ejectedUntil) })
 	gauge("slowest_reading_tokens_per_ms", func(s *state, _ time.Time) float64 { return s.slowestPrefill() })
 	gauge("largest_light_tokens", func(s *state, _ time.Time) float64 { return s.largestSmallSize() })
+	upstreams("upstreams_for_small", func(u *upstreamState, _ time.Time) bool { return s.sizeOf(u) == decision.Small })
 	upstreams("upstreams_cold", (*upstreamState).cold)
 	gauge("upstreams_unreached_percent", func(s *state, _ time.Time) float64 { return float64(s.unreached) })
 	gauge("upstreams_limited", func(s *state, _ time.Time) float64 { return float64(s.limitedCount()) })
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -181,6 +181,7 @@
 		lastPart = prompt.Parts[len(prompt.Parts)-1].Tokens
 	}
 	needed := r.need(s, service, prompt.size(), lastPart)
+	candidates = r.ofSize(s, service, candidates, needed, now)
 	rates := s.ratesOf(service.Name, r.gateway.options.Rates)
 	prefilled := int(rates.PrefillPerMs * milliseconds(now.Sub(s.loadsAt)))
 	runners := make([]placement.Runner, len(candidates))
