--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -181,6 +181,7 @@
 		lastPart = prompt.Parts[len(prompt.Parts)-1].Tokens
 	}
 	needed := r.need(s, service, prompt.size(), lastPart)
+	sources := s.withEvacuated(candidates)
 	candidates = r.ofSize(s, service, candidates, needed, now)
 	rates := s.ratesOf(service.Name, r.gateway.options.Rates)
 	prefilled := int(rates.PrefillPerMs * milliseconds(now.Sub(s.loadsAt)))
@@ -202,7 +203,7 @@
 			PendingPrefill: u.own.Unread + max(u.others.Unread-prefilled, 0), HealthPenalty: extra, Full: full,
 		}
 	}
-	stores, addresses := s.storeList(s.withEvacuated(candidates), service.Engine, now)
+	stores, addresses := s.storeList(sources, service.Engine, now)
 	// The choice assumes the newest version among the candidates; the version of the chosen
 	// runner decides what may be fetched.
 	view := s.describePrompt(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates, addresses, now)
