internal/gateway: the output that callers expect counts, corrected by team

A prompt counted for the maximum of its output in a runner's memory until its end. With UnevenUpstreams it counts for what its caller expects, at most the maximum; an answer that is longer counts as it grows, and a team whose hints are too low has them raised.

The fourth figure of a load report is read and logged (slowdown), and so is the longest pause between the pieces of an answer (pause_ms). Nothing is decided by either yet.

--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -32,6 +32,9 @@
 	// Version is the version of the weights, Software that of the upstream's software.
 	Version  uint64
 	Software string
+	// UpstreamSlowdown is the factor by which work took longer than usual at the upstream by its
+	// answer, 0 if it stated none.
+	UpstreamSlowdown float64
 	// Serves is the size of the prompts that the upstream serves, empty if it serves all.
 	Serves string
 }
@@ -70,6 +73,8 @@
 	// forwarded.
 	Started   bool
 	LastEvent string
+	// Pause is the longest pause between two pieces of the answer.
+	Pause time.Duration
 	// ForwardedTo is the entry that the request was forwarded to, empty if it was not.
 	ForwardedTo string
 	// Unframed indicates that the answer had neither a length nor chunks, and ended with its
@@ -99,6 +104,9 @@
 		"request", e.Request, "route", e.Route, "team", e.Team, "outcome", e.Outcome, "status", e.Status,
 		"first_ms", ms(e.First), "total_ms", ms(e.Total), "target_ms", ms(e.Target), "waited_ms", ms(e.Waited), "sends", e.Sends, "unsent", e.Unsent,
 	}
+	if e.Pause > 0 {
+		fields = append(fields, "pause_ms", ms(e.Pause))
+	}
 	if e.ForwardedTo != "" {
 		fields = append(fields, "forwarded_to", e.ForwardedTo)
 	}
@@ -161,6 +169,9 @@
 	if c.Upstream == "" {
 		return fields
 	}
+	if c.UpstreamSlowdown > 0 {
+		fields = append(fields, "slowdown", math.Round(c.UpstreamSlowdown*100)/100)
+	}
 	if c.Serves != "" {
 		fields = append(fields, "serves", c.Serves)
 	}
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -66,6 +66,7 @@
 	p.upstream.health.answered(good, time.Now())
 	p.upstream.recordRecovery(time.Now())
 	r.observeWork(s, p, time.Now())
+	r.observeOutput(s, p)
 	if wasEjected {
 		r.gateway.logHealth(p.upstream, false, nil)
 	}
@@ -80,6 +81,7 @@
 	s := r.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	p.logged.UpstreamSlowdown = load.Slowdown
 	p.upstream.queued, p.upstream.queuedAt = load.Waiting, time.Now()
 	p.upstream.others.Requests = max(load.Running+load.Waiting-p.upstream.own.Requests, 0)
 	s.loadedByOthers[p.upstream] = struct{}{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,6 +238,8 @@
 	// the answer.
 	status int
 	first  time.Duration
+	// pause is the longest pause between two pieces of the answer.
+	pause time.Duration
 	// unframed indicates that the latest answer ended with its connection.
 	unframed bool
 	// waited is the time spent waiting for capacity.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -27,7 +27,7 @@
 		Request: r.request.ID, Route: r.route.Name, Team: r.teamName(), Outcome: outcome.KindOf(cause).String(), Cause: cause,
 		Target: r.route.Target, First: r.first, Total: now.Sub(r.request.Arrived), Status: r.status,
 		Sends: r.sends, Unsent: r.unsent, Started: r.headSent, LastEvent: r.lastEvent, Waited: r.waited,
-		ForwardedTo: r.forwardedTo, Unframed: r.unframed, Choice: r.choice(), View: g.state.view(now),
+		ForwardedTo: r.forwardedTo, Unframed: r.unframed, Pause: r.pause, Choice: r.choice(), View: g.state.view(now),
 	})
 }
 
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -38,6 +38,8 @@
 	backOffSends *metrics.Counter
 	// connectionsUsed counts sends that found this entry's connections to an upstream in use.
 	connectionsUsed *metrics.Counter
+	// outputsGrown counts the times that an answer became longer than was accounted for.
+	outputsGrown *metrics.Counter
 	// sizeSpills counts choices for prompts of one size among all upstreams, for lack of capacity at
 	// those for their size.
 	sizeSpills *metrics.Counter
@@ -86,7 +88,7 @@
 		}
 	}
 	m.limitedSends, m.backOffSends = counter("limited_sends"), counter("back_off_sends")
-	m.connectionsUsed, m.sizeSpills = counter("connections_used"), counter("size_spills")
+	m.connectionsUsed, m.sizeSpills, m.outputsGrown = counter("connections_used"), counter("size_spills"), counter("outputs_grown")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
 	m.crashes, m.quarantined, m.trials = counter("upstream_ends"), counter("held"), counter("trials")
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -55,8 +55,12 @@
 	origin        resumption.Origin
 	tokens        int
 	prefillTokens int
-	answerStarted bool
-	released      bool
+	// output is the number of tokens of the answer that tokens includes, events the number of its
+	// events so far, the latest at eventAt.
+	output, events int
+	eventAt        time.Time
+	answerStarted  bool
+	released       bool
 	// checked indicates that it is known, or being checked, whether the upstream has crashed.
 	checked bool
 	choice  placement.Choice
@@ -180,7 +184,8 @@
 	if len(prompt.Parts) > 0 {
 		lastPart = prompt.Parts[len(prompt.Parts)-1].Tokens
 	}
-	needed := r.need(s, service, prompt.size(), lastPart)
+	p.output = r.expectedOutput(s)
+	needed := r.need(s, service, prompt.size()-prompt.Output+p.output, lastPart)
 	sources := s.withEvacuated(candidates)
 	candidates = r.ofSize(s, service, candidates, needed, now)
 	rates := s.ratesOf(service.Name, r.gateway.options.Rates)
@@ -207,17 +212,19 @@
 	// The choice assumes the newest version among the candidates; the version of the chosen
 	// runner decides what may be fetched.
 	view := s.describePrompt(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates, addresses, now)
+	view.prompt.Output = p.output
 	choice, _ := placement.Choose(&rates, view.salt, &view.prompt, runners, stores)
 	p.upstream = candidates[choice.Runner]
 	if has := r.versionOf(p.upstream); has != version {
 		version = has
 		chosen := choice.Runner
 		view = s.describePrompt(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates[chosen:chosen+1], addresses, now)
+		view.prompt.Output = p.output
 		choice, _ = placement.Choose(&rates, view.salt, &view.prompt, runners[chosen:chosen+1], stores)
 	}
 	p.choice = choice
 	p.fetchMs = fetchMs(&view.prompt, choice, stores)
-	p.tokens = view.prompt.Tokens() + prompt.Output
+	p.tokens = view.prompt.Tokens() + p.output
 	p.prefillTokens = choice.PrefillTokens
 	p.send.Prompt = &PromptSend{Salt: view.salt, Version: version}
 	s.fetchAndSave(&rates, p, &view, choice, stores, addresses, now)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -321,6 +321,7 @@
 			return err
 		}
 		r.recordAnswerStart(p)
+		r.countEvent(p, time.Now())
 		if r.first == 0 {
 			r.first = time.Since(r.request.Arrived)
 		}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -161,6 +161,8 @@
 	// initial prefill rate in tokens per millisecond.
 	learned    map[string]*learned
 	startPerMs float64
+	// hints corrects the hints for the length of outputs, by team.
+	hints map[string]*estimate.OutputHints
 	// usualWaits are the longest time limits of requests, by route.
 	usualWaits map[string]*estimate.Longest
 	// announceWithin is the time within which an upstream's next announcement is known to this
@@ -199,6 +201,7 @@
 		learned:    make(map[string]*learned),
 		startPerMs: startPerMs,
 		usualWaits: make(map[string]*estimate.Longest),
+		hints:      make(map[string]*estimate.OutputHints),
 
 		started:          make(chan struct{}),
 		inventoriesReady: make(chan struct{}),
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -43,6 +43,8 @@
 	Parts []placement.Part
 	// Output is the largest number of tokens that the answer may have.
 	Output int
+	// OutputHint is the caller's estimate of them, 0 for none.
+	OutputHint int
 }
 
 // Request is one attempt of a caller. Its method, path, headers and body are forwarded to the
@@ -141,6 +143,8 @@
 // Load is the load that an upstream reports with an answer.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is the factor by which work takes longer than usual at the moment, 0 if unknown.
+	Slowdown float64
 }
 
 // Piece is a part of an answer's body: one complete event of a stream, or some bytes of
