--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -80,6 +80,7 @@
 // capacity. The caller holds the lock.
 func (r *run) tryPlan(now time.Time) (*plan, error) {
 	s := r.gateway.state
+	r.gateway.meter.choices.Inc()
 	// The service is that of the admission: without it a prompt whose service was removed
 	// since would be sent without the salt that isolates teams.
 	service := r.index.Service(r.service)
@@ -180,12 +181,8 @@
 	if r.small() {
 		noCapacity = noCapacityCostSmall
 	}
-	lastPart := 0
-	if len(prompt.Parts) > 0 {
-		lastPart = prompt.Parts[len(prompt.Parts)-1].Tokens
-	}
 	p.output = r.expectedOutput(s)
-	needed := r.need(s, service, prompt.size()-prompt.Output+p.output, lastPart)
+	needed := r.need(s, service, prompt.size()-prompt.Output+p.output, prompt.lastPart())
 	sources := s.withEvacuated(candidates)
 	candidates = r.ofSize(s, service, candidates, needed, now)
 	rates := s.ratesOf(service.Name, r.gateway.options.Rates)
