--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -144,7 +144,7 @@
 	if r.request.Prompt == nil || service == nil || service.Engine == nil {
 		return need{small: true}
 	}
-	return r.need(s, service, r.request.Prompt.size(), r.request.Prompt.lastPart())
+	return r.need(s, service, r.expectedSize(s), r.request.Prompt.lastPart())
 }
 
 // lastPart is the size in tokens of the part that belongs to the request.
--- a/internal/gateway/outputs.go
+++ b/internal/gateway/outputs.go
@@ -21,6 +21,12 @@
 	return hints.Expect(prompt.OutputHint, prompt.Output)
 }
 
+// expectedSize returns the tokens that a prompt and its answer are expected to take in memory. The
+// caller holds the lock.
+func (r *run) expectedSize(s *state) int {
+	return r.request.Prompt.size() - r.request.Prompt.Output + r.expectedOutput(s)
+}
+
 // countEvent counts an event of a stream. An output that is longer than expected counts as twice as
 // long, up to its maximum: an event may contain several tokens.
 func (r *run) countEvent(p *plan, now time.Time) {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -182,7 +182,7 @@
 		noCapacity = noCapacityCostSmall
 	}
 	p.output = r.expectedOutput(s)
-	needed := r.need(s, service, prompt.size()-prompt.Output+p.output, prompt.lastPart())
+	needed := r.need(s, service, r.expectedSize(s), prompt.lastPart())
 	sources := s.withEvacuated(candidates)
 	candidates = r.ofSize(s, service, candidates, needed, now)
 	rates := s.ratesOf(service.Name, r.gateway.options.Rates)
