pace: work at upstreams whose hosts are shared takes longer

Upstreams may state with their answers how long work takes on their host. An entry ignored the figure, since it may be stale by the next request. Package pace keeps it for as long as the statements of the service are seen to hold, and predicts with the service's mean beyond. A slow upstream that states nothing is found by answers that waited behind no other request. Predicted prefill, pending prefill and the load of plain replicas are multiplied by the factor.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -81,8 +81,9 @@
 	s := r.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p.logged.UpstreamSlowdown = load.Slowdown
-	p.upstream.queued, p.upstream.queuedAt = load.Waiting, time.Now()
+	now := time.Now()
+	r.recordPace(s, p, load, now)
+	p.upstream.queued, p.upstream.queuedAt = load.Waiting, now
 	p.upstream.others.Requests = max(load.Running+load.Waiting-p.upstream.own.Requests, 0)
 	s.loadedByOthers[p.upstream] = struct{}{}
 }
@@ -98,6 +99,7 @@
 		s.prefillDone(p)
 		now := time.Now()
 		s.observePrefill(p, now)
+		r.measurePace(s, p, now)
 		r.gateway.observeFetches(p, now)
 		s.dispatchTo(p.upstream, now)
 	}
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/estimate"
+	"github.com/lovagereach/lovagereach/pace"
 	"github.com/lovagereach/lovagereach/placement"
 	"github.com/lovagereach/lovagereach/retry"
 )
@@ -21,6 +22,8 @@
 	retries, smallRetries retry.Schedule
 	// brittle is what the service's upstreams stated about refusals.
 	brittle brittle
+	// pace is the pace of its upstreams.
+	pace pace.Service
 	// divided is the division of its upstreams between small and large prompts.
 	divided divided
 }
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -59,8 +59,12 @@
 	// events so far, the latest at eventAt.
 	output, events int
 	eventAt        time.Time
-	answerStarted  bool
-	released       bool
+	// slowdown is the factor by which work was predicted to take longer than usual. alone indicates
+	// that the answer waited behind no other request as far as the upstream states.
+	slowdown      float64
+	alone         bool
+	answerStarted bool
+	released      bool
 	// checked indicates that it is known, or being checked, whether the upstream has crashed.
 	checked bool
 	choice  placement.Choice
@@ -108,7 +112,7 @@
 	if !s.mayUse(p.upstream, r.need(s, service, p.tokens, p.prefillTokens), now) {
 		return nil, nil
 	}
-	p.sent = now
+	p.sent, p.slowdown = now, r.slowdownOf(s, p.upstream, now)
 	s.commit(p, now)
 	s.recordSent(p.upstream, now)
 	s.limits.RecordSent(p.upstream.record.ID, now)
@@ -157,7 +161,7 @@
 	for i := range candidates {
 		u := candidates[(start+i)%len(candidates)]
 		load := float64(u.own.Requests+u.others.Requests) + loadUncertainty*rand.Float64()
-		cost := load*r.gateway.options.Rates.SlotMs/float64(max(u.record.Slots, 1)) + milliseconds(r.penalty(u, now))
+		cost := r.loadCost(s, u, load, now) + milliseconds(r.penalty(u, now))
 		if !u.mayConnect(connections) || s.brittleness(r.service, now) > 0 && !s.mayUse(u, need{small: true}, now) {
 			cost += milliseconds(noCapacityCost)
 		}
@@ -203,6 +207,7 @@
 			ID: u.record.ID, DataCentre: u.record.DataCentre, Slots: u.record.Slots, Memory: service.Engine.MemoryTokens,
 			Requests: u.own.Requests + u.others.Requests, Tokens: u.own.Tokens + u.others.Tokens,
 			PendingPrefill: u.own.Unread + max(u.others.Unread-prefilled, 0), HealthPenalty: extra, Full: full,
+			Slowdown: r.slowdownOf(s, u, now),
 		}
 	}
 	stores, addresses := s.storeList(sources, service.Engine, now)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -11,6 +11,7 @@
 	"github.com/lovagereach/lovagereach/evacuation"
 	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/pace"
 	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/ratelimit"
 	"github.com/lovagereach/lovagereach/reach"
@@ -50,6 +51,8 @@
 	// connectionsUsedUntil is the time until which it gets no request because one found this
 	// entry's share of its connections in use.
 	connectionsUsedUntil time.Time
+	// pace is what it stated about the time that work takes, and what was measured.
+	pace pace.Upstream
 	// leaving indicates that the upstream has stated in an answer that it leaves.
 	leaving bool
 	// backOffFrom and backOffUntil are the time in which the upstream wants no requests from this
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -9,6 +9,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -89,6 +90,8 @@
 	Tokens   int
 	// PendingPrefill is the number of tokens in progress that are still to be prefilled.
 	PendingPrefill int
+	// Slowdown is the factor by which prefill takes longer than usual, 0 for as usual.
+	Slowdown float64
 	// HealthPenalty is added to the predicted cost.
 	HealthPenalty time.Duration
 	// Full indicates that the runner has no capacity for the prompt now.
@@ -278,7 +281,7 @@
 		ms += missProbability * rates.RecomputeMsPerToken * float64(part.Tokens)
 	}
 	c.PrefillTokens = int(prefillTokens)
-	ms += (prefillTokens + float64(r.PendingPrefill)) / rates.PrefillPerMs
+	ms += (prefillTokens + float64(r.PendingPrefill)) / rates.PrefillPerMs * cmp.Or(r.Slowdown, 1)
 	ms += pressure(rates, p, r)
 	c.CostMs = ms + milliseconds(r.HealthPenalty)
 	return c
