--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -59,6 +59,10 @@
 
 	announceEvery announceInterval
 
+	// learnedCheckedAt and learnedSharedAt are the times at which what entries have learned was
+	// checked and committed. Only housekeep uses them.
+	learnedCheckedAt, learnedSharedAt time.Time
+
 	// granting is held while a trial of quarantined parts is granted.
 	granting sync.Mutex
 
@@ -199,10 +203,11 @@
 	return l.minVersionsList
 }
 
-// housekeep removes lost upstreams and expired crashes.
+// housekeep removes lost upstreams and expired crashes, and commits what entries have learned.
 func (l *leadership) housekeep(ctx context.Context) {
 	for wait.For(ctx, housekeeping) {
 		l.forgetCrashes(ctx, time.Now())
+		l.shareLearned(ctx, time.Now())
 		for _, u := range l.lost(l.steward.machine.live(), time.Now()) {
 			u.State = roster.Gone
 			l.steward.options.Log.Info("upstream given up", "upstream", u.ID, "address", u.Address)
@@ -341,7 +346,9 @@
 	answer.Silent, answer.SilentRevision = l.recentSilent(now)
 	answer.ActiveEntries = l.activeCount(entries, now)
 	answer.RelayedRevision = l.watchers.relayedRevision(from.Host)
-	answer.Relaying = answer.EntryCount > maxDirectEntries
+	// After a restart of all hosts the number of entries is unknown, and hosts that wait for it
+	// before they answer entries delay most of them.
+	answer.Relaying = answer.EntryCount > maxDirectEntries || answer.Counting && l.steward.options.Handover
 	answer.Relays = l.relays(now)
 	answer.Loading = l.loader.loading()
 	answer.MinVersions = l.raiseMinVersions(now)
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -95,7 +95,7 @@
 // awaitWatchSource is watchSource, after a wait while no leader is known.
 func (s *Steward) awaitWatchSource(ctx context.Context, request *WatchRequest) (b watchSource, shed bool) {
 	b, shed = s.watchSource(request)
-	for end := time.Now().Add(electionWait); b == nil && s.Leader() == "" && time.Now().Before(end); {
+	for end := time.Now().Add(electionWait); b == nil && (s.Leader() == "" || s.hasNewLeader(request)) && time.Now().Before(end); {
 		if !wait.For(ctx, leaderPoll) {
 			break
 		}
@@ -104,6 +104,15 @@
 	return b, shed
 }
 
+// hasNewLeader reports whether a leader is elected whose state this host will have shortly, for
+// the first time since its start: the caller has no better host to query.
+func (s *Steward) hasNewLeader(request *WatchRequest) bool {
+	if !s.options.Handover || s.leading.Load() != nil || s.relay.hasLeaderContact() {
+		return false
+	}
+	return request.Entry != nil || s.Leader() == string(s.options.Self)
+}
+
 // finishAnswer adds the content of every answer.
 func (s *Steward) finishAnswer(b watchSource, from port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time) {
 	b.addCommon(from, answer, now)
@@ -113,6 +122,7 @@
 	}
 	b.addGrants(from, request, answer, now)
 	b.addLimits(request, answer, now)
+	s.addLearned(request, answer)
 	if request.Entry != nil && request.Entry.Unreached > 0 {
 		answer.Peers = choosePeers(s.entryList(), request.Entry)
 	}
@@ -140,6 +150,9 @@
 		return s.redirect(request, shed, waited)
 	}
 	b.recordWatcher(from, request, b.now())
+	if s.options.Handover && len(request.Learned) > 0 {
+		s.learned.record(from.Host, request.Learned, time.Now())
+	}
 	answer := &WatchAnswer{}
 	machineChanges, orderChanges, inventoryChanges := s.machine.changes(), s.machine.orderChanges(), s.index.changes()
 	asOf, found := s.fill(b, request, answer)
@@ -288,7 +301,11 @@
 		if s.leading.Load() != nil {
 			return nil
 		}
-		return s.relay.request(s.relay.now())
+		request := s.relay.request(s.relay.now())
+		if request.Relay && s.options.Handover {
+			request.Learned = s.learned.report(time.Now())
+		}
+		return request
 	}, func(answer *WatchAnswer, requestedAt time.Time) {
 		s.relay.apply(answer, requestedAt, s.relay.now())
 	})
