--- a/internal/gateway/sizes.go
+++ b/internal/gateway/sizes.go
@@ -67,12 +67,16 @@
 	return d.division
 }
 
-// observeWork records the prefill of a prompt that was answered.
-func (r *run) observeWork(s *state, p *plan) {
-	if p.send.Prompt != nil && r.gateway.options.Load.UnevenUpstreams {
-		l := s.learnedOf(r.service)
-		l.divided.work.Observe(r.small(), float64(p.prefillTokens)/l.prefill.PerMs())
+// observeWork records the work for a prompt that was answered: its prefill, and its share of a
+// runner's slots for as long as it held one. If one part of the upstreams is congested, its prompts
+// take longer, and it gets more upstreams.
+func (r *run) observeWork(s *state, p *plan, now time.Time) {
+	if p.send.Prompt == nil || !r.gateway.options.Load.UnevenUpstreams {
+		return
 	}
+	l := s.learnedOf(r.service)
+	held := milliseconds(now.Sub(p.sent)) / float64(max(p.upstream.record.Slots, 1))
+	l.divided.work.Observe(r.small(), float64(p.prefillTokens)/l.prefill.PerMs()+held)
 }
 
 // sizeOf returns which prompts an upstream serves, as a log field.
