--- a/partition/partition_test.go
+++ b/partition/partition_test.go
@@ -118,3 +118,59 @@
 		t.Errorf("small requests have %.2f of the work and %.2f after large ones end", before, after)
 	}
 }
+
+// runner works on prompts in the order of their arrival.
+type runner struct{ freeAt float64 }
+
+func (r *runner) serve(at, ms float64) (first float64) {
+	r.freeAt = max(r.freeAt, at) + ms
+	return r.freeAt - at
+}
+
+// Guards against short prompts that stand behind long ones which other entries have just sent: 60
+// runners get 950 short prompts and 80 long ones a second from entries that don't know of each
+// other's sends. With a division, a third as many short prompts wait for more than 100 ms, also while
+// a tenth of the runners is lost, and long ones wait at most half as long again.
+func TestShortPromptsDoNotStandBehindLongOnes(t *testing.T) {
+	const shortMs, longMs, seconds = 4, 120, 60
+	replay := func(divided bool, lost int) (shortLate, longWait float64) {
+		random := rand.New(rand.NewPCG(11, 3))
+		var division Division
+		if divided {
+			division = Divide(ranks(60), mixed(1, 1500).SmallShare())
+		}
+		var parts [2][]*runner
+		for _, rank := range ranks(60)[lost:] {
+			r := &runner{}
+			for size, small := range []bool{true, false} {
+				if division.Serves(rank, small) {
+					parts[size] = append(parts[size], r)
+				}
+			}
+		}
+		shorts, longs, late := 0, 0, 0
+		for at := 0.0; at < seconds*1000; at += random.ExpFloat64() * 1000 / 1030 {
+			if random.IntN(1030) < 950 {
+				if parts[0][random.IntN(len(parts[0]))].serve(at, shortMs) > 100 {
+					late++
+				}
+				shorts++
+				continue
+			}
+			longWait += parts[1][random.IntN(len(parts[1]))].serve(at, longMs) - longMs
+			longs++
+		}
+		return float64(late) / float64(shorts), longWait / float64(longs)
+	}
+	for _, lost := range []int{0, 6} {
+		before, waitBefore := replay(false, lost)
+		after, waitAfter := replay(true, lost)
+		if after > before/3 {
+			t.Errorf("%d runners lost: %.3f of the short prompts wait for over 100 ms, %.3f without a division", lost, after, before)
+		}
+		if waitAfter > 1.5*waitBefore {
+			t.Errorf("%d runners lost: long prompts wait for %.0f ms, %.0f without a division", lost, waitAfter, waitBefore)
+		}
+		t.Logf("%d lost: short late %.3f -> %.3f, long wait %.0f -> %.0f ms", lost, before, after, waitBefore, waitAfter)
+	}
+}
