internal/gateway: upstreams aren't divided by the size of prompts

Short prompts gain where long ones lose as much: these have fewer runners and read more parts again. It comes out.

--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -35,16 +35,8 @@
 	// UpstreamSlowdown is the factor by which work took longer than usual at the upstream by its
 	// answer, 0 if it stated none.
 	UpstreamSlowdown float64
-	// Serves is the size of the prompts that the upstream serves, empty if it serves all.
-	Serves string
 }
 
-// Sizes of prompts.
-const (
-	Small = "small"
-	Large = "large"
-)
-
 // View describes how recent the inputs were.
 type View struct {
 	Config uint64
@@ -172,9 +164,6 @@
 	if c.UpstreamSlowdown > 0 {
 		fields = append(fields, "slowdown", math.Round(c.UpstreamSlowdown*100)/100)
 	}
-	if c.Serves != "" {
-		fields = append(fields, "serves", c.Serves)
-	}
 	return append(fields,
 		"upstream", c.Upstream, "candidates", c.Candidates, "requests", c.Requests, "tokens", c.Tokens, "unread", c.PendingPrefill,
 		"reads", c.PrefillTokens, "cost_ms", int(c.CostMs), "home", c.Home, "fetched", c.Fetched, "saved", c.Saved,
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -62,7 +62,6 @@
 	wasEjected := p.upstream.health.consecutive > 0
 	p.upstream.health.answered(good, time.Now())
 	p.upstream.recordRecovery(time.Now())
-	r.observeWork(s, p, time.Now())
 	r.observeOutput(s, p)
 	if wasEjected {
 		r.gateway.logHealth(p.upstream, false, nil)
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -24,8 +24,6 @@
 	brittle brittle
 	// pace is the pace of its upstreams.
 	pace pace.Service
-	// divided is the division of its upstreams between small and large prompts.
-	divided divided
 }
 
 // retriesOf returns the retry schedule for the request's caller.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -58,7 +58,7 @@
 		Requests: u.own.Requests + u.others.Requests, Tokens: u.own.Tokens + u.others.Tokens, PendingPrefill: u.own.Unread + u.others.Unread,
 		PrefillTokens: p.prefillTokens, CostMs: p.choice.CostMs, Home: p.choice.Home, HealthPenalty: u.health.penalty(now, u.silent),
 	}
-	p.logged.Software, p.logged.Serves = p.origin.Software, s.sizeOf(u)
+	p.logged.Software = p.origin.Software
 	if p.send.Prompt == nil {
 		return
 	}
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -10,7 +10,6 @@
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/handover"
-	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
@@ -45,9 +44,6 @@
 	connectionsUsed *metrics.Counter
 	// outputsGrown counts the times that an answer became longer than was accounted for.
 	outputsGrown *metrics.Counter
-	// sizeSpills counts choices for prompts of one size among all upstreams, for lack of capacity at
-	// those for their size.
-	sizeSpills *metrics.Counter
 	// forwarded counts requests that were sent to another entry, received those that another
 	// entry forwarded to this one.
 	forwarded, received *metrics.Counter
@@ -102,7 +98,7 @@
 		}
 	}
 	m.limitedSends, m.backOffSends = counter("limited_sends"), counter("back_off_sends")
-	m.connectionsUsed, m.sizeSpills, m.outputsGrown = counter("connections_used"), counter("size_spills"), counter("outputs_grown")
+	m.connectionsUsed, m.outputsGrown = counter("connections_used"), counter("outputs_grown")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
 	m.partsRead, m.partsReadAgain = counter("shared_tokens_read"), counter("shared_tokens_read_again")
@@ -137,7 +133,6 @@
 	upstreams("upstreams_avoided", func(u *upstreamState, now time.Time) bool { return now.Before(u.health.ejectedUntil) })
 	gauge("slowest_reading_tokens_per_ms", func(s *state, _ time.Time) float64 { return s.slowestPrefill() })
 	gauge("largest_light_tokens", func(s *state, _ time.Time) float64 { return s.largestSmallSize() })
-	upstreams("upstreams_for_small", func(u *upstreamState, _ time.Time) bool { return s.sizeOf(u) == decision.Small })
 	upstreams("upstreams_cold", (*upstreamState).cold)
 	gauge("upstreams_unreached_percent", func(s *state, _ time.Time) float64 { return float64(s.unreached) })
 	gauge("upstreams_limited", func(s *state, _ time.Time) float64 { return float64(s.limitedCount()) })
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -199,8 +199,6 @@
 	}
 	p.output = r.expectedOutput(s)
 	needed := r.need(s, service, r.expectedSize(s), prompt.lastPart())
-	sources := s.withEvacuated(candidates)
-	candidates = r.ofSize(s, service, candidates, needed, now)
 	rates := s.ratesOf(service.Name, r.gateway.options.Rates)
 	prefilled := int(rates.PrefillPerMs * milliseconds(now.Sub(s.loadsAt)))
 	runners := make([]placement.Runner, len(candidates))
@@ -222,7 +220,7 @@
 			Slowdown: r.slowdownOf(s, u, now),
 		}
 	}
-	stores, addresses := s.storeList(sources, service.Engine, now)
+	stores, addresses := s.storeList(s.withEvacuated(candidates), service.Engine, now)
 	// The choice assumes the newest version among the candidates; the version of the chosen
 	// runner decides what may be fetched.
 	view := s.describePrompt(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates, addresses, now)
