internal/gateway: runners admit short prompts before long ones of the same rank

With UnevenUpstreams the rank that a runner is told tells small prompts from large ones within each rank of the configuration.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -44,8 +44,6 @@
 	// the time that another runner fetches it. The view of the caches is 100 to 300 ms old,
 	// and a cache turns over in two to three seconds.
 	evictionRisk = 0.1
-	// maxRank is the lowest rank that upstreams know.
-	maxRank = 9
 )
 
 // plan is one send and the load that it is accounted for until it ends.
@@ -107,7 +105,7 @@
 	}
 	p := &plan{candidates: len(candidates)}
 	p.send = &Send{
-		Request: r.request, Team: r.teamName(), Rank: min(max(r.rank(), 0), maxRank), ResumeAfter: r.lastEvent,
+		Request: r.request, Team: r.teamName(), Rank: r.sendRank(), ResumeAfter: r.lastEvent,
 		Wait: r.deadline.Sub(now), Connections: s.connections(service), SameIncarnation: r.pinned && r.origin.Software != "", StatesStart: statesStart(service),
 	}
 	if r.request.Prompt != nil && service != nil && service.Engine != nil {
