--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -133,6 +133,7 @@
 	upstreams("upstreams_avoided", func(u *upstreamState, now time.Time) bool { return now.Before(u.health.ejectedUntil) })
 	gauge("slowest_reading_tokens_per_ms", func(s *state, _ time.Time) float64 { return s.slowestPrefill() })
 	gauge("largest_light_tokens", func(s *state, _ time.Time) float64 { return s.largestSmallSize() })
+	upstreams("upstreams_slow", s.slow)
 	upstreams("upstreams_cold", (*upstreamState).cold)
 	gauge("upstreams_unreached_percent", func(s *state, _ time.Time) float64 { return float64(s.unreached) })
 	gauge("upstreams_limited", func(s *state, _ time.Time) float64 { return float64(s.limitedCount()) })
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -40,3 +40,9 @@
 	}
 	return load * r.gateway.options.Rates.SlotMs / float64(max(u.record.Slots, 1))
 }
+
+// slow reports whether an upstream counts as slow, as a metric.
+func (s *state) slow(u *upstreamState, now time.Time) bool {
+	l := s.learned[u.record.Service]
+	return l != nil && l.pace.Factor(&u.pace, now) >= slowThreshold
+}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -119,6 +119,9 @@
 
 // Factor predicts by which factor work takes longer than usual at an upstream.
 func (s *Service) Factor(u *Upstream, now time.Time) float64 {
+	if s.count == 0 && u.measuredAt.IsZero() {
+		return 1
+	}
 	value := s.mean
 	if !u.statedAt.IsZero() {
 		kept := math.Exp(-float64(max(now.Sub(u.statedAt), 0)) / float64(s.Change()))
