--- a/catalog/index.go
+++ b/catalog/index.go
@@ -14,6 +14,8 @@
 	teams    map[string]*Team
 	services map[string]*Service
 	stores   []*Service
+	// lowestRank is the rank of the routes and teams that are served last.
+	lowestRank int
 }
 
 // NewIndex returns the index of a valid document, which must not be modified afterwards.
@@ -31,8 +33,12 @@
 			x.routes[host] = make(map[string]*Route)
 		}
 		x.routes[host][r.Prefix] = r
+		x.lowestRank = max(x.lowestRank, r.Priority)
 	}
 	for i := range d.Teams {
+		if rank := d.Teams[i].Priority; rank != nil {
+			x.lowestRank = max(x.lowestRank, *rank)
+		}
 		for _, key := range d.Teams[i].Keys {
 			x.teams[key] = &d.Teams[i]
 		}
@@ -47,6 +53,9 @@
 	return x
 }
 
+// LowestRank returns the rank of the routes and teams that are served last; 0 is served first.
+func (x *Index) LowestRank() int { return x.lowestRank }
+
 // Document returns the indexed document.
 func (x *Index) Document() *Document { return x.document }
 
--- a/internal/gateway/ranks.go
+++ b/internal/gateway/ranks.go
@@ -1,7 +1,5 @@
 package gateway
 
-import "github.com/lovagereach/lovagereach/catalog"
-
 // maxRank is the lowest rank that upstreams know.
 const maxRank = 9
 
@@ -11,7 +9,7 @@
 // the configuration uses too many ranks to leave room for that, all sizes have the same rank.
 func (r *run) sendRank() int {
 	rank := min(max(r.rank(), 0), maxRank)
-	if !r.gateway.options.Load.UnevenUpstreams || 2*lowestRank(r.index.Document())+1 > maxRank {
+	if !r.gateway.options.Load.UnevenUpstreams || 2*r.index.LowestRank()+1 > maxRank {
 		return rank
 	}
 	if r.small() {
@@ -19,17 +17,3 @@
 	}
 	return 2*rank + 1
 }
-
-// lowestRank returns the rank that is served last in a configuration.
-func lowestRank(d *catalog.Document) int {
-	lowest := 0
-	for i := range d.Routes {
-		lowest = max(lowest, d.Routes[i].Priority)
-	}
-	for i := range d.Teams {
-		if rank := d.Teams[i].Priority; rank != nil {
-			lowest = max(lowest, *rank)
-		}
-	}
-	return lowest
-}
--- a/internal/gateway/ranks_test.go
+++ b/internal/gateway/ranks_test.go
@@ -12,7 +12,7 @@
 
 // rankedGateway returns a gateway whose routes stream and resume have ranks, and a function that
 // returns the rank that a runner is told for a prompt.
-func rankedGateway(t *testing.T, stream1, resume int) (*Gateway, func(path string, tokens int) int) {
+func rankedGateway(t *testing.T, streamRank, resumeRank int) (*Gateway, func(path string, tokens int) int) {
 	t.Helper()
 	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return stream(io.EOF, "1"), nil })
 	g.options.Load.UnevenUpstreams = true
@@ -21,9 +21,9 @@
 	for i := range answer.Document.Routes {
 		switch route := &answer.Document.Routes[i]; route.Name {
 		case "stream":
-			route.Priority = stream1
+			route.Priority = streamRank
 		case "resume":
-			route.Priority = resume
+			route.Priority = resumeRank
 		}
 	}
 	g.ApplyAnswer(answer, time.Now())
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -85,8 +85,8 @@
 		return
 	}
 	expected := 1 - math.Exp(-float64(after)/float64(s.Change()))
-	error := expected - d*d/(2*s.variance)
-	s.change += changeStep * max(error, -maxChangeError)
+	missing := expected - d*d/(2*s.variance)
+	s.change += changeStep * max(missing, -maxChangeError)
 	s.change = min(max(s.change, math.Log(float64(minChange)/float64(startChange))), math.Log(float64(maxChange)/float64(startChange)))
 }
 
