--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -39,6 +39,9 @@
 	// Version is the version of the weights, Software that of the upstream's software.
 	Version  uint64
 	Software string
+	// UpstreamSlowdown is the factor by which work took longer than usual at the upstream by its
+	// answer, 0 if it stated none.
+	UpstreamSlowdown float64
 }
 
 // View describes how recent the inputs were.
@@ -69,6 +72,8 @@
 	// forwarded.
 	Started   bool
 	LastEvent string
+	// Pause is the longest pause between two pieces of the answer.
+	Pause time.Duration
 	// ForwardedTo is the entry that the request was forwarded to, empty if it was not.
 	ForwardedTo string
 	// Unframed indicates that the answer had neither a length nor chunks, and ended with its
@@ -98,6 +103,9 @@
 		"request", e.Request, "route", e.Route, "team", e.Team, "outcome", e.Outcome, "status", e.Status,
 		"first_ms", ms(e.First), "total_ms", ms(e.Total), "target_ms", ms(e.Target), "waited_ms", ms(e.Waited), "sends", e.Sends, "unsent", e.Unsent,
 	}
+	if e.Pause > 0 {
+		fields = append(fields, "pause_ms", ms(e.Pause))
+	}
 	if e.ForwardedTo != "" {
 		fields = append(fields, "forwarded_to", e.ForwardedTo)
 	}
@@ -163,6 +171,9 @@
 	if c.Predicted > 0 {
 		fields = append(fields, "open", c.Open, "unreported", c.Unreported, "predicted_ms", ms(c.Predicted), "took_ms", ms(c.Took))
 	}
+	if c.UpstreamSlowdown > 0 {
+		fields = append(fields, "slowdown", math.Round(c.UpstreamSlowdown*100)/100)
+	}
 	return append(fields,
 		"upstream", c.Upstream, "candidates", c.Candidates, "requests", c.Requests, "tokens", c.Tokens, "unread", c.PendingPrefill,
 		"reads", c.PrefillTokens, "cost_ms", int(c.CostMs), "home", c.Home, "fetched", c.Fetched, "saved", c.Saved,
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -62,6 +62,7 @@
 	wasEjected := p.upstream.health.consecutive > 0
 	p.upstream.health.answered(good, time.Now())
 	p.upstream.recordRecovery(time.Now())
+	r.observeOutput(s, p)
 	if wasEjected {
 		r.gateway.logHealth(p.upstream, false, nil)
 	}
@@ -76,8 +77,9 @@
 	s := r.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p.upstream.queued, p.upstream.queuedAt = load.Waiting, time.Now()
-	p.upstream.loadAt = p.upstream.queuedAt
+	now := time.Now()
+	r.recordPace(s, p, load, now)
+	p.upstream.queued, p.upstream.queuedAt, p.upstream.loadAt = load.Waiting, now, now
 	p.upstream.others.Requests = max(load.Running+load.Waiting-p.upstream.own.Requests, 0)
 	s.loadedByOthers[p.upstream] = struct{}{}
 }
@@ -94,6 +96,7 @@
 		now := time.Now()
 		p.endReads(now)
 		s.observePrefill(p, now)
+		r.measurePace(s, p, now)
 		r.gateway.observeFetches(p, now)
 		r.observePrediction(p, now)
 		s.dispatchTo(p.upstream, now)
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/estimate"
+	"github.com/lovagereach/lovagereach/pace"
 	"github.com/lovagereach/lovagereach/placement"
 	"github.com/lovagereach/lovagereach/retry"
 	"github.com/lovagereach/lovagereach/staleload"
@@ -25,6 +26,8 @@
 	// sentWork is the rate of the work that this entry sends: pending prefill in tokens or, for a
 	// plain service, requests.
 	sentWork staleload.Rate
+	// pace is the pace of its upstreams.
+	pace pace.Service
 }
 
 // retriesOf returns the retry schedule for the request's caller.
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -48,6 +48,8 @@
 	backOffSends *metrics.Counter
 	// connectionsUsed counts sends that found this entry's connections to an upstream in use.
 	connectionsUsed *metrics.Counter
+	// outputsGrown counts the times that an answer became longer than was accounted for.
+	outputsGrown *metrics.Counter
 	// forwarded counts requests that were sent to another entry, received those that another
 	// entry forwarded to this one.
 	forwarded, received *metrics.Counter
@@ -104,7 +106,7 @@
 		}
 	}
 	m.limitedSends, m.backOffSends = counter("limited_sends"), counter("back_off_sends")
-	m.connectionsUsed = counter("connections_used")
+	m.connectionsUsed, m.outputsGrown = counter("connections_used"), counter("outputs_grown")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
 	m.partsRead, m.partsReadAgain = counter("shared_tokens_read"), counter("shared_tokens_read_again")
@@ -146,6 +148,7 @@
 	upstreams("upstreams_avoided", func(u *upstreamState, now time.Time) bool { return now.Before(u.health.ejectedUntil) })
 	gauge("slowest_reading_tokens_per_ms", func(s *state, _ time.Time) float64 { return s.slowestPrefill() })
 	gauge("largest_light_tokens", func(s *state, _ time.Time) float64 { return s.largestSmallSize() })
+	upstreams("upstreams_slow", s.slow)
 	upstreams("upstreams_cold", (*upstreamState).cold)
 	gauge("upstreams_unreached_percent", func(s *state, _ time.Time) float64 { return float64(s.unreached) })
 	gauge("upstreams_limited", func(s *state, _ time.Time) float64 { return float64(s.limitedCount()) })
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -44,8 +44,6 @@
 	// the time that another runner fetches it. The view of the caches is 100 to 300 ms old,
 	// and a cache turns over in two to three seconds.
 	evictionRisk = 0.1
-	// maxRank is the lowest rank that upstreams know.
-	maxRank = 9
 )
 
 // plan is one send and the load that it is accounted for until it ends.
@@ -59,8 +57,16 @@
 	// uncachedTokens is the number of tokens that the runner prefills unless it caches more than is
 	// known, 0 if work isn't counted in them.
 	uncachedTokens int
-	answerStarted  bool
-	released       bool
+	// output is the number of tokens of the answer that tokens includes, events the number of its
+	// events so far, the latest at eventAt.
+	output, events int
+	eventAt        time.Time
+	// slowdown is the factor by which work was predicted to take longer than usual. alone indicates
+	// that the answer waited behind no other request as far as the upstream states.
+	slowdown      float64
+	alone         bool
+	answerStarted bool
+	released      bool
 	// checked indicates that it is known, or being checked, whether the upstream has crashed.
 	checked bool
 	choice  placement.Choice
@@ -110,7 +116,7 @@
 	}
 	p := &plan{candidates: len(candidates)}
 	p.send = &Send{
-		Request: r.request, Team: r.teamName(), Rank: min(max(r.rank(), 0), maxRank), ResumeAfter: r.lastEvent,
+		Request: r.request, Team: r.teamName(), Rank: r.sendRank(), ResumeAfter: r.lastEvent,
 		Wait: r.deadline.Sub(now), Connections: s.connections(service), SameIncarnation: r.pinned && r.origin.Software != "", StatesStart: statesStart(service),
 	}
 	if r.request.Prompt != nil && service != nil && service.Engine != nil {
@@ -125,7 +131,7 @@
 	if !s.mayUse(p.upstream, r.need(s, service, p.tokens, p.choice.PrefillTokens), now) {
 		return nil, nil
 	}
-	p.sent = now
+	p.sent, p.slowdown = now, r.slowdownOf(s, p.upstream, now)
 	s.commit(p, now)
 	s.recordSent(p.upstream, now)
 	s.limits.RecordSent(p.upstream.record.ID, now)
@@ -181,7 +187,7 @@
 		if unreported != nil {
 			load += unreported[(start+i)%len(candidates)]
 		}
-		cost := load*r.gateway.options.Rates.SlotMs/float64(max(u.record.Slots, 1)) + milliseconds(r.penalty(u, now))
+		cost := r.loadCost(s, u, load, now) + milliseconds(r.penalty(u, now))
 		if !u.mayConnect(connections) || s.brittleness(r.service, now) > 0 && !s.mayUse(u, need{small: true}, now) {
 			cost += milliseconds(noCapacityCost)
 		}
@@ -205,7 +211,8 @@
 	if r.small() {
 		noCapacity = noCapacityCostSmall
 	}
-	needed := r.need(s, service, prompt.size(), prompt.lastPart())
+	p.output = r.expectedOutput(s)
+	needed := r.need(s, service, r.expectedSize(s), prompt.lastPart())
 	rates := s.ratesOf(service.Name, r.gateway.options.Rates)
 	prefilled := int(rates.PrefillPerMs * milliseconds(now.Sub(s.loadsAt)))
 	runners := make([]placement.Runner, len(candidates))
@@ -226,12 +233,14 @@
 			ID: u.record.ID, DataCentre: u.record.DataCentre, Slots: u.record.Slots, Memory: service.Engine.MemoryTokens,
 			Requests: u.own.Requests + u.others.Requests, Tokens: u.own.Tokens + u.others.Tokens,
 			PendingPrefill: u.own.Unread + max(u.others.Unread-prefilled, 0), HealthPenalty: extra, Full: full,
+			Slowdown: r.slowdownOf(s, u, now),
 		}
 	}
 	stores, addresses := s.storeList(s.withEvacuated(candidates), service.Engine, now)
 	// The choice assumes the newest version among the candidates; the version of the chosen
 	// runner decides what may be fetched.
 	view := s.describePrompt(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates, addresses, now)
+	view.prompt.Output = p.output
 	if r.gateway.options.Load.ExpectOthers {
 		r.expectOthers(s, &view.prompt, &rates, candidates, runners, now)
 	}
@@ -241,12 +250,13 @@
 	if has := r.versionOf(p.upstream); has != version {
 		version = has
 		view = s.describePrompt(prompt, salt(prompt.Model, version, r.team), service.Engine, candidates[at:at+1], addresses, now)
+		view.prompt.Output = p.output
 		choice, _ = placement.Choose(&rates, view.salt, &view.prompt, runners[at:at+1], stores)
 	}
 	p.choice = choice
 	p.unreported = runners[at].Unreported
 	p.fetchMs = fetchMs(&view.prompt, choice, stores)
-	p.tokens = view.prompt.Tokens() + prompt.Output
+	p.tokens = view.prompt.Tokens() + p.output
 	p.prefillTokens = choice.PrefillTokens
 	if r.gateway.options.Load.ExpectOthers {
 		// That the home runner may have got a part just now counts for the choice. As work it
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -11,6 +11,7 @@
 	"github.com/lovagereach/lovagereach/evacuation"
 	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/pace"
 	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/ratelimit"
 	"github.com/lovagereach/lovagereach/reach"
@@ -52,6 +53,8 @@
 	// connectionsUsedUntil is the time until which it gets no request because one found this
 	// entry's share of its connections in use.
 	connectionsUsedUntil time.Time
+	// pace is what it stated about the time that work takes, and what was measured.
+	pace pace.Upstream
 	// leaving indicates that the upstream has stated in an answer that it leaves.
 	leaving bool
 	// backOffFrom and backOffUntil are the time in which the upstream wants no requests from this
@@ -168,7 +171,9 @@
 	// initial prefill rate in tokens per millisecond.
 	learned    map[string]*learned
 	startPerMs float64
-	exchange   exchange
+	// hints corrects the hints for the length of outputs, by team.
+	hints    map[string]*estimate.OutputHints
+	exchange exchange
 	// usualWaits are the longest time limits of requests, by route.
 	usualWaits map[string]*estimate.Longest
 	// announceWithin is the time within which an upstream's next announcement is known to this
@@ -213,6 +218,7 @@
 		learned:    make(map[string]*learned),
 		startPerMs: startPerMs,
 		usualWaits: make(map[string]*estimate.Longest),
+		hints:      make(map[string]*estimate.OutputHints),
 
 		started:          make(chan struct{}),
 		inventoriesReady: make(chan struct{}),
