admit: one queue orders what waits, by teams and by what can be in time

Two lists decided the same: the controller's team queues and the entry's list of waiting requests, which knew no teams and no lateness.

Queue holds the order: in time before late, small before large, rank before rank, each with a share for what is behind, teams by start-time fair queueing within. It refuses what can't start in time by the rate of the pool.

--- a/admit/bench_test.go
+++ b/admit/bench_test.go
@@ -69,3 +69,44 @@
 		})
 	}
 }
+
+// crowded returns a queue in which some requests of 24 teams wait, half of them late.
+func crowded(waiting int) (*Queue, time.Time) {
+	q := NewQueue(QueueOptions{MaxQueued: 2 * waiting, MaxQueuedPerTeam: waiting})
+	q.SetRate(1)
+	for n := range waiting {
+		q.Offer(start, crowdedRequest(n))
+	}
+	return q, start.Add(time.Second)
+}
+
+var crowdedTeams = func() (names [24]ident.Team) {
+	for i := range names {
+		names[i] = ident.Team(fmt.Sprintf("team-%d", i))
+	}
+	return names
+}()
+
+func crowdedRequest(n int) Request {
+	return Request{
+		ID: requestID(n), Team: crowdedTeams[n%24], Rank: n % 3, Large: n%5 == 0, Cost: 1,
+		Target: start.Add(time.Duration(n%2)*2*time.Second + time.Duration(n%1000)*time.Microsecond), Deadline: start.Add(time.Hour),
+	}
+}
+
+// BenchmarkOfferWaiting measures the admission of one request to a queue, and the choice
+// of the next to be served.
+func BenchmarkOfferWaiting(b *testing.B) {
+	for _, waiting := range []int{200, 2000, 20000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			q, now := crowded(waiting)
+			n := waiting
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Offer(now, crowdedRequest(n))
+				q.Next(now, 1, fitsAny)
+				n++
+			}
+		})
+	}
+}
--- a/admit/controller.go
+++ b/admit/controller.go
@@ -14,19 +14,10 @@
 	options Options
 	limit   *Limit
 	shares  map[ident.Team]Share
-	teams   map[ident.Team]*team
-	byID    map[ident.Request]*item
-	// urgent and relaxed hold the team queues that contain a startable request of
-	// that kind, the next to be served first.
-	urgent, relaxed indexedHeap[*teamQueue]
-	// promotions orders queued relaxed requests by promoteAt, and expirations orders
-	// all queued requests by latestStart.
-	promotions, expirations indexedHeap[*timedItem]
-	// virtualTime is the largest start tag that was granted.
-	virtualTime    float64
+	// queue holds the queued requests; its byID also holds the running ones.
+	queue          *Queue
 	running        int
 	runningRelaxed int
-	queued         int
 	drain          drainRate
 	refused        map[outcome.Reason]uint64
 }
@@ -35,16 +26,13 @@
 func New(options Options) *Controller {
 	o := options.withDefaults()
 	return &Controller{
-		options:     o,
-		limit:       NewLimit(o.Limit),
-		shares:      make(map[ident.Team]Share),
-		teams:       make(map[ident.Team]*team),
-		byID:        make(map[ident.Request]*item),
-		urgent:      indexedHeap[*teamQueue]{less: teamQueueLess},
-		relaxed:     indexedHeap[*teamQueue]{less: teamQueueLess},
-		promotions:  indexedHeap[*timedItem]{less: timedItemLess},
-		expirations: indexedHeap[*timedItem]{less: timedItemLess},
-		refused:     make(map[outcome.Reason]uint64),
+		options: o,
+		limit:   NewLimit(o.Limit),
+		shares:  make(map[ident.Team]Share),
+		queue: NewQueue(QueueOptions{
+			MaxQueued: o.MaxQueued, MaxQueuedPerTeam: o.MaxQueuedPerTeam, MaxTeams: o.MaxTeams, MaxWait: o.MaxWait, Relaxed: o.Relaxed,
+		}),
+		refused: make(map[outcome.Reason]uint64),
 	}
 }
 
@@ -63,7 +51,7 @@
 		return fmt.Errorf("admit: guaranteed shares add up to %v of the pool", total)
 	}
 	c.shares = shares
-	for _, t := range c.teams {
+	for _, t := range c.queue.teams {
 		t.share = c.share(t.name)
 		c.reorder(t)
 	}
@@ -78,22 +66,46 @@
 	return s
 }
 
+// teamOf returns the state of the named team, creating it if needed, or nil if there
+// are already MaxTeams teams.
+func (c *Controller) teamOf(name ident.Team) *team {
+	if t := c.queue.teams[name]; t != nil {
+		return t
+	}
+	if len(c.queue.teams) >= c.options.MaxTeams {
+		return nil
+	}
+	t := c.queue.teamOf(name)
+	t.share = c.share(name)
+	return t
+}
+
+// reorder updates a team's place after a change of its counts or share.
+func (c *Controller) reorder(t *team) {
+	limit := float64(c.limit.Value())
+	t.belowGuaranteed = float64(t.running) < t.share.Guaranteed*limit
+	t.atMaximum = t.running > 0 && float64(t.running) >= t.share.Maximum*limit
+	c.queue.reorder(t)
+}
+
 // Offer requests a slot for req. It returns Granted with the grant, Refused with the
 // reason, or Queued, in which case a later call of Next grants or refuses the
 // request.
 func (c *Controller) Offer(now time.Time, req Request) (Verdict, Grant, *outcome.NotRun) {
-	if c.byID[req.ID] != nil {
+	c.queue.advance(now)
+	if c.queue.byID[req.ID] != nil {
 		return Refused, Grant{}, c.refuse(outcome.ReasonBadRequest, "request id is already in use", 0)
 	}
-	it := c.newItem(now, req)
+	it := c.queue.newItem(now, req)
 	if refusal := c.check(now, it); refusal != nil {
 		return Refused, Grant{}, refusal
 	}
 	t := c.teamOf(req.Team)
 	if t == nil {
-		return Refused, Grant{}, c.refuse(ReasonQueueFull, "too many teams at once", c.retryAfter(c.queued))
+		return Refused, Grant{}, c.refuse(ReasonQueueFull, "too many teams at once", c.retryAfter(c.queue.queued))
 	}
-	c.enqueue(now, t, it)
+	c.queue.push(now, t, it)
+	c.reorder(t)
 	if grant, ok := c.grantNext(now, it); ok {
 		return Granted, grant, nil
 	}
@@ -104,19 +116,19 @@
 // else nil.
 func (c *Controller) check(now time.Time, it *item) *outcome.NotRun {
 	ahead := 0
-	if t := c.teams[it.Team]; t != nil {
+	if t := c.queue.teams[it.Team]; t != nil {
 		ahead = t.queued
 	}
 	if ahead >= c.options.MaxQueuedPerTeam {
-		return c.refuse(outcome.ReasonTeamLimit, "the team's queue is full", c.retryAfter(ahead*len(c.teams)))
+		return c.refuse(outcome.ReasonTeamLimit, "the team's queue is full", c.retryAfter(ahead*len(c.queue.teams)))
 	}
-	if c.queued >= c.options.MaxQueued {
-		return c.refuse(ReasonQueueFull, "the pool's queues are full", c.retryAfter(c.queued))
+	if c.queue.queued >= c.options.MaxQueued {
+		return c.refuse(ReasonQueueFull, "the pool's queues are full", c.retryAfter(c.queue.queued))
 	}
 	if !now.Before(it.latestStart) {
-		return c.refuse(outcome.ReasonDeadline, "the predicted time to the first token passes the deadline", c.retryAfter(c.queued))
+		return c.refuse(outcome.ReasonDeadline, "the predicted time to the first token passes the deadline", c.retryAfter(c.queue.queued))
 	}
-	if it.relaxedAt(now) {
+	if it.lane.state() == relaxed {
 		return nil
 	}
 	if wait := c.predictedWait(it.Team); now.Add(wait).After(it.latestStart) {
@@ -130,13 +142,11 @@
 // returns.
 func (c *Controller) Next(now time.Time) ([]Grant, []Refusal) {
 	var refusals []Refusal
-	for !c.expirations.empty() && !now.Before(c.expirations.top().at) {
-		it := c.expirations.top().item
-		c.drop(it)
-		refusals = append(refusals, Refusal{ID: it.ID, NotRun: c.refuse(outcome.ReasonDeadline,
-			"no place became free in time", c.retryAfter(c.queued))})
+	for _, id := range c.queue.Expire(now) {
+		refusals = append(refusals, Refusal{ID: id, NotRun: c.refuse(outcome.ReasonDeadline,
+			"no place became free in time", c.retryAfter(c.queue.queued))})
 	}
-	c.promote(now)
+	c.queue.advance(now)
 	var grants []Grant
 	for {
 		grant, ok := c.grantNext(now, nil)
@@ -147,18 +157,78 @@
 	}
 }
 
+// grantNext starts the next request if a slot is free. If only is not nil, it starts
+// that request or none.
+func (c *Controller) grantNext(now time.Time, only *item) (Grant, bool) {
+	it := c.next()
+	if it == nil || only != nil && it != only {
+		return Grant{}, false
+	}
+	t := it.team
+	c.queue.charge(it)
+	c.queue.dequeue(it)
+	it.started = true
+	c.running++
+	if it.lane.state() == relaxed {
+		c.runningRelaxed++
+	}
+	t.running++
+	c.reorder(t)
+	return Grant{ID: it.ID, Priority: c.priority(now, it), Waited: now.Sub(it.offeredAt)}, true
+}
+
+// next returns the request that may start next, nil if none may.
+func (c *Controller) next() *item {
+	limit, open := c.limit.Value(), allLanes
+	if c.running >= limit {
+		return nil
+	}
+	if c.runningRelaxed >= max(1, int(c.options.RelaxedShare*float64(limit))) {
+		open &^= allLanes.ofState(relaxed)
+	}
+	l, found := c.queue.pick(open)
+	if !found {
+		return nil
+	}
+	return c.queue.lanes[l].teams.top().items.top()
+}
+
+// priority returns the time at which a request must start, in Unix milliseconds, so
+// that the values of all entries are comparable in an engine's queue. A request past
+// its target does not overtake those that can still meet theirs: under overload, pure
+// earliest-deadline-first would serve only requests that are late anyway.
+func (c *Controller) priority(now time.Time, it *item) int {
+	slack := it.Target.Sub(now) - it.Service
+	if slack < 0 {
+		slack = lateSlack
+	}
+	return int(now.Add(min(slack, maxSlack)).UnixMilli())
+}
+
+const (
+	// lateSlack is the slack as which a request past its target counts.
+	lateSlack = 100 * time.Millisecond
+	// maxSlack bounds the slack that counts in the priority.
+	maxSlack = time.Hour
+)
+
+func (c *Controller) refuse(reason outcome.Reason, detail string, retry time.Duration) *outcome.NotRun {
+	c.refused[reason]++
+	return &outcome.NotRun{Reason: reason, Detail: detail, RetryAfter: retry}
+}
+
 // Wake returns the time at which Next must be called even if nothing else happens;
 // the zero time means immediately. It returns false if no request is queued.
 func (c *Controller) Wake() (time.Time, bool) {
-	if c.nextQueue() != nil {
+	if c.next() != nil {
 		return time.Time{}, true
 	}
-	if c.expirations.empty() {
+	if c.queue.expirations.empty() {
 		return time.Time{}, false
 	}
-	at := c.expirations.top().at
-	if !c.promotions.empty() && c.promotions.top().at.Before(at) {
-		at = c.promotions.top().at
+	at := c.queue.expirations.top().at
+	if !c.queue.changes.empty() && c.queue.changes.top().at.Before(at) {
+		at = c.queue.changes.top().at
 	}
 	return at, true
 }
@@ -166,11 +236,11 @@
 // Cancel removes a queued request whose caller has disconnected. It reports whether
 // the request was still queued, in which case no part of it was sent.
 func (c *Controller) Cancel(id ident.Request) bool {
-	it := c.byID[id]
+	it := c.queue.byID[id]
 	if it == nil || it.started {
 		return false
 	}
-	c.drop(it)
+	c.queue.drop(it)
 	return true
 }
 
@@ -188,19 +258,19 @@
 // Done frees the slot of a started request. It returns false if the request holds no
 // slot, so that a repeated call frees nothing.
 func (c *Controller) Done(now time.Time, id ident.Request) bool {
-	it := c.byID[id]
+	it := c.queue.byID[id]
 	if it == nil || !it.started {
 		return false
 	}
-	delete(c.byID, id)
+	delete(c.queue.byID, id)
 	c.running--
-	if it.relaxed {
+	if it.lane.state() == relaxed {
 		c.runningRelaxed--
 	}
 	c.drain.observe(now)
 	it.team.running--
 	c.reorder(it.team)
-	c.release(it.team)
+	c.queue.release(it.team)
 	return true
 }
 
@@ -216,5 +286,5 @@
 	for reason, n := range c.refused {
 		refused[reason] = n
 	}
-	return Status{Limit: c.limit.Value(), Running: c.running, Queued: c.queued, Teams: len(c.teams), Refused: refused}
+	return Status{Limit: c.limit.Value(), Running: c.running, Queued: c.queue.queued, Teams: len(c.queue.teams), Refused: refused}
 }
--- a/admit/drain.go
+++ b/admit/drain.go
@@ -46,11 +46,11 @@
 		return 0
 	}
 	ahead := 1
-	if t := c.teams[name]; t != nil {
-		ahead += len(t.urgent.items.items)
+	if t := c.queue.teams[name]; t != nil {
+		ahead += t.urgent
 	}
-	turns := ahead * max(1, len(c.urgent.items))
-	return c.drain.wait(min(turns, c.queued+1))
+	turns := ahead * max(1, c.queue.urgentTeams)
+	return c.drain.wait(min(turns, c.queue.queued+1))
 }
 
 // Bounds of the retry time in a refusal.
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -1,257 +1,289 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
-// item is a queued or running request.
-type item struct {
-	Request
-	team      *team
-	offeredAt time.Time
-	// latestStart is the latest start that still meets the deadline, and promoteAt
-	// the time at which a relaxed request becomes urgent because its slack has run
-	// out.
-	latestStart, promoteAt time.Time
-	relaxed                bool
-	started                bool
-	at                     int // index in the heap of the teamQueue
-	expire, promote        timedItem
+// QueueOptions configures a Queue. A zero field takes its default.
+type QueueOptions struct {
+	// MaxQueued bounds the queued requests, MaxQueuedPerTeam those of one team.
+	MaxQueued, MaxQueuedPerTeam int
+	// MaxTeams bounds the teams with queued requests.
+	MaxTeams int
+	// MaxWait bounds the wait of a request without a deadline.
+	MaxWait time.Duration
+	// Relaxed is the slack above which a request waits behind all others.
+	Relaxed time.Duration
 }
 
-func (it *item) heapIndex() *int { return &it.at }
-
-// relaxedAt reports whether the request has slack at now.
-func (it *item) relaxedAt(now time.Time) bool { return now.Before(it.promoteAt) }
-
-func itemLess(a, b *item) bool {
-	if !a.Target.Equal(b.Target) {
-		return a.Target.Before(b.Target)
+func (o QueueOptions) withDefaults() QueueOptions {
+	all := Options{
+		MaxQueued: o.MaxQueued, MaxQueuedPerTeam: o.MaxQueuedPerTeam, MaxTeams: o.MaxTeams, MaxWait: o.MaxWait, Relaxed: o.Relaxed,
+	}.withDefaults()
+	return QueueOptions{
+		MaxQueued: all.MaxQueued, MaxQueuedPerTeam: all.MaxQueuedPerTeam, MaxTeams: all.MaxTeams, MaxWait: all.MaxWait, Relaxed: all.Relaxed,
 	}
-	return a.offeredAt.Before(b.offeredAt)
 }
 
-// timedItem is an item's entry in one of the heaps ordered by time.
-type timedItem struct {
-	item  *item
-	at    time.Time
-	index int
+// Queue orders the requests that wait for the capacity of one pool. Each operation
+// takes logarithmic time. It is not safe for concurrent use.
+type Queue struct {
+	options QueueOptions
+	weights map[ident.Team]float64
+	teams   map[ident.Team]*team
+	byID    map[ident.Request]*item
+	// lanes holds the lanes that have been used.
+	lanes [laneCount]*laneQueue
+	// occupied holds the lanes with a request that may be served.
+	occupied laneSet
+	credits  credits
+	// changes orders queued requests by the time of their next change of state,
+	// expirations all queued requests by latestStart.
+	changes, expirations indexedHeap[*timedItem]
+	// virtualTime is the largest start tag that was granted.
+	virtualTime float64
+	// queued is the number of queued requests, urgentTeams that of the teams with some
+	// that are not relaxed.
+	queued, urgentTeams int
+	// offered is the number of requests that were offered.
+	offered uint64
+	// work is the cost of all queued requests, weight the weight of their teams.
+	work, weight float64
+	// rate is the work that the pool does in a millisecond, 0 if unknown.
+	rate float64
 }
 
-func (t *timedItem) heapIndex() *int { return &t.index }
-
-func timedItemLess(a, b *timedItem) bool { return a.at.Before(b.at) }
-
-// teamQueue holds the queued requests of one team and one kind, urgent or relaxed.
-type teamQueue struct {
-	team  *team
-	items indexedHeap[*item]
-	at    int
+// NewQueue returns an empty queue in which all teams have equal weights.
+func NewQueue(options QueueOptions) *Queue {
+	return &Queue{
+		options:     options.withDefaults(),
+		teams:       make(map[ident.Team]*team),
+		byID:        make(map[ident.Request]*item),
+		changes:     indexedHeap[*timedItem]{less: timedItemLess},
+		expirations: indexedHeap[*timedItem]{less: timedItemLess},
+	}
 }
 
-func (q *teamQueue) heapIndex() *int { return &q.at }
+// SetWeights replaces the weights by which teams share the work; teams that it lacks
+// have weight 1. They apply to teams that begin to wait. The caller must not modify
+// the map afterwards.
+func (q *Queue) SetWeights(weights map[ident.Team]float64) { q.weights = weights }
 
-// teamQueueLess orders teams below their guaranteed share first, then by start tag.
-func teamQueueLess(a, b *teamQueue) bool {
-	if a.team.belowGuaranteed != b.team.belowGuaranteed {
-		return a.team.belowGuaranteed
-	}
-	if a.team.startTag != b.team.startTag {
-		return a.team.startTag < b.team.startTag
+func (q *Queue) weightOf(name ident.Team) float64 {
+	if w := q.weights[name]; w > 0 && !math.IsInf(w, 0) {
+		return w
 	}
-	return a.team.name < b.team.name
+	return 1
 }
 
-// team is the state of a team that has queued or running requests.
-type team struct {
-	name            ident.Team
-	share           Share
-	urgent, relaxed teamQueue
-	queued, running int
-	// startTag is the virtual time at which the team's next request starts.
-	startTag        float64
-	belowGuaranteed bool
-}
+// SetRate sets the work that the pool does in a millisecond; 0 if that is unknown, in
+// which case waits are not predicted.
+func (q *Queue) SetRate(perMs float64) { q.rate = perMs }
 
-// teamOf returns the state of the named team, creating it if needed, or nil if there
-// are already MaxTeams teams.
-func (c *Controller) teamOf(name ident.Team) *team {
-	if t := c.teams[name]; t != nil {
-		return t
+// Offer queues a request. It returns a refusal if the queue is full, the request can't
+// start in time, or its ID is in use.
+func (q *Queue) Offer(now time.Time, req Request) *outcome.NotRun {
+	q.advance(now)
+	if q.byID[req.ID] != nil {
+		return &outcome.NotRun{Reason: outcome.ReasonBadRequest, Detail: "request id is already in use"}
 	}
-	if len(c.teams) >= c.options.MaxTeams {
-		return nil
+	it := q.newItem(now, req)
+	if refusal := q.check(now, it); refusal != nil {
+		return refusal
 	}
-	t := &team{name: name, share: c.share(name), startTag: c.virtualTime}
-	t.urgent = teamQueue{team: t, items: indexedHeap[*item]{less: itemLess}, at: -1}
-	t.relaxed = teamQueue{team: t, items: indexedHeap[*item]{less: itemLess}, at: -1}
-	c.teams[name] = t
-	return t
+	q.push(now, q.teamOf(req.Team), it)
+	return nil
 }
 
-// release removes a team without queued or running requests. This discards a start
-// tag ahead of the virtual time, which returns to the team at most the work of one
-// request and keeps the map as small as the number of active teams.
-func (c *Controller) release(t *team) {
-	if t.queued == 0 && t.running == 0 {
-		delete(c.teams, t.name)
+// check returns a refusal if the request can't be queued or can't start in time.
+func (q *Queue) check(now time.Time, it *item) *outcome.NotRun {
+	t := q.teams[it.Team]
+	refuse := func(reason outcome.Reason, detail string) *outcome.NotRun {
+		return &outcome.NotRun{Reason: reason, Detail: detail, RetryAfter: q.retryAfter(now, it)}
 	}
-}
-
-func (c *Controller) newItem(now time.Time, req Request) *item {
-	req.Cost = max(req.Cost, 1)
-	deadline := req.Deadline
-	if deadline.IsZero() {
-		deadline = now.Add(c.options.MaxWait + req.Service)
+	switch {
+	case t != nil && t.queued >= q.options.MaxQueuedPerTeam:
+		return refuse(outcome.ReasonTeamLimit, "the team's queue is full")
+	case q.queued >= q.options.MaxQueued, t == nil && len(q.teams) >= q.options.MaxTeams:
+		return refuse(ReasonQueueFull, "the pool's queue is full")
+	case !now.Before(it.latestStart):
+		return refuse(outcome.ReasonDeadline, "the predicted time to the first token passes the deadline")
+	case now.Add(q.predictedWait(it)).After(it.latestStart):
+		return refuse(outcome.ReasonDeadline, "the queue is longer than the deadline allows")
 	}
-	it := &item{Request: req, offeredAt: now, at: -1}
-	it.latestStart = deadline.Add(-req.Service)
-	it.promoteAt = req.Target.Add(-req.Service - c.options.Relaxed)
-	it.relaxed = it.relaxedAt(now)
-	it.expire = timedItem{item: it, at: it.latestStart, index: -1}
-	it.promote = timedItem{item: it, at: it.promoteAt, index: -1}
-	return it
+	return nil
 }
 
-func (c *Controller) enqueue(now time.Time, t *team, it *item) {
-	it.team = t
-	c.byID[it.ID] = it
-	if t.queued == 0 && t.startTag < c.virtualTime {
-		// An idle team accumulates no credit: otherwise it could occupy the pool for
-		// as long as it was idle.
-		t.startTag = c.virtualTime
+// predictedWait returns the least time until a new request is served: until the work
+// that precedes it is done or, if that is sooner, the work of its team at the team's
+// share.
+func (q *Queue) predictedWait(it *item) time.Duration {
+	ahead := 0.0
+	for _, l := range q.lanes[:it.lane+1] {
+		if l != nil {
+			ahead += l.work
+		}
 	}
-	t.queued++
-	c.queued++
-	c.expirations.push(&it.expire)
-	if it.relaxed {
-		c.promotions.push(&it.promote)
-		t.relaxed.items.push(it)
+	weight, share, own := q.weightOf(it.Team), q.weight, 0.0
+	if t := q.teams[it.Team]; t != nil && t.queued > 0 {
+		own = t.work
 	} else {
-		t.urgent.items.push(it)
+		share += weight
 	}
-	c.reorder(t)
+	return q.duration(min(ahead, own*share/weight))
 }
 
-// promote moves the relaxed requests whose slack has run out to their team's urgent
-// queue.
-func (c *Controller) promote(now time.Time) {
-	for !c.promotions.empty() && !now.Before(c.promotions.top().at) {
-		it := c.promotions.top().item
-		c.promotions.remove(&it.promote)
-		it.team.relaxed.items.remove(it)
-		it.relaxed = false
-		it.team.urgent.items.push(it)
-		c.reorder(it.team)
+// retryAfter returns when the caller of a refused request should come back: after the
+// backlog, while enough of its time is left.
+func (q *Queue) retryAfter(now time.Time, it *item) time.Duration {
+	after := max(q.duration(q.work), minRetryAfter)
+	if !it.Deadline.IsZero() {
+		after = min(after, max(it.Deadline.Sub(now)/retryAfterDivisor, 0))
 	}
+	return after
 }
 
-// drop removes a queued request permanently.
-func (c *Controller) drop(it *item) {
-	c.dequeue(it)
-	delete(c.byID, it.ID)
-	c.release(it.team)
+// retryAfterDivisor is the part of its remaining time after which a refused caller comes
+// back at the latest.
+const retryAfterDivisor = 3
+
+// duration returns the time that the pool takes for some work, 0 if its rate is
+// unknown.
+func (q *Queue) duration(work float64) time.Duration {
+	if q.rate <= 0 {
+		return 0
+	}
+	return time.Duration(work / q.rate * float64(time.Millisecond))
 }
 
-func (c *Controller) dequeue(it *item) {
-	t := it.team
-	if it.relaxed {
-		t.relaxed.items.remove(it)
-	} else {
-		t.urgent.items.remove(it)
+// Next removes and returns the first request, in the order of service, of those that
+// fit; it considers at most the first depth ones. Requests that don't fit keep their
+// places.
+func (q *Queue) Next(now time.Time, depth int, fits func(ident.Request) bool) (ident.Request, bool) {
+	q.advance(now)
+	var passed []passedItem
+	var before snapshot
+	for range depth {
+		l, found := q.pick(allLanes)
+		if !found {
+			break
+		}
+		it := q.lanes[l].teams.top().items.top()
+		if fits(it.ID) {
+			q.restore(passed, before)
+			q.serve(it)
+			return it.ID, true
+		}
+		// The rest are considered as if the request had been served, so that they come
+		// in the order in which they would be served with more capacity.
+		if passed == nil {
+			before = q.snapshot()
+		}
+		passed = append(passed, passedItem{it, it.team.startTag})
+		q.charge(it)
+		q.remove(it)
 	}
-	c.expirations.remove(&it.expire)
-	c.promotions.remove(&it.promote)
-	t.queued--
-	c.queued--
-	c.reorder(t)
+	q.restore(passed, before)
+	return ident.Request{}, false
 }
 
-// reorder updates the position of a team's queues in the heaps after a change of its
-// counts or share. A team at its maximum share is in neither heap.
-func (c *Controller) reorder(t *team) {
-	limit := float64(c.limit.Value())
-	t.belowGuaranteed = float64(t.running) < t.share.Guaranteed*limit
-	atMaximum := t.running > 0 && float64(t.running) >= t.share.Maximum*limit
-	reorderQueue(&c.urgent, &t.urgent, atMaximum)
-	reorderQueue(&c.relaxed, &t.relaxed, atMaximum)
+// passedItem is a request that didn't fit, with the start tag that its team had.
+type passedItem struct {
+	*item
+	startTag float64
 }
 
-func reorderQueue(h *indexedHeap[*teamQueue], q *teamQueue, atMaximum bool) {
-	eligible := !q.items.empty() && !atMaximum
-	switch {
-	case eligible && q.at < 0:
-		h.push(q)
-	case eligible:
-		h.fix(q)
-	default:
-		h.remove(q)
+// snapshot is what charges change besides the start tags.
+type snapshot struct {
+	credits     credits
+	ranks       [laneCount]float64
+	virtualTime float64
+}
+
+func (q *Queue) snapshot() snapshot {
+	s := snapshot{credits: q.credits, virtualTime: q.virtualTime}
+	for at, l := range q.lanes {
+		if l != nil {
+			s.ranks[at] = l.credit
+		}
 	}
+	return s
 }
 
-// grantNext starts the next request if a slot is free. If only is not nil, it starts
-// that request or none.
-func (c *Controller) grantNext(now time.Time, only *item) (Grant, bool) {
-	q := c.nextQueue()
-	if q == nil {
-		return Grant{}, false
+// restore returns the requests that didn't fit to their places.
+func (q *Queue) restore(passed []passedItem, before snapshot) {
+	for i := len(passed) - 1; i >= 0; i-- {
+		p := passed[i]
+		p.team.startTag = p.startTag
+		q.add(p.item)
 	}
-	it := q.items.top()
-	if only != nil && it != only {
-		return Grant{}, false
+	if len(passed) == 0 {
+		return
 	}
-	t := it.team
-	c.dequeue(it)
-	it.started = true
-	c.running++
-	if it.relaxed {
-		c.runningRelaxed++
+	q.credits, q.virtualTime = before.credits, before.virtualTime
+	for at, l := range q.lanes {
+		if l != nil {
+			l.credit = before.ranks[at]
+		}
 	}
-	t.running++
-	c.virtualTime = max(c.virtualTime, t.startTag)
-	t.startTag += it.Cost
-	c.reorder(t)
-	return Grant{ID: it.ID, Priority: c.priority(now, it), Waited: now.Sub(it.offeredAt)}, true
 }
 
-func (c *Controller) nextQueue() *teamQueue {
-	limit := c.limit.Value()
-	if c.running >= limit {
-		return nil
+// Take removes a request that is served out of its turn. It reports whether the request
+// was queued.
+func (q *Queue) Take(id ident.Request) bool {
+	it := q.byID[id]
+	if it == nil {
+		return false
 	}
-	if !c.urgent.empty() {
-		return c.urgent.top()
+	q.serve(it)
+	return true
+}
+
+// Remove removes a request that is not served. It reports whether the request was
+// queued.
+func (q *Queue) Remove(id ident.Request) bool {
+	it := q.byID[id]
+	if it == nil {
+		return false
 	}
-	relaxedLimit := max(1, int(c.options.RelaxedShare*float64(limit)))
-	if !c.relaxed.empty() && c.runningRelaxed < relaxedLimit {
-		return c.relaxed.top()
+	q.drop(it)
+	return true
+}
+
+// Expire removes and returns the requests that can no longer start in time.
+func (q *Queue) Expire(now time.Time) []ident.Request {
+	var expired []ident.Request
+	for it := q.expired(now); it != nil; it = q.expired(now) {
+		q.drop(it)
+		expired = append(expired, it.ID)
 	}
-	return nil
+	return expired
 }
 
-// priority returns the time at which a request must start, in Unix milliseconds, so
-// that the values of all entries are comparable in an engine's queue. A request past
-// its target does not overtake those that can still meet theirs: under overload, pure
-// earliest-deadline-first would serve only requests that are late anyway.
-func (c *Controller) priority(now time.Time, it *item) int {
-	slack := it.Target.Sub(now) - it.Service
-	if slack < 0 {
-		slack = lateSlack
+// QueueStatus counts the queued requests.
+type QueueStatus struct{ InTime, Late, Relaxed, Teams int }
+
+// Status returns the counts as of now.
+func (q *Queue) Status(now time.Time) QueueStatus {
+	q.advance(now)
+	var n [states]int
+	for at, l := range q.lanes {
+		if l != nil {
+			n[lane(at).state()] += l.items
+		}
 	}
-	return int(now.Add(min(slack, maxSlack)).UnixMilli())
+	return QueueStatus{InTime: n[inTime], Late: n[late], Relaxed: n[relaxed], Teams: len(q.teams)}
 }
 
-const (
-	// lateSlack is the slack as which a request past its target counts.
-	lateSlack = 100 * time.Millisecond
-	// maxSlack bounds the slack that counts in the priority.
-	maxSlack = time.Hour
-)
+// Len returns the number of queued requests.
+func (q *Queue) Len() int { return q.queued }
 
-func (c *Controller) refuse(reason outcome.Reason, detail string, retry time.Duration) *outcome.NotRun {
-	c.refused[reason]++
-	return &outcome.NotRun{Reason: reason, Detail: detail, RetryAfter: retry}
+// IsLate reports whether a queued request has passed its target.
+func (q *Queue) IsLate(id ident.Request) bool {
+	it := q.byID[id]
+	return it != nil && it.lane.state() == late
 }
--- a/admit/types.go
+++ b/admit/types.go
@@ -3,12 +3,17 @@
 //
 // A Controller admits requests to one pool: the upstreams of one model, or one plain
 // service, as far as this daemon sends to them. Requests that cannot start
-// immediately wait in bounded queues, one per team. Teams share the pool by
-// start-time fair queueing over the requested work, within guaranteed and maximum
-// shares of the pool; within a team the request that must start soonest goes first.
-// Requests with slack wait behind those without until their own slack runs out. A
-// request that cannot start in time is refused as soon as that is known, and a
-// refusal guarantees that no part of the request was sent.
+// immediately wait in a Queue, which other callers of the package use by itself.
+//
+// A Queue serves what can still be in time before what is late already, small
+// requests before large ones, and higher ranks before lower ones. Each of these
+// precedences leaves a share of the work to what is behind, so that nothing starves.
+// Within them, teams share the pool by start-time fair queueing over the requested
+// work, within the pool's guaranteed and maximum shares; within a team the request
+// that must start soonest goes first. Requests with slack wait behind all others
+// until their own slack runs out. A request that cannot start in time is refused as
+// soon as that is known, and a refusal guarantees that no part of the request was
+// sent.
 package admit
 
 import (
@@ -23,18 +28,29 @@
 	ID    ident.Request
 	Team  ident.Team
 	Class ident.Class
+	// Rank is the request's priority from 0, the highest, to MaxRank.
+	Rank int
+	// Large marks a request whose work delays many small ones.
+	Large bool
 	// Cost is the requested work, in a unit that all teams of the pool share, for
 	// example tokens to compute. Values below 1 count as 1.
 	Cost float64
-	// Target is the time by which the class target requires the first token.
+	// Target is the time by which the class target requires the first token. Zero means
+	// that the request is never late.
 	Target time.Time
 	// Deadline is the time after which the first token is useless. Zero means MaxWait
 	// plus Service after the offer.
 	Deadline time.Time
 	// Service is the predicted time from the start to the first token.
 	Service time.Duration
+	// WaitUntil is the latest start if it is before the one that the deadline allows;
+	// zero means that only the deadline bounds the wait.
+	WaitUntil time.Time
 }
 
+// MaxRank is the lowest rank; requests of lower ones count as of this rank.
+const MaxRank = 9
+
 // Share is the share of a pool that is guaranteed to a team and the maximum share
 // that the team may use, as fractions of the pool's limit. A zero Maximum means 1.
 type Share struct {
