--- a/admit/drain.go
+++ b/admit/drain.go
@@ -64,3 +64,38 @@
 func (c *Controller) retryAfter(n int) time.Duration {
 	return min(max(c.drain.wait(n), minRetryAfter), maxRetryAfter)
 }
+
+// pace is the smoothed work that is served in a millisecond while requests wait.
+type pace struct {
+	// assumed is the pace before any is observed.
+	assumed float64
+	// work and gap are the smoothed cost of a request that was served and the time since
+	// the one before, in milliseconds.
+	work, gap float64
+	last      time.Time
+}
+
+// paceGain is the weight of one request in the smoothed pace.
+const paceGain = 0.1
+
+// served records that a request was served. The time before last, when none waited, does
+// not count.
+func (p *pace) served(now time.Time, cost float64) {
+	gap := float64(now.Sub(p.last)) / float64(time.Millisecond)
+	p.last = now
+	if p.work == 0 {
+		if p.assumed <= 0 {
+			return
+		}
+		p.work, p.gap = cost, cost/p.assumed
+	}
+	p.work += paceGain * (cost - p.work)
+	p.gap += paceGain * (gap - p.gap)
+}
+
+func (p *pace) perMs() float64 {
+	if p.work == 0 || p.gap <= 0 {
+		return p.assumed
+	}
+	return p.work / p.gap
+}
--- a/admit/item.go
+++ b/admit/item.go
@@ -150,6 +150,9 @@
 }
 
 func (q *Queue) push(now time.Time, t *team, it *item) {
+	if q.queued == 0 {
+		q.pace.last = now
+	}
 	it.team = t
 	q.byID[it.ID] = it
 	if t.queued == 0 && t.startTag < q.virtualTime {
@@ -236,7 +239,10 @@
 }
 
 // serve removes a request that starts.
-func (q *Queue) serve(it *item) {
+func (q *Queue) serve(now time.Time, it *item) {
+	if q.queued > 1 || !it.offeredAt.Equal(now) {
+		q.pace.served(now, it.Cost)
+	}
 	q.charge(it)
 	q.drop(it)
 }
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -53,8 +53,7 @@
 	offered uint64
 	// work is the cost of all queued requests, weight the weight of their teams.
 	work, weight float64
-	// rate is the work that the pool does in a millisecond, 0 if unknown.
-	rate float64
+	pace         pace
 }
 
 // NewQueue returns an empty queue in which all teams have equal weights.
@@ -80,9 +79,9 @@
 	return 1
 }
 
-// SetRate sets the work that the pool does in a millisecond; 0 if that is unknown, in
-// which case waits are not predicted.
-func (q *Queue) SetRate(perMs float64) { q.rate = perMs }
+// SetRate sets the work that the pool is assumed to do in a millisecond until its pace
+// is known, 0 if that is unknown; waits are predicted from either.
+func (q *Queue) SetRate(perMs float64) { q.pace.assumed = perMs }
 
 // Offer queues a request. It returns a refusal if the queue is full, the request can't
 // start in time, or its ID is in use.
@@ -103,7 +102,7 @@
 func (q *Queue) check(now time.Time, it *item) *outcome.NotRun {
 	t := q.teams[it.Team]
 	refuse := func(reason outcome.Reason, detail string) *outcome.NotRun {
-		return &outcome.NotRun{Reason: reason, Detail: detail, RetryAfter: q.retryAfter(now, it)}
+		return &outcome.NotRun{Reason: reason, Detail: detail, RetryAfter: q.RetryAfter(now, it.Deadline)}
 	}
 	switch {
 	case t != nil && t.queued >= q.options.MaxQueuedPerTeam:
@@ -137,12 +136,33 @@
 	return q.duration(min(ahead, own*share/weight))
 }
 
-// retryAfter returns when the caller of a refused request should come back: after the
-// backlog, while enough of its time is left.
-func (q *Queue) retryAfter(now time.Time, it *item) time.Duration {
+// CanWait reports whether a queued request is still expected to start before its latest
+// start. While requests that can be in time wait too, late ones are served from a share.
+func (q *Queue) CanWait(now time.Time, id ident.Request) bool {
+	q.advance(now)
+	it := q.byID[id]
+	if it == nil {
+		return false
+	}
+	ahead := 0.0
+	for l := laneOf(it.lane.state(), false, 0); l <= it.lane; l++ {
+		if q.lanes[l] != nil {
+			ahead += q.lanes[l].work
+		}
+	}
+	work := min(ahead, it.team.work*q.weight/it.team.weight) - it.Cost
+	if it.lane.state() == late && q.occupied.ofState(inTime) != 0 {
+		work *= (1 + lateShare) / lateShare
+	}
+	return !now.Add(q.duration(work)).After(it.latestStart)
+}
+
+// RetryAfter returns the time after which the caller of a refused request should come
+// back: after the backlog, while enough of the time to its deadline is left.
+func (q *Queue) RetryAfter(now, deadline time.Time) time.Duration {
 	after := max(q.duration(q.work), minRetryAfter)
-	if !it.Deadline.IsZero() {
-		after = min(after, max(it.Deadline.Sub(now)/retryAfterDivisor, 0))
+	if !deadline.IsZero() {
+		after = min(after, max(deadline.Sub(now)/retryAfterDivisor, 0))
 	}
 	return after
 }
@@ -151,13 +171,27 @@
 // back at the latest.
 const retryAfterDivisor = 3
 
-// duration returns the time that the pool takes for some work, 0 if its rate is
+// duration returns the time that the pool takes for some work, 0 if its pace is
 // unknown.
 func (q *Queue) duration(work float64) time.Duration {
-	if q.rate <= 0 {
+	perMs := q.pace.perMs()
+	if perMs <= 0 {
 		return 0
 	}
-	return time.Duration(work / q.rate * float64(time.Millisecond))
+	return time.Duration(work / perMs * float64(time.Millisecond))
+}
+
+// Ahead returns the number of queued requests that precede a new one by state, size and
+// rank, or equal it in them.
+func (q *Queue) Ahead(now time.Time, req Request) int {
+	q.advance(now)
+	ahead := 0
+	for _, l := range q.lanes[:q.newItem(now, req).lane+1] {
+		if l != nil {
+			ahead += l.items
+		}
+	}
+	return ahead
 }
 
 // Next removes and returns the first request, in the order of service, of those that
@@ -175,7 +209,7 @@
 		it := q.lanes[l].teams.top().items.top()
 		if fits(it.ID) {
 			q.restore(passed, before)
-			q.serve(it)
+			q.serve(now, it)
 			return it.ID, true
 		}
 		// The rest are considered as if the request had been served, so that they come
@@ -234,12 +268,12 @@
 
 // Take removes a request that is served out of its turn. It reports whether the request
 // was queued.
-func (q *Queue) Take(id ident.Request) bool {
+func (q *Queue) Take(now time.Time, id ident.Request) bool {
 	it := q.byID[id]
 	if it == nil {
 		return false
 	}
-	q.serve(it)
+	q.serve(now, it)
 	return true
 }
 
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -95,6 +95,7 @@
 		s.prefillDone(p)
 		now := time.Now()
 		s.observePrefill(p, now)
+		s.firstOf(r).observe(now.Sub(p.sent))
 		r.gateway.observeFetches(p, now)
 		s.dispatchTo(p.upstream, now)
 	}
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/quarantine"
 )
@@ -83,6 +84,8 @@
 	// granted receives the plan once an upstream has capacity, or nil if the request was
 	// quarantined.
 	granted chan *plan
+	// id identifies it in the queue of its service, if it is in one.
+	id ident.Request
 	// need is the least capacity that it takes, plannedAt the time of the latest choice of an
 	// upstream for it.
 	need      need
@@ -183,33 +186,36 @@
 	s := r.gateway.state
 	s.mu.Lock()
 	now := time.Now()
-	p, err := r.tryPlan(now)
-	if p != nil || err != nil {
-		s.mu.Unlock()
-		return p, err
+	p, w, err := r.enter(s, now)
+	if w != nil {
+		s.dispatchAt(r.dueAt, now)
 	}
-	if len(s.waiting) >= maxWaiting || !s.mayWait(r) || r.cannotWait(s, now) {
-		after := r.retryAfter(s, now)
-		s.mu.Unlock()
-		return nil, r.refusal(outcome.ReasonOverloaded, after, "too many requests wait for an upstream with room")
-	}
-	w := &waiter{run: r, granted: make(chan *plan, 1), need: r.leastNeed(s), plannedAt: now}
-	s.enqueue(w)
-	s.dispatchAt(r.dueAt, now)
 	s.mu.Unlock()
+	if w == nil {
+		return p, err
+	}
 
 	timer := time.NewTimer(r.longestWait(s.waitLimits, now))
 	defer timer.Stop()
-	select {
-	case p := <-w.granted:
-		r.waited += time.Since(now)
-		if p == nil {
-			return nil, cmp.Or(r.quarantineError(), quarantine.ErrQuarantined)
+	for waits := true; waits; {
+		select {
+		case p := <-w.granted:
+			r.waited += time.Since(now)
+			if p == nil {
+				return nil, cmp.Or(r.quarantineError(), quarantine.ErrQuarantined)
+			}
+			return p, nil
+		case <-timer.C:
+			s.mu.Lock()
+			longer := s.mayWaitOn(w, time.Now())
+			s.mu.Unlock()
+			if waits = longer > 0; waits {
+				timer.Reset(longer)
+			}
+		case <-ctx.Done():
+			err = &outcome.NotRun{Reason: outcome.ReasonCallerGone, Detail: "the caller left while the request waited"}
+			waits = false
 		}
-		return p, nil
-	case <-timer.C:
-	case <-ctx.Done():
-		err = &outcome.NotRun{Reason: outcome.ReasonCallerGone, Detail: "the caller left while the request waited"}
 	}
 	r.waited += time.Since(now)
 	s.mu.Lock()
@@ -229,13 +235,32 @@
 	return nil, err
 }
 
+// enter returns a plan if an upstream has capacity, else the waiter, or the refusal if the request
+// may not wait. The caller holds the lock.
+func (r *run) enter(s *state, now time.Time) (*plan, *waiter, error) {
+	if s.shares != nil {
+		return r.enterQueue(s, now)
+	}
+	p, err := r.tryPlan(now)
+	if p != nil || err != nil {
+		return p, nil, err
+	}
+	if len(s.waiting) >= maxWaiting || !s.mayWait(r) || r.cannotWait(s, now) {
+		return nil, nil, r.refusal(outcome.ReasonOverloaded, r.retryAfter(s, now), "too many requests wait for an upstream with room")
+	}
+	w := &waiter{run: r, granted: make(chan *plan, 1), need: r.leastNeed(s), plannedAt: now}
+	s.enqueue(w)
+	return nil, w, nil
+}
+
 // retryAfter returns the time after which the caller of a request that found no capacity
 // should retry. The caller of retryAfter holds the lock.
 func (r *run) retryAfter(s *state, now time.Time) time.Duration {
 	longest := min(time.Duration(retryAfterShare*float64(r.deadline.Sub(now))), maxRetryAfter)
 	// A caller with less time comes at another entry, which upstreams may have asked to back off
 	// for less, and not all callers at the same moment.
-	least := max(defaultRetryAfter, min(r.backedOffFor(s, now), time.Duration(backOffRetryShare*float64(longest))))
+	busy := max(r.backedOffFor(s, now), s.backlog(r, now))
+	least := max(defaultRetryAfter, min(busy, time.Duration(backOffRetryShare*float64(longest))))
 	return s.retriesOf(r).RetryAfter(now, least, longest, rand.Float64())
 }
 
@@ -245,6 +270,10 @@
 	if r.small() {
 		share = waitTargetShareSmall
 	}
+	if r.gateway.state.shares != nil {
+		// Requests past their target wait behind the others, and delay none of them.
+		return min(time.Duration(waitShare*float64(r.deadline.Sub(now))), cmp.Or(p.longest, r.deadline.Sub(now)))
+	}
 	longest := time.Duration(share * float64(r.route.Target))
 	longest = cmp.Or(p.longest, longest)
 	return min(time.Duration(waitShare*float64(r.deadline.Sub(now))), longest)
@@ -265,7 +294,15 @@
 // isRetry reports whether the request has been refused or cut off before, judging by the time
 // that its caller has left.
 func (r *run) isRetry() bool {
-	return float64(r.deadline.Sub(r.request.Arrived)) < firstAttemptShare*float64(r.usualWait)
+	if r.gateway.state.shares != nil && r.statesRetry() {
+		return true
+	}
+	wait := r.deadline.Sub(r.request.Arrived)
+	if r.gateway.state.shares != nil {
+		// A request that an entry forwarded has less time than its attempt had.
+		wait += r.request.UnderWay
+	}
+	return float64(wait) < firstAttemptShare*float64(r.usualWait)
 }
 
 // enqueue inserts a request behind those of the same precedence.
@@ -301,6 +338,10 @@
 }
 
 func (s *state) dequeue(w *waiter) {
+	if s.shares != nil {
+		s.shares.remove(w)
+		return
+	}
 	if at := slices.Index(s.waiting, w); at >= 0 {
 		s.waiting = slices.Delete(s.waiting, at, at+1)
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -40,6 +40,10 @@
 
 // dispatchWhere chooses upstreams for the waiting requests that may find capacity.
 func (s *state) dispatchWhere(now time.Time, mayFit func(w *waiter) bool) {
+	if s.shares != nil {
+		s.dispatchAt(s.shares.dispatch(now, mayFit), now)
+		return
+	}
 	if len(s.waiting) == 0 {
 		return
 	}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -94,7 +94,7 @@
 	defer s.mu.Unlock()
 	d := Dump{
 		Config: s.version(), Term: s.term, ViewAge: now.Sub(s.inventoriesAt), Complete: s.caches.Complete(),
-		Entries: s.entries, Waiting: len(s.waiting), Open: g.open.Load(), Leaving: g.leaving.Load(), Unreached: s.unreached, Weights: maps.Clone(s.weights),
+		Entries: s.entries, Waiting: s.waitingCount(), Open: g.open.Load(), Leaving: g.leaving.Load(), Unreached: s.unreached, Weights: maps.Clone(s.weights),
 	}
 	for p := range s.verdicts.quarantined {
 		d.Quarantined = append(d.Quarantined, p.String())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,9 @@
 		g.state.clockNow, g.state.versions = options.Clock, resumption.NewVersions(options.Clock())
 	}
 	g.state.budgets.limits = options.Budget
+	if options.Load.TeamShares {
+		g.state.shares = newShareQueues()
+	}
 	if options.AnnounceEvery > 0 {
 		g.state.announceWithin = options.AnnounceEvery + announceDelay
 		g.state.restartKnownWithin = restartIntervals*options.AnnounceEvery + announceDelay
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -21,6 +21,8 @@
 	retries, smallRetries retry.Schedule
 	// brittle is what the service's upstreams stated about refusals.
 	brittle brittle
+	// first is the time until the answers to large prompts begin, smallFirst that of all others.
+	first, smallFirst firstTime
 }
 
 // retriesOf returns the retry schedule for the request's caller.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -113,13 +113,21 @@
 	if upstreams == 0 {
 		return false
 	}
+	return float64(s.ahead(r, now)) > perSecond*longest.Seconds()
+}
+
+// ahead counts the requests for the service that are served before r, with r itself.
+func (s *state) ahead(r *run, now time.Time) int {
+	if s.shares != nil {
+		return s.queue(r.service).Ahead(now, r.offer(s, s.shares.nextID(), now))
+	}
 	ahead := 1
 	for _, w := range s.waiting {
 		if w.run.service == r.service && !r.precedes(w.run) {
 			ahead++
 		}
 	}
-	return float64(ahead) > perSecond*longest.Seconds()
+	return ahead
 }
 
 // namedLimit returns the requests a second of a limit, nil if there is none.
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/lovagereach/lovagereach/admit"
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/outcome"
 )
@@ -32,6 +33,10 @@
 	// choices counts choices of an upstream, also those that found no capacity. Each takes some
 	// 100 us of processor time.
 	choices *metrics.Counter
+	// certainRefusals counts requests that were refused at once because they could not be served
+	// in the time that they may wait, lateGrants requests past their targets that were sent after
+	// a wait.
+	certainRefusals, lateGrants *metrics.Counter
 	// budgetRefusals counts retries that the shared budget didn't allow.
 	budgetRefusals *metrics.Counter
 	// limitedSends counts sends to upstreams that name a limit.
@@ -77,6 +82,7 @@
 	}
 	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_gateway_" + part + "_total") }
 	m.late, m.sends, m.retried, m.choices = counter("late"), counter("sends"), counter("sent_again"), counter("choices")
+	m.certainRefusals, m.lateGrants = counter("certain_refusals"), counter("late_grants")
 	m.resumed, m.budgetRefusals = counter("resumed"), counter("budget_refusals")
 	m.continued = make(map[continuation]*metrics.Counter)
 	for _, by := range []string{byEntry, byCaller} {
@@ -101,7 +107,18 @@
 		})
 	}
 	m.set.NewGauge("lovagereach_gateway_open_requests", open)
-	gauge("waiting_requests", func(s *state, _ time.Time) float64 { return float64(len(s.waiting)) })
+	gauge("waiting_requests", func(s *state, _ time.Time) float64 { return float64(s.waitingCount()) })
+	waiting := func(name string, count func(admit.QueueStatus) int) {
+		gauge(fmt.Sprintf(`queued_requests{state=%q}`, name), func(s *state, now time.Time) float64 {
+			if s.shares == nil {
+				return 0
+			}
+			return float64(count(s.shares.status(now)))
+		})
+	}
+	waiting("in-time", func(n admit.QueueStatus) int { return n.InTime })
+	waiting("late", func(n admit.QueueStatus) int { return n.Late })
+	waiting("relaxed", func(n admit.QueueStatus) int { return n.Relaxed })
 	gauge("config_version", func(s *state, _ time.Time) float64 { return float64(s.version()) })
 	gauge("entries", func(s *state, _ time.Time) float64 { return float64(s.entries) })
 	gauge("upstreams", func(s *state, _ time.Time) float64 { return float64(len(s.upstreams)) })
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -55,13 +55,22 @@
 // releaseQuarantined ends the wait of requests that were quarantined while they waited for
 // capacity. The caller holds the lock.
 func (s *state) releaseQuarantined() {
-	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool {
+	release := func(w *waiter) bool {
 		quarantined := s.verdicts.quarantined[w.run.fingerprint] || w.run.hasQuarantinedPart()
 		if quarantined {
 			w.granted <- nil
 		}
 		return quarantined
-	})
+	}
+	if s.shares != nil {
+		for _, w := range s.shares.waiters {
+			if release(w) {
+				s.shares.remove(w)
+			}
+		}
+		return
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, release)
 }
 
 // recordServed records that the request was served completely.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -153,7 +153,9 @@
 	// a crash.
 	served quarantine.Served
 	// waiting holds the requests that wait for capacity, in the order of dispatch.
-	waiting    []*waiter
+	waiting []*waiter
+	// shares holds them instead if teams have shares, else it is nil.
+	shares     *shareQueues
 	wakeup     wakeup
 	waitLimits waitLimits
 	budgets    *budgets
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -73,6 +73,8 @@
 	// Forwarded indicates that another entry forwarded the request to this one, which must not
 	// forward it again.
 	Forwarded bool
+	// UnderWay is how long the attempt was under way at the entry that forwarded it.
+	UnderWay time.Duration
 }
 
 // PromptSend is the placement of a prompt's parts.
@@ -205,8 +207,8 @@
 	Request *Request
 	// Host and Address are the entry's name and its address for callers.
 	Host, Address string
-	// Wait is the time left for the answer.
-	Wait time.Duration
+	// Wait is the time left for the answer, UnderWay the time since the caller's attempt arrived.
+	Wait, UnderWay time.Duration
 	// ResumeAfter is the last event forwarded to the caller, empty for none.
 	ResumeAfter string
 }
