--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -55,6 +55,9 @@
 	Target, First, Total time.Duration
 	// Waited is how long the request waited for an upstream with capacity.
 	Waited time.Duration
+	// Queued is the state in which the request left the queue of its service: in-time, late, or
+	// no-time if it was refused because it could not be served in its time; empty if it was in none.
+	Queued string
 	Status int
 	// Sends counts the attempts that reached an upstream, Unsent those that did not.
 	Sends, Unsent int
@@ -91,6 +94,9 @@
 		"request", e.Request, "route", e.Route, "team", e.Team, "outcome", e.Outcome, "status", e.Status,
 		"first_ms", ms(e.First), "total_ms", ms(e.Total), "target_ms", ms(e.Target), "waited_ms", ms(e.Waited), "sends", e.Sends, "unsent", e.Unsent,
 	}
+	if e.Queued != "" {
+		fields = append(fields, "queued", e.Queued)
+	}
 	if e.ForwardedTo != "" {
 		fields = append(fields, "forwarded_to", e.ForwardedTo)
 	}
--- a/internal/gateway/burst_test.go
+++ b/internal/gateway/burst_test.go
@@ -104,8 +104,26 @@
 // short ones, and callers retry once. Nearly all short prompts have to be served; the largest
 // long ones and the retries at least half as often as all long ones.
 func TestOverloadStarvesNoKindOfRequest(t *testing.T) {
+	overload(t, LoadOptions{}, func(share func(string) float64) {
+		if share("returned") < share("long")/2 {
+			t.Errorf("%.2f of the retries are served, of all with long prompts %.2f", share("returned"), share("long"))
+		}
+	})
+}
+
+// The same overload with shares of teams: no fewer long prompts are served than without, of which
+// 0.80 are. Retries are late and wait behind first attempts, but some are served.
+func TestOverloadWithSharesStarvesNoKindOfRequest(t *testing.T) {
+	overload(t, LoadOptions{TeamShares: true}, func(share func(string) float64) {
+		if share("long") < 0.8 || share("returned") < 0.25 {
+			t.Errorf("%.2f of the long prompts and %.2f of the retries are served", share("long"), share("returned"))
+		}
+	})
+}
+
+func overload(t *testing.T, load LoadOptions, check func(share func(string) float64)) {
 	synctest.Test(t, func(t *testing.T) {
-		g, _ := testGateway(t, func(_ int, s *Send) (*Answer, error) {
+		g, _ := sharesGateway(t, load, func(_ int, s *Send) (*Answer, error) {
 			prefill := time.Duration(s.Request.Prompt.size()) * time.Millisecond / 100
 			return &Answer{Status: 200, Body: &delayedBody{first: prefill, rest: 100 * time.Millisecond}}, nil
 		})
@@ -116,7 +134,7 @@
 		sent, served := make(map[string]int), make(map[string]int)
 		try := func(id string, tokens int, left time.Duration, kinds ...string) time.Duration {
 			r := request("/stream/x")
-			r.ID, r.Wait = id, left
+			r.ID, r.Key, r.Wait = id, "team-0", left
 			r.Prompt = prompt(placement.Part{ID: id, Tokens: tokens * 3 / 4}, placement.Part{ID: "own", Tokens: tokens / 4})
 			rec := &recorder{}
 			g.Serve(context.Background(), r, rec)
@@ -162,11 +180,10 @@
 		if share("short") < 0.95 {
 			t.Errorf("%.2f of the short prompts are served", share("short"))
 		}
-		for _, kind := range []string{"largest", "returned"} {
-			if sent[kind] == 0 || share(kind) < share("long")/2 {
-				t.Errorf("%.2f of %d callers (%s) are served, of all with long prompts %.2f", share(kind), callers[kind], kind, share("long"))
-			}
+		if sent["largest"] == 0 || share("largest") < share("long")/2 {
+			t.Errorf("%.2f of the largest prompts are served, of all long ones %.2f", share("largest"), share("long"))
 		}
+		check(share)
 		if sent["returned"] < 50 {
 			t.Errorf("%d retries: no overload", sent["returned"])
 		}
--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -24,9 +25,18 @@
 // them before the prefill: ten prompts of 20,000 tokens for two runners with memory for
 // 50,000. The excess prompts wait at the entry until it is their turn.
 func TestPromptsBeyondRunnerMemoryWait(t *testing.T) {
+	for _, shares := range []bool{false, true} {
+		t.Run(fmt.Sprintf("shares=%v", shares), func(t *testing.T) { fillRunnerMemory(t, shares) })
+	}
+}
+
+func fillRunnerMemory(t *testing.T, shares bool) {
 	open := make(chan struct{})
 	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return &Answer{Status: 200, Body: &gatedBody{open}}, nil })
 	g.state.waitLimits = waitLimits{longest: time.Minute, first: 10}
+	if shares {
+		g.state.shares = newShareQueues(nil)
+	}
 	var all sync.WaitGroup
 	for i := range 10 {
 		all.Go(func() {
@@ -43,7 +53,7 @@
 	waiting := func() int {
 		g.state.mu.Lock()
 		defer g.state.mu.Unlock()
-		return len(g.state.waiting)
+		return g.state.waitingCount()
 	}
 	for deadline := time.Now().Add(20 * time.Second); sender.count() < 4 || waiting() < 6; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 	}
 	g.state.budgets.limits = options.Budget
 	if options.Load.TeamShares {
-		g.state.shares = newShareQueues()
+		g.state.shares = newShareQueues(options.Load.TeamWeights)
 	}
 	if options.AnnounceEvery > 0 {
 		g.state.announceWithin = options.AnnounceEvery + announceDelay
@@ -245,6 +245,8 @@
 	unframed bool
 	// waited is the time spent waiting for capacity.
 	waited time.Duration
+	// queued is the state in which it left the queue of its service.
+	queued string
 }
 
 // admit resolves the route, the team and the deadline of a request.
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -6,6 +6,8 @@
 	// TeamShares orders waiting requests by their teams' shares and by whether they can still be in
 	// time.
 	TeamShares bool
+	// TeamWeights are the weights of the teams' shares; a team without one has weight 1.
+	TeamWeights map[string]float64
 	// ExpectOthers makes choices account for the work that the other entries send before it is
 	// reported.
 	ExpectOthers bool
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -26,7 +26,7 @@
 	g.options.Decisions.Emit(&decision.RequestEnded{
 		Request: r.request.ID, Route: r.route.Name, Team: r.teamName(), Outcome: outcome.KindOf(cause).String(), Cause: cause,
 		Target: r.route.Target, First: r.first, Total: now.Sub(r.request.Arrived), Status: r.status,
-		Sends: r.sends, Unsent: r.unsent, Started: r.headSent, LastEvent: r.lastEvent, Waited: r.waited,
+		Sends: r.sends, Unsent: r.unsent, Started: r.headSent, LastEvent: r.lastEvent, Waited: r.waited, Queued: r.queued,
 		ForwardedTo: r.forwardedTo, Unframed: r.unframed, Choice: r.choice(), View: g.state.view(now),
 	})
 }
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -179,34 +179,41 @@
 // Guards against a request with a part that is quarantined while it waits for capacity being sent
 // once there is some.
 func TestWaitingRequestWithQuarantinedPart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g, sender := testGateway(t, func(int, *Send) (*Answer, error) {
-			time.Sleep(300 * time.Millisecond)
-			return stream(io.EOF, "1"), nil
-		})
-		for range 40 {
-			go serve(g, withParts("a", "1"))
-		}
-		synctest.Wait()
-		waits := make(chan *recorder)
-		go func() { waits <- serve(g, withParts("bad0", "2")) }()
-		synctest.Wait()
-		if len(g.state.waiting) == 0 {
-			t.Fatal("nothing waits")
-		}
-		applyParts(g, 1, map[string]time.Duration{"bad0": time.Second})
-		var refused *outcome.NotRun
-		if rec := <-waits; !errors.As(rec.cause, &refused) || refused.Reason != outcome.ReasonQuarantinedPart {
-			t.Errorf("ends %q with %v", rec.end, rec.cause)
-		}
-		time.Sleep(5 * time.Second)
-		synctest.Wait()
-		for _, s := range sender.sends {
-			if s.Request.Prompt.Parts[0].ID == "bad0" {
-				t.Error("a request with a quarantined part was sent")
-			}
-		}
+	for _, shares := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) { waitWithQuarantinedPart(t, shares) })
+	}
+}
+
+func waitWithQuarantinedPart(t *testing.T, shares bool) {
+	g, sender := testGateway(t, func(int, *Send) (*Answer, error) {
+		time.Sleep(300 * time.Millisecond)
+		return stream(io.EOF, "1"), nil
 	})
+	if shares {
+		g.state.shares = newShareQueues(nil)
+	}
+	for range 40 {
+		go serve(g, withParts("a", "1"))
+	}
+	synctest.Wait()
+	waits := make(chan *recorder)
+	go func() { waits <- serve(g, withParts("bad0", "2")) }()
+	synctest.Wait()
+	if g.state.waitingCount() == 0 {
+		t.Fatal("nothing waits")
+	}
+	applyParts(g, 1, map[string]time.Duration{"bad0": time.Second})
+	var refused *outcome.NotRun
+	if rec := <-waits; !errors.As(rec.cause, &refused) || refused.Reason != outcome.ReasonQuarantinedPart {
+		t.Errorf("ends %q with %v", rec.end, rec.cause)
+	}
+	time.Sleep(5 * time.Second)
+	synctest.Wait()
+	for _, s := range sender.sends {
+		if s.Request.Prompt.Parts[0].ID == "bad0" {
+			t.Error("a request with a quarantined part was sent")
+		}
+	}
 }
 
 // Guards against the entry itself repeating a request that has crashed an upstream and one of whose
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -13,12 +13,19 @@
 type shareQueues struct {
 	queues  map[string]*admit.Queue
 	waiters map[ident.Request]*waiter
+	weights map[ident.Team]float64
 	// offered is the number of requests that were offered; each gets the next number as its ID.
 	offered uint64
 }
 
-func newShareQueues() *shareQueues {
-	return &shareQueues{queues: make(map[string]*admit.Queue), waiters: make(map[ident.Request]*waiter)}
+func newShareQueues(weights map[string]float64) *shareQueues {
+	q := &shareQueues{
+		queues: make(map[string]*admit.Queue), waiters: make(map[ident.Request]*waiter), weights: make(map[ident.Team]float64, len(weights)),
+	}
+	for team, weight := range weights {
+		q.weights[ident.Team(team)] = weight
+	}
+	return q
 }
 
 // maxTeamWaiting bounds the requests of one team that wait for a service at one entry.
@@ -32,6 +39,7 @@
 			s.shares.prune()
 		}
 		q = admit.NewQueue(admit.QueueOptions{MaxQueued: maxWaiting, MaxQueuedPerTeam: maxTeamWaiting})
+		q.SetWeights(s.shares.weights)
 		s.shares.queues[service] = q
 	}
 	// Work counts in milliseconds of one upstream, and all entries share the upstreams.
@@ -72,6 +80,7 @@
 		q.Remove(offer.ID)
 		return nil, nil, err
 	case refusal != nil:
+		r.queued = queuedNoTime
 		r.gateway.meter.certainRefusals.Inc()
 		return nil, nil, r.refusal(outcome.ReasonOverloaded, r.retryAfter(s, now), refusal.Detail)
 	case r.cannotWait(s, now):
@@ -164,6 +173,13 @@
 	return max(w.run.deadline.Sub(now)-first, 0)
 }
 
+// States in which requests leave a queue, as logged.
+const (
+	queuedInTime = "in-time"
+	queuedLate   = "late"
+	queuedNoTime = "no-time"
+)
+
 // dispatchFirst grants capacity to the request that is served next, so that a new one doesn't take
 // it.
 func (s *state) dispatchFirst(service string, now time.Time) {
@@ -212,7 +228,9 @@
 	if p == nil || err != nil {
 		return false
 	}
-	if w.run.target().Before(now) && w.run.route.Target > 0 {
+	w.run.queued = queuedInTime
+	if q.queues[w.run.service].IsLate(w.id) {
+		w.run.queued = queuedLate
 		w.run.gateway.meter.lateGrants.Inc()
 	}
 	delete(q.waiters, w.id)
