--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -68,9 +68,7 @@
 	q := s.queue(r.service)
 	offer := r.offer(s, s.shares.nextID(), now)
 	refusal := q.Offer(now, offer)
-	if refusal == nil {
-		s.dispatchFirst(r.service, now)
-	}
+	s.dispatchFirst(r.service, now)
 	p, err := r.tryPlan(now)
 	switch {
 	case p != nil:
