--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -39,6 +39,10 @@
 	// number of small prompts that a runner gets beyond its slots.
 	reservedSlots = 2
 	smallOverflow = 4
+	// lateCapacity is the fraction of its capacity that an upstream gives to requests past their
+	// targets: an entry that holds late ones only must leave room for those of other entries that
+	// can be in time.
+	lateCapacity = 0.75
 	// maxWaiting bounds the requests waiting at one entry.
 	maxWaiting = 2048
 	// waitShare is the fraction of its remaining time that a request may wait for capacity,
@@ -120,6 +124,8 @@
 // need is the capacity that a request takes of an upstream.
 type need struct {
 	small bool
+	// late indicates that it is past its target and leaves a part of the capacity to others.
+	late bool
 	// tokens is the memory that the request takes, prefillTokens the part of it that needs a
 	// prefill.
 	tokens, prefillTokens int
@@ -132,7 +138,7 @@
 
 // need returns the capacity that the request takes of an upstream of a service.
 func (r *run) need(s *state, service *catalog.Service, tokens, prefill int) need {
-	n := need{small: r.small(), tokens: tokens, prefillTokens: prefill, connections: s.connections(service)}
+	n := need{small: r.small(), late: r.leavesCapacity(s), tokens: tokens, prefillTokens: prefill, connections: s.connections(service)}
 	if service != nil && service.Engine != nil {
 		n.memory = service.Engine.MemoryTokens
 		n.maxPendingPrefill = int(maxPendingPrefillMs * s.prefillOf(service.Name).PerMs())
@@ -145,7 +151,7 @@
 func (r *run) leastNeed(s *state) need {
 	service := r.index.Service(r.service)
 	if r.request.Prompt == nil || service == nil || service.Engine == nil {
-		return need{small: true}
+		return need{small: true, late: r.leavesCapacity(s)}
 	}
 	return r.need(s, service, r.request.Prompt.size(), r.request.Prompt.lastPart())
 }
@@ -168,6 +174,9 @@
 	if n.small {
 		slots, share = u.record.Slots+smallOverflow, maxMemoryShareSmall
 	}
+	if n.late {
+		slots, share = int(lateCapacity*float64(slots)), lateCapacity*share
+	}
 	if u.record.Slots > 0 && requests >= max(slots, 1) {
 		return false
 	}
@@ -175,7 +184,7 @@
 		return true
 	}
 	pending := u.own.Unread + u.others.Unread
-	if !n.small && pending > 0 && pending+n.prefillTokens > n.maxPendingPrefill {
+	if !n.small && pending > 0 && (n.late || pending+n.prefillTokens > n.maxPendingPrefill) {
 		return false
 	}
 	return float64(u.own.Tokens+u.others.Tokens+n.tokens) <= share*float64(n.memory)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -245,6 +245,8 @@
 	unframed bool
 	// waited is the time spent waiting for capacity.
 	waited time.Duration
+	// late indicates that at the latest choice of an upstream its answer could not be in time.
+	late bool
 	// queued is the state in which it left the queue of its service.
 	queued string
 }
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -77,6 +77,7 @@
 func (r *run) tryPlan(now time.Time) (*plan, error) {
 	s := r.gateway.state
 	r.gateway.meter.choices.Inc()
+	r.late = r.lateAt(s, now)
 	// The service is that of the admission: without it a prompt whose service was removed
 	// since would be sent without the salt that isolates teams.
 	service := r.index.Service(r.service)
@@ -89,7 +90,7 @@
 	}
 	p := &plan{candidates: len(candidates)}
 	p.send = &Send{
-		Request: r.request, Team: r.teamName(), Rank: min(max(r.rank(), 0), maxRank), ResumeAfter: r.lastEvent,
+		Request: r.request, Team: r.teamName(), Rank: r.sendRank(), ResumeAfter: r.lastEvent,
 		Wait: r.deadline.Sub(now), Connections: s.connections(service), SameIncarnation: r.pinned && r.origin.Software != "", StatesStart: statesStart(service),
 	}
 	if r.request.Prompt != nil && service != nil && service.Engine != nil {
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -155,6 +155,33 @@
 	return began.Add(r.route.Target)
 }
 
+// lateAt reports whether the answer can't begin in time if the request is sent now.
+func (r *run) lateAt(s *state, now time.Time) bool {
+	if s.shares == nil {
+		return false
+	}
+	_, first := r.work(s)
+	target := r.target()
+	return !target.IsZero() && now.Add(first).After(target)
+}
+
+// leavesCapacity reports whether the request leaves a part of an upstream's capacity to others. The
+// queue of a single entry orders all requests by itself.
+func (r *run) leavesCapacity(s *state) bool { return r.late && s.sendingEntries() > 1 }
+
+// lateRanks is added to the ranks of late requests, so that upstreams too serve them behind those
+// that can be in time.
+const lateRanks = (maxRank + 1) / 2
+
+// sendRank is the rank that upstreams are told.
+func (r *run) sendRank() int {
+	rank := min(max(r.rank(), 0), maxRank)
+	if r.late {
+		rank = min(rank+lateRanks, maxRank)
+	}
+	return rank
+}
+
 // statesRetry reports whether the caller states that it has made an attempt before.
 func (r *run) statesRetry() bool { return r.request.Resumes != "" || r.request.ResumeAfter != "" }
 
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -225,6 +225,41 @@
 	})
 }
 
+// Guards against late requests of one entry that take the capacity which others need for requests
+// that can be in time: they leave a part of it, and have a lower rank at the upstream.
+func TestLateRequestsLeaveCapacity(t *testing.T) {
+	g, sender := sharesGateway(t, LoadOptions{TeamShares: true}, func(int, *Send) (*Answer, error) { return stream(io.EOF, "1"), nil })
+	send := func(underWay time.Duration) *Send {
+		r := request("/stream/x")
+		r.Key, r.UnderWay, r.Forwarded = "team-1", underWay, true
+		r.Prompt = prompt(placement.Part{ID: "p", Tokens: 100})
+		if rec := serve(g, r); rec.end != "done" {
+			t.Fatalf("ends %q with %v", rec.end, rec.cause)
+		}
+		return sender.sends[len(sender.sends)-1]
+	}
+	if rank := send(0).Rank; rank != 0 {
+		t.Errorf("a first attempt has rank %d", rank)
+	}
+	if rank := send(2 * time.Second).Rank; rank != lateRanks {
+		t.Errorf("a late request has rank %d", rank)
+	}
+	u := &upstreamState{record: roster.Upstream{Slots: 16}}
+	for requests, late := range map[int]bool{11: true, 14: true, 15: false, 19: false} {
+		u.own.Requests = requests
+		if !u.hasCapacity(need{small: true}) || u.hasCapacity(need{small: true, late: true}) != late {
+			t.Errorf("with %d requests there is capacity for a late one: %v", requests, !late)
+		}
+	}
+	u.own.Requests, u.own.Tokens, u.own.Unread = 1, 30_000, 100
+	large := need{tokens: 17_000, prefillTokens: 100, memory: 77_000, maxPendingPrefill: 6000}
+	late := large
+	late.late = true
+	if !u.hasCapacity(large) || u.hasCapacity(late) {
+		t.Error("a late large prompt goes where others have their prefill")
+	}
+}
+
 // Guards against a request that another entry forwarded being taken for a retry because it has
 // less time left, and against one that says that it is a retry being taken for a first attempt.
 func TestRetriesAreKnownByWhatIsStated(t *testing.T) {
