--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -100,9 +100,12 @@
 }
 
 // work returns the least work of the request, in milliseconds of one upstream, since shared parts
-// of its prompt may be cached, and the time that its answer should take to begin.
+// of its prompt may be cached, and the time that its answer takes to begin if all goes well.
 func (r *run) work(s *state) (cost float64, first time.Duration) {
-	first = s.firstOf(r).expected()
+	first = s.firstOf(r).least()
+	if target := r.route.Target; target > 0 {
+		first = min(first, time.Duration(maxFirstShare*float64(target)))
+	}
 	if r.request.Prompt != nil {
 		ms := float64(r.request.Prompt.lastPart()) / s.prefillOf(r.service).PerMs()
 		return ms, max(first, time.Duration(ms*float64(time.Millisecond)))
@@ -130,8 +133,12 @@
 	f.mean += time.Duration(firstGain * float64(d-f.mean))
 }
 
-// expected is the time within which most answers begin, 0 if none has been observed.
-func (f *firstTime) expected() time.Duration { return f.mean + f.deviation }
+// least is the time before which few answers begin, 0 if none has been observed.
+func (f *firstTime) least() time.Duration { return max(f.mean-f.deviation, 0) }
+
+// maxFirstShare is the largest part of its target that a request's answer is assumed to take to
+// begin: while answers begin late because upstreams are busy, new requests can still be in time.
+const maxFirstShare = 0.5
 
 // firstOf returns the time for requests of the same service and size.
 func (s *state) firstOf(r *run) *firstTime {
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -225,6 +225,20 @@
 	})
 }
 
+// Guards against new requests that count as late because answers begin late at the moment: all
+// would rank behind as if they could not be in time.
+func TestNewRequestIsNotLate(t *testing.T) {
+	g, _ := sharesGateway(t, LoadOptions{TeamShares: true}, nil)
+	now, route := time.Now(), g.Index().Route("h", "/stream/x")
+	r := &run{gateway: g, service: "llm", request: &Request{Arrived: now, Prompt: prompt(placement.Part{ID: "p", Tokens: 9000})}, route: route, deadline: now.Add(5 * time.Second)}
+	for range 100 {
+		g.state.firstOf(r).observe(3 * time.Second)
+	}
+	if r.lateAt(g.state, now) || !r.lateAt(g.state, now.Add(route.Target*3/4)) {
+		t.Error("want the request to be late after three quarters of its target, not at once")
+	}
+}
+
 // Guards against late requests of one entry that take the capacity which others need for requests
 // that can be in time: they leave a part of it, and have a lower rank at the upstream.
 func TestLateRequestsLeaveCapacity(t *testing.T) {
