--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,7 +101,7 @@
 	if options.Clock != nil {
 		g.state.clockNow, g.state.versions = options.Clock, resumption.NewVersions(options.Clock())
 	}
-	g.state.budgets.limits = options.Budget
+	g.state.budgets.limits, g.state.exchange.enabled = options.Budget, options.Load.Handover
 	if options.Load.TeamShares {
 		g.state.shares = newShareQueues(options.Load.TeamWeights)
 	}
@@ -132,6 +132,7 @@
 	g.applyQuarantine(answer.Quarantine, time.Now())
 	g.state.mu.Unlock()
 	index, records := g.state.apply(answer, sent)
+	g.applyLearned(answer, time.Now())
 	g.origins.add(records...)
 	if index != nil {
 		g.options.Log.Info("configuration in force", "version", index.Version(), "routes", len(index.Document().Routes))
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wait"
 	"github.com/lovagereach/lovagereach/internal/wire"
@@ -94,7 +95,7 @@
 // awaitWatchSource is watchSource, after a wait while no leader is known.
 func (s *Steward) awaitWatchSource(ctx context.Context, request *WatchRequest) (b watchSource, shed bool) {
 	b, shed = s.watchSource(request)
-	for end := time.Now().Add(electionWait); b == nil && s.Leader() == "" && time.Now().Before(end); {
+	for end := time.Now().Add(electionWait); b == nil && (s.Leader() == "" || s.hasNewLeader(request)) && time.Now().Before(end); {
 		if !wait.For(ctx, leaderPoll) {
 			break
 		}
@@ -103,6 +104,15 @@
 	return b, shed
 }
 
+// hasNewLeader reports whether a leader is elected whose state this host will have shortly, for
+// the first time since its start: the caller has no better host to query.
+func (s *Steward) hasNewLeader(request *WatchRequest) bool {
+	if !s.options.Handover || s.leading.Load() != nil || s.relay.hasLeaderContact() {
+		return false
+	}
+	return request.Entry != nil || s.Leader() == string(s.options.Self)
+}
+
 // finishAnswer adds the content of every answer.
 func (s *Steward) finishAnswer(b watchSource, from port.Peer, request *WatchRequest, answer *WatchAnswer, now time.Time) {
 	b.addCommon(from, answer, now)
@@ -112,6 +122,7 @@
 	}
 	b.addGrants(from, request, answer, now)
 	b.addLimits(request, answer, now)
+	s.addLearned(request, answer)
 	if request.Entry != nil && request.Entry.Unreached > 0 {
 		answer.Peers = choosePeers(s.entryList(), request.Entry)
 	}
@@ -126,6 +137,10 @@
 // watch answers a watch, immediately or when there is a change for its caller.
 func (s *Steward) watch(ctx context.Context, from port.Peer, request *WatchRequest) *WatchAnswer {
 	receivedAt := time.Now()
+	if request.Moved {
+		s.withdrawLoads(from.Host)
+		return &WatchAnswer{Redirect: true}
+	}
 	if request.Entry != nil {
 		s.relay.recordCaller(request.Entry.Host, s.relay.now())
 	}
@@ -135,6 +150,9 @@
 		return s.redirect(request, shed, waited)
 	}
 	b.recordWatcher(from, request, b.now())
+	if s.options.Handover && len(request.Learned) > 0 {
+		s.learned.record(from.Host, request.Learned, time.Now())
+	}
 	answer := &WatchAnswer{}
 	machineChanges, orderChanges, inventoryChanges := s.machine.changes(), s.machine.orderChanges(), s.index.changes()
 	asOf, found := s.fill(b, request, answer)
@@ -166,6 +184,14 @@
 	return answer
 }
 
+// withdrawLoads forgets the loads of an entry that reports them to another control host.
+func (s *Steward) withdrawLoads(entry ident.Host) {
+	s.relay.watchers.withdrawLoads(entry)
+	if l := s.leading.Load(); l != nil {
+		l.watchers.withdrawLoads(entry)
+	}
+}
+
 // pauseAfter returns the time that a watcher should wait before its next request. An entry with
 // requests that has received only a part of the roster or of the inventories requests the rest
 // immediately: until it has all, it knows only some of the upstreams, and its prompts are
@@ -275,7 +301,11 @@
 		if s.leading.Load() != nil {
 			return nil
 		}
-		return s.relay.request(s.relay.now())
+		request := s.relay.request(s.relay.now())
+		if request.Relay && s.options.Handover {
+			request.Learned = s.learned.report(time.Now())
+		}
+		return request
 	}, func(answer *WatchAnswer, requestedAt time.Time) {
 		s.relay.apply(answer, requestedAt, s.relay.now())
 	})
