--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -90,6 +90,8 @@
 	granted chan *plan
 	// id identifies it in the queue of its service, if it is in one.
 	id ident.Request
+	// beginBy is the time by which its answer must begin.
+	beginBy time.Time
 	// need is the least capacity that it takes, plannedAt the time of the latest choice of an
 	// upstream for it.
 	need      need
@@ -281,7 +283,8 @@
 	}
 	if r.gateway.state.shares != nil {
 		// Requests past their target wait behind the others, and delay none of them.
-		return min(time.Duration(waitShare*float64(r.deadline.Sub(now))), cmp.Or(p.longest, r.deadline.Sub(now)))
+		left := r.beginBy(now).Sub(now)
+		return min(time.Duration(waitShare*float64(left)), cmp.Or(p.longest, left))
 	}
 	longest := time.Duration(share * float64(r.route.Target))
 	longest = cmp.Or(p.longest, longest)
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/admit"
+	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/outcome"
 )
@@ -85,7 +86,7 @@
 		q.Remove(offer.ID)
 		return nil, nil, r.refusal(outcome.ReasonOverloaded, r.retryAfter(s, now), "too many requests wait for an upstream with room")
 	}
-	w := &waiter{run: r, granted: make(chan *plan, 1), id: offer.ID, need: r.leastNeed(s), plannedAt: now}
+	w := &waiter{run: r, granted: make(chan *plan, 1), id: offer.ID, beginBy: offer.Deadline, need: r.leastNeed(s), plannedAt: now}
 	s.shares.waiters[w.id] = w
 	return nil, w, nil
 }
@@ -95,14 +96,14 @@
 	cost, service := r.work(s)
 	return admit.Request{
 		ID: id, Team: ident.Team(r.teamName()), Rank: r.rank(), Large: !r.small(), Cost: cost, Service: service,
-		Target: r.target(), Deadline: r.deadline,
+		Target: r.target(), Deadline: r.beginBy(now),
 	}
 }
 
 // work returns the least work of the request, in milliseconds of one upstream, since shared parts
-// of its prompt may be cached, and the time that its answer takes to begin if all goes well.
+// of its prompt may be cached, and the time that its answer takes to begin.
 func (r *run) work(s *state) (cost float64, first time.Duration) {
-	first = s.firstOf(r).least()
+	first = s.firstOf(r).mean
 	if target := r.route.Target; target > 0 {
 		first = min(first, time.Duration(maxFirstShare*float64(target)))
 	}
@@ -117,11 +118,10 @@
 	return r.gateway.options.Rates.SlotMs / float64(slots), first
 }
 
-// firstTime is the time from a send to the beginning of the answer, as observed: its smoothed mean
-// and deviation.
-type firstTime struct{ mean, deviation time.Duration }
+// firstTime is the smoothed time from a send to the beginning of the answer, 0 if none was observed.
+type firstTime struct{ mean time.Duration }
 
-// firstGain is the weight of one answer in the mean and in the deviation.
+// firstGain is the weight of one answer in the mean.
 const firstGain = 1.0 / 16
 
 func (f *firstTime) observe(d time.Duration) {
@@ -129,13 +129,9 @@
 		f.mean = d
 		return
 	}
-	f.deviation += time.Duration(firstGain * float64((d-f.mean).Abs()-f.deviation))
 	f.mean += time.Duration(firstGain * float64(d-f.mean))
 }
 
-// least is the time before which few answers begin, 0 if none has been observed.
-func (f *firstTime) least() time.Duration { return max(f.mean-f.deviation, 0) }
-
 // maxFirstShare is the largest part of its target that a request's answer is assumed to take to
 // begin: while answers begin late because upstreams are busy, new requests can still be in time.
 const maxFirstShare = 0.5
@@ -149,6 +145,27 @@
 	return &l.first
 }
 
+// Callers of streams leave if they get no event for some targets, and not before minPatience.
+const (
+	minPatience     = 2 * time.Second
+	patienceTargets = 4
+)
+
+// beginBy returns the time by which the answer must begin, or its caller leaves.
+func (r *run) beginBy(now time.Time) time.Time {
+	if r.route.Kind != catalog.Stream {
+		return r.deadline
+	}
+	since := r.request.Arrived.Add(-r.request.UnderWay)
+	if r.headSent {
+		since = now
+	}
+	if leaves := since.Add(max(minPatience, patienceTargets*r.route.Target)); leaves.Before(r.deadline) {
+		return leaves
+	}
+	return r.deadline
+}
+
 // target returns the time by which the answer should begin, zero if it has begun or there is none.
 // A caller that comes back has waited since its first attempt.
 func (r *run) target() time.Time {
@@ -202,7 +219,7 @@
 		return 0
 	}
 	_, first := w.run.work(s)
-	return max(w.run.deadline.Sub(now)-first, 0)
+	return max(w.beginBy.Sub(now)-first, 0)
 }
 
 // States in which requests leave a queue, as logged.
