--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -134,7 +134,7 @@
 
 // maxFirstShare is the largest part of its target that a request's answer is assumed to take to
 // begin: while answers begin late because upstreams are busy, new requests can still be in time.
-const maxFirstShare = 0.5
+const maxFirstShare = 1 - waitTargetShare
 
 // firstOf returns the time for requests of the same service and size.
 func (s *state) firstOf(r *run) *firstTime {
