--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -75,6 +75,9 @@
 	Forwarded bool
 	// UnderWay is how long the attempt was under way at the entry that forwarded it.
 	UnderWay time.Duration
+	// Left reports whether the caller has closed its connection, also if the close has not been read
+	// yet; nil if that can't be told.
+	Left func() bool
 }
 
 // PromptSend is the placement of a prompt's parts.
