--- a/admit/controller_test.go
+++ b/admit/controller_test.go
@@ -384,3 +384,21 @@
 		}
 	}
 }
+
+// Guards against an overload that makes all requests late: one that has passed its target is
+// granted behind those that can be in time, and still before its deadline.
+func TestLateRequestsAreGrantedBehindOthers(t *testing.T) {
+	p := newPool(t, fixedLimit(1))
+	p.offer(start, Request{Team: "a"})
+	p.offer(start, Request{Team: "a", Target: start.Add(time.Second)})
+	now := start.Add(2 * time.Second)
+	p.offer(now, Request{Team: "b", Target: now.Add(time.Second)})
+	p.finish(now)
+	if p.started["b"] != 1 {
+		t.Fatalf("started %v, want the request that can be in time first", p.started)
+	}
+	p.finish(now)
+	if p.started["a"] != 2 {
+		t.Errorf("started %v, want the late request next", p.started)
+	}
+}
