--- a/estimate/regression.go
+++ b/estimate/regression.go
@@ -70,6 +70,9 @@
 	return perMs, clamp(r.Ms-r.Tokens/perMs, 0, maxBaseMs)
 }
 
+// Sampled reports whether there are enough observations for an estimate.
+func (p *PrefillTime) Sampled() bool { return p.observed.Weight >= prefillMinWeight }
+
 // Observed returns the observations so far.
 func (p *PrefillTime) Observed() Regression { return p.observed }
 
--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -65,6 +65,9 @@
 	Target, First, Total time.Duration
 	// Waited is how long the request waited for an upstream with capacity.
 	Waited time.Duration
+	// Queued is the state in which the request left the queue of its service: in-time, late, or
+	// no-time if it was refused because it could not be served in its time; empty if it was in none.
+	Queued string
 	Status int
 	// Sends counts the attempts that reached an upstream, Unsent those that did not.
 	Sends, Unsent int
@@ -106,6 +109,9 @@
 	if e.Pause > 0 {
 		fields = append(fields, "pause_ms", ms(e.Pause))
 	}
+	if e.Queued != "" {
+		fields = append(fields, "queued", e.Queued)
+	}
 	if e.ForwardedTo != "" {
 		fields = append(fields, "forwarded_to", e.ForwardedTo)
 	}
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/quarantine"
 )
@@ -38,6 +39,10 @@
 	// number of small prompts that a runner gets beyond its slots.
 	reservedSlots = 2
 	smallOverflow = 4
+	// lateCapacity is the fraction of its capacity that an upstream gives to requests past their
+	// targets: an entry that holds late ones only must leave room for those of other entries that
+	// can be in time.
+	lateCapacity = 0.75
 	// maxWaiting bounds the requests waiting at one entry.
 	maxWaiting = 2048
 	// waitShare is the fraction of its remaining time that a request may wait for capacity,
@@ -83,6 +88,10 @@
 	// granted receives the plan once an upstream has capacity, or nil if the request was
 	// quarantined.
 	granted chan *plan
+	// id identifies it in the queue of its service, if it is in one.
+	id ident.Request
+	// beginBy is the time by which its answer must begin.
+	beginBy time.Time
 	// need is the least capacity that it takes, plannedAt the time of the latest choice of an
 	// upstream for it.
 	need      need
@@ -117,6 +126,8 @@
 // need is the capacity that a request takes of an upstream.
 type need struct {
 	small bool
+	// late indicates that it is past its target and leaves a part of the capacity to others.
+	late bool
 	// tokens is the memory that the request takes, prefillTokens the part of it that needs a
 	// prefill.
 	tokens, prefillTokens int
@@ -129,7 +140,7 @@
 
 // need returns the capacity that the request takes of an upstream of a service.
 func (r *run) need(s *state, service *catalog.Service, tokens, prefill int) need {
-	n := need{small: r.small(), tokens: tokens, prefillTokens: prefill, connections: s.connections(service)}
+	n := need{small: r.small(), late: r.leavesCapacity(s), tokens: tokens, prefillTokens: prefill, connections: s.connections(service)}
 	if service != nil && service.Engine != nil {
 		n.memory = service.Engine.MemoryTokens
 		n.maxPendingPrefill = int(r.maxPendingPrefill() * s.prefillOf(service.Name).PerMs())
@@ -142,7 +153,7 @@
 func (r *run) leastNeed(s *state) need {
 	service := r.index.Service(r.service)
 	if r.request.Prompt == nil || service == nil || service.Engine == nil {
-		return need{small: true}
+		return need{small: true, late: r.leavesCapacity(s)}
 	}
 	return r.need(s, service, r.expectedSize(s), r.request.Prompt.lastPart())
 }
@@ -165,6 +176,9 @@
 	if n.small {
 		slots, share = u.record.Slots+smallOverflow, maxMemoryShareSmall
 	}
+	if n.late {
+		slots, share = int(lateCapacity*float64(slots)), lateCapacity*share
+	}
 	if u.record.Slots > 0 && requests >= max(slots, 1) {
 		return false
 	}
@@ -172,7 +186,7 @@
 		return true
 	}
 	pending := u.own.Unread + u.others.Unread
-	if !n.small && pending > 0 && pending+n.prefillTokens > n.maxPendingPrefill {
+	if !n.small && pending > 0 && (n.late || pending+n.prefillTokens > n.maxPendingPrefill) {
 		return false
 	}
 	return float64(u.own.Tokens+u.others.Tokens+n.tokens) <= share*float64(n.memory)
@@ -183,33 +197,36 @@
 	s := r.gateway.state
 	s.mu.Lock()
 	now := time.Now()
-	p, err := r.tryPlan(now)
-	if p != nil || err != nil {
-		s.mu.Unlock()
-		return p, err
+	p, w, err := r.enter(s, now)
+	if w != nil {
+		s.dispatchAt(r.dueAt, now)
 	}
-	if len(s.waiting) >= maxWaiting || !s.mayWait(r) || r.cannotWait(s, now) {
-		after := r.retryAfter(s, now)
-		s.mu.Unlock()
-		return nil, r.refusal(outcome.ReasonOverloaded, after, "too many requests wait for an upstream with room")
-	}
-	w := &waiter{run: r, granted: make(chan *plan, 1), need: r.leastNeed(s), plannedAt: now}
-	s.enqueue(w)
-	s.dispatchAt(r.dueAt, now)
 	s.mu.Unlock()
+	if w == nil {
+		return p, err
+	}
 
 	timer := time.NewTimer(r.longestWait(s.waitLimits, now))
 	defer timer.Stop()
-	select {
-	case p := <-w.granted:
-		r.waited += time.Since(now)
-		if p == nil {
-			return nil, cmp.Or(r.quarantineError(), quarantine.ErrQuarantined)
+	for waits := true; waits; {
+		select {
+		case p := <-w.granted:
+			r.waited += time.Since(now)
+			if p == nil {
+				return nil, cmp.Or(r.quarantineError(), quarantine.ErrQuarantined)
+			}
+			return p, nil
+		case <-timer.C:
+			s.mu.Lock()
+			longer := s.mayWaitOn(w, time.Now())
+			s.mu.Unlock()
+			if waits = longer > 0; waits {
+				timer.Reset(longer)
+			}
+		case <-ctx.Done():
+			err = &outcome.NotRun{Reason: outcome.ReasonCallerGone, Detail: "the caller left while the request waited"}
+			waits = false
 		}
-		return p, nil
-	case <-timer.C:
-	case <-ctx.Done():
-		err = &outcome.NotRun{Reason: outcome.ReasonCallerGone, Detail: "the caller left while the request waited"}
 	}
 	r.waited += time.Since(now)
 	s.mu.Lock()
@@ -229,13 +246,32 @@
 	return nil, err
 }
 
+// enter returns a plan if an upstream has capacity, else the waiter, or the refusal if the request
+// may not wait. The caller holds the lock.
+func (r *run) enter(s *state, now time.Time) (*plan, *waiter, error) {
+	if s.shares != nil {
+		return r.enterQueue(s, now)
+	}
+	p, err := r.tryPlan(now)
+	if p != nil || err != nil {
+		return p, nil, err
+	}
+	if len(s.waiting) >= maxWaiting || !s.mayWait(r) || r.cannotWait(s, now) {
+		return nil, nil, r.refusal(outcome.ReasonOverloaded, r.retryAfter(s, now), "too many requests wait for an upstream with room")
+	}
+	w := &waiter{run: r, granted: make(chan *plan, 1), need: r.leastNeed(s), plannedAt: now}
+	s.enqueue(w)
+	return nil, w, nil
+}
+
 // retryAfter returns the time after which the caller of a request that found no capacity
 // should retry. The caller of retryAfter holds the lock.
 func (r *run) retryAfter(s *state, now time.Time) time.Duration {
 	longest := min(time.Duration(retryAfterShare*float64(r.deadline.Sub(now))), maxRetryAfter)
 	// A caller with less time comes at another entry, which upstreams may have asked to back off
 	// for less, and not all callers at the same moment.
-	least := max(defaultRetryAfter, min(r.backedOffFor(s, now), time.Duration(backOffRetryShare*float64(longest))))
+	busy := max(r.backedOffFor(s, now), s.backlog(r, now))
+	least := max(defaultRetryAfter, min(busy, time.Duration(backOffRetryShare*float64(longest))))
 	return s.retriesOf(r).RetryAfter(now, least, longest, rand.Float64())
 }
 
@@ -245,6 +281,11 @@
 	if r.small() {
 		share = waitTargetShareSmall
 	}
+	if r.gateway.state.shares != nil {
+		// Requests past their target wait behind the others, and delay none of them.
+		left := r.beginBy(now).Sub(now)
+		return min(time.Duration(waitShare*float64(left)), cmp.Or(p.longest, left))
+	}
 	longest := time.Duration(share * float64(r.route.Target))
 	longest = cmp.Or(p.longest, longest)
 	return min(time.Duration(waitShare*float64(r.deadline.Sub(now))), longest)
@@ -265,7 +306,15 @@
 // isRetry reports whether the request has been refused or cut off before, judging by the time
 // that its caller has left.
 func (r *run) isRetry() bool {
-	return float64(r.deadline.Sub(r.request.Arrived)) < firstAttemptShare*float64(r.usualWait)
+	if r.gateway.state.shares != nil && r.statesRetry() {
+		return true
+	}
+	wait := r.deadline.Sub(r.request.Arrived)
+	if r.gateway.state.shares != nil {
+		// A request that an entry forwarded has less time than its attempt had.
+		wait += r.request.UnderWay
+	}
+	return float64(wait) < firstAttemptShare*float64(r.usualWait)
 }
 
 // enqueue inserts a request behind those of the same precedence.
@@ -301,6 +350,10 @@
 }
 
 func (s *state) dequeue(w *waiter) {
+	if s.shares != nil {
+		s.shares.remove(w)
+		return
+	}
 	if at := slices.Index(s.waiting, w); at >= 0 {
 		s.waiting = slices.Delete(s.waiting, at, at+1)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,9 @@
 		g.state.clockNow, g.state.versions = options.Clock, resumption.NewVersions(options.Clock())
 	}
 	g.state.budgets.limits, g.state.exchange.enabled = options.Budget, options.Load.Handover
+	if options.Load.TeamShares {
+		g.state.shares = newShareQueues(options.Load.TeamWeights)
+	}
 	if options.AnnounceEvery > 0 {
 		g.state.announceWithin = options.AnnounceEvery + announceDelay
 		g.state.restartKnownWithin = restartIntervals*options.AnnounceEvery + announceDelay
@@ -246,6 +249,10 @@
 	unframed bool
 	// waited is the time spent waiting for capacity.
 	waited time.Duration
+	// late indicates that at the latest choice of an upstream its answer could not be in time.
+	late bool
+	// queued is the state in which it left the queue of its service.
+	queued string
 }
 
 // admit resolves the route, the team and the deadline of a request.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -53,7 +53,7 @@
 func (s *state) ownEstimates() handover.Estimates {
 	e := handover.Estimates{Entries: s.entries}
 	for name, l := range s.learned {
-		service := handover.Service{Name: name, Prefill: l.prefill.Observed()}
+		service := handover.Service{Name: name, Prefill: l.prefillTime().Observed()}
 		if l.size.Sampled() {
 			service.Small = l.size.Small()
 		}
@@ -145,14 +145,10 @@
 // observeAnyPrefill learns the prefill rate from a prompt that found no pending prefill at its
 // runner, although other answers were under way and it is unknown which of its shared parts were
 // cached: under load, runners are never idle, and most prompts go to where their parts may be.
-func (s *state) observeAnyPrefill(p *plan, now time.Time) {
-	if p.send.Prompt == nil || p.logged.PendingPrefill > 0 || p.logged.Fetched > 0 {
-		return
-	}
-	rate, took := s.prefillOf(p.upstream.record.Service), now.Sub(p.sent)
-	tookMs := float64(took)/float64(time.Millisecond) - rate.BaseMs()
-	if tokens, clear := likelyPrefill(p.send.Request.Prompt.Parts, p.choice.FullPrefill, rate.PerMs(), tookMs); clear {
-		rate.Observe(tokens, took)
+func (l *learned) observeAnyPrefill(p *plan, took time.Duration) {
+	tookMs := float64(took)/float64(time.Millisecond) - l.prefill.BaseMs()
+	if tokens, clear := likelyPrefill(p.send.Request.Prompt.Parts, p.choice.FullPrefill, l.prefill.PerMs(), tookMs); clear {
+		l.prefill.Observe(tokens, took)
 	}
 }
 
@@ -183,7 +179,9 @@
 		return
 	}
 	perMs, baseMs := given.Prefill.Line(s.startPerMs, float64(initialBaseTime/time.Millisecond))
-	l.prefill.SetStart(perMs, time.Duration(baseMs*float64(time.Millisecond)))
+	for _, estimate := range []*estimate.PrefillTime{l.prefill, l.idle} {
+		estimate.SetStart(perMs, time.Duration(baseMs*float64(time.Millisecond)))
+	}
 	if given.Small > 0 {
 		l.size.SetStart(given.Small)
 	}
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -16,7 +16,9 @@
 
 // learned is what an entry has observed of one service.
 type learned struct {
-	prefill *estimate.PrefillTime
+	// idle is learned from prompts that idle runners have computed, prefill from those that have
+	// found no pending prefill.
+	prefill, idle *estimate.PrefillTime
 	size    *estimate.Size
 	// retries spaces the retries of callers whose requests found no capacity, smallRetries
 	// those of small requests.
@@ -28,6 +30,8 @@
 	sentWork staleload.Rate
 	// pace is the pace of its upstreams.
 	pace pace.Service
+	// first is the time until the answers to large prompts begin, smallFirst that of all others.
+	first, smallFirst firstTime
 }
 
 // retriesOf returns the retry schedule for the request's caller.
@@ -49,6 +53,7 @@
 		}
 		l = &learned{
 			prefill: estimate.NewPrefillTime(s.startPerMs, initialBaseTime),
+			idle:    estimate.NewPrefillTime(s.startPerMs, initialBaseTime),
 			size:    estimate.NewSize(smallTokens),
 		}
 		s.setStart(service, l)
@@ -57,7 +62,18 @@
 	return l
 }
 
-func (s *state) prefillOf(service string) *estimate.PrefillTime { return s.learnedOf(service).prefill }
+func (s *state) prefillOf(service string) *estimate.PrefillTime {
+	return s.learnedOf(service).prefillTime()
+}
+
+// prefillTime returns the estimate from idle runners if there are enough observations: at others
+// prompts wait for work that is not known, and seem to be computed more slowly.
+func (l *learned) prefillTime() *estimate.PrefillTime {
+	if l.idle.Sampled() {
+		return l.idle
+	}
+	return l.prefill
+}
 
 // ratesOf returns the rates for choices among a service's runners.
 func (s *state) ratesOf(service string, rates placement.Rates) placement.Rates {
@@ -65,25 +81,24 @@
 	return rates
 }
 
-// observePrefill learns the prefill rate from a prompt whose answer has begun, if its runner
-// was idle and computed all of the prompt. Under load hardly a runner is idle; where work is
-// counted in uncached tokens, one without other prefill is enough; fetches take
-// longer than predicted under load, and are left out.
+// observePrefill learns the prefill rate from a prompt whose answer has begun: if its runner was idle
+// and computed all of the prompt, and from others under load, when hardly a runner is idle. Fetches
+// take longer than predicted under load, and are left out.
 func (s *state) observePrefill(p *plan, now time.Time) {
-	if p.uncachedTokens > 0 {
-		if p.logged.Fetched == 0 && p.logged.PendingPrefill == 0 {
-			s.prefillOf(p.upstream.record.Service).Observe(p.uncachedTokens, now.Sub(p.sent))
-		}
+	if p.send.Prompt == nil {
 		return
 	}
-	if s.exchange.enabled {
-		s.observeAnyPrefill(p, now)
-		return
+	l, took := s.learnedOf(p.upstream.record.Service), now.Sub(p.sent)
+	if p.choice.FullPrefill && p.logged.Requests == 0 {
+		l.idle.Observe(p.send.Request.Prompt.size()-p.send.Request.Prompt.Output, took)
 	}
-	if p.send.Prompt == nil || !p.choice.FullPrefill || p.logged.Requests > 0 {
-		return
+	switch {
+	case p.logged.PendingPrefill > 0 || p.logged.Fetched > 0:
+	case p.uncachedTokens > 0:
+		l.prefill.Observe(p.uncachedTokens, took)
+	case s.exchange.enabled:
+		l.observeAnyPrefill(p, took)
 	}
-	s.prefillOf(p.upstream.record.Service).Observe(p.send.Request.Prompt.size()-p.send.Request.Prompt.Output, now.Sub(p.sent))
 }
 
 // observeSize records the size in tokens of a prompt and returns the size up to which a prompt
@@ -117,7 +132,7 @@
 func (s *state) slowestPrefill() float64 {
 	slowest := 0.0
 	for _, l := range s.learned {
-		if perMs := l.prefill.PerMs(); slowest == 0 || perMs < slowest {
+		if perMs := l.prefillTime().PerMs(); slowest == 0 || perMs < slowest {
 			slowest = perMs
 		}
 	}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -104,6 +104,7 @@
 func (r *run) tryPlan(now time.Time) (*plan, error) {
 	s := r.gateway.state
 	r.gateway.meter.choices.Inc()
+	r.late = r.lateAt(s, now)
 	// The service is that of the admission: without it a prompt whose service was removed
 	// since would be sent without the salt that isolates teams.
 	service := r.index.Service(r.service)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -75,6 +75,8 @@
 	// Forwarded indicates that another entry forwarded the request to this one, which must not
 	// forward it again.
 	Forwarded bool
+	// UnderWay is how long the attempt was under way at the entry that forwarded it.
+	UnderWay time.Duration
 	// Left reports whether the caller has closed its connection, also if the close has not been read
 	// yet; nil if that can't be told.
 	Left func() bool
@@ -212,8 +214,8 @@
 	Request *Request
 	// Host and Address are the entry's name and its address for callers.
 	Host, Address string
-	// Wait is the time left for the answer.
-	Wait time.Duration
+	// Wait is the time left for the answer, UnderWay the time since the caller's attempt arrived.
+	Wait, UnderWay time.Duration
 	// ResumeAfter is the last event forwarded to the caller, empty for none.
 	ResumeAfter string
 }
