--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -19,7 +19,7 @@
 	// idle is learned from prompts that idle runners have computed, prefill from those that have
 	// found no pending prefill.
 	prefill, idle *estimate.PrefillTime
-	size    *estimate.Size
+	size          *estimate.Size
 	// retries spaces the retries of callers whose requests found no capacity, smallRetries
 	// those of small requests.
 	retries, smallRetries retry.Schedule
