estimate, steward: rates of busy runners are corrected for waits; few entries are answered by the leader

All hosts answered entries for the whole term, also at nine entries, whose views became 65 ms old for 15 ms (median of one entry); rates learned from busy runners were low, since unknown work delays answers. Change: before entries are counted, other hosts answer them only if the entries have reported to be many; a rate from idle runners goes first, and at busy ones an answer that is late weighs a quarter. Measured: TestControlHostsAnswerBeforeEntriesAreCounted covers few entries, unknown ones and many.

--- a/estimate/prefill_time.go
+++ b/estimate/prefill_time.go
@@ -12,6 +12,9 @@
 	// prefillMinSpread is the smallest relative standard deviation of prompt sizes at which
 	// the time per token can be separated from the constant time per prompt.
 	prefillMinSpread = 0.2
+	// delayedWeight is the weight of an observation that may include a wait. With it the estimate is
+	// near the fastest fifth of the observations.
+	delayedWeight = 0.25
 	// minPerMs and maxPerMs bound the estimate in tokens a millisecond, at about a
 	// hundredth and a hundred times the speed of engines that are common today.
 	minPerMs = 1.0
@@ -35,7 +38,19 @@
 
 // Observe adds one observation: a runner without other work prefilled that many tokens, and
 // its first event came after took.
-func (p *PrefillTime) Observe(tokens int, took time.Duration) {
+func (p *PrefillTime) Observe(tokens int, took time.Duration) { p.observe(tokens, took, 1) }
+
+// ObserveBusy adds one observation of a runner that had other work. An answer that waited for work
+// which is not known comes later than predicted and never sooner, so that later ones weigh less.
+func (p *PrefillTime) ObserveBusy(tokens int, took time.Duration) {
+	weight := 1.0
+	if toMs(took) > p.BaseMs()+float64(tokens)/p.PerMs() {
+		weight = delayedWeight
+	}
+	p.observe(tokens, took, weight)
+}
+
+func (p *PrefillTime) observe(tokens int, took time.Duration, weight float64) {
 	if tokens <= 0 || took <= 0 {
 		return
 	}
@@ -46,13 +61,13 @@
 		predicted := p.BaseMs() + x/p.PerMs()
 		y = min(y, 4*predicted)
 	}
-	o.Weight = o.Weight*prefillDecay + 1
-	share := 1 / o.Weight
+	o.Weight = o.Weight*prefillDecay + weight
+	share := weight / o.Weight
 	dx, dy := x-o.Tokens, y-o.Ms
 	o.Tokens += share * dx
 	o.Ms += share * dy
-	o.TokensSq = o.TokensSq*prefillDecay + dx*(x-o.Tokens)
-	o.TokensByMs = o.TokensByMs*prefillDecay + dx*(y-o.Ms)
+	o.TokensSq = o.TokensSq*prefillDecay + weight*dx*(x-o.Tokens)
+	o.TokensByMs = o.TokensByMs*prefillDecay + weight*dx*(y-o.Ms)
 }
 
 // PerMs returns the estimated prefill speed in tokens a millisecond.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -148,7 +148,7 @@
 func (l *learned) observeAnyPrefill(p *plan, took time.Duration) {
 	tookMs := float64(took)/float64(time.Millisecond) - l.prefill.BaseMs()
 	if tokens, clear := likelyPrefill(p.send.Request.Prompt.Parts, p.choice.FullPrefill, l.prefill.PerMs(), tookMs); clear {
-		l.prefill.Observe(tokens, took)
+		l.prefill.ObserveBusy(tokens, took)
 	}
 }
 
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -95,7 +95,7 @@
 	switch {
 	case p.logged.PendingPrefill > 0 || p.logged.Fetched > 0:
 	case p.uncachedTokens > 0:
-		l.prefill.Observe(p.uncachedTokens, took)
+		l.prefill.ObserveBusy(p.uncachedTokens, took)
 	case s.exchange.enabled:
 		l.observeAnyPrefill(p, took)
 	}
--- a/internal/steward/handover_test.go
+++ b/internal/steward/handover_test.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/lovagereach/lovagereach/cacheindex"
+	"github.com/lovagereach/lovagereach/handover"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wire"
 )
@@ -34,17 +35,22 @@
 // wait for their configuration until control hosts have learned by their second answer from the
 // leader that it doesn't answer all entries itself.
 func TestControlHostsAnswerBeforeEntriesAreCounted(t *testing.T) {
-	for _, handover := range []bool{false, true} {
+	for _, c := range []struct {
+		enabled bool
+		entries int
+		relays  bool
+	}{{false, 64, false}, {true, 64, true}, {true, 9, false}, {true, 0, false}} {
 		synctest.Test(t, func(t *testing.T) {
 			l := restartedLeader()
-			l.steward.options.Handover = handover
+			l.steward.options.Handover = c.enabled
+			l.steward.machine.applyLearned(handover.Encode(handover.Estimates{Entries: c.entries, Routes: []handover.Route{{Name: "r", WaitMs: 1000}}}, time.Now()))
 			first := l.steward.watch(t.Context(), controlPeer("c2"), &WatchRequest{Document: 1})
-			if first.Relaying != handover || !first.Counting {
-				t.Errorf("handover %v: the first answer says relaying %v, counting %v", handover, first.Relaying, first.Counting)
+			if first.Relaying != c.relays || !first.Counting {
+				t.Errorf("%+v: the first answer says relaying %v, counting %v", c, first.Relaying, first.Counting)
 			}
 			time.Sleep(relaysWithin)
 			if later := l.steward.watch(t.Context(), controlPeer("c2"), &WatchRequest{Document: 1}); later.Relaying {
-				t.Errorf("handover %v: a leader without entries has others relay for it", handover)
+				t.Errorf("%+v: a leader without entries has others relay for it", c)
 			}
 		})
 	}
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -64,9 +63,6 @@
 
 	announceEvery announceInterval
 
-	// relaying is set once the other control hosts are to answer entries too.
-	relaying atomic.Bool
-
 	// learnedCheckedAt and learnedSharedAt are the times at which what entries have learned was
 	// checked and committed. Only housekeep uses them.
 	learnedCheckedAt, learnedSharedAt time.Time
@@ -379,12 +375,9 @@
 	answer.Silent, answer.SilentRevision = l.recentSilent(now)
 	answer.ActiveEntries = l.activeCount(entries, now)
 	answer.RelayedRevision = l.watchers.relayedRevision(from.Host)
-	// After a restart of all hosts the number of entries is unknown, and hosts that wait for it
-	// before they answer entries delay most of them.
-	if answer.EntryCount > maxDirectEntries || answer.Counting && l.steward.options.Handover {
-		l.relaying.Store(true)
-	}
-	answer.Relaying = l.relaying.Load()
+	// After a restart of all hosts the number of entries is not counted yet, and hosts that wait for
+	// it before they answer entries delay most of them.
+	answer.Relaying = answer.EntryCount > maxDirectEntries || answer.Counting && l.steward.learnedEntries() > maxDirectEntries
 	answer.Relays = l.relays(now)
 	answer.Loading = l.loader.loading()
 	answer.MinVersions = l.raiseMinVersions(now)
--- a/internal/steward/learned.go
+++ b/internal/steward/learned.go
@@ -123,6 +123,20 @@
 	return m.learned, m.learnedRevision
 }
 
+// learnedEntries returns the number of entries by what they have reported before a restart, 0 if
+// unknown.
+func (s *Steward) learnedEntries() int {
+	if !s.options.Handover {
+		return 0
+	}
+	snapshot, _ := s.machine.learnedSnapshot()
+	estimates, result := handover.Decode(snapshot, time.Now())
+	if result != handover.Used {
+		return 0
+	}
+	return estimates.Entries
+}
+
 // addLearned adds what other entries have learned if the caller, an entry, lacks it.
 func (s *Steward) addLearned(request *WatchRequest, answer *WatchAnswer) {
 	if !s.options.Handover || request.Entry == nil {
