--- a/staleload/staleload.go
+++ b/staleload/staleload.go
@@ -4,10 +4,9 @@
 // Many entries choose alone among the same upstreams. If each takes the reports for the present
 // load, all send to the same few upstreams until the next reports arrive. But an entry knows how
 // much work all of them send together, and that they see about the same reports. The work that is
-// not reported yet fills the upstreams up to a common level, the least loaded first, as water
-// fills a basin. An entry that draws an upstream in proportion to what it lacks to that level
-// takes part in bringing this about: together the entries fill the upstreams evenly, without a
-// message between them. With fresh reports or little work, the level is that of the least loaded
+// not reported yet fills the upstreams up to a common level, the least loaded first. An entry
+// that draws an upstream in proportion to what it lacks to that level takes part in bringing
+// this about: together the entries fill the upstreams evenly, without a message between them. With fresh reports or little work, the level is that of the least loaded
 // upstream and the choice the usual one; with very old reports, it is nearly uniform.
 //
 // Designed for a burst at tens to hundreds of entries, and for upstreams that return without any
