--- a/internal/gateway/fleet_brittle_test.go
+++ b/internal/gateway/fleet_brittle_test.go
@@ -41,8 +41,14 @@
 	return b.active() && m.present-m.running > b.waiting
 }
 
+// isDown reports whether the runner has fallen over. The caller holds the runner's lock.
 func (b *brittleRunners) isDown(m *modelRunner) bool {
-	return b != nil && time.Now().Before(b.down[m])
+	if b == nil {
+		return false
+	}
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return time.Now().Before(b.down[m])
 }
 
 // reject counts a refusal. The caller holds the runner's lock.
