Test fleets: answers name the revision of the silent upstreams, as a leader does

Half of its processor went into applySilent: the model's answers had no revision, as those of builds before revisions, so that each entry went through all upstreams with each answer. Change: the models name one.

--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -240,7 +240,7 @@
 			}
 		}
 		f.mu.Unlock()
-		answer := &steward.WatchAnswer{Term: 1, Clock: 1000, EntryCount: f.shape.entries}
+		answer := &steward.WatchAnswer{Term: 1, Clock: 1000, EntryCount: f.shape.entries, SilentRevision: 1}
 		for _, sum := range sums {
 			answer.Loads = append(answer.Loads, sum)
 		}
--- a/internal/gateway/fleet_parts_model_test.go
+++ b/internal/gateway/fleet_parts_model_test.go
@@ -234,7 +234,7 @@
 	if f.controlsDown {
 		return nil
 	}
-	a := &steward.WatchAnswer{Term: 1, EntryCount: len(f.entries), Clock: 1000}
+	a := &steward.WatchAnswer{Term: 1, EntryCount: len(f.entries), Clock: 1000, SilentRevision: 1}
 	if request.Document == 0 {
 		a.Document = versionDocument()
 		a.Weights = &steward.WeightsView{Revision: 1}
