Entries answer callers' queries for addresses

Cause: callers look up addresses every 2 s at the nearest process that serves the directory and wait a second for it.

Change: entries with a listener for the directory get the list of their data centre with watch answers, if it differs from the one they hold, and answer callers with it, while they are ready and for 15 s after the latest answer of a control host.

--- a/cmd/lovage-fleet/control.go
+++ b/cmd/lovage-fleet/control.go
@@ -51,7 +51,7 @@
 	seeds := s.SeedHosts()
 	c.seeds.Store(&seeds)
 	operatorsServer := platform.NewOperators(c.current.Load, s.Operators, env.Log)
-	directoryServer := platform.NewDirectory(c.current.Load)
+	directoryServer := platform.NewDirectory(c.addresses)
 	tasks, ctx := errgroup.WithContext(ctx)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -89,6 +89,14 @@
 	return nil
 }
 
+// addresses lists the entries for callers, none while the data folder is read.
+func (c *controlHost) addresses(dataCentre string, limit int) []string {
+	if s := c.current.Load(); s != nil {
+		return s.Addresses(dataCentre, limit)
+	}
+	return nil
+}
+
 // ready returns an error while this host knows no leader and can't serve requests.
 func (c *controlHost) ready() error {
 	if s := c.current.Load(); s == nil || s.Leader() == "" {
--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -43,6 +43,10 @@
 	if err != nil {
 		return errors.Join(process.ErrUsage, eris.Wrap(err, "readiness: listen"))
 	}
+	directory, err := listenDirectory(s)
+	if err != nil {
+		return err
+	}
 	incarnation := peer.NewIncarnation()
 	follower, err := steward.NewEntryFollower(steward.EntryOptions{
 		Cluster: cluster, Key: []byte(peerKey), Host: ident.Host(s.Host), DataCentre: s.DataCentre, Incarnation: incarnation,
@@ -53,7 +57,7 @@
 	}
 	upstreams, peers := platform.NewUpstreams(), platform.NewPeers(s.Host)
 	g, err := gateway.New(gateway.Options{
-		Host: s.Host, DataCentre: string(s.DataCentre), Callers: s.Callers, Sender: upstreams, Peers: peers, Regions: s.DataCentres,
+		Host: s.Host, DataCentre: string(s.DataCentre), Callers: s.Callers, Directory: directory != nil, Sender: upstreams, Peers: peers, Regions: s.DataCentres,
 		Budget: gateway.BudgetLimits{Ratio: s.RetryRatio, Extra: s.RetryExtra},
 		Rates:  placement.DefaultRates(), Load: s.Load.Options(), Capacity: gateway.HostCapacity{Cores: s.ProcessorShare * s.ProcessorSpeed, LinkMbps: s.LinkMbps},
 		AnnounceEvery: s.AnnounceEvery(),
@@ -76,13 +80,16 @@
 	env.Log.Info("started", "role", "entry", "name", s.Name, "host", s.Host, "callers", s.Callers, "incarnation", uint64(incarnation))
 	e := &entry{
 		env: env, gateway: g, callers: platform.NewCallers(g, s.MemoryMB*mebibyte, env.Log), readiness: platform.NewReadiness(g.Ready),
-		stopWithin: s.StopWithin(),
+		directory: platform.NewDirectory(func(_ string, limit int) []string { return g.Addresses(limit) }), stopWithin: s.StopWithin(),
 	}
 	tasks, ctx := errgroup.WithContext(ctx)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	tasks.Go(func() error { return e.callers.Serve(callers) })
 	tasks.Go(func() error { return serve(e.readiness, readiness) })
+	if directory != nil {
+		tasks.Go(func() error { return serve(e.directory, directory) })
+	}
 	tasks.Go(func() error { upstreams.Run(ctx); return nil })
 	tasks.Go(func() error { peers.Run(ctx); return nil })
 	tasks.Go(func() error {
@@ -103,6 +110,19 @@
 	return tasks.Wait()
 }
 
+// listenDirectory opens the listener for callers that ask for the addresses of entries, nil if this
+// entry has none.
+func listenDirectory(s *platform.Settings) (net.Listener, error) {
+	if s.Directory == "" {
+		return nil, nil
+	}
+	listener, err := net.Listen("tcp", s.Directory)
+	if err != nil {
+		return nil, errors.Join(process.ErrUsage, eris.Wrap(err, "directory: listen"))
+	}
+	return listener, nil
+}
+
 // readyError returns the reason why an entry that isn't ready accepts no callers.
 func readyError(ready bool) error {
 	if ready {
@@ -112,10 +132,12 @@
 }
 
 type entry struct {
-	env        *process.Env
-	gateway    *gateway.Gateway
-	callers    *platform.Callers
-	readiness  *http.Server
+	env       *process.Env
+	gateway   *gateway.Gateway
+	callers   *platform.Callers
+	readiness *http.Server
+	// directory serves callers that ask for the addresses of entries.
+	directory  *http.Server
 	stopWithin time.Duration
 }
 
@@ -136,6 +158,7 @@
 		e.env.Log.Warn("requests in progress aborted at the stop timeout", "open", e.gateway.Open(), "err", err)
 	}
 	_ = e.readiness.Close()
+	_ = e.directory.Close()
 	e.env.Log.Info("stopped")
 }
 
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -42,6 +42,10 @@
 	s.applySilent(answer)
 	s.applyLimits(answer, sent)
 	s.peers = answer.Peers
+	if answer.AddressesRevision > 0 {
+		s.addresses, s.addressesRevision = answer.Addresses, answer.AddressesRevision
+	}
+	s.addressesAt = sent
 	s.term = answer.Term
 	if answer.GrantsRevision > 0 {
 		s.allowance.SetGrants(answer.Grants, sent.Add(-answer.GrantsAge))
--- /dev/null
+++ b/internal/gateway/directory_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/lovagereach/lovagereach/internal/steward"
+)
+
+// Guards against callers that wait for a control host that is lost or suspended: an entry tells them
+// the addresses that it was given last, unless it shouldn't be used itself.
+func TestEntryAnswersCallersWhileControlIsLost(t *testing.T) {
+	g, _ := testGateway(t, nil)
+	g.state.directory = true
+	if !g.NextRequest().Directory || g.Addresses(64) != nil {
+		t.Error("an entry without addresses doesn't ask for them, or answers")
+	}
+	apply := func(revision uint64, addresses ...string) {
+		g.ApplyAnswer(&steward.WatchAnswer{Term: 1, Addresses: addresses, AddressesRevision: revision}, time.Now())
+	}
+	apply(7, "e1:80", "e2:80")
+	apply(0)
+	if got := g.Addresses(64); !slices.Equal(got, []string{"e1:80", "e2:80"}) || g.NextRequest().AddressesRevision != 7 {
+		t.Errorf("callers are given %v", got)
+	}
+	if got := g.Addresses(1); len(got) != 1 {
+		t.Errorf("%d addresses of at most one", len(got))
+	}
+	g.state.addressesAt = time.Now().Add(-addressesMaxAge - time.Second)
+	if g.Addresses(64) != nil {
+		t.Error("an entry that is cut off from control answers for good")
+	}
+	apply(0)
+	expired := false
+	g.options.ConfigExpired = func(time.Time) bool { return expired }
+	for _, unusable := range []func(){func() { expired = true }, func() { expired = false; g.Leave() }} {
+		if unusable(); g.Addresses(64) != nil {
+			t.Error("an entry that takes no callers answers")
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,7 +47,9 @@
 	Host, DataCentre string
 	// Callers is the address of the listener for callers.
 	Callers string
-	Sender  Sender
+	// Directory is set if this entry tells callers the addresses of entries.
+	Directory bool
+	Sender    Sender
 	// Peers forwards requests while this entry doesn't reach the upstreams; nil if requests are
 	// never forwarded.
 	Peers Peers
@@ -98,6 +100,7 @@
 		return nil, eris.New("gateway: Sender, Log and Decisions are required")
 	}
 	g := &Gateway{options: options, state: newState(options.Host, options.Rates.PrefillPerMs), reports: newReports(), origins: newOriginSender(options.Origins)}
+	g.state.directory = options.Directory
 	g.state.shareParts, g.state.copies.mbps = options.Load.ShareParts, options.Load.CopyMbps
 	if options.Clock != nil {
 		g.state.clockNow, g.state.versions = options.Clock, resumption.NewVersions(options.Clock())
@@ -147,6 +150,24 @@
 	return g.options.ConfigExpired != nil && g.options.ConfigExpired(time.Now())
 }
 
+// addressesMaxAge is how long callers are told addresses that no control host has confirmed since.
+// Callers avoid those that fail them.
+const addressesMaxAge = 15 * time.Second
+
+// Addresses lists at most limit listeners that callers in this entry's data centre should use, none
+// if callers should ask another process: while the entry starts, leaves, or may hold an old state.
+func (g *Gateway) Addresses(limit int) []string {
+	if !g.Ready() {
+		return nil
+	}
+	g.state.mu.Lock()
+	defer g.state.mu.Unlock()
+	if time.Since(g.state.addressesAt) > addressesMaxAge {
+		return nil
+	}
+	return g.state.addresses[:min(limit, len(g.state.addresses))]
+}
+
 // Leave announces to callers and control hosts that this entry takes no new callers. Requests
 // that still arrive are served.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -157,8 +157,14 @@
 	unreached int
 	// peers are the entries that requests may be forwarded to, by the latest answer of the
 	// control hosts, and peerLoads the state of those that were used.
-	peers     []steward.PeerView
-	peerLoads map[string]*peerLoad
+	peers []steward.PeerView
+	// directory is Options.Directory, and addresses are the listeners to tell callers, of revision
+	// addressesRevision, as of addressesAt.
+	directory         bool
+	addresses         []string
+	addressesRevision uint64
+	addressesAt       time.Time
+	peerLoads         map[string]*peerLoad
 	// served holds the requests that were served lately: they are not considered the cause of
 	// a crash.
 	served quarantine.Served
@@ -267,6 +273,7 @@
 		Quarantine: s.verdicts.revision, Evacuation: s.evacuation.Revision, ReadingRoster: s.rosterListed != nil, SilentRevision: s.silentRevision,
 		Limits: s.limits.Unlisted(time.Now()), LimitsRevision: s.limitsRevision,
 		Learned: s.reportLearned(time.Now()), LearnedRevision: s.exchange.revision,
+		Directory: s.directory, AddressesRevision: s.addressesRevision,
 	}
 	if time.Since(s.inventoriesAt) > inventoryRefreshAge {
 		// A control host answers immediately if the term differs from its own.
--- a/internal/steward/directory.go
+++ b/internal/steward/directory.go
@@ -1,9 +1,12 @@
 package steward
 
 import (
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lovagereach/lovagereach/subset"
 )
 
@@ -11,6 +14,8 @@
 	// addressCacheTTL is the time for which an answer of the directory is reused. Callers keep
 	// an answer for seconds, and thousands of them send requests.
 	addressCacheTTL = 100 * time.Millisecond
+	// maxEntryAddresses bounds the addresses that an entry is given for its callers.
+	maxEntryAddresses = 64
 	// maxCachedQueries bounds the cached answers: callers may name any data centre.
 	maxCachedQueries = 64
 )
@@ -38,23 +43,42 @@
 type cachedAddresses struct {
 	at        time.Time
 	addresses []string
+	// revision identifies the addresses.
+	revision uint64
 }
 
 // Addresses lists the listeners that callers in a data centre should use, at most limit of
 // them. The list must not be changed.
 func (s *Steward) Addresses(dataCentre string, limit int) []string {
+	return s.addressesFor(dataCentre, limit).addresses
+}
+
+// addAddresses adds the addresses that an entry tells callers of its data centre. They wake no
+// watch: an entry gets them with its next answer.
+func (s *Steward) addAddresses(request *WatchRequest, answer *WatchAnswer) {
+	if request.Entry == nil || !request.Directory {
+		return
+	}
+	list := s.addressesFor(request.Entry.DataCentre, maxEntryAddresses)
+	if len(list.addresses) > 0 && list.revision != request.AddressesRevision {
+		answer.Addresses, answer.AddressesRevision = list.addresses, list.revision
+	}
+}
+
+func (s *Steward) addressesFor(dataCentre string, limit int) cachedAddresses {
 	d, from, now := &s.directory, addressQuery{dataCentre: dataCentre, limit: limit}, time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if known, given := d.cached[from]; given && now.Sub(known.at) < addressCacheTTL {
-		return known.addresses
+		return known
 	}
 	if d.cached == nil || len(d.cached) >= maxCachedQueries {
 		d.cached = make(map[addressQuery]cachedAddresses)
 	}
 	addresses := chooseAddresses(s.entryList(), dataCentre, limit)
-	d.cached[from] = cachedAddresses{at: now, addresses: addresses}
-	return addresses
+	list := cachedAddresses{at: now, addresses: addresses, revision: xxhash.Sum64String(strings.Join(addresses, " "))}
+	d.cached[from] = list
+	return list
 }
 
 func chooseAddresses(views []EntryView, dataCentre string, limit int) []string {
--- a/internal/steward/directory_test.go
+++ b/internal/steward/directory_test.go
@@ -75,3 +75,27 @@
 		}
 	})
 }
+
+// Guards against callers that can learn where to connect from control hosts only, and against an
+// entry that is sent the same addresses with every answer.
+func TestEntriesGetAddressesForTheirCallers(t *testing.T) {
+	s := testLeadership(2).steward
+	listed := func(addresses ...string) {
+		s.directory.cached = map[addressQuery]cachedAddresses{
+			{dataCentre: "north", limit: maxEntryAddresses}: {at: time.Now().Add(time.Hour), addresses: addresses, revision: uint64(len(addresses))},
+		}
+	}
+	given := func(directory bool, revision uint64) []string {
+		answer := &WatchAnswer{}
+		s.addAddresses(&WatchRequest{Entry: &EntryView{DataCentre: "north"}, Directory: directory, AddressesRevision: revision}, answer)
+		return answer.Addresses
+	}
+	listed("a", "b")
+	if len(given(true, 0)) != 2 || len(given(true, 7)) != 2 || given(true, 2) != nil || given(false, 0) != nil {
+		t.Error("not given exactly where the entry lacks them")
+	}
+	listed()
+	if given(true, 2) != nil {
+		t.Error("a host that knows no entry takes away what the entry holds")
+	}
+}
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -113,6 +113,10 @@
 	// its latest one, and LearnedRevision the revision of what it holds of others.
 	Learned         []byte `cbor:"23,keyasint,omitempty"`
 	LearnedRevision uint64 `cbor:"24,keyasint,omitempty"`
+	// Directory is set by an entry that answers callers' queries for addresses, and
+	// AddressesRevision is the revision of the addresses that it holds.
+	Directory         bool   `cbor:"50,keyasint,omitempty"`
+	AddressesRevision uint64 `cbor:"51,keyasint,omitempty"`
 	// ReadingRoster is set while the caller receives the complete roster, page by page.
 	ReadingRoster bool `cbor:"18,keyasint,omitempty"`
 }
@@ -279,6 +283,10 @@
 	// the caller holds that revision.
 	Learned         []byte `cbor:"40,keyasint,omitempty"`
 	LearnedRevision uint64 `cbor:"41,keyasint,omitempty"`
+	// Addresses are the listeners that callers in the data centre of the caller, an entry, should
+	// use, of revision AddressesRevision. They are left out if the caller holds that revision.
+	Addresses         []string `cbor:"50,keyasint,omitempty"`
+	AddressesRevision uint64   `cbor:"51,keyasint,omitempty"`
 	// EntriesUnchanged is set if Entries is left out because the list last sent to the caller,
 	// a control host, still holds.
 	EntriesUnchanged bool `cbor:"29,keyasint,omitempty"`
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -131,6 +131,7 @@
 	b.addGrants(from, request, answer, now)
 	b.addLimits(request, answer, now)
 	s.addLearned(request, answer)
+	s.addAddresses(request, answer)
 	if request.Entry != nil && request.Entry.Unreached > 0 {
 		answer.Peers = choosePeers(s.entryList(), request.Entry)
 	}
