Peers: try a lost opening packet again after 0.1 s; commit of a new term told at once

Cause: after a loss of power at all hosts they start within 0.3 s of each other. A dial to one that had no power yet hung until the kernel repeated the opening packet, a second later. The hosts that started last got no pre-votes of the first two, so that no quick election was possible (leader 0.41 s after the last start instead of 0.1 s), and the first ones reached the new leader later still. A follower that was restarted learned with the next heartbeat only how much of its log is committed, and answered no entry before.

Change: a dial without an answer gets a further attempt each 0.1 s beside the first, at most two at a time; a refusal ends it as before. With the commit of the first entry of its term a leader sends a heartbeat round at once.

--- a/internal/adapter/peer/options.go
+++ b/internal/adapter/peer/options.go
@@ -68,7 +68,10 @@
 	MaxConns int
 	MaxLinks int
 
-	DialTimeout  time.Duration
+	DialTimeout time.Duration
+	// RedialAfter is the time after which another attempt to connect starts beside one that got no
+	// answer; 0 for none.
+	RedialAfter  time.Duration
 	HelloTimeout time.Duration
 	WriteTimeout time.Duration
 	// HandlerTimeout is the timeout of every handler and of a call without a
@@ -131,6 +134,9 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{}).DialContext
 	}
+	if o.RedialAfter > 0 {
+		o.Dial = redialling(o.Dial, o.RedialAfter)
+	}
 	return o
 }
 
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -41,6 +41,9 @@
 	heartbeat   = 80 * time.Millisecond
 	electionMin = 350 * time.Millisecond
 	electionMax = 600 * time.Millisecond
+	// redialAfter is several round trips within a region, and a fraction of electionMin: an election
+	// after a loss of power needs the connections to the hosts that get it last.
+	redialAfter = 100 * time.Millisecond
 	// segmentBytes bounds one file of the log. At most two of them and two snapshots are on the
 	// disk, of which a control host has 128 MB.
 	segmentBytes = 16 << 20
@@ -206,6 +209,7 @@
 		// A host behind a network partition answers nothing; these bounds let a call turn to
 		// another host well within the time for a configuration to be in force.
 		DialTimeout:  700 * time.Millisecond,
+		RedialAfter:  redialAfter,
 		HelloTimeout: 700 * time.Millisecond,
 		WriteTimeout: 2 * time.Second,
 		PingInterval: time.Second,
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -165,7 +165,14 @@
 	if index <= n.log.commit || !n.log.matches(index, n.hard.Term) {
 		return
 	}
+	catchingUp := n.log.commit < n.lead.noopIndex
 	n.commitTo(index)
+	if catchingUp && n.opts.QuickRestart {
+		// Followers that were restarted learn now, not with the next heartbeat, how much of their log
+		// is committed.
+		n.lead.nextHeartbeat = n.now.Add(n.opts.Heartbeat)
+		n.startRound()
+	}
 }
 
 func (n *Node) commitTo(index uint64) {
--- a/quorum/restart_test.go
+++ b/quorum/restart_test.go
@@ -65,6 +65,28 @@
 	}
 }
 
+// Guards against entries that wait for a restarted follower until the next heartbeat, while the leader
+// knows that the follower's log is committed.
+func TestFollowersLearnCommitOfNewTermAtOnce(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(t, seed, 5, 5, func(s *sim) { s.opts.QuickRestart = true })
+		l := s.awaitLeader()
+		commits := func(all bool) bool {
+			for _, h := range s.hosts {
+				if (all || h == l) && h.node.Status().Commit < l.node.lead.noopIndex {
+					return false
+				}
+			}
+			return true
+		}
+		s.runUntil(time.Second, func() bool { return commits(false) })
+		known := s.now
+		if !s.runUntil(time.Second, func() bool { return commits(true) }) || s.now.Sub(known) > DefaultHeartbeat/4 {
+			t.Errorf("seed %d: followers know the commit %v later", seed, s.now.Sub(known))
+		}
+	}
+}
+
 // Both followers restart right after their last acknowledgements, and the leader lives on behind a
 // partition and serves reads under its lease. They must not elect another one before its end.
 func scenarioRestartedVoters(s *sim) {
