Request lines: tokens of shared parts read again, and known to be held

Cause: which of the parts that are read again a second copy would have saved could not be told from the logs. Change: fields `again` and `held`.

--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -17,6 +17,9 @@
 	// weighted predicted cost.
 	PrefillTokens int
 	CostMs        float64
+	// ReadAgain is the number of tokens of shared parts to be prefilled although others are assumed
+	// to hold them, and ReadHeld the number of those that are known to be held.
+	ReadAgain, ReadHeld int
 	// Home is true if the upstream is the prompt's first choice by hash. Fetched and Saved
 	// are the numbers of parts to fetch and to keep.
 	Home           bool
@@ -182,7 +185,7 @@
 	}
 	return append(fields,
 		"upstream", c.Upstream, "candidates", c.Candidates, "requests", c.Requests, "tokens", c.Tokens, "unread", c.PendingPrefill,
-		"reads", c.PrefillTokens, "cost_ms", int(c.CostMs), "home", c.Home, "fetched", c.Fetched, "saved", c.Saved,
+		"reads", c.PrefillTokens, "again", c.ReadAgain, "held", c.ReadHeld, "cost_ms", int(c.CostMs), "home", c.Home, "fetched", c.Fetched, "saved", c.Saved,
 		"sources", c.Sources, "pace", math.Round(c.Slowdown*10)/10, "queue", c.Queue,
 		"distrust_ms", ms(c.HealthPenalty), "weights", c.Version, "software", c.Software)
 }
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -61,6 +61,7 @@
 		PrefillTokens: p.prefillTokens, CostMs: p.choice.CostMs, Home: p.choice.Home, HealthPenalty: u.health.penalty(now, u.silent),
 	}
 	p.logged.Open, p.logged.Software, p.logged.Unreported, p.logged.Predicted = p.open, p.origin.Software, p.unreported, p.predicted
+	p.logged.ReadAgain, p.logged.ReadHeld = p.readAgain, p.readHeld
 	if p.send.Prompt == nil {
 		return
 	}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -84,8 +84,9 @@
 	// copies are the second copies that the send may make.
 	copies []plannedCopy
 	// sharedRead are the tokens of shared parts that the runner is expected to read, readAgain
-	// those of them that are known to be held elsewhere.
-	sharedRead, readAgain int
+	// those of them that are known or assumed to be held elsewhere, and readHeld those that are known
+	// to be.
+	sharedRead, readAgain, readHeld int
 	// fetchMs is the predicted time of the fetches in milliseconds at the nominal rate of the
 	// links, sent the time of the send.
 	fetchMs float64
--- a/internal/gateway/shareparts.go
+++ b/internal/gateway/shareparts.go
@@ -128,6 +128,9 @@
 		if len(view.prompt.Complete[i]) > 0 || s.recent.knows(view.keys[i], now) {
 			p.readAgain += parts[i].Tokens
 		}
+		if len(view.prompt.Complete[i]) > 0 {
+			p.readHeld += parts[i].Tokens
+		}
 		if s.shareParts && parts[i].Tokens >= replicate.MinReadTokens {
 			p.toRead = append(p.toRead, i)
 		}
