Control hosts that start follow the leader of their replica; partial lists are withheld

Cause: after a loss of all hosts a control host asked others in turn for the leader, which waited for it themselves, up to 0.1 s after its own replica knew it.

Change: while no answer has named a leader, a control host's follower turns to the one that its replica knows. In a new term addresses are withheld for at most a second until half of the entries known before have called; callers keep those they have. Directory connections of entries are bounded.

--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lovagereach/lovagereach/ident"
@@ -32,6 +33,8 @@
 	// complete before the process has to exit; its caller finds another entry
 	// sooner if the listener is closed.
 	acceptWindow = 2700 * time.Millisecond
+	// maxDirectoryConns bounds the connections of callers that ask for addresses, at some 20 KB each.
+	maxDirectoryConns = 512
 )
 
 func runEntry(ctx context.Context, env *process.Env, s *platform.Settings) error {
@@ -120,7 +123,7 @@
 	if err != nil {
 		return nil, errors.Join(process.ErrUsage, eris.Wrap(err, "directory: listen"))
 	}
-	return listener, nil
+	return netutil.LimitListener(listener, maxDirectoryConns), nil
 }
 
 // readyError returns the reason why an entry that isn't ready accepts no callers.
--- a/internal/steward/directory.go
+++ b/internal/steward/directory.go
@@ -16,6 +16,10 @@
 	addressCacheTTL = 100 * time.Millisecond
 	// maxEntryAddresses bounds the addresses that an entry is given for its callers.
 	maxEntryAddresses = 64
+	// settleWithin is how long, from the first query in a term, a list is withheld that has less than
+	// half of the entries known before: callers keep an answer for seconds, and would share the few that
+	// called first.
+	settleWithin = time.Second
 	// maxCachedQueries bounds the cached answers: callers may name any data centre.
 	maxCachedQueries = 64
 )
@@ -32,6 +36,29 @@
 type directory struct {
 	mu     sync.Mutex
 	cached map[addressQuery]cachedAddresses
+	// term is that of the latest query, termAt the time of the first one in it. complete is set once
+	// the list was.
+	term     uint64
+	termAt   time.Time
+	complete bool
+}
+
+// settled reports whether a list of so many entries is given to callers, of those that were known
+// before a restart. The caller holds the lock.
+func (d *directory) settled(listed, before int, term uint64, now time.Time) bool {
+	if d.term != term || d.termAt.IsZero() {
+		d.term, d.termAt, d.complete = term, now, false
+	}
+	d.complete = d.complete || 2*listed >= before
+	return d.complete || now.Sub(d.termAt) >= settleWithin
+}
+
+// currentTerm returns the term whose entries this host lists.
+func (s *Steward) currentTerm() uint64 {
+	if l := s.leading.Load(); l != nil {
+		return l.elected
+	}
+	return s.relay.term()
 }
 
 // addressQuery is a caller's data centre and the number of addresses that it requests.
@@ -75,12 +102,27 @@
 	if d.cached == nil || len(d.cached) >= maxCachedQueries {
 		d.cached = make(map[addressQuery]cachedAddresses)
 	}
-	addresses := chooseAddresses(s.entryList(), dataCentre, limit)
+	views := s.entryList()
+	var addresses []string
+	if d.complete && d.term == s.currentTerm() || d.settled(usable(views), s.learnedEntries(), s.currentTerm(), now) {
+		addresses = chooseAddresses(views, dataCentre, limit)
+	}
 	list := cachedAddresses{at: now, addresses: addresses, revision: xxhash.Sum64String(strings.Join(addresses, " "))}
 	d.cached[from] = list
 	return list
 }
 
+// usable counts the entries that callers may use.
+func usable(views []EntryView) int {
+	n := 0
+	for i := range views {
+		if views[i].Ready || views[i].Starting {
+			n++
+		}
+	}
+	return n
+}
+
 func chooseAddresses(views []EntryView, dataCentre string, limit int) []string {
 	var ready []subset.Entry
 	var callers []string
--- a/internal/steward/directory_test.go
+++ b/internal/steward/directory_test.go
@@ -99,3 +99,23 @@
 		t.Error("a host that knows no entry takes away what the entry holds")
 	}
 }
+
+// Guards against callers that share the few entries that called first after a restart of all hosts, for
+// as long as they keep an answer; and against a directory that stays silent if the others are lost.
+func TestPartialListIsWithheldAfterRestart(t *testing.T) {
+	now := time.Now()
+	after := func(d time.Duration) time.Time { return now.Add(d) }
+	var d directory
+	if d.settled(1, 64, 4, now) || d.settled(31, 64, 4, after(100*time.Millisecond)) || !d.settled(32, 64, 4, after(200*time.Millisecond)) {
+		t.Error("given not exactly from half of the entries on")
+	}
+	if !d.settled(5, 64, 4, after(time.Minute)) {
+		t.Error("withheld where entries were lost")
+	}
+	if d.settled(1, 64, 5, after(time.Hour)) || !d.settled(1, 64, 5, after(time.Hour+settleWithin)) {
+		t.Error("a new leader's list is given at once, or never")
+	}
+	if !new(directory).settled(0, 0, 0, now) {
+		t.Error("withheld where the number of entries isn't known")
+	}
+}
--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -76,6 +76,8 @@
 	DataCentre ident.DataCentre
 	// LeaderOnly restricts queries to the leader.
 	LeaderOnly bool
+	// KnownLeader returns the leader that this host knows otherwise, empty if none; nil on entries.
+	KnownLeader func() ident.Host
 	// ApplyWithin is the time after its acknowledgement within which a configuration must be in
 	// force; 0 if no bound is configured.
 	ApplyWithin time.Duration
@@ -217,6 +219,8 @@
 	defer timeout.Stop()
 	overdue := time.NewTimer(f.overdueIn(now))
 	defer overdue.Stop()
+	elected, stopPolling := f.pollLeader()
+	defer stopPolling()
 	for {
 		select {
 		case result := <-f.results:
@@ -233,6 +237,12 @@
 			if !request.Overdue && host != f.leader && f.mustAskLeader(f.Now()) {
 				return false
 			}
+		case <-elected:
+			// The host that was asked may wait for a leader that is known here already. The call stays
+			// open, as above.
+			if leader := f.knownLeader(f.Now()); leader != "" && leader != host {
+				return false
+			}
 		case <-timeout.C:
 			// The answer to a process that didn't run may be waiting in its buffers.
 			if left := longest - (f.running(f.Now()) - sentAt); left > 0 {
--- a/internal/steward/follower_hosts.go
+++ b/internal/steward/follower_hosts.go
@@ -87,6 +87,9 @@
 	if f.mustAskLeader(now) {
 		return f.leader
 	}
+	if leader := f.knownLeader(now); leader != "" {
+		return leader
+	}
 	if i := slices.IndexFunc(f.relays, usable); i >= 0 && (f.leader == "" || !f.relaysSilent()) {
 		return f.relays[i]
 	}
@@ -109,3 +112,26 @@
 	f.next++
 	return hosts[f.next%len(hosts)]
 }
+
+// knownLeader returns the leader that this host knows otherwise and that didn't just fail it, while no
+// answer has named one.
+func (f *Follower) knownLeader(now time.Time) ident.Host {
+	if f.options.KnownLeader == nil || f.leader != "" {
+		return ""
+	}
+	leader := f.options.KnownLeader()
+	if leader == f.options.Self || now.Before(f.avoided[leader].until) {
+		return ""
+	}
+	return leader
+}
+
+// pollLeader returns a channel on which it is time to look for such a leader, nil if there is none to
+// look for.
+func (f *Follower) pollLeader() (<-chan time.Time, func()) {
+	if f.options.KnownLeader == nil || f.leader != "" {
+		return nil, func() {}
+	}
+	ticker := time.NewTicker(leaderPoll)
+	return ticker.C, ticker.Stop
+}
--- a/internal/steward/follower_test.go
+++ b/internal/steward/follower_test.go
@@ -299,3 +299,48 @@
 		}
 	})
 }
+
+// waitingHosts keep watches open until the test ends, but for the leader's.
+type waitingHosts struct {
+	scriptedHosts
+	leader string
+}
+
+func (w *waitingHosts) Call(ctx context.Context, address string, method port.Method, body []byte) ([]byte, error) {
+	if host, _, _ := net.SplitHostPort(address); host != w.leader {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return w.scriptedHosts.Call(ctx, address, method, body)
+}
+
+// Guards against a control host that waits at another one for a leader that its own replica knows, and
+// keeps the entries that ask it waiting; and against calls in a loop at a leader that fails them.
+func TestControlHostFollowsLeaderOfItsReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := &waitingHosts{leader: "c3"}
+		f := testFollower(&hosts.scriptedHosts)
+		start, elected := time.Now(), 100*time.Millisecond
+		f.options.Transport, f.options.KnownLeader = hosts, func() ident.Host {
+			if time.Since(start) < elected {
+				return ""
+			}
+			return "c3"
+		}
+		f.SetSeeds([]ident.Host{"c1", "c2"})
+		once := func() bool {
+			return f.once(t.Context(), &WatchRequest{}, func(*WatchAnswer, time.Time) {})
+		}
+		if once() || time.Since(start) > elected+leaderPoll {
+			t.Errorf("turns to the leader after %v", time.Since(start))
+		}
+		if once(); hosts.lastHost != "c3" {
+			t.Errorf("asks %q, not the leader", hosts.lastHost)
+		}
+		asked := time.Now()
+		if once(); time.Since(asked) < watchTimeout {
+			t.Errorf("leaves another host after %v for a leader that failed", time.Since(asked))
+		}
+		time.Sleep(lateTimeout)
+	})
+}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -175,7 +175,7 @@
 	}
 	s.follower = NewFollower(FollowerOptions{
 		Transport: s.transport, Seeds: o.Seeds, PeerPort: o.PeerPort, Log: o.Log, Self: o.Self, LeaderOnly: true,
-		Clock: o.Clock,
+		KnownLeader: s.knownLeader, Clock: o.Clock,
 	})
 	s.relay.watchers.clock = s.follower.stalls.Total
 	s.transport.Handle(methodWatch, port.PeerHandlerFunc(s.handleWatch))
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wire"
 	"github.com/lovagereach/lovagereach/roster"
@@ -104,6 +105,15 @@
 	return string(r.Status().Leader)
 }
 
+// knownLeader returns the leader that this host's replica knows, for a follower that knows none, where
+// a start has to be quick.
+func (s *Steward) knownLeader() ident.Host {
+	if !s.options.Handover {
+		return ""
+	}
+	return ident.Host(s.Leader())
+}
+
 // submit executes a message on the leader.
 func (s *Steward) submit(ctx context.Context, message submission) (submitted, error) {
 	if s.leading.Load() != nil {
