--- a/internal/steward/directory.go
+++ b/internal/steward/directory.go
@@ -1,9 +1,12 @@
 package steward
 
 import (
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lovagereach/lovagereach/subset"
 )
 
@@ -11,6 +14,12 @@
 	// addressCacheTTL is the time for which an answer of the directory is reused. Callers keep
 	// an answer for seconds, and thousands of them send requests.
 	addressCacheTTL = 100 * time.Millisecond
+	// maxEntryAddresses bounds the addresses that an entry is given for its callers.
+	maxEntryAddresses = 64
+	// settleWithin is how long, from the first query in a term, a list is withheld that has less than
+	// half of the entries known before: callers keep an answer for seconds, and would share the few that
+	// called first.
+	settleWithin = time.Second
 	// maxCachedQueries bounds the cached answers: callers may name any data centre.
 	maxCachedQueries = 64
 )
@@ -27,6 +36,29 @@
 type directory struct {
 	mu     sync.Mutex
 	cached map[addressQuery]cachedAddresses
+	// term is that of the latest query, termAt the time of the first one in it. complete is set once
+	// the list was.
+	term     uint64
+	termAt   time.Time
+	complete bool
+}
+
+// settled reports whether a list of so many entries is given to callers, of those that were known
+// before a restart. The caller holds the lock.
+func (d *directory) settled(listed, before int, term uint64, now time.Time) bool {
+	if d.term != term || d.termAt.IsZero() {
+		d.term, d.termAt, d.complete = term, now, false
+	}
+	d.complete = d.complete || 2*listed >= before
+	return d.complete || now.Sub(d.termAt) >= settleWithin
+}
+
+// currentTerm returns the term whose entries this host lists.
+func (s *Steward) currentTerm() uint64 {
+	if l := s.leading.Load(); l != nil {
+		return l.elected
+	}
+	return s.relay.term()
 }
 
 // addressQuery is a caller's data centre and the number of addresses that it requests.
@@ -38,23 +70,57 @@
 type cachedAddresses struct {
 	at        time.Time
 	addresses []string
+	// revision identifies the addresses.
+	revision uint64
 }
 
 // Addresses lists the listeners that callers in a data centre should use, at most limit of
 // them. The list must not be changed.
 func (s *Steward) Addresses(dataCentre string, limit int) []string {
+	return s.addressesFor(dataCentre, limit).addresses
+}
+
+// addAddresses adds the addresses that an entry tells callers of its data centre. They wake no
+// watch: an entry gets them with its next answer.
+func (s *Steward) addAddresses(request *WatchRequest, answer *WatchAnswer) {
+	if request.Entry == nil || !request.Directory {
+		return
+	}
+	list := s.addressesFor(request.Entry.DataCentre, maxEntryAddresses)
+	if len(list.addresses) > 0 && list.revision != request.AddressesRevision {
+		answer.Addresses, answer.AddressesRevision = list.addresses, list.revision
+	}
+}
+
+func (s *Steward) addressesFor(dataCentre string, limit int) cachedAddresses {
 	d, from, now := &s.directory, addressQuery{dataCentre: dataCentre, limit: limit}, time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if known, given := d.cached[from]; given && now.Sub(known.at) < addressCacheTTL {
-		return known.addresses
+		return known
 	}
 	if d.cached == nil || len(d.cached) >= maxCachedQueries {
 		d.cached = make(map[addressQuery]cachedAddresses)
 	}
-	addresses := chooseAddresses(s.entryList(), dataCentre, limit)
-	d.cached[from] = cachedAddresses{at: now, addresses: addresses}
-	return addresses
+	views := s.entryList()
+	var addresses []string
+	if d.complete && d.term == s.currentTerm() || d.settled(usable(views), s.learnedEntries(), s.currentTerm(), now) {
+		addresses = chooseAddresses(views, dataCentre, limit)
+	}
+	list := cachedAddresses{at: now, addresses: addresses, revision: xxhash.Sum64String(strings.Join(addresses, " "))}
+	d.cached[from] = list
+	return list
+}
+
+// usable counts the entries that callers may use.
+func usable(views []EntryView) int {
+	n := 0
+	for i := range views {
+		if views[i].Ready || views[i].Starting {
+			n++
+		}
+	}
+	return n
 }
 
 func chooseAddresses(views []EntryView, dataCentre string, limit int) []string {
