Transfers of parts count at the links of runners, not of stores alone

Cause: in a deployment whose runners have slower links than its stores, fetches of large parts were foretold at the store's rate, 2.5 to 4 times too short, and the queue at the runner's link was unknown.

Change: load.runner_links. The slower link determines a transfer's rate, it occupies both until its predicted end, and saves do too. Queues of runners' links travel among the loads, as those of stores. The home runner of a part is in the data centre of its store where that has the faster link. Where no store sends faster than the runners nothing changes.

--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -27,6 +27,10 @@
 	Sources  string
 	Slowdown float64
 	Queue    int
+	// PromptTokens is the length of the prompt, FetchedTokens the part of it to fetch. FetchTime is
+	// the predicted time until that has been fetched, LinkWait the part of it until the links are free.
+	PromptTokens, FetchedTokens int
+	FetchTime, LinkWait         time.Duration
 	// Unreported is the number of pending tokens that the other entries were expected to have sent
 	// there unreported. Predicted is the expected time from the send to the first event, zero if
 	// there is no prediction, and Took the actual one.
@@ -180,6 +184,12 @@
 	if c.UpstreamSlowdown > 0 {
 		fields = append(fields, "slowdown", math.Round(c.UpstreamSlowdown*100)/100)
 	}
+	if c.PromptTokens > 0 {
+		fields = append(fields, "prompt", c.PromptTokens)
+	}
+	if c.FetchedTokens > 0 {
+		fields = append(fields, "fetched_tokens", c.FetchedTokens, "fetch_ms", ms(c.FetchTime), "link_wait_ms", ms(c.LinkWait))
+	}
 	return append(fields,
 		"upstream", c.Upstream, "candidates", c.Candidates, "requests", c.Requests, "tokens", c.Tokens, "unread", c.PendingPrefill,
 		"reads", c.PrefillTokens, "cost_ms", int(c.CostMs), "home", c.Home, "fetched", c.Fetched, "saved", c.Saved,
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -95,6 +95,7 @@
 		s.prefillDone(p)
 		now := time.Now()
 		p.endReads(now)
+		s.occupyLinksWithSaves(p, &r.gateway.options.Rates, now)
 		s.observePrefill(p, now)
 		r.measurePace(s, p, now)
 		s.firstOf(r).observe(now.Sub(p.sent))
--- a/internal/gateway/fleet_callers_test.go
+++ b/internal/gateway/fleet_callers_test.go
@@ -135,7 +135,7 @@
 		list = append(list, placement.Store{Address: store.address, LinkMbps: store.mbps, FirstByte: store.first, Capacity: store.capacity, Used: store.used, Open: true})
 	}
 	rates := placement.DefaultRates()
-	if at := placement.KeepAt(&rates, "m.1", part, 18432, list); at >= 0 {
+	if at := placement.KeepAt(&rates, "m.1", part, f.shape.bytesPerToken(), list); at >= 0 {
 		f.addSaved(f.stores[addresses[at]], part, "m.1")
 	}
 }
--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"container/list"
 	"context"
 	"fmt"
@@ -41,8 +42,12 @@
 	length                    time.Duration
 	// seed selects another sequence of callers.
 	seed uint64
-	// shareParts is LoadOptions.ShareParts.
-	shareParts bool
+	// shareParts and runnerLinks are those of LoadOptions.
+	shareParts, runnerLinks bool
+	// runnerMbps is the rate of the runners' links, 0 if they are never occupied, tokenBytes the memory
+	// of a token, 0 for the usual.
+	runnerMbps float64
+	tokenBytes int
 	// stored indicates that all shared parts of long prompts are in stores from the start.
 	stored bool
 	// coldPerS is the number of requests per second that a cold runner sustains, 0 if no
@@ -155,7 +160,7 @@
 		g, err := New(Options{
 			Host: fmt.Sprintf("e%d", i), DataCentre: f.zone(i), Sender: &modelSender{fleet: f, entry: fmt.Sprintf("e%d", i)}, Peers: f,
 			Budget: BudgetLimits{Ratio: 0.2, Extra: 200}, Rates: placement.DefaultRates(), Log: quiet, Decisions: decision.New(quiet),
-			Load: LoadOptions{ShareParts: shape.shareParts},
+			Load: LoadOptions{ShareParts: shape.shareParts, RunnerLinks: shape.runnerLinks},
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -182,7 +187,7 @@
 			{Name: "short", Host: "h", Prefix: "/short/", Kind: catalog.Stream, Resumable: true, Timeout: 3 * time.Second, Target: 300 * time.Millisecond, Attempts: 2, Targets: target},
 		},
 		Services: []catalog.Service{{Name: "llm", ColdPerS: f.shape.coldPerS, Engine: &catalog.Engine{
-			Slots: f.shape.slots, MemoryTokens: f.shape.memory, TokenBytes: 18432, LinkMbps: 370000,
+			Slots: f.shape.slots, MemoryTokens: f.shape.memory, TokenBytes: f.shape.bytesPerToken(), LinkMbps: cmp.Or(f.shape.runnerMbps, 370000),
 		}}},
 	}
 	var states []steward.StoreState
@@ -289,22 +294,32 @@
 	})
 }
 
-// link queues a transfer on a store's link and returns its end time.
-func (f *modelFleet) link(store *modelStore, tokens int, zone string) time.Time {
+func (s *fleetShape) bytesPerToken() int { return cmp.Or(s.tokenBytes, 18432) }
+
+// link queues a transfer on the links of a store and of a runner and returns its end time.
+func (f *modelFleet) link(store *modelStore, tokens int, m *modelRunner) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ms := float64(tokens) * 18432 * 8 / (store.mbps * 1000)
-	if store.zone != zone {
-		ms *= 2
+	mbps, begin := store.mbps, lastOf(time.Now(), store.free)
+	if f.shape.runnerMbps > 0 {
+		mbps, begin = min(mbps, f.shape.runnerMbps), lastOf(begin, m.linkFree)
 	}
-	begin := time.Now()
-	if store.free.After(begin) {
-		begin = store.free
+	ms := float64(tokens) * float64(f.shape.bytesPerToken()) * 8 / (mbps * 1000)
+	if store.zone != m.zone {
+		ms *= 2
 	}
 	store.free = begin.Add(time.Duration(ms*float64(time.Millisecond)) + store.first)
+	m.linkFree = store.free
 	return store.free
 }
 
+func lastOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // modelSender sends the requests of one entry.
 type modelSender struct {
 	fleet *modelFleet
--- a/internal/gateway/fleet_runner_test.go
+++ b/internal/gateway/fleet_runner_test.go
@@ -24,10 +24,12 @@
 	running     int
 	tokens      int
 	prefillFree time.Time
-	freed       chan struct{}
-	cached      map[string]*list.Element
-	order       *list.List
-	kept        int
+	// linkFree is the end of the transfers on its link.
+	linkFree time.Time
+	freed    chan struct{}
+	cached   map[string]*list.Element
+	order    *list.List
+	kept     int
 }
 
 type cachedPart struct {
@@ -130,7 +132,7 @@
 		switch {
 		case held && chain:
 		case chain && len(prompt.Fetch) > i && prompt.Fetch[i].Address != "":
-			if end := f.link(f.stores[prompt.Fetch[i].Address], part.Tokens, m.zone); end.After(fetched) {
+			if end := f.link(f.stores[prompt.Fetch[i].Address], part.Tokens, m); end.After(fetched) {
 				fetched = end
 			}
 		default:
@@ -160,7 +162,7 @@
 		if store := f.stores[address]; store != nil {
 			f.saves.Go(func() {
 				time.Sleep(time.Until(prefilled))
-				time.Sleep(time.Until(f.link(store, parts[i].Tokens, m.zone)) + eventLag)
+				time.Sleep(time.Until(f.link(store, parts[i].Tokens, m)) + eventLag)
 				f.addSaved(store, parts[i], prompt.Salt)
 			})
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 	}
 	g := &Gateway{options: options, state: newState(options.Host, options.Rates.PrefillPerMs), reports: newReports(), origins: newOriginSender(options.Origins)}
 	g.state.shareParts, g.state.copies.mbps = options.Load.ShareParts, options.Load.CopyMbps
+	g.state.runnerLinks = options.Load.ShareParts && options.Load.RunnerLinks
 	if options.Clock != nil {
 		g.state.clockNow, g.state.versions = options.Clock, resumption.NewVersions(options.Clock())
 	}
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -17,6 +17,9 @@
 	// ShareParts makes choices account for the parts of prompts that runners are reading at the
 	// moment, and for the transfers from stores that have ended.
 	ShareParts bool
+	// RunnerLinks makes choices account for the rate of the runners' links and for the transfers that
+	// occupy them. It has an effect with ShareParts only.
+	RunnerLinks bool
 	// CopyMbps bounds the transfers of shared parts that are copied before they are lost, in Mbit/s
 	// over all entries; 0 copies none.
 	CopyMbps float64
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -65,12 +65,15 @@
 		return
 	}
 	p.logged.Version = p.send.Prompt.Version
+	p.logged.PromptTokens = p.tokens - p.output
+	p.logged.FetchTime, p.logged.LinkWait = inMilliseconds(p.fetchMs), p.linkWait
 	var sources []string
 	for _, f := range p.send.Prompt.Fetch {
 		if f.Address == "" {
 			continue
 		}
 		p.logged.Fetched++
+		p.logged.FetchedTokens += f.Tokens
 		sources = append(sources, f.Address)
 		if store := s.stores[f.Address]; store != nil {
 			p.logged.Slowdown = max(p.logged.Slowdown, store.slowdown.current(now))
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -32,6 +32,8 @@
 	// choose the same upstreams without knowing it of each other.
 	excess           *metrics.Histogram
 	behindPrediction *metrics.Counter
+	// linkWait is the predicted time that fetches wait for the links between stores and runners.
+	linkWait *metrics.Histogram
 	// sends counts all sends, retried the sends after the first of a request, resumed the
 	// streams that were resumed at another upstream.
 	sends, retried, resumed *metrics.Counter
@@ -101,6 +103,7 @@
 	}
 	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_gateway_" + part + "_total") }
 	m.excess = m.set.NewHistogram("lovagereach_gateway_first_excess_seconds")
+	m.linkWait = m.set.NewHistogram("lovagereach_gateway_link_wait_seconds")
 	m.behindPrediction = counter("behind_prediction")
 	m.late, m.sends, m.retried, m.choices = counter("late"), counter("sends"), counter("sent_again"), counter("choices")
 	m.certainRefusals, m.lateGrants = counter("certain_refusals"), counter("late_grants")
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -89,8 +89,10 @@
 	// fetchMs is the predicted time of the fetches in milliseconds at the nominal rate of the
 	// links, sent the time of the send.
 	fetchMs float64
-	sent    time.Time
-	logged  decision.Choice
+	// linkWait is the part of it until the links are free, if they are accounted for.
+	linkWait time.Duration
+	sent     time.Time
+	logged   decision.Choice
 	// unreported is the number of pending tokens that the other entries were expected to have sent
 	// to the runner. predicted is the time from the send to the first event by the entry's view,
 	// zero for a plain service, and took the actual one.
@@ -138,6 +140,9 @@
 	s.limits.RecordSent(p.upstream.record.ID, now)
 	s.reach.Sent(p.upstream.record.ID, now)
 	r.gateway.countSent(p.upstream, now)
+	if p.linkWait > 0 {
+		r.gateway.meter.linkWait.Update(p.linkWait.Seconds())
+	}
 	r.gateway.meter.partsRead.Add(p.sharedRead)
 	r.gateway.meter.partsReadAgain.Add(p.readAgain)
 	r.gateway.countBackOff(p.upstream, now)
@@ -216,6 +221,7 @@
 	needed := r.need(s, service, r.expectedSize(s), prompt.lastPart())
 	rates := s.ratesOf(service.Name, r.gateway.options.Rates)
 	prefilled := int(rates.PrefillPerMs * milliseconds(now.Sub(s.loadsAt)))
+	countsLinks := s.countsLinks(service.Engine)
 	runners := make([]placement.Runner, len(candidates))
 	version := uint64(0)
 	for i, u := range candidates {
@@ -236,6 +242,9 @@
 			PendingPrefill: u.own.Unread + max(u.others.Unread-prefilled, 0), HealthPenalty: extra, Full: full,
 			Slowdown: r.slowdownOf(s, u, now),
 		}
+		if countsLinks {
+			runners[i].LinkQueued = s.linkQueued(u, service.Engine, now)
+		}
 	}
 	stores, addresses := s.storeList(s.withEvacuated(candidates), service.Engine, now)
 	// The choice assumes the newest version among the candidates; the version of the chosen
@@ -245,6 +254,7 @@
 	if r.gateway.options.Load.ExpectOthers {
 		r.expectOthers(s, &view.prompt, &rates, candidates, runners, now)
 	}
+	view.prompt.HomeDataCentre = s.homeDataCentre(&rates, &view, stores, now)
 	choice, _ := placement.Choose(&rates, view.salt, &view.prompt, runners, stores)
 	at := choice.Runner
 	p.upstream = candidates[at]
@@ -257,6 +267,9 @@
 	p.choice = choice
 	p.unreported = runners[at].Unreported
 	p.fetchMs = fetchMs(&view.prompt, choice, stores)
+	if countsLinks {
+		s.planLinks(p, &rates, &view.prompt, &runners[at], stores)
+	}
 	p.tokens = view.prompt.Tokens() + p.output
 	p.prefillTokens = choice.PrefillTokens
 	if r.gateway.options.Load.ExpectOthers {
--- a/internal/gateway/plan_bench_test.go
+++ b/internal/gateway/plan_bench_test.go
@@ -21,6 +21,12 @@
 // BenchmarkPlanExpectOthers is BenchmarkPlan with the work of 63 other entries expected.
 func BenchmarkPlanExpectOthers(b *testing.B) { benchmarkPlan(b, LoadOptions{ExpectOthers: true}) }
 
+// BenchmarkPlanRunnerLinks is BenchmarkPlan with stores that are faster than the runners' links, each of
+// which is occupied.
+func BenchmarkPlanRunnerLinks(b *testing.B) {
+	benchmarkPlan(b, LoadOptions{ShareParts: true, RunnerLinks: true})
+}
+
 func benchmarkPlan(b *testing.B, load LoadOptions) {
 	for _, runners := range []int{72, 300, 12000} {
 		b.Run(fmt.Sprint(runners), func(b *testing.B) {
@@ -39,6 +45,9 @@
 			}
 			answer.Roster = view
 			g.ApplyAnswer(answer, time.Now())
+			if load.RunnerLinks {
+				occupyLinks(g)
+			}
 			request := promptRequest("/stream/x")
 			r, err := g.admit(context.Background(), request)
 			if err != nil {
@@ -56,3 +65,14 @@
 		})
 	}
 }
+
+// occupyLinks makes the stores faster than the runners' links and occupies these.
+func occupyLinks(g *Gateway) {
+	for _, store := range g.state.index.Stores() {
+		store.Store.LinkMbps = 300000
+	}
+	g.state.index.Service("llm").Engine.LinkMbps = 100000
+	for _, u := range g.state.upstreams {
+		g.state.store(u.record.Address).others = 1000
+	}
+}
--- a/internal/gateway/shareparts.go
+++ b/internal/gateway/shareparts.go
@@ -37,7 +37,19 @@
 type plannedTransfer struct {
 	// tokens is the size of a transfer within the data centre that takes the source's link as long.
 	tokens int
-	time   time.Duration
+	// wait is the time until it begins, time that until it ends.
+	wait, time time.Duration
+	// linkTokens are those of a transfer that takes the runner's link as long, 0 if it isn't accounted
+	// for.
+	linkTokens int
+}
+
+// beginsAt is the time from which on the transfer becomes shorter, from its send.
+func (t *plannedTransfer) beginsAt() time.Duration {
+	if t.linkTokens == 0 {
+		return t.time
+	}
+	return t.wait
 }
 
 // planTransfers predicts the transfers of a choice, part by part.
@@ -62,7 +74,7 @@
 	source.own += tokens
 	if s.shareParts && part < len(p.planned) {
 		planned := p.planned[part]
-		p.transfers = append(p.transfers, sourceTransfer{source, source.queue.Add(planned.tokens, now, now.Add(planned.time))})
+		p.transfers = append(p.transfers, sourceTransfer{source, source.queue.AddFrom(planned.tokens, now, now.Add(planned.beginsAt()), now.Add(planned.time))})
 	}
 }
 
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -29,6 +29,9 @@
 func (s *state) describePrompt(prompt *Prompt, salt string, engine *catalog.Engine, candidates []*upstreamState, addresses []string, now time.Time) promptView {
 	d := promptView{salt: salt, keys: make([]cacheindex.Key, len(prompt.Parts))}
 	d.prompt = placement.Prompt{Parts: prompt.Parts, Output: prompt.Output, TokenBytes: engine.TokenBytes, JointFetches: s.shareParts, Complete: make([][]int, len(prompt.Parts))}
+	if s.countsLinks(engine) {
+		d.prompt.RunnerLinkMbps = engine.LinkMbps
+	}
 	d.prompt.CachesKnown = s.cachesKnown(candidates)
 	for i, part := range prompt.Parts {
 		d.keys[i] = cacheindex.Key{Salt: salt, Part: part.ID}
@@ -158,7 +161,9 @@
 	}
 	if fetches {
 		p.send.Prompt.Fetch = fetch
-		p.planned = planTransfers(rates, &view.prompt, choice, p.upstream.record.DataCentre, stores)
+		if view.prompt.RunnerLinkMbps <= 0 {
+			p.planned = planTransfers(rates, &view.prompt, choice, p.upstream.record.DataCentre, stores)
+		}
 		p.send.Prompt.FetchDeadlineMs = s.upstreamsClock(now) + steward.FetchPermit.Milliseconds()
 	}
 	if saves {
@@ -184,6 +189,7 @@
 			s.startTransfer(p, i, p.sources[i], from.Tokens, now)
 		}
 	}
+	s.occupyLink(p, now)
 	s.beginReads(p, now)
 	s.takeCopies(p, now)
 	for i, address := range p.send.Prompt.Save {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -191,8 +191,10 @@
 	clockNow   func() time.Time
 	// shareParts is LoadOptions.ShareParts; reads are the parts that runners are reading.
 	shareParts bool
-	reads      replicate.Reads
-	copies     copies
+	// runnerLinks is LoadOptions.RunnerLinks.
+	runnerLinks bool
+	reads       replicate.Reads
+	copies      copies
 	// origins holds what began the streams of this entry that are not complete.
 	origins *resumption.Records
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -101,6 +101,9 @@
 	// runner is drawn among those that cost about the same.
 	Unreported int
 	Room       float64
+	// LinkQueued is the number of tokens whose transfers occupy the runner's link before those of
+	// the prompt.
+	LinkQueued int
 }
 
 // Prompt is a prompt to be placed.
@@ -124,6 +127,10 @@
 	// JointFetches weighs the fetch of a part together with those of the parts after it, which
 	// are of no use without it.
 	JointFetches bool
+	// RunnerLinkMbps is the rate of the runners' links, 0 if only those of the sources count.
+	RunnerLinkMbps float64
+	// HomeDataCentre is the data centre of the home runner, empty for any.
+	HomeDataCentre string
 }
 
 // Tokens returns the length of the prompt in tokens.
@@ -253,12 +260,26 @@
 	if p.lastShared() < 0 {
 		return -1
 	}
+	if p.HomeDataCentre != "" {
+		if home := homeRunnerIn(p.HomeDataCentre, key, runners); home >= 0 && !runners[home].Full {
+			return home
+		}
+	}
+	return homeRunnerIn("", key, runners)
+}
+
+// homeRunnerIn returns the home runner among those of a data centre, or among all if it is empty,
+// or -1 if there is none.
+func homeRunnerIn(dataCentre, key string, runners []Runner) int {
 	var first [homeCandidates]struct {
 		runner int
 		score  uint64
 	}
 	count := 0
 	for i := range runners {
+		if dataCentre != "" && runners[i].DataCentre != dataCentre {
+			continue
+		}
 		score := hash(runners[i].ID, key)
 		rank := count
 		for rank > 0 && first[rank-1].score < score {
@@ -276,6 +297,9 @@
 			return f.runner
 		}
 	}
+	if count == 0 {
+		return -1
+	}
 	return first[0].runner
 }
 
@@ -299,6 +323,7 @@
 	ms := 0.0
 	prefillTokens, uncached := 0.0, 0
 	contiguous := true // no part so far needs prefill
+	elapsed := 0.0     // time that the fetches so far take
 	for i, part := range p.Parts {
 		c.Fetch[i] = -1
 		last := i == len(p.Parts)-1
@@ -307,7 +332,7 @@
 			uncached += part.Tokens
 			break
 		}
-		store, fetchMs := p.bestSource(rates, i, r, stores)
+		store, fetchMs := p.bestSource(rates, i, r, stores, elapsed)
 		missProbability := 1.0
 		switch {
 		case p.Cached != nil && p.Cached(index, i):
@@ -320,10 +345,11 @@
 			// here would draw the prompt away from that runner.
 			missProbability = 1 - rates.HomeHitUnstored
 		}
-		cheaper := fetchMs < rates.recomputeMs(part) || p.JointFetches && contiguous && store >= 0 && p.fetchesPay(rates, i, fetchMs, r, stores)
+		cheaper := fetchMs < rates.recomputeMs(part) || p.JointFetches && contiguous && store >= 0 && p.fetchesPay(rates, i, fetchMs, r, stores, elapsed)
 		if store >= 0 && contiguous && cheaper {
 			c.Fetch[i] = store
 			c.FullPrefill = false
+			elapsed += fetchMs
 			ms += missProbability * (fetchMs + rates.MoveMsPerToken*float64(part.Tokens))
 			continue
 		}
@@ -347,13 +373,15 @@
 
 // fetchesPay reports whether fetching a part, at a cost of fetchMs, and some of the parts that
 // follow it costs less than recomputing them all.
-func (p *Prompt) fetchesPay(rates *Rates, part int, fetchMs float64, r *Runner, stores []Store) bool {
+func (p *Prompt) fetchesPay(rates *Rates, part int, fetchMs float64, r *Runner, stores []Store, elapsed float64) bool {
+	elapsed += fetchMs
 	balance := fetchMs - rates.recomputeMs(p.Parts[part])
 	for next := part + 1; next < len(p.Parts)-1 && balance >= 0; next++ {
-		store, ms := p.bestSource(rates, next, r, stores)
+		store, ms := p.bestSource(rates, next, r, stores, elapsed)
 		if store < 0 {
 			return false
 		}
+		elapsed += ms
 		balance += ms - rates.recomputeMs(p.Parts[next])
 	}
 	return balance < 0
@@ -375,8 +403,9 @@
 }
 
 // bestSource returns the store from which a runner gets a part soonest, and the cost of the
-// fetch in milliseconds. The store is -1 if there is none.
-func (p *Prompt) bestSource(rates *Rates, part int, r *Runner, stores []Store) (int, float64) {
+// fetch in milliseconds. The store is -1 if there is none. elapsed is the time that the fetches of
+// the parts before it take: on the runner's link it waits no longer for others after them.
+func (p *Prompt) bestSource(rates *Rates, part int, r *Runner, stores []Store, elapsed float64) (int, float64) {
 	best, bestMs := -1, 0.0
 	if part >= len(p.Complete) {
 		return best, bestMs
@@ -386,7 +415,11 @@
 		if !store.Open {
 			continue
 		}
-		ms := milliseconds(store.FirstByte) + linkMs(rates, p, part, store, r)
+		wait, transfer := p.linkMs(rates.CrossFactor, part, store, r)
+		if p.RunnerLinkMbps > 0 {
+			wait = max(wait-elapsed, 0)
+		}
+		ms := milliseconds(store.FirstByte) + wait + transfer
 		ms += store.Risk * rates.RecomputeMsPerToken * float64(p.Parts[part].Tokens)
 		if best < 0 || ms < bestMs {
 			best, bestMs = index, ms
@@ -395,31 +428,6 @@
 	return best, bestMs
 }
 
-// TransferMs returns the time in milliseconds to transfer a part from a store in the same
-// data centre at the nominal rate of its link, behind the transfers that are already
-// queued.
-func TransferMs(p *Prompt, part int, store *Store) float64 {
-	if store.LinkMbps <= 0 {
-		return 0
-	}
-	bits := float64(p.Parts[part].Tokens+store.Queued) * float64(p.TokenBytes) * 8
-	return bits/(store.LinkMbps*1000) + milliseconds(store.FirstByte)
-}
-
-// linkMs returns the time in milliseconds that a part takes on the link from a store to a
-// runner, behind the transfers that are already queued.
-func linkMs(rates *Rates, p *Prompt, part int, store *Store, r *Runner) float64 {
-	if store.LinkMbps <= 0 {
-		return 0
-	}
-	perToken := float64(p.TokenBytes) * 8 / (store.LinkMbps * 1000)
-	transferMs := perToken * float64(p.Parts[part].Tokens)
-	if store.DataCentre != r.DataCentre {
-		transferMs *= rates.CrossFactor
-	}
-	return transferMs + perToken*float64(store.Queued)
-}
-
 func hash(a, b string) uint64 {
 	h := xxhash.New()
 	_, _ = h.WriteString(a)
--- a/replicate/queue_test.go
+++ b/replicate/queue_test.go
@@ -42,3 +42,20 @@
 		t.Errorf("%d transfers with %d tokens", len(q.transfers), q.Tokens(start))
 	}
 }
+
+// Guards against transfers that count in full until they end, or twice: runners and stores look
+// busier than they are, and parts are read again.
+func TestTransfersBecomeShorter(t *testing.T) {
+	var q Queue
+	q.AddFrom(1000, start, start, after(10*time.Millisecond))
+	second := q.AddFrom(1000, start, after(10*time.Millisecond), after(20*time.Millisecond))
+	for i, want := range []int{2000, 1500, 1000, 500} {
+		if got := q.Tokens(after(time.Duration(5*i) * time.Millisecond)); got != want {
+			t.Errorf("%d tokens queued after %d ms, want %d", got, 5*i, want)
+		}
+	}
+	q.End(second)
+	if got := q.Tokens(after(15 * time.Millisecond)); got != 0 {
+		t.Errorf("%d tokens queued after the answer", got)
+	}
+}
