gateway: late requests don't make others late; long prompts of first attempts wait as long as with the list

And long prompts waited for 0.3 of their deadline instead of 0.3 of their target.

Change: the time is learned from small requests that were sent in time; large prompts count as late by the time of an idle runner. Late sends don't count for the prefill rate. Late requests are one rank lower. First attempts with large prompts are refused after 0.3 of their target while their callers can come back. All of it with team_shares only.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -97,7 +97,10 @@
 		p.endReads(now)
 		s.observePrefill(p, now)
 		r.measurePace(s, p, now)
-		s.firstOf(r).observe(now.Sub(p.sent))
+		if r.small() && !p.late {
+			// Upstreams serve late requests behind others.
+			s.learnedOf(r.service).first.observe(now.Sub(p.sent))
+		}
 		r.gateway.observeFetches(p, now)
 		r.observePrediction(p, now)
 		s.dispatchTo(p.upstream, now)
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -92,6 +92,8 @@
 	id ident.Request
 	// beginBy is the time by which its answer must begin.
 	beginBy time.Time
+	// longest is its longest wait, which may be extended.
+	longest time.Duration
 	// need is the least capacity that it takes, plannedAt the time of the latest choice of an
 	// upstream for it.
 	need      need
@@ -199,6 +201,7 @@
 	now := time.Now()
 	p, w, err := r.enter(s, now)
 	if w != nil {
+		w.longest = r.longestWait(s.waitLimits, now)
 		s.dispatchAt(r.dueAt, now)
 	}
 	s.mu.Unlock()
@@ -206,7 +209,7 @@
 		return p, err
 	}
 
-	timer := time.NewTimer(r.longestWait(s.waitLimits, now))
+	timer := time.NewTimer(w.longest)
 	defer timer.Stop()
 	for waits := true; waits; {
 		select {
@@ -277,15 +280,13 @@
 
 // longestWait returns how long the request may wait for capacity from now on.
 func (r *run) longestWait(p waitLimits, now time.Time) time.Duration {
+	if r.gateway.state.shares != nil {
+		return r.longestShareWait(p, now)
+	}
 	share := waitTargetShare
 	if r.small() {
 		share = waitTargetShareSmall
 	}
-	if r.gateway.state.shares != nil {
-		// Requests past their target wait behind the others, and delay none of them.
-		left := r.beginBy(now).Sub(now)
-		return min(time.Duration(waitShare*float64(left)), cmp.Or(p.longest, left))
-	}
 	longest := time.Duration(share * float64(r.route.Target))
 	longest = cmp.Or(p.longest, longest)
 	return min(time.Duration(waitShare*float64(r.deadline.Sub(now))), longest)
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -30,8 +30,8 @@
 	sentWork staleload.Rate
 	// pace is the pace of its upstreams.
 	pace pace.Service
-	// first is the time until the answers to large prompts begin, smallFirst that of all others.
-	first, smallFirst firstTime
+	// first is the time until the answers to small requests begin.
+	first firstTime
 }
 
 // retriesOf returns the retry schedule for the request's caller.
@@ -93,7 +93,7 @@
 		l.idle.Observe(p.send.Request.Prompt.size()-p.send.Request.Prompt.Output, took)
 	}
 	switch {
-	case p.logged.PendingPrefill > 0 || p.logged.Fetched > 0:
+	case p.late || p.logged.PendingPrefill > 0 || p.logged.Fetched > 0:
 	case p.uncachedTokens > 0:
 		l.prefill.ObserveBusy(p.uncachedTokens, took)
 	case s.exchange.enabled:
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -63,8 +63,10 @@
 	eventAt        time.Time
 	// slowdown is the factor by which work was predicted to take longer than usual. alone indicates
 	// that the answer waited behind no other request as far as the upstream states.
-	slowdown      float64
-	alone         bool
+	slowdown float64
+	alone    bool
+	// late indicates that the request was past its target, and the upstream was told a lower rank.
+	late          bool
 	answerStarted bool
 	released      bool
 	// checked indicates that it is known, or being checked, whether the upstream has crashed.
@@ -115,7 +117,7 @@
 	if len(candidates) == 0 {
 		return nil, r.noCandidateError(s)
 	}
-	p := &plan{candidates: len(candidates)}
+	p := &plan{candidates: len(candidates), late: r.late}
 	p.send = &Send{
 		Request: r.request, Team: r.teamName(), Rank: r.sendRank(), ResumeAfter: r.lastEvent,
 		Wait: r.deadline.Sub(now), Connections: s.connections(service), SameIncarnation: r.pinned && r.origin.Software != "", StatesStart: statesStart(service),
--- a/internal/gateway/ranks.go
+++ b/internal/gateway/ranks.go
@@ -5,7 +5,7 @@
 	maxRank = 9
 	// lateRanks is added to the ranks of late requests, so that upstreams too serve them behind those
 	// that can be in time.
-	lateRanks = (maxRank + 1) / 2
+	lateRanks = 1
 )
 
 // sendRank is the rank that an upstream is told. Runners admit prompts by it. Within each rank of the
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/binary"
 	"time"
 
@@ -103,19 +104,31 @@
 // work returns the least work of the request, in milliseconds of one upstream, since shared parts
 // of its prompt may be cached, and the time that its answer takes to begin.
 func (r *run) work(s *state) (cost float64, first time.Duration) {
-	first = s.firstOf(r).mean
+	if r.request.Prompt != nil {
+		cost, first = r.promptWork(s)
+	} else {
+		slots := 1
+		if serving := s.serving[r.service]; len(serving) > 0 {
+			slots = max(serving[0].record.Slots, 1)
+		}
+		cost, first = r.gateway.options.Rates.SlotMs/float64(slots), s.learnedOf(r.service).first.mean
+	}
 	if target := r.route.Target; target > 0 {
 		first = min(first, time.Duration(maxFirstShare*float64(target)))
 	}
-	if r.request.Prompt != nil {
-		ms := float64(r.request.Prompt.lastPart()) / s.prefillOf(r.service).PerMs()
-		return ms, max(first, time.Duration(ms*float64(time.Millisecond)))
-	}
-	slots := 1
-	if serving := s.serving[r.service]; len(serving) > 0 {
-		slots = max(serving[0].record.Slots, 1)
+	return cost, first
+}
+
+// promptWork is work for a prompt. The answers to large ones begin at times too different for a mean:
+// their time is that of an idle runner.
+func (r *run) promptWork(s *state) (cost float64, first time.Duration) {
+	prefill := s.prefillOf(r.service)
+	cost = float64(r.request.Prompt.lastPart()) / prefill.PerMs()
+	first = time.Duration((prefill.BaseMs() + cost) * float64(time.Millisecond))
+	if r.small() {
+		first = max(first, s.learnedOf(r.service).first.mean)
 	}
-	return r.gateway.options.Rates.SlotMs / float64(slots), first
+	return cost, first
 }
 
 // firstTime is the smoothed time from a send to the beginning of the answer, 0 if none was observed.
@@ -136,15 +149,6 @@
 // begin: while answers begin late because upstreams are busy, new requests can still be in time.
 const maxFirstShare = 1 - waitTargetShare
 
-// firstOf returns the time for requests of the same service and size.
-func (s *state) firstOf(r *run) *firstTime {
-	l := s.learnedOf(r.service)
-	if r.small() {
-		return &l.smallFirst
-	}
-	return &l.first
-}
-
 // Callers of streams leave if they get no event for some targets, and not before minPatience.
 const (
 	minPatience     = 2 * time.Second
@@ -196,13 +200,25 @@
 // statesRetry reports whether the caller states that it has made an attempt before.
 func (r *run) statesRetry() bool { return r.request.Resumes != "" || r.request.ResumeAfter != "" }
 
+// longestShareWait returns how long the request may wait while its caller can come back. A first
+// attempt with a large prompt waits for a share of its target: another entry may find room for it in
+// time, and those that wait late take the memory that upstreams free from others.
+func (r *run) longestShareWait(limits waitLimits, now time.Time) time.Duration {
+	left := r.beginBy(now).Sub(now)
+	longest := time.Duration(waitShare * float64(left))
+	if r.route.Target > 0 && !r.small() && !r.isRetry() {
+		longest = min(longest, time.Duration(waitTargetShare*float64(r.route.Target)))
+	}
+	return min(longest, cmp.Or(limits.longest, left))
+}
+
 // mayWaitOn returns how much longer a request may wait that has waited for longestWait: to its
-// latest start if it is expected to be served until then, or if its caller won't come back.
+// latest start if its caller won't come back, or if it is small and expected to be served until then.
 func (s *state) mayWaitOn(w *waiter, now time.Time) time.Duration {
 	if s.shares == nil || s.shares.waiters[w.id] != w {
 		return 0
 	}
-	if !w.run.isRetry() && !s.shares.queues[w.run.service].CanWait(now, w.id) {
+	if !w.run.isRetry() && (!w.run.small() || !s.shares.queues[w.run.service].CanWait(now, w.id)) {
 		return 0
 	}
 	_, first := w.run.work(s)
