--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -23,6 +23,6 @@
 	// CopyMbps bounds the transfers of shared parts that are copied before they are lost, in Mbit/s
 	// over all entries; 0 copies none.
 	CopyMbps float64
-	// Handover makes an entry that starts ask its peers for what they have learned.
+	// Handover makes entries report what they have learned, and those that start begin with it.
 	Handover bool
 }
