--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -294,24 +294,6 @@
 	}
 }
 
-// withdrawLoads withdraws the loads of this entry from the hosts that it has left. Otherwise each
-// change of the host would count them once more, until the hosts take the entry for lost. If the
-// message is lost, they do.
-func (f *Follower) withdrawLoads(ctx context.Context) {
-	for host := range f.reportedTo {
-		if host == f.lastHost {
-			continue
-		}
-		delete(f.reportedTo, host)
-		address := net.JoinHostPort(string(host), strconv.Itoa(f.options.PeerPort))
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-			defer cancel()
-			_, _ = f.options.Transport.Call(ctx, address, methodWithdraw, nil)
-		}()
-	}
-}
-
 // send makes a call; its result is delivered on results.
 func (f *Follower) send(ctx context.Context, host ident.Host, request *WatchRequest) *watchCall {
 	call := &watchCall{host: host, sent: f.Now(), after: f.applied}
--- a/internal/steward/follower_hosts.go
+++ b/internal/steward/follower_hosts.go
@@ -1,8 +1,11 @@
 package steward
 
 import (
+	"context"
 	"maps"
+	"net"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/lovagereach/lovagereach/ident"
@@ -135,3 +138,21 @@
 	ticker := time.NewTicker(leaderPoll)
 	return ticker.C, ticker.Stop
 }
+
+// withdrawLoads withdraws the loads of this entry from the hosts that it has left. Otherwise each
+// change of the host would count them once more, until the hosts take the entry for lost. If the
+// message is lost, they do.
+func (f *Follower) withdrawLoads(ctx context.Context) {
+	for host := range f.reportedTo {
+		if host == f.lastHost {
+			continue
+		}
+		delete(f.reportedTo, host)
+		address := net.JoinHostPort(string(host), strconv.Itoa(f.options.PeerPort))
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+			defer cancel()
+			_, _ = f.options.Transport.Call(ctx, address, methodWithdraw, nil)
+		}()
+	}
+}
