--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -83,7 +84,7 @@
 	env.Log.Info("started", "role", "entry", "name", s.Name, "host", s.Host, "callers", s.Callers, "incarnation", uint64(incarnation))
 	e := &entry{
 		env: env, gateway: g, callers: platform.NewCallers(g, s.MemoryMB*mebibyte, env.Log), readiness: platform.NewReadiness(g.Ready),
-		directory: platform.NewDirectory(func(_ string, limit int) []string { return g.Addresses(limit) }), stopWithin: s.StopWithin(),
+		directory: closeWhenCrowded(platform.NewDirectory(g.Addresses), maxDirectoryConns/2), stopWithin: s.StopWithin(),
 	}
 	tasks, ctx := errgroup.WithContext(ctx)
 	ctx, stop := context.WithCancel(ctx)
@@ -126,6 +127,28 @@
 	return netutil.LimitListener(listener, maxDirectoryConns), nil
 }
 
+// closeWhenCrowded lets callers keep their connections to a server only while few do, so that those of
+// some don't keep all others out.
+func closeWhenCrowded(server *http.Server, crowd int64) *http.Server {
+	var open atomic.Int64
+	server.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed, http.StateHijacked:
+			open.Add(-1)
+		}
+	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if open.Load() > crowd {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+	return server
+}
+
 // readyError returns the reason why an entry that isn't ready accepts no callers.
 func readyError(ready bool) error {
 	if ready {
--- a/internal/adapter/peer/redial.go
+++ b/internal/adapter/peer/redial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 )
@@ -25,18 +26,17 @@
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		results := make(chan dialled)
-		attempt := func(ctx context.Context, parent context.Context, end context.CancelFunc) {
-			defer end()
-			conn, err := dial(ctx, network, address)
+		attempt := func(own context.Context) {
+			conn, err := dial(own, network, address)
 			select {
-			case results <- dialled{conn, err, ctx.Err() != nil && parent.Err() == nil}:
-			case <-parent.Done():
+			case results <- dialled{conn, err, own != ctx && timedOut(own, err)}:
+			case <-ctx.Done():
 				if conn != nil {
 					_ = conn.Close()
 				}
 			}
 		}
-		go attempt(ctx, ctx, func() {})
+		go attempt(ctx)
 		next := time.NewTicker(every)
 		defer next.Stop()
 		for {
@@ -46,11 +46,21 @@
 					return r.conn, r.err
 				}
 			case <-next.C:
-				limited, end := context.WithTimeout(ctx, every*9/10)
-				go attempt(limited, ctx, end)
+				go func() {
+					limited, end := context.WithTimeout(ctx, every*9/10)
+					defer end()
+					attempt(limited)
+				}()
 			case <-ctx.Done():
 				return nil, ctx.Err()
 			}
 		}
 	}
 }
+
+// timedOut reports whether a dial only ran out of its time. A socket's deadline may pass before its
+// context has ended.
+func timedOut(ctx context.Context, err error) bool {
+	var timeout net.Error
+	return ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/internal/adapter/peer/redial_test.go
+++ b/internal/adapter/peer/redial_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -73,3 +74,27 @@
 		})
 	}
 }
+
+// Guards against a peer that connects slowly and is given up with the first further attempt: the
+// deadline of an attempt's socket passes before its context ends.
+func TestDialOutlastsTimeoutsOfItsAttempts(t *testing.T) {
+	const every, connects = 100 * time.Millisecond, 700 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*every)
+		defer cancel()
+		_, err := redialling(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			if end, _ := ctx.Deadline(); time.Until(end) < connects {
+				time.Sleep(time.Until(end) - time.Millisecond)
+				return nil, os.ErrDeadlineExceeded
+			}
+			time.Sleep(connects)
+			near, _ := net.Pipe()
+			return near, nil
+		}, every)(ctx, "tcp", "c1:80")
+		if took := time.Since(start); err != nil || took != connects {
+			t.Errorf("%v after %v, want a connection after %v", err, took, connects)
+		}
+		time.Sleep(every)
+	})
+}
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -42,10 +42,7 @@
 	s.applySilent(answer)
 	s.applyLimits(answer, sent)
 	s.peers = answer.Peers
-	if answer.AddressesRevision > 0 {
-		s.addresses, s.addressesRevision = answer.Addresses, answer.AddressesRevision
-	}
-	s.addressesAt = sent
+	s.applyAddresses(answer, sent)
 	s.term = answer.Term
 	if answer.GrantsRevision > 0 {
 		s.allowance.SetGrants(answer.Grants, sent.Add(-answer.GrantsAge))
@@ -95,6 +92,17 @@
 	}
 }
 
+// applyAddresses takes the addresses for callers, or that those held are still the present ones.
+func (s *state) applyAddresses(answer *steward.WatchAnswer, sent time.Time) {
+	switch {
+	case len(answer.Addresses) > 0:
+		s.addresses, s.addressesRevision = answer.Addresses, answer.AddressesRevision
+	case answer.AddressesRevision == 0 || answer.AddressesRevision != s.addressesRevision:
+		return
+	}
+	s.addressesAt = sent
+}
+
 // applyLimits applies the control hosts' list of limits, if it has changed.
 func (s *state) applyLimits(answer *steward.WatchAnswer, sent time.Time) {
 	if answer.LimitsRevision == 0 {
@@ -129,6 +137,7 @@
 		}
 	}
 	s.applyReads(answer.Loads)
+	s.addReportedLinks(answer.Loads)
 	for _, load := range answer.Loads {
 		if u := s.upstreams[load.Upstream]; u != nil {
 			u.others = load
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -92,8 +92,6 @@
 	id ident.Request
 	// beginBy is the time by which its answer must begin.
 	beginBy time.Time
-	// longest is its longest wait, which may be extended.
-	longest time.Duration
 	// need is the least capacity that it takes, plannedAt the time of the latest choice of an
 	// upstream for it.
 	need      need
@@ -200,8 +198,8 @@
 	s.mu.Lock()
 	now := time.Now()
 	p, w, err := r.enter(s, now)
+	longest := r.longestWait(s.waitLimits, now)
 	if w != nil {
-		w.longest = r.longestWait(s.waitLimits, now)
 		s.dispatchAt(r.dueAt, now)
 	}
 	s.mu.Unlock()
@@ -209,7 +207,7 @@
 		return p, err
 	}
 
-	timer := time.NewTimer(w.longest)
+	timer := time.NewTimer(longest)
 	defer timer.Stop()
 	for waits := true; waits; {
 		select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,13 +152,15 @@
 }
 
 // addressesMaxAge is how long callers are told addresses that no control host has confirmed since.
-// Callers avoid those that fail them.
-const addressesMaxAge = 15 * time.Second
+// Control hosts drop a lost entry after 3 s, and callers shall not be told of it for much longer.
+const addressesMaxAge = 5 * time.Second
 
-// Addresses lists at most limit listeners that callers in this entry's data centre should use, none
-// if callers should ask another process: while the entry starts, leaves, or may hold an old state.
-func (g *Gateway) Addresses(limit int) []string {
-	if !g.Ready() {
+// Addresses lists at most limit listeners that callers in a data centre of this entry's region should
+// use, none if they should ask another process: those of other regions, and all while the entry starts,
+// leaves, or may hold an old state.
+func (g *Gateway) Addresses(dataCentre string, limit int) []string {
+	regions := g.options.Regions
+	if !g.Ready() || dataCentre != "" && regions[dataCentre] != regions[g.options.DataCentre] {
 		return nil
 	}
 	g.state.mu.Lock()
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -89,7 +89,7 @@
 		return
 	}
 	l, took := s.learnedOf(p.upstream.record.Service), now.Sub(p.sent)
-	if p.choice.FullPrefill && p.logged.Requests == 0 {
+	if !p.late && p.choice.FullPrefill && p.logged.Requests == 0 {
 		l.idle.Observe(p.send.Request.Prompt.size()-p.send.Request.Prompt.Output, took)
 	}
 	switch {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -65,7 +65,8 @@
 	// that the answer waited behind no other request as far as the upstream states.
 	slowdown float64
 	alone    bool
-	// late indicates that the request was past its target, and the upstream was told a lower rank.
+	// late indicates that the request was past its target. The upstream was told a lower rank if there
+	// is one.
 	late          bool
 	answerStarted bool
 	released      bool
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -95,9 +95,6 @@
 		return
 	}
 	u.cacheStaleUntil = time.Now().Add(recentTTL)
-	if s.index != nil && !s.isStore(record.Address) {
-		delete(s.stores, record.Address)
-	}
 }
 
 // updateUpstream applies a later record of the same incarnation.
@@ -118,13 +115,16 @@
 	}
 }
 
-// removeUpstream removes an upstream.
+// removeUpstream removes an upstream, with the transfers of its link.
 func (s *state) removeUpstream(u *upstreamState) {
 	s.removeServing(u)
 	s.versions.Remove(u.record.Service, u.record.Software, s.clockNow())
 	s.limits.Forget(u.record.ID)
 	s.reach.Forget(u.record.ID)
 	delete(s.upstreams, u.record.ID)
+	if s.index != nil && !s.isStore(u.record.Address) {
+		delete(s.stores, u.record.Address)
+	}
 }
 
 // addServing adds an upstream in state serving to the list of its service, which is sorted by
--- a/internal/gateway/runnerlinks.go
+++ b/internal/gateway/runnerlinks.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/placement"
+	"github.com/lovagereach/lovagereach/replicate"
 )
 
 // countsLinks reports whether the links of a service's runners count: if some store sends faster. If
@@ -27,6 +29,29 @@
 	return 0
 }
 
+// addReportedLinks adds the runners' links that other entries report, so that their transfers count
+// at an entry that has used none of them yet.
+func (s *state) addReportedLinks(loads []steward.Load) {
+	if !s.runnerLinks {
+		return
+	}
+	unknown := make(map[string]bool)
+	for i := range loads {
+		name := loads[i].Upstream
+		if _, isRead := replicate.ParseName(name); !isRead && s.upstreams[name] == nil && s.stores[name] == nil {
+			unknown[name] = true
+		}
+	}
+	if len(unknown) == 0 {
+		return
+	}
+	for _, u := range s.upstreams {
+		if unknown[u.record.Address] {
+			s.store(u.record.Address)
+		}
+	}
+}
+
 // planLinks predicts the fetches of a choice, one after the other on the runner's link.
 func (s *state) planLinks(p *plan, rates *placement.Rates, prompt *placement.Prompt, runner *placement.Runner, stores []placement.Store) {
 	p.planned = make([]plannedTransfer, len(p.choice.Fetch))
@@ -64,7 +89,7 @@
 // occupyLinksWithSaves accounts for the saves of a plan at the links of both ends: they begin when
 // the prompt has been read, and end as predicted.
 func (s *state) occupyLinksWithSaves(p *plan, rates *placement.Rates, now time.Time) {
-	if p.send.Prompt == nil || s.index == nil {
+	if p.send.Prompt == nil || s.index == nil || s.upstreams[p.upstream.record.ID] != p.upstream {
 		return
 	}
 	service := s.index.Service(p.upstream.record.Service)
--- a/internal/gateway/runnerlinks_test.go
+++ b/internal/gateway/runnerlinks_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/roster"
 )
 
 // Guards against fetches of large parts that stand behind others on the links of runners, which are
@@ -138,3 +140,47 @@
 		t.Errorf("%s is chosen, %s whose link is free again is the home", to, chosen)
 	}
 }
+
+// Guards against an entry that starts, or whose runner has been restarted, and takes the links that the
+// other entries fill for idle until it has used them itself.
+func TestReportedLinksCountBeforeTheFirstSend(t *testing.T) {
+	first, sender := linkGateway(t, serves)
+	lastSend(first, sender, keptPart.Part)
+	home := sender.sends[0].Upstream
+	g, sender := linkGateway(t, serves)
+	g.state.mu.Lock()
+	address := g.state.upstreams[home].record.Address
+	g.state.mu.Unlock()
+	g.ApplyAnswer(&steward.WatchAnswer{Term: 1, EntryCount: 2, Clock: 1000, StoreStates: testAnswer().StoreStates,
+		Loads: []steward.Load{{Upstream: address, Unread: 1 << 40}, {Upstream: "10.9.9.9:1", Unread: 1}}}, time.Now())
+	lastSend(g, sender, keptPart.Part)
+	if got := sender.sends[0].Upstream; got == home {
+		t.Errorf("%s gets a fetch behind 2^40 tokens", got)
+	}
+	if g.state.stores["10.9.9.9:1"] != nil {
+		t.Error("the link of an unknown address is kept")
+	}
+}
+
+// Guards against memory that grows with each address at which a runner has ever served.
+func TestLinksOfRunnersThatAreGoneAreDropped(t *testing.T) {
+	g, sender := linkGateway(t, serves)
+	lastSend(g, sender, keptPart.Part)
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.upstreams[sender.sends[0].Upstream]
+	before := len(s.stores)
+	for i := range 100 {
+		record := u.record
+		record.StartedMs, record.Address = record.StartedMs+uint64(i)+1, fmt.Sprintf("10.0.0.%d:1", i)
+		s.applyUpstream(record)
+		s.store(record.Address)
+	}
+	gone := u.record
+	gone.State = roster.Gone
+	s.applyUpstream(gone)
+	if len(s.stores) >= before {
+		t.Errorf("%d links and stores are kept after the runner has gone, %d before", len(s.stores), before)
+	}
+}
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -206,19 +206,20 @@
 func (r *run) longestShareWait(limits waitLimits, now time.Time) time.Duration {
 	left := r.beginBy(now).Sub(now)
 	longest := time.Duration(waitShare * float64(left))
-	if r.route.Target > 0 && !r.small() && !r.isRetry() {
+	if r.route.Target > 0 && !r.small() && !r.isRetry() && !r.headSent {
 		longest = min(longest, time.Duration(waitTargetShare*float64(r.route.Target)))
 	}
 	return min(longest, cmp.Or(limits.longest, left))
 }
 
 // mayWaitOn returns how much longer a request may wait that has waited for longestWait: to its
-// latest start if its caller won't come back, or if it is small and expected to be served until then.
+// latest start if its caller won't come back or has events already, or if it is small and expected to
+// be served until then.
 func (s *state) mayWaitOn(w *waiter, now time.Time) time.Duration {
 	if s.shares == nil || s.shares.waiters[w.id] != w {
 		return 0
 	}
-	if !w.run.isRetry() && (!w.run.small() || !s.shares.queues[w.run.service].CanWait(now, w.id)) {
+	if !w.run.isRetry() && !w.run.headSent && (!w.run.small() || !s.shares.queues[w.run.service].CanWait(now, w.id)) {
 		return 0
 	}
 	_, first := w.run.work(s)
--- a/internal/steward/directory.go
+++ b/internal/steward/directory.go
@@ -87,8 +87,12 @@
 		return
 	}
 	list := s.addressesFor(request.Entry.DataCentre, maxEntryAddresses)
-	if len(list.addresses) > 0 && list.revision != request.AddressesRevision {
-		answer.Addresses, answer.AddressesRevision = list.addresses, list.revision
+	if len(list.addresses) == 0 {
+		return
+	}
+	answer.AddressesRevision = list.revision
+	if list.revision != request.AddressesRevision {
+		answer.Addresses = list.addresses
 	}
 }
 
@@ -102,9 +106,11 @@
 	if d.cached == nil || len(d.cached) >= maxCachedQueries {
 		d.cached = make(map[addressQuery]cachedAddresses)
 	}
+	// With the term of before an election, the list of after it is judged once more.
+	term := s.currentTerm()
 	views := s.entryList()
 	var addresses []string
-	if d.complete && d.term == s.currentTerm() || d.settled(usable(views), s.learnedEntries(), s.currentTerm(), now) {
+	if d.complete && d.term == term || d.settled(usable(views), s.learnedEntries(), term, now) {
 		addresses = chooseAddresses(views, dataCentre, limit)
 	}
 	list := cachedAddresses{at: now, addresses: addresses, revision: xxhash.Sum64String(strings.Join(addresses, " "))}
--- a/internal/steward/directory_test.go
+++ b/internal/steward/directory_test.go
@@ -85,18 +85,23 @@
 			{dataCentre: "north", limit: maxEntryAddresses}: {at: time.Now().Add(time.Hour), addresses: addresses, revision: uint64(len(addresses))},
 		}
 	}
+	confirmed := uint64(0)
 	given := func(directory bool, revision uint64) []string {
 		answer := &WatchAnswer{}
 		s.addAddresses(&WatchRequest{Entry: &EntryView{DataCentre: "north"}, Directory: directory, AddressesRevision: revision}, answer)
+		confirmed = answer.AddressesRevision
 		return answer.Addresses
 	}
 	listed("a", "b")
 	if len(given(true, 0)) != 2 || len(given(true, 7)) != 2 || given(true, 2) != nil || given(false, 0) != nil {
 		t.Error("not given exactly where the entry lacks them")
 	}
+	if given(true, 2); confirmed != 2 {
+		t.Error("the addresses that the entry holds aren't confirmed")
+	}
 	listed()
-	if given(true, 2) != nil {
-		t.Error("a host that knows no entry takes away what the entry holds")
+	if given(true, 2) != nil || confirmed != 0 {
+		t.Error("a host that knows no entry takes away or confirms what the entry holds")
 	}
 }
 
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -284,7 +284,8 @@
 	Learned         []byte `cbor:"40,keyasint,omitempty"`
 	LearnedRevision uint64 `cbor:"41,keyasint,omitempty"`
 	// Addresses are the listeners that callers in the data centre of the caller, an entry, should
-	// use, of revision AddressesRevision. They are left out if the caller holds that revision.
+	// use, of revision AddressesRevision (0 if this host has no list). They are left out if the
+	// caller holds that revision.
 	Addresses         []string `cbor:"50,keyasint,omitempty"`
 	AddressesRevision uint64   `cbor:"51,keyasint,omitempty"`
 	// EntriesUnchanged is set if Entries is left out because the list last sent to the caller,
