--- a/internal/entry/parts_test.go
+++ b/internal/entry/parts_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -44,8 +45,19 @@
 
 // sendBlocks sends a prompt of these blocks and a rest of its own.
 func (b *testEntry) sendBlocks(t *testing.T, id byte, blocks ...uint32) error {
+	t.Helper()
+	return b.sendBlocksAs(t, "", id, blocks...)
+}
+
+// sendBlocksAs sends the prompt of a team, that of the test's caller if it has no name.
+func (b *testEntry) sendBlocksAs(t *testing.T, team ident.Team, id byte, blocks ...uint32) error {
 	t.Helper()
 	prompt := b.prompt(t, id)
+	if team != "" {
+		of := *prompt.Caller.team
+		of.Name = team
+		prompt.Caller.team = &of
+	}
 	prompt.Tokens = nil
 	for _, n := range blocks {
 		prompt.Tokens = append(prompt.Tokens, blockOf(n)...)
@@ -121,6 +133,58 @@
 	})
 }
 
+// Guards against a block that each of several teams must find for itself.
+func TestBlockOfSeveralTeamsIsQuarantinedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var bad atomic.Bool
+		bad.Store(true)
+		entries, crashes := crashingFleet(t, &bad)
+		teams := []ident.Team{"growers", "florists", "shippers", "bidders"}
+		for n := range byte(40) {
+			_ = entries[n%2].sendBlocksAs(t, teams[n%4], n, 1, badBlock)
+			time.Sleep(300 * time.Millisecond)
+			restartUpstreams(t, entries...)
+			if err := entries[n%2].sendBlocksAs(t, teams[n%4], 100+n, 1, 2, 3); err != nil {
+				t.Errorf("a prompt without the block: %v", err)
+			}
+		}
+		t.Logf("%d engines crashed", crashes.Load())
+		if n := crashes.Load(); n > maxPartCrashes+maxPartSends {
+			t.Errorf("%d engines crashed by one block, want at most %d", n, maxPartCrashes+maxPartSends)
+		}
+	})
+}
+
+// Guards against a block whose prompts come at one moment: engines that crash together count as one
+// crash each time.
+func TestBlockInBurstsIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var bad atomic.Bool
+		bad.Store(true)
+		entries, crashes := crashingFleet(t, &bad)
+		first := int32(0)
+		for burst := range byte(6) {
+			var prompts sync.WaitGroup
+			for i := range byte(16) {
+				prompts.Go(func() { _ = entries[i%2].sendBlocks(t, burst*16+i, 1, badBlock) })
+			}
+			time.Sleep(3 * time.Second)
+			prompts.Wait()
+			restartUpstreams(t, entries...)
+			if burst == 0 {
+				first = crashes.Load()
+			}
+			if err := entries[burst%2].sendBlocks(t, 200+burst, 1, 2, 3); err != nil {
+				t.Errorf("a prompt without the block: %v", err)
+			}
+		}
+		t.Logf("%d engines crashed, %d of them by the first burst", crashes.Load(), first)
+		if later := crashes.Load() - first; later > maxPartSends {
+			t.Errorf("%d engines crashed by one block later than the first burst, want at most %d", later, maxPartSends)
+		}
+	})
+}
+
 // Guards against an entry of the version before, which knows no parts, losing what is reported about
 // requests: it rejects messages with fields that it lacks.
 func TestCrashesOfRequestsHaveNoNewFields(t *testing.T) {
