Logs tell what the verdict on a part rests on, and whose requests were lost

A line of a part's verdict named a print only, so that a part judged for each of several teams, and one whose many crashes count as few, could not be told apart. `part quarantined` now has crashes and groups, `upstream lost` the teams.

--- a/internal/decision/state_changes.go
+++ b/internal/decision/state_changes.go
@@ -128,8 +128,9 @@
 	// Requests are the IDs of the callers' attempts. Fingerprints has one for each of
 	// them; attempts of the same request have the same fingerprint.
 	Requests, Fingerprints []string
-	// Parts are the fingerprints of the parts of their prompts.
-	Parts []string
+	// Parts are the fingerprints of the parts of their prompts, Teams their callers' teams, without
+	// duplicates.
+	Parts, Teams []string
 }
 
 // maxListed is how many requests a line lists; all of them are counted.
@@ -148,5 +149,6 @@
 		"upstream", e.Upstream, "ended", e.Crashed, "under_way", len(e.Requests),
 		"requests", strings.Join(e.Requests[:listed], ","), "prints", strings.Join(e.Fingerprints[:listed], ","),
 		"parts", strings.Join(e.Parts[:min(len(e.Parts), maxListed)], ","),
+		"teams", strings.Join(e.Teams[:min(len(e.Teams), maxListed)], ","),
 	}
 }
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -57,7 +57,7 @@
 func (r *run) recordLost(p *plan, ended bool) *crash.Check {
 	s := r.gateway.state
 	incarnation := quarantine.Incarnation{Upstream: p.upstream.record.ID, StartedMs: p.upstream.record.StartedMs}
-	if s.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Fingerprint: r.fingerprint, Parts: r.parts, Sent: p.sent, Ended: ended}) {
+	if s.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Team: r.callerTeam(), Fingerprint: r.fingerprint, Parts: r.parts, Sent: p.sent, Ended: ended}) {
 		s.crashChecks[incarnation] = crash.NewCheck()
 		go r.gateway.checkCrash(incarnation, p.send)
 	}
@@ -108,10 +108,17 @@
 		event.Requests = append(event.Requests, a.Request)
 		event.Fingerprints = append(event.Fingerprints, a.Fingerprint.String())
 		for _, part := range a.Parts {
-			if name := part.String(); !slices.Contains(event.Parts, name) {
-				event.Parts = append(event.Parts, name)
-			}
+			event.Parts = appendNew(event.Parts, part.String())
 		}
+		event.Teams = appendNew(event.Teams, a.Team)
 	}
 	g.options.Decisions.Emit(event)
 }
+
+// appendNew appends an item to a list unless it is listed.
+func appendNew(list []string, item string) []string {
+	if slices.Contains(list, item) {
+		return list
+	}
+	return append(list, item)
+}
--- a/internal/steward/reports.go
+++ b/internal/steward/reports.go
@@ -132,17 +132,24 @@
 	_, b.err = s.propose(context.Background(), command{Report: &b.report})
 	close(b.done)
 	quarantined, suspects := s.machine.quarantined()
-	s.logQuarantine("request", before, quarantined, suspects)
+	s.logQuarantine("request", before, quarantined, suspects, nil)
 	parts, suspects := s.machine.quarantinedParts()
-	s.logQuarantine("part", partsBefore, parts, suspects)
+	s.logQuarantine("part", partsBefore, parts, suspects, s.machine.partCrashes)
 }
 
-// logQuarantine logs which requests or parts were quarantined or released.
-func (s *Steward) logQuarantine(what string, before, after []quarantine.Fingerprint, suspects int) {
+// logQuarantine logs which requests or parts were quarantined or released, and what crashes, if not
+// nil, tells of each that was quarantined.
+func (s *Steward) logQuarantine(what string, before, after []quarantine.Fingerprint, suspects int, crashes func(quarantine.Fingerprint) (crashes, groups int)) {
 	for _, p := range after {
-		if !slices.Contains(before, p) {
-			s.options.Log.Warn(what+" quarantined", "print", p, "held", len(after), "suspects", suspects)
+		if slices.Contains(before, p) {
+			continue
 		}
+		fields := []any{"print", p, "held", len(after), "suspects", suspects}
+		if crashes != nil {
+			n, groups := crashes(p)
+			fields = append(fields, "crashes", n, "groups", groups)
+		}
+		s.options.Log.Warn(what+" quarantined", fields...)
 	}
 	for _, p := range before {
 		if !slices.Contains(after, p) {
--- a/internal/steward/trials.go
+++ b/internal/steward/trials.go
@@ -70,6 +70,13 @@
 	return parts, len(m.quarantine.SuspectedParts())
 }
 
+// partCrashes returns the number of crashes, and of their groups, at which a part was in flight.
+func (m *Machine) partCrashes(part quarantine.Fingerprint) (crashes, groups int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.quarantine.PartCrashes(part)
+}
+
 // grantTrial reports, on the leader, whether one request with these quarantined parts may be sent to
 // an upstream. The trial is in the log of a quorum then, so that no later leader grants it again.
 func (s *Steward) grantTrial(ctx context.Context, parts []quarantine.Fingerprint) (bool, error) {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -137,6 +137,17 @@
 	t.update()
 }
 
+// PartCrashes returns the number of recorded crashes, and of their groups, at which a part was in flight.
+func (t *Tracker) PartCrashes(f Fingerprint) (crashes, groups int) {
+	var list []int
+	for i, c := range t.crashes {
+		if slices.Contains(c.Parts, f) {
+			list = append(list, i)
+		}
+	}
+	return len(list), t.groups(list)
+}
+
 // FirstCrashes returns the first recorded crash of each quarantined or suspected part.
 func (t *Tracker) FirstCrashes() map[Fingerprint]Incarnation {
 	listed := make(map[Fingerprint]bool)
