quarantine: a part of prompts is judged for all teams together

Callers of several teams sent requests with one part that crashes runners: each team's requests cost three crashes and a series of trials of their own, since the team was in the part's fingerprint. Class: the key of what is known is narrower than the cause.

A part now has a fingerprint for its team's requests and one for those of all teams, told apart by its last bytes, and is recorded in both scopes. It is to blame for all teams unless the requests of exactly one were in flight at all of its crashes: that team may crash runners by what else it sends, with parts that others use, and blocks none of them. A verdict on one team leaves the part in question for all, so that one crash under another team's request widens it, with the trials made so far. Isolated teams share nothing, as for kept prompts. Services and models stay apart: what one serves proves nothing for another. The native pipeline does the same with blocks of tokens.

--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -45,14 +45,15 @@
 	return nil
 }
 
-// promptParts returns the fingerprints of the blocks of a prompt that others may share, without
-// duplicates: all complete blocks that are followed by other tokens.
+// promptParts returns the fingerprints of the blocks of a prompt that others may share, in the prompts of
+// its team and in those of all teams, without duplicates: all complete blocks that are followed by other
+// tokens.
 func promptParts(p *Prompt, blockTokens int) []quarantine.Fingerprint {
 	var parts []quarantine.Fingerprint
 	for at := 0; at+blockTokens < len(p.Tokens); at += blockTokens {
 		f := quarantine.Tokens(string(p.Model), string(p.Caller.Team()), string(p.Adapter), p.Tokens[at:at+blockTokens])
 		if !slices.Contains(parts, f) {
-			parts = append(parts, f)
+			parts = append(parts, f.Scopes()...)
 		}
 	}
 	return parts
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/crash"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/wait"
@@ -22,33 +23,43 @@
 	return q.Fingerprint()
 }
 
-// partFingerprints returns the fingerprints of the parts that other requests may share, without
-// duplicates. The last part belongs to the request.
+// partFingerprints returns the fingerprints of the parts that other requests may share, in the requests
+// of the caller's team and in those of all teams, without duplicates. The last part belongs to the
+// request.
 func (r *run) partFingerprints() []quarantine.Fingerprint {
 	prompt := r.request.Prompt
 	if prompt == nil || len(prompt.Parts) < 2 {
 		return nil
 	}
 	var list []quarantine.Fingerprint
-	p := quarantine.Part{Service: r.service, Team: r.callerTeam(), Model: prompt.Model}
+	p := quarantine.Part{Service: r.service, Model: prompt.Model}
+	if team := r.caller(); team != nil {
+		p.Team, p.Isolated = team.Name, team.Isolated
+	}
 	for _, part := range prompt.Parts[:len(prompt.Parts)-1] {
 		p.ID = part.ID
 		if f := p.Fingerprint(); !slices.Contains(list, f) {
-			list = append(list, f)
+			list = append(list, f.Scopes()...)
 		}
 	}
 	return list
 }
 
-// callerTeam returns the name of the team that holds the caller's key, also on a route that
-// requires no key.
-func (r *run) callerTeam() string {
+// caller returns the team that holds the caller's key, also on a route that requires no key, nil if there
+// is none.
+func (r *run) caller() *catalog.Team {
 	if r.team == nil {
-		if team := r.index.Team(r.request.Key); team != nil {
-			return team.Name
-		}
+		return r.index.Team(r.request.Key)
+	}
+	return r.team
+}
+
+// callerTeam returns the name of the team that holds the caller's key, empty if there is none.
+func (r *run) callerTeam() string {
+	if team := r.caller(); team != nil {
+		return team.Name
 	}
-	return r.teamName()
+	return ""
 }
 
 // recordLost records that a send broke off, or that its answer ended with the connection, and, for
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -55,24 +55,36 @@
 	return cleared
 }
 
-// clear removes the parts of a request that was served now, and returns those that were listed.
+// clear removes the parts of a request that was served now, and returns those that were listed for its
+// team or for all.
 func (v *partVerdicts) clear(parts []quarantine.Fingerprint, now time.Time) (cleared []quarantine.Fingerprint) {
 	for _, list := range []map[quarantine.Fingerprint]partVerdict{v.quarantined, v.suspected} {
+		if len(list) == 0 {
+			continue
+		}
 		for _, part := range parts {
-			if verdict, found := list[part]; found && now.After(verdict.firstCrash) {
-				delete(list, part)
+			served := func(scope quarantine.Fingerprint) bool {
+				verdict, found := list[scope]
+				return found && now.After(verdict.firstCrash)
+			}
+			if slices.ContainsFunc(part.Scopes(), served) {
 				cleared = append(cleared, part)
 			}
 		}
+		for _, part := range cleared {
+			delete(list, part)
+		}
 	}
 	return cleared
 }
 
-// listed reports whether a part is quarantined or suspected.
+// listed reports whether a part is quarantined or suspected, for its team or for all.
 func (v *partVerdicts) listed(part quarantine.Fingerprint) bool {
-	_, quarantined := v.quarantined[part]
-	_, suspected := v.suspected[part]
-	return quarantined || suspected
+	return slices.ContainsFunc(part.Scopes(), func(scope quarantine.Fingerprint) bool {
+		_, quarantined := v.quarantined[scope]
+		_, suspected := v.suspected[scope]
+		return quarantined || suspected
+	})
 }
 
 // suspects reports whether one of the parts is quarantined or suspected.
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -42,7 +42,8 @@
 }
 
 // suspectedParts returns the parts that were in flight at SuspectThreshold groups of unexplained
-// crashes or more, those at the most groups first, at most MaxSuspectedParts.
+// crashes or more, those at the most groups first, at most MaxSuspectedParts. A part in the requests of
+// all teams stands for those of single teams.
 func (t *Tracker) suspectedParts() []Fingerprint {
 	groups := make(map[Fingerprint]int)
 	for f, crashes := range t.unexplainedByPart(SuspectThreshold) {
@@ -50,6 +51,7 @@
 			groups[f] = n
 		}
 	}
+	maps.DeleteFunc(groups, func(f Fingerprint, _ int) bool { return f != f.Shared() && groups[f.Shared()] > 0 })
 	list := slices.SortedFunc(maps.Keys(groups), func(a, b Fingerprint) int {
 		return cmp.Or(groups[b]-groups[a], bytes.Compare(a[:], b[:]))
 	})
@@ -79,6 +81,7 @@
 	maps.DeleteFunc(byPart, func(_ Fingerprint, crashes []int) bool {
 		return t.groups(crashes) < PartThreshold || t.haveCommonRequest(crashes)
 	})
+	t.dropScopes(byPart)
 	served := make(map[Fingerprint][]int)
 	for f, crashes := range byPart {
 		if t.servedBefore(f, crashes) {
@@ -93,6 +96,29 @@
 	return t.mostBlamed(served, servedPartThreshold)
 }
 
+// dropScopes leaves one scope of each part. If the requests of exactly one team were in flight at all of
+// a part's crashes, the part is to blame in those only: that team may crash upstreams by what else it
+// sends, and the others' requests must go on.
+func (t *Tracker) dropScopes(byPart map[Fingerprint][]int) {
+	maps.DeleteFunc(byPart, func(f Fingerprint, crashes []int) bool { return f == f.Shared() && t.isOfOneTeam(f, crashes) })
+	maps.DeleteFunc(byPart, func(f Fingerprint, _ []int) bool {
+		_, found := byPart[f.Shared()]
+		return found && f != f.Shared()
+	})
+}
+
+// isOfOneTeam reports whether the requests of exactly one team with a part were in flight at all of these
+// crashes.
+func (t *Tracker) isOfOneTeam(shared Fingerprint, crashes []int) bool {
+	teams := 0
+	for _, f := range t.crashes[crashes[0]].Parts {
+		if f.within(shared) && !slices.ContainsFunc(crashes, func(i int) bool { return !slices.Contains(t.crashes[i].Parts, f) }) {
+			teams++
+		}
+	}
+	return teams == 1
+}
+
 // mostBlamed returns the parts that are most likely to blame. One that was the only candidate at some
 // crash must have caused it. Otherwise it is those at the most groups, except for one with exactly
 // threshold groups that shares all of its crashes with another: one more crash, or one request that
@@ -125,11 +151,11 @@
 func (t *Tracker) unexplainedByPart(minCrashes int) map[Fingerprint][]int {
 	byPart := make(map[Fingerprint][]int)
 	for i, c := range t.crashes {
-		if t.parts.explains(c) {
-			continue
-		}
+		explaining := t.parts.explaining(c)
 		for _, f := range c.Parts {
-			if t.parts.counts[f] >= minCrashes {
+			// That a part is quarantined for one team leaves it in question for all teams.
+			explains := func(q Fingerprint) bool { return !q.within(f) }
+			if t.parts.counts[f] >= minCrashes && !slices.ContainsFunc(explaining, explains) {
 				byPart[f] = append(byPart[f], i)
 			}
 		}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -46,32 +46,45 @@
 	return f
 }
 
+// teamBytes is the length of the end of a part's fingerprint that identifies the team. The rest, 80
+// bits, keeps callers from constructing a part with the fingerprint of another.
+const teamBytes = 6
+
 // Part is a part of a prompt, as its caller names it. Prompts that share a part may differ in
 // everything else.
 type Part struct {
-	// Service, Team and Model scope the part: another team that names the same part, or another
-	// service that runs it, is judged by its own crashes.
-	Service, Team, Model string
+	// Service and Model scope the part: it is judged by the crashes of the service and model that run it.
+	Service, Model string
+	// Team is the caller's team, empty where callers need no key. Teams that are not Isolated share the
+	// content that an ID names, and its verdict unless only one of them crashes upstreams with it.
+	Team     string
+	Isolated bool
 	// ID is hexadecimal, in any letters.
 	ID string
 }
 
-// Fingerprint returns the fingerprint of the part. It never equals that of a request.
+// Fingerprint returns the fingerprint of the part in the requests of its team. It never equals that of
+// a request.
 func (p *Part) Fingerprint() Fingerprint {
+	team := ""
+	if p.Isolated {
+		team = p.Team
+	}
 	digest := sha256.New()
-	for _, field := range []string{"part", p.Service, p.Team, p.Model, strings.ToLower(p.ID)} {
+	for _, field := range []string{"part", p.Service, team, p.Model, strings.ToLower(p.ID)} {
 		writeField(digest, field)
 	}
-	var f Fingerprint
-	copy(f[:], digest.Sum(nil))
+	f := fingerprintOfDigest(digest)
+	f.setTeam(p.Team, p.Isolated)
 	return f
 }
 
-// Tokens returns the fingerprint of a part of a prompt that is known by its tokens, with the service,
-// team and adapter that it is for. It never equals that of a request or of a named part.
+// Tokens returns the fingerprint of a part of a prompt that is known by its tokens, with the service
+// and adapter that it is for, in the requests of a team. It never equals that of a request or of a named
+// part.
 func Tokens(service, team, adapter string, tokens []uint32) Fingerprint {
 	digest := sha256.New()
-	for _, field := range []string{"tokens", service, team, adapter} {
+	for _, field := range []string{"tokens", service, adapter} {
 		writeField(digest, field)
 	}
 	content := make([]byte, 0, 4*len(tokens))
@@ -80,11 +93,46 @@
 	}
 	// Write on a hash never returns an error.
 	_, _ = digest.Write(content)
+	f := fingerprintOfDigest(digest)
+	f.setTeam(team, false)
+	return f
+}
+
+func fingerprintOfDigest(digest hash.Hash) Fingerprint {
 	var f Fingerprint
 	copy(f[:], digest.Sum(nil))
 	return f
 }
 
+// setTeam makes a part's fingerprint that of its requests of a team. It is the same for all requests if
+// no other team shares the part.
+func (f *Fingerprint) setTeam(team string, isolated bool) {
+	of := f[len(f)-teamBytes:]
+	if clear(of); team != "" && !isolated {
+		digest := sha256.Sum256([]byte(team))
+		copy(of, digest[:])
+	}
+}
+
+// Shared returns the fingerprint of a part in the requests of all teams.
+func (f Fingerprint) Shared() Fingerprint {
+	f.setTeam("", false)
+	return f
+}
+
+// Scopes returns the fingerprints of a part in the requests of a team and in those of all teams, without
+// duplicates.
+func (f Fingerprint) Scopes() []Fingerprint {
+	if shared := f.Shared(); shared != f {
+		return []Fingerprint{f, shared}
+	}
+	return []Fingerprint{f}
+}
+
+// within reports whether f is a part in the requests of one team, and other the same part in those of
+// all teams.
+func (f Fingerprint) within(other Fingerprint) bool { return f != other && f.Shared() == other }
+
 // writeField writes a field prefixed with its length, so that different requests
 // never write the same bytes.
 func writeField(digest hash.Hash, field string) {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -3,8 +3,8 @@
 import "slices"
 
 const (
-	// MaxParts bounds the parts recorded for each crash.
-	MaxParts = 128
+	// MaxParts bounds the parts recorded for each crash, each in two scopes.
+	MaxParts = 256
 	// MaxQuarantinedParts and MaxSuspectedParts bound the parts that are sent to entries.
 	MaxQuarantinedParts, MaxSuspectedParts = 64, 48
 )
@@ -83,9 +83,28 @@
 	return len(s.quarantined) > 0 && slices.ContainsFunc(crash.Parts, func(f Fingerprint) bool { return s.isQuarantined[f] })
 }
 
-// quarantine adds a part. Beyond the bound the confirmed one that was quarantined first is released. It
+// explaining returns the quarantined parts that were in flight at a crash.
+func (s *partState) explaining(crash *Crash) []Fingerprint {
+	var list []Fingerprint
+	for _, f := range crash.Parts {
+		if s.isQuarantined[f] {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+// quarantine adds a part. A part in the requests of all teams replaces those of single teams, whose
+// trials were trials of it. Beyond the bound the confirmed one that was quarantined first is released. It
 // reports false if there is none, so that deriving verdicts ends.
 func (s *partState) quarantine(f Fingerprint) bool {
+	added := QuarantinedPart{Part: f}
+	for i := len(s.quarantined) - 1; i >= 0; i-- {
+		if q := s.quarantined[i]; q.Part.within(f) {
+			added.Trials, added.Shared, added.Confirmed = added.Trials+q.Trials, added.Shared+q.Shared, added.Confirmed || q.Confirmed
+			s.release(i)
+		}
+	}
 	if len(s.quarantined) == MaxQuarantinedParts {
 		first := slices.IndexFunc(s.quarantined, func(q QuarantinedPart) bool { return q.Confirmed })
 		if first < 0 {
@@ -93,7 +112,7 @@
 		}
 		s.release(first)
 	}
-	s.quarantined = append(slices.Clone(s.quarantined), QuarantinedPart{Part: f})
+	s.quarantined = append(slices.Clone(s.quarantined), added)
 	s.isQuarantined[f] = true
 	return true
 }
@@ -112,9 +131,12 @@
 // may quarantine. The caller must not modify it.
 func (t *Tracker) SuspectedParts() []Fingerprint { return t.parts.suspects }
 
-// ListsPart reports whether a part is quarantined or suspected.
+// ListsPart reports whether a part is quarantined or suspected, in the requests of its team or in those of
+// all.
 func (t *Tracker) ListsPart(f Fingerprint) bool {
-	return t.parts.isQuarantined[f] || slices.Contains(t.parts.suspects, f)
+	return slices.ContainsFunc(f.Scopes(), func(scope Fingerprint) bool {
+		return t.parts.isQuarantined[scope] || slices.Contains(t.parts.suspects, scope)
+	})
 }
 
 // IsQuarantinedPart reports whether a part is quarantined.
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -217,11 +217,98 @@
 	if same := (Part{Service: "s", Team: "t", Model: "m", ID: "5C1E07A2"}); same.Fingerprint() != one.Fingerprint() {
 		t.Error("upper case letters make another part")
 	}
-	for _, other := range []Part{{"x", "t", "m", "5c1e07a2"}, {"s", "x", "m", "5c1e07a2"}, {"s", "t", "x", "5c1e07a2"}, {"s", "t", "m", "5c1e07a3"}} {
+	alone := one
+	alone.Isolated = true
+	for name, other := range map[string]Part{
+		"service": {Service: "x", Team: "t", Model: "m", ID: "5c1e07a2"}, "team": {Service: "s", Team: "x", Model: "m", ID: "5c1e07a2"},
+		"model": {Service: "s", Team: "t", Model: "x", ID: "5c1e07a2"}, "ID": {Service: "s", Team: "t", Model: "m", ID: "5c1e07a3"}, "isolation": alone,
+	} {
 		if other.Fingerprint() == one.Fingerprint() {
-			t.Errorf("%+v is taken for %+v", other, one)
+			t.Errorf("a part of another %s is taken for %+v", name, one)
 		}
+		if shared := other.Fingerprint().Shared(); (shared == one.Fingerprint().Shared()) != (name == "team") {
+			t.Errorf("a part of another %s has the same fingerprint for all teams, or not", name)
+		}
+	}
+	if scopes := alone.Fingerprint().Scopes(); len(scopes) != 1 {
+		t.Error("an isolated team shares its parts")
+	}
+	of := func(team string) Fingerprint { return Tokens("s", team, "a", []uint32{1, 2}) }
+	if of("t") == of("x") || of("t").Shared() != of("x").Shared() || of("t").Shared() == Tokens("s", "", "b", []uint32{1, 2}) {
+		t.Error("tokens of two teams are not one part, or those of two adapters are")
+	}
+}
+
+// teamCrash is the crash of an upstream under one request of a team with these parts.
+func teamCrash(upstream, request, team string, names ...string) Crash {
+	c := crashOf(upstream, request)
+	for _, name := range names {
+		p := Part{Service: "llm", Team: team, Model: "m", ID: name}
+		c.Parts = append(c.Parts, p.Fingerprint().Scopes()...)
 	}
+	return c
+}
+
+// Guards against a part that each of several teams must find for itself, and against a team that crashes
+// upstreams with another team's parts having that team's requests refused.
+func TestPartIsJudgedForTeamsTogether(t *testing.T) {
+	of := func(team string) Fingerprint {
+		p := Part{Service: "llm", Team: team, Model: "m", ID: "bad"}
+		return p.Fingerprint()
+	}
+	three := []Crash{teamCrash("a", "1", "t", "bad"), teamCrash("b", "2", "t", "bad"), teamCrash("c", "3", "t", "bad")}
+	cases := map[string]struct {
+		crashes []Crash
+		// trials are those between the third crash and the next.
+		trials int
+		// want are quarantined, left once a request of yet another team was served.
+		want, left []Fingerprint
+	}{
+		"three teams":        {crashes: []Crash{teamCrash("a", "1", "t", "bad"), teamCrash("b", "2", "u", "bad"), teamCrash("c", "3", "v", "bad")}, want: []Fingerprint{of("")}},
+		"one team":           {crashes: three, want: []Fingerprint{of("t")}, left: []Fingerprint{of("t")}},
+		"one team, tried":    {crashes: three, trials: 2, want: []Fingerprint{of("t")}, left: []Fingerprint{of("t")}},
+		"then another":       {crashes: append(slices.Clone(three), teamCrash("d", "4", "u", "bad")), want: []Fingerprint{of("")}, left: []Fingerprint{of("t")}},
+		"tried, another":     {crashes: append(slices.Clone(three), teamCrash("d", "4", "u", "bad")), trials: 2, want: []Fingerprint{of("")}},
+		"one beside another": {crashes: []Crash{teamCrash("a", "1", "t", "bad"), withParts(teamCrash("b", "2", "t", "bad"), of("u"), of("")), teamCrash("c", "3", "t", "bad")}, want: []Fingerprint{of("t")}, left: []Fingerprint{of("t")}},
+		"two at all crashes": {
+			crashes: []Crash{withParts(teamCrash("a", "1", "t", "bad"), of("u")), withParts(teamCrash("b", "2", "t", "bad"), of("u")), withParts(teamCrash("c", "3", "t", "bad"), of("u"))},
+			want:    []Fingerprint{of("")},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tr := NewTracker()
+			for i, crash := range c.crashes {
+				tr.AddCrashes(crash)
+				for range c.trials {
+					if i == 2 {
+						tr.RecordTrial([]Fingerprint{of("t")})
+					}
+				}
+			}
+			if got := quarantinedParts(tr); !slices.Equal(got, c.want) {
+				t.Fatalf("%v are quarantined, want %v", got, c.want)
+			}
+			if trials := tr.QuarantinedParts()[0].Trials; trials != c.trials {
+				t.Errorf("%d trials count, want %d", trials, c.trials)
+			}
+			saved := NewTracker()
+			saved.Restore(tr.Save())
+			if got := quarantinedParts(saved); !slices.Equal(got, c.want) {
+				t.Errorf("%v are quarantined after a restart, want %v", got, c.want)
+			}
+			tr.Served(of("v").Scopes()...)
+			if got := quarantinedParts(tr); !slices.Equal(got, c.left) {
+				t.Errorf("%v are quarantined once another team's request was served, want %v", got, c.left)
+			}
+		})
+	}
+}
+
+// withParts returns a crash with further parts in flight.
+func withParts(c Crash, parts ...Fingerprint) Crash {
+	c.Parts = append(c.Parts, parts...)
+	return c
 }
 
 // Guards against a part that is left out of every report because other parts fill them, and against
--- a/quarantine/served.go
+++ b/quarantine/served.go
@@ -7,8 +7,8 @@
 	// cause of a crash. A request that many callers send is in flight wherever an
 	// upstream crashes.
 	servedRetention = 10 * time.Second
-	// maxServed bounds the requests remembered as served.
-	maxServed = 4096
+	// maxServed bounds the requests remembered as served, and the parts, each in two scopes.
+	maxServed = 8192
 )
 
 // Served is what one process has lately seen served: requests, and parts of their prompts.
