engine: an answer has no more tokens than asked for, and a stream without any ends

An engine in trouble may send bytes that are no answer without end. Class: any data counted as progress.

Data is progress if it brings a token of the answer, or a repeated one past those that came again before. Without one, a stream ends as broken after 1 MiB, or after 10 minutes: engines may send comments while a request waits in their queue. A token beyond those asked for is an error. An answer that is sent as a whole is kept up to 16 MiB of text.

--- a/internal/adapter/callers/complete.go
+++ b/internal/adapter/callers/complete.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/internal/entry"
+	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/prefix"
 )
 
@@ -96,6 +97,9 @@
 	return from.KeptPrompt.String()
 }
 
+// maxCompleteText bounds the text of an answer that isn't streamed, in bytes: it is kept until its end.
+const maxCompleteText = 16 << 20
+
 // sendComplete collects an answer and sends it as one JSON body. Nothing is written before
 // the answer is complete, so that a failed answer becomes an error status and never a
 // shortened answer.
@@ -112,6 +116,10 @@
 			finish = token.FinishReason
 			break
 		}
+		if text.Len()+len(token.Text) > maxCompleteText {
+			h.refuse(w, prompt.Request, &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: "the answer is too long to be sent as a whole"})
+			return
+		}
 		text.WriteString(token.Text)
 		h.metrics.tokens.Inc()
 	}
--- /dev/null
+++ b/internal/adapter/engine/endless_test.go
@@ -0,0 +1,108 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/adapter/httpsend"
+	"github.com/lovagereach/lovagereach/outcome"
+)
+
+// endlessEngine listens and answers every request with a beginning and then the same bytes until its
+// connection is closed, after which it signals.
+func endlessEngine(t *testing.T, begin, repeated string) (address string, closed <-chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	block := []byte(strings.Repeat(repeated, 1+(32<<10)/len(repeated)))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err = c.Read(make([]byte, 64<<10)); err == nil {
+			_, err = io.WriteString(c, begin)
+		}
+		for err == nil {
+			_, err = c.Write(block)
+		}
+	}()
+	return listener.Addr().String(), done
+}
+
+// allocated returns the bytes that a function allocates, freed ones included.
+func allocated(run func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	run()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// Guards against an engine whose answer has no end taking the entry's memory, or keeping its caller waiting
+// for as long as bytes come.
+func TestAnswerWithoutEnd(t *testing.T) {
+	const limit, maxBytes = 2 * time.Second, 64 << 20
+	head := "HTTP/1.1 200 OK\r\n" + httpsend.HeaderRequest + ": " + testRequest.Request.String() + "\r\n" + httpsend.HeaderAttempt + ": 2\r\n"
+	stream := head + "Content-Type: text/event-stream\r\n\r\n"
+	first := token(7, 2, 0)
+	var tokens strings.Builder
+	for i := range 100 {
+		tokens.WriteString(token(7, 2, i))
+	}
+	for name, c := range map[string]struct{ begin, repeated string }{
+		"a status line": {"HTTP/1.1 200 ", "x"}, "no protocol at all": {"", "x"}, "a header field": {head + "X: ", "y"}, "header fields": {head, "X: y\r\n"},
+		"informational answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}, "an error's body": {strings.Replace(head, "200 OK", "500 No", 1) + "\r\n", "x"},
+		"a line": {stream, "x"}, "comments": {stream, ": x\n"}, "empty lines": {stream, "\n"}, "an event": {stream, "data: x\n"},
+		"comments after a token": {stream + first, ": x\n"}, "the first token": {stream, first}, "tokens": {stream + tokens.String(), "data: x\n\n"},
+		"events of another request": {stream, token(8, 2, 0)}, "empty chunks of the answer": {stream, fmt.Sprintf("data: {\"id\":%q,\"attempt\":2,\"choices\":[]}\n\n", ident.Request{7})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, closed := endlessEngine(t, c.begin, c.repeated)
+			client := New(address, Options{})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*limit)
+			defer cancel()
+			var err error
+			read := 0
+			began := time.Now()
+			bytes := allocated(func() {
+				answer, failed := client.Generate(ctx, testRequest)
+				for err = failed; err == nil; {
+					if _, err = answer.Next(ctx); err == nil {
+						read++
+					}
+				}
+				if answer != nil {
+					answer.Close()
+				}
+			})
+			if kind := outcome.KindOf(err); kind != outcome.KindUnknown && kind != outcome.KindFailed || time.Since(began) > limit {
+				t.Errorf("%v after %v, want an unknown or failed outcome within %v", err, time.Since(began), limit)
+			}
+			if read > testRequest.MaxTokens {
+				t.Errorf("%d tokens, want at most %d", read, testRequest.MaxTokens)
+			}
+			if bytes > maxBytes {
+				t.Errorf("%d KB were allocated", bytes>>10)
+			}
+			select {
+			case <-closed:
+			case <-time.After(time.Second):
+				t.Error("the connection is left open")
+			}
+		})
+	}
+}
--- a/internal/adapter/engine/engine.go
+++ b/internal/adapter/engine/engine.go
@@ -28,8 +28,8 @@
 	// Transport is shared by all engines; if nil, New creates one for the client.
 	Transport *httpsend.Transport
 	// IdleTimeout is the maximum time without data from the engine, before and
-	// between tokens; comments of the event stream count as data. Zero selects
-	// DefaultIdleTimeout.
+	// between tokens; comments of the event stream count as data, for a while and up to
+	// a size. Zero selects DefaultIdleTimeout.
 	IdleTimeout time.Duration
 	// Counters counts dropped events; if nil, New creates counters for the client.
 	Counters *Counters
--- a/internal/adapter/engine/stream.go
+++ b/internal/adapter/engine/stream.go
@@ -30,8 +30,10 @@
 	codec    *upstreamapi.TokenCodec
 	control  streamControl
 	counters *Counters
-	// next is the index of the next token expected.
-	next int
+	// next is the index of the next token expected, repeated the highest one that came again.
+	next, repeated int
+	// progress is what came since the latest token of the answer.
+	progress *progress
 	// finalEvent is the event with the finish reason, returned once the end of the
 	// stream confirms it.
 	finalEvent *port.TokenEvent
@@ -39,18 +41,39 @@
 	closeErr error
 }
 
+const (
+	// maxIdleBytes and maxIdleTime bound what an engine may send, and for how long, without a token of the
+	// answer: comments while the request waits in its queue, and tokens that were delivered before.
+	maxIdleBytes = 1 << 20
+	maxIdleTime  = 10 * time.Minute
+)
+
+var errNoProgress = errors.New("the engine sends data without a token of the answer")
+
+// progress is the data and the time since the latest token of an answer.
+type progress struct {
+	since time.Time
+	bytes int
+}
+
+func (p *progress) restart() { *p = progress{since: time.Now()} }
+
 // activityReader reads a body and resets the idle timer whenever data arrives. Engines
 // send comments while a request waits in their queue, which may take longer than the
 // idle timeout.
 type activityReader struct {
-	body    io.Reader
-	control streamControl
+	body     io.Reader
+	control  streamControl
+	progress *progress
 }
 
 // Read implements io.Reader.
 func (l *activityReader) Read(p []byte) (int, error) {
+	if l.progress.bytes >= maxIdleBytes || time.Since(l.progress.since) >= maxIdleTime {
+		return 0, errNoProgress
+	}
 	n, err := l.body.Read(p)
-	if n > 0 {
+	if l.progress.bytes += n; n > 0 {
 		l.control.idle.Reset(l.control.idleTimeout)
 	}
 	return n, err
@@ -62,15 +85,18 @@
 var errStreamEnded = errors.New("stream is over")
 
 func newStream(ctx context.Context, req port.GenerateRequest, body io.ReadCloser, control streamControl, counters *Counters) *stream {
+	received := &progress{since: time.Now()}
 	return &stream{
 		ctx:      ctx,
 		request:  req,
 		body:     body,
-		events:   upstreamapi.NewEventReader(&activityReader{body: body, control: control}),
+		events:   upstreamapi.NewEventReader(&activityReader{body: body, control: control, progress: received}),
 		codec:    upstreamapi.NewTokenCodec(req.Request, req.Attempt),
 		control:  control,
 		counters: counters,
 		next:     req.ResumeAt,
+		repeated: -1,
+		progress: received,
 	}
 }
 
@@ -164,12 +190,20 @@
 func (s *stream) handleToken(index int, text string) (port.TokenEvent, bool, error) {
 	if index < s.next {
 		s.counters.Duplicated.Add(1)
+		if index > s.repeated {
+			s.repeated = index
+			s.progress.restart()
+		}
 		return port.TokenEvent{}, false, nil
 	}
+	if most := s.request.MaxTokens; most > 0 && index >= most {
+		return port.TokenEvent{}, false, fmt.Errorf("token %d came where at most %d were asked for", index, most)
+	}
 	if index > s.next || s.finalEvent != nil {
 		return port.TokenEvent{}, false, fmt.Errorf("token %d came where %d was due", index, s.next)
 	}
 	s.next++
+	s.progress.restart()
 	return port.TokenEvent{Index: index, Text: text}, true, nil
 }
 
