--- a/internal/gateway/fleet_parts_scope_test.go
+++ b/internal/gateway/fleet_parts_scope_test.go
@@ -99,6 +99,23 @@
 	})
 }
 
+// Guards against a part that was served until its requests crash runners, and that is taken for one that was
+// in flight by chance, as sound ones are at every crash.
+func TestServedPartsInBurstsAreFound(t *testing.T) {
+	servedBefore := func(c partCase) partCase {
+		c.before = func(f *partFleet) {
+			f.every(40*time.Millisecond, badFrom-100*time.Millisecond, func(n int) {
+				f.callSoundAs(c.teams[n%len(c.teams)], "f1f1", "bad0")
+			})
+		}
+		return c
+	}
+	runPartCases(t, map[string]partCase{
+		"30 each 3 s": servedBefore(inBursts(30, 20)), "30 of ten teams each 3 s": servedBefore(inBursts(30, 20, partTeams...)),
+		"ten in turn": servedBefore(ofTeams(partTeams...)),
+	})
+}
+
 // Guards against a team that crashes runners with parts that others use: the others' requests must go
 // on being served.
 func TestTeamThatCrashesRunnersBlocksNoOther(t *testing.T) {
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -80,12 +80,17 @@
 }
 
 // blamedParts returns the parts to quarantine next, of those that were in flight at enough groups of
-// unexplained crashes, with the indexes of these crashes. Parts that were served shortly before are blamed only for crashes that no
-// other part explains.
+// unexplained crashes, with the indexes of these crashes. Parts that were served shortly before are blamed
+// only for crashes that no other part explains.
 func (t *Tracker) blamedParts() map[Fingerprint][]int {
-	byPart := t.unexplainedByPart(PartThreshold)
-	maps.DeleteFunc(byPart, func(_ Fingerprint, crashes []int) bool {
-		return t.evidence(crashes) < PartThreshold || t.haveCommonRequest(crashes)
+	byPart, explained := t.unexplainedByPart(PartThreshold), t.explainedCrashes()
+	evidence := make(map[Fingerprint]int)
+	maps.DeleteFunc(byPart, func(f Fingerprint, crashes []int) bool {
+		evidence[f] = t.groups(crashes)
+		if t.isBurst(crashes, explained) {
+			evidence[f] = max(evidence[f], burstEvidence)
+		}
+		return evidence[f] < PartThreshold || t.haveCommonRequest(crashes)
 	})
 	t.dropScopes(byPart)
 	served := make(map[Fingerprint][]int)
@@ -95,11 +100,14 @@
 			delete(byPart, f)
 		}
 	}
-	if blamed := mostBlamed(byPart, PartThreshold, t.evidence); len(blamed) > 0 {
+	if blamed := mostBlamed(byPart, evidence, PartThreshold); len(blamed) > 0 {
 		return blamed
 	}
-	maps.DeleteFunc(served, func(_ Fingerprint, crashes []int) bool { return t.groups(crashes) < servedPartThreshold })
-	return mostBlamed(served, servedPartThreshold, t.groups)
+	maps.DeleteFunc(served, func(f Fingerprint, crashes []int) bool {
+		evidence[f] = t.groups(crashes)
+		return evidence[f] < servedPartThreshold
+	})
+	return mostBlamed(served, evidence, servedPartThreshold)
 }
 
 // dropScopes leaves one scope of each part. If the requests of only one team may have caused all of a
@@ -137,10 +145,10 @@
 }
 
 // mostBlamed returns the parts that are most likely to blame. One that was the only candidate at some
-// crash must have caused it. Otherwise it is those at the most groups, except for one with exactly
-// threshold groups that shares all of its crashes with another: one more crash, or one request that
-// is served, distinguishes them. groups returns the number of groups that some crashes count as.
-func mostBlamed(byPart map[Fingerprint][]int, threshold int, groups func(crashes []int) int) map[Fingerprint][]int {
+// crash must have caused it. Otherwise it is those with the most groups as evidence, except for one with
+// exactly threshold groups that shares all of its crashes with another: one more crash, or one request that
+// is served, distinguishes them.
+func mostBlamed(byPart map[Fingerprint][]int, evidence map[Fingerprint]int, threshold int) map[Fingerprint][]int {
 	blamed := make(map[Fingerprint][]int)
 	for f := range soleCandidates(byPart) {
 		blamed[f] = byPart[f]
@@ -149,31 +157,22 @@
 		return blamed
 	}
 	most := 0
-	for _, crashes := range byPart {
-		most = max(most, groups(crashes))
+	for f := range byPart {
+		most = max(most, evidence[f])
 	}
 	for f, crashes := range byPart {
 		same := func(other Fingerprint) bool { return other != f && slices.Equal(byPart[other], crashes) }
-		if groups(crashes) == most && (most > threshold || !containsKey(byPart, same)) {
+		if evidence[f] == most && (most > threshold || !containsKey(byPart, same)) {
 			blamed[f] = crashes
 		}
 	}
 	return blamed
 }
 
-// evidence returns the number of groups that the crashes of a part count as.
-func (t *Tracker) evidence(crashes []int) int {
-	groups := t.groups(crashes)
-	if t.isBurst(crashes) {
-		return max(groups, burstEvidence)
-	}
-	return groups
-}
-
 // isBurst reports whether a part was in flight at many crashes, and at three quarters or more of those in
-// their groups that nothing else explains. Where a rack crashes, no part is in flight at nearly all of its
-// upstreams, unless it is served at others too.
-func (t *Tracker) isBurst(crashes []int) bool {
+// their groups that nothing else explains. Where a rack crashes, a part that is served at other upstreams
+// too was in flight at few of its upstreams.
+func (t *Tracker) isBurst(crashes []int, explained []bool) bool {
 	if len(crashes) < burstCrashes {
 		return false
 	}
@@ -181,13 +180,24 @@
 	for _, i := range crashes {
 		groups[t.crashes[i].Group] = true
 	}
-	beside := 0
+	all := len(crashes)
 	for i, c := range t.crashes {
-		if groups[c.Group] && !slices.Contains(crashes, i) && !t.parts.explains(c) {
-			beside++
+		if groups[c.Group] && !explained[i] {
+			if _, with := slices.BinarySearch(crashes, i); !with {
+				all++
+			}
 		}
 	}
-	return len(crashes) >= 3*beside
+	return 4*len(crashes) >= 3*all
+}
+
+// explainedCrashes reports of each crash whether a quarantined part was in flight there.
+func (t *Tracker) explainedCrashes() []bool {
+	explained := make([]bool, len(t.crashes))
+	for i, c := range t.crashes {
+		explained[i] = t.parts.explains(c)
+	}
+	return explained
 }
 
 // servedBefore reports whether a part had been served shortly before one of the crashes.
@@ -213,15 +223,17 @@
 	return byPart
 }
 
-// groups returns the number of groups that the crashes with these indexes belong to. Upstreams that
-// crash at the same time, as in a rack, are in one group: their requests were sent before any of
-// them crashed.
+// groups returns the number of groups that the crashes with these indexes, in ascending order, belong to.
+// Upstreams that crash at the same time, as in a rack, are in one group: their requests were sent before
+// any of them crashed. The crashes of a group follow one another.
 func (t *Tracker) groups(crashes []int) int {
-	groups := make(map[uint64]bool, len(crashes))
-	for _, i := range crashes {
-		groups[t.crashes[i].Group] = true
+	n := 0
+	for at, i := range crashes {
+		if at == 0 || t.crashes[i].Group != t.crashes[crashes[at-1]].Group {
+			n++
+		}
 	}
-	return len(groups)
+	return n
 }
 
 // haveCommonRequest reports whether one request was in flight at all of the crashes: it is to blame
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -131,7 +131,10 @@
 
 // within reports whether f is a part in the requests of one team, and other the same part in those of
 // all teams.
-func (f Fingerprint) within(other Fingerprint) bool { return f != other && f.Shared() == other }
+func (f Fingerprint) within(other Fingerprint) bool {
+	const of = len(f) - teamBytes
+	return [of]byte(f[:of]) == [of]byte(other[:of]) && f != other && other == other.Shared()
+}
 
 // writeField writes a field prefixed with its length, so that different requests
 // never write the same bytes.
