quarantine: a part that is served no more is not excused for having been served before

What tells the two apart is what happens after the crash: a sound part that is in flight everywhere is served again as soon as anything is. Parts of a burst are suspected, so that entries that see one served clear it. An entry that sees five other requests of the service served over half a second, and none with the part, says so, and the part is judged like one that was not served before. While a service serves nothing, nothing is concluded.

--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -55,6 +55,8 @@
 	// checks holds the checks of the upstreams at which attempts broke off.
 	checks map[quarantine.Incarnation]*crash.Check
 	served quarantine.Served
+	// unserved finds blocks that are served no more.
+	unserved quarantine.UnservedParts
 	// groups assigns crashes to groups; trials and asks decide when quarantined parts are tried.
 	groups quarantine.CrashGroups
 	trials quarantine.TrialTimes
@@ -92,6 +94,9 @@
 	}
 	n.tracker.AddCrashes(crashes...)
 	n.tracker.Served(m.Served...)
+	if len(m.Unserved) > 0 {
+		n.tracker.Unserved(m.Unserved...)
+	}
 	n.applyParts(m.partMessage, now)
 	n.expire(now)
 	return n.tracker.Revision() != before
@@ -269,6 +274,9 @@
 	e.mu.Lock()
 	attempts := e.crashes.endCheck(incarnation, state)
 	found := quarantine.NewCrash(incarnation, attempts, &e.crashes.served, e.crashes.tracker.ListsPart, now)
+	if len(attempts) > 0 {
+		e.crashes.unserved.RecordLost(found.Parts, attempts[0].Service)
+	}
 	blamed := crashed && len(found.Fingerprints)+len(found.Parts) > 0
 	if blamed {
 		e.crashes.own = append(e.crashes.own, ownCrash{crash: found, seenAt: now})
@@ -291,13 +299,15 @@
 
 // recordServed records that a request completed and clears it, and the parts of
 // its prompt, from quarantine and suspicion.
-func (e *Entry) recordServed(p quarantine.Fingerprint, parts []quarantine.Fingerprint) {
+func (e *Entry) recordServed(p quarantine.Fingerprint, service string, parts []quarantine.Fingerprint) {
 	e.mu.Lock()
-	e.crashes.served.Record(p, parts, time.Now())
+	now := time.Now()
+	e.crashes.served.Record(p, parts, now)
+	unserved := e.crashes.unserved.RecordServed(service, parts, slices.Values(e.crashes.tracker.SuspectedParts()), now)
 	served := slices.DeleteFunc(slices.Clone(parts), func(f quarantine.Fingerprint) bool { return !e.crashes.tracker.ListsPart(f) })
 	e.mu.Unlock()
-	if len(served) > 0 || e.isSuspect(p, nil) {
-		cleared := crashMessage{Served: append(served, p)}
+	if len(served)+len(unserved) > 0 || e.isSuspect(p, nil) {
+		cleared := crashMessage{Served: append(served, p), partMessage: partMessage{Unserved: unserved}}
 		e.applyCrashes(cleared)
 		e.sendCrashes(cleared)
 	}
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -52,7 +52,7 @@
 	e.tracker.End(a.attempt.Request, a.attempt.Number)
 	a.learn(usage)
 	e.mu.Unlock()
-	e.recordServed(a.job.fingerprint, a.job.parts)
+	e.recordServed(a.job.fingerprint, string(a.job.prompt.Model), a.job.parts)
 	e.counts.done.Inc()
 	e.counts.countOutcome(outcome.KindDone)
 	e.keeper.reportUse(a.job, a.plan, usage)
@@ -126,7 +126,7 @@
 		a.possiblyRan = err
 		if a.ctx.Err() == nil {
 			c := a.plan.candidate
-			check := a.entry.recordLost(c.Upstream, c.Incarnation, c.Address, quarantine.Attempt{Request: a.attempt.Request.String(), Fingerprint: a.job.fingerprint, Parts: a.job.parts, Sent: a.sent})
+			check := a.entry.recordLost(c.Upstream, c.Incarnation, c.Address, quarantine.Attempt{Request: a.attempt.Request.String(), Service: string(a.job.prompt.Model), Fingerprint: a.job.fingerprint, Parts: a.job.parts, Sent: a.sent})
 			a.job.crashChecks = append(a.job.crashChecks, check)
 		}
 	}
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -28,10 +28,12 @@
 	Unused [][]quarantine.Fingerprint `cbor:"6,keyasint,omitempty"`
 	// Parts are quarantined parts, for entries that have just started.
 	Parts []quarantine.QuarantinedPart `cbor:"7,keyasint,omitempty"`
+	// Unserved are suspected parts of which no request is served although others are.
+	Unserved []quarantine.Fingerprint `cbor:"8,keyasint,omitempty"`
 }
 
 func (m *partMessage) empty() bool {
-	return len(m.Asks)+len(m.Trials)+len(m.Unused)+len(m.Parts) == 0
+	return len(m.Asks)+len(m.Trials)+len(m.Unused)+len(m.Parts)+len(m.Unserved) == 0
 }
 
 // check returns an error if a message exceeds its bounds.
@@ -39,8 +41,8 @@
 	tooMany := func(list [][]quarantine.Fingerprint) bool {
 		return len(list) > maxTrials || slices.ContainsFunc(list, func(parts []quarantine.Fingerprint) bool { return len(parts) > quarantine.MaxQuarantinedParts })
 	}
-	if tooMany(m.Asks) || tooMany(m.Trials) || tooMany(m.Unused) || len(m.Parts) > quarantine.MaxQuarantinedParts {
-		return eris.Errorf("entry: crashes: more than %d trials, or than %d parts", maxTrials, quarantine.MaxQuarantinedParts)
+	if tooMany(m.Asks) || tooMany(m.Trials) || tooMany(m.Unused) || len(m.Parts) > quarantine.MaxQuarantinedParts || len(m.Unserved) > quarantine.MaxSuspectedParts {
+		return eris.Errorf("entry: crashes: more than %d trials, or than %d parts", maxTrials, min(quarantine.MaxQuarantinedParts, quarantine.MaxSuspectedParts))
 	}
 	return nil
 }
--- a/internal/entry/parts_test.go
+++ b/internal/entry/parts_test.go
@@ -190,6 +190,44 @@
 	})
 }
 
+// Guards against a block that was served until its prompts crash engines in bursts, and that is taken for one
+// that is in flight at crashes by chance.
+func TestServedBlockInBurstsIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var bad atomic.Bool
+		entries, crashes := crashingFleet(t, &bad, 6)
+		for i, b := range entries {
+			if err := b.sendBlocks(t, 220+byte(i), 1, badBlock); err != nil {
+				t.Fatal(err)
+			}
+		}
+		bad.Store(true)
+		first := int32(0)
+		for burst := range byte(6) {
+			var prompts sync.WaitGroup
+			for i := range byte(16) {
+				prompts.Go(func() { _ = entries[i%2].sendBlocks(t, burst*16+i, 1, badBlock) })
+			}
+			time.Sleep(time.Second)
+			restartUpstreams(t, entries...)
+			for i := range byte(20) {
+				if err := entries[i%2].sendBlocks(t, 130+burst*20+i, 1, 2, 3); err != nil {
+					t.Errorf("a prompt without the block: %v", err)
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			prompts.Wait()
+			if burst == 0 {
+				first = crashes.Load()
+			}
+		}
+		t.Logf("%d engines crashed, %d of them by the first burst", crashes.Load(), first)
+		if later := crashes.Load() - first; later > maxPartSends {
+			t.Errorf("%d engines crashed by one block later than the first burst, want at most %d", later, maxPartSends)
+		}
+	})
+}
+
 // Guards against an entry of the version before, which knows no parts, losing what is reported about
 // requests: it rejects messages with fields that it lacks.
 func TestCrashesOfRequestsHaveNoNewFields(t *testing.T) {
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -247,7 +247,7 @@
 			"upstream", string(chosen.Upstream), "err", err)
 		return ServiceAnswer{}, err
 	}
-	body := &observedBody{ReadCloser: answer.Body, served: func() { e.recordServed(j.fingerprint, nil) }, lost: broke}
+	body := &observedBody{ReadCloser: answer.Body, served: func() { e.recordServed(j.fingerprint, string(j.call.Service), nil) }, lost: broke}
 	if answer.Unframed {
 		body.confirm = func() error { return confirmEnd(ctx, record(true)) }
 	}
--- a/internal/gateway/fleet_parts_model_test.go
+++ b/internal/gateway/fleet_parts_model_test.go
@@ -227,6 +227,9 @@
 		f.tracker.AddCrashes(c)
 	}
 	f.tracker.Served(r.Served...)
+	if len(r.Unserved) > 0 {
+		f.tracker.Unserved(r.Unserved...)
+	}
 	for _, parts := range r.Unused {
 		f.tracker.ReturnTrial(parts)
 	}
--- a/internal/gateway/fleet_parts_scope_test.go
+++ b/internal/gateway/fleet_parts_scope_test.go
@@ -153,6 +153,30 @@
 	}
 }
 
+// Guards against parts being quarantined because all runners of a service crash at once, when nobody can
+// serve them for a while.
+func TestCrashOfAllRunnersHoldsNoPart(t *testing.T) {
+	t.Parallel()
+	for seed := range *partSeeds {
+		synctest.Test(t, func(t *testing.T) {
+			f := newPartFleet(t, 7, 9, uint64(seed+1))
+			defer f.stop()
+			time.Sleep(time.Second)
+			f.tasks.Go(func() {
+				f.every(soundInterval, 24*time.Second, func(n int) { f.callSoundAs(partTeams[n%3], "f1f1"+partTeams[n%3], fmt.Sprint("a", n%8)) })
+			})
+			for range 5 {
+				time.Sleep(4 * time.Second)
+				f.crash(runnerAddress(0), runnerAddress(1), runnerAddress(2), runnerAddress(3), runnerAddress(4), runnerAddress(5), runnerAddress(6), runnerAddress(7), runnerAddress(8))
+			}
+			time.Sleep(4 * time.Second)
+			if blamed, _ := f.blamedAttempts(time.Time{}); blamed > 0 {
+				t.Errorf("seed %d: %d requests were refused because of a part", seed+1, blamed)
+			}
+		})
+	}
+}
+
 // Guards against a part being quarantined because many of its requests, the first ones, were in flight
 // as a rack crashed: they must be served again at once.
 func TestCrashOfRackHoldsNoNewPart(t *testing.T) {
--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -68,7 +68,7 @@
 func (r *run) recordLost(p *plan, ended bool) *crash.Check {
 	s := r.gateway.state
 	incarnation := quarantine.Incarnation{Upstream: p.upstream.record.ID, StartedMs: p.upstream.record.StartedMs}
-	if s.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Team: r.callerTeam(), Fingerprint: r.fingerprint, Parts: r.parts, Sent: p.sent, Ended: ended}) {
+	if s.lost.Add(incarnation, quarantine.Attempt{Request: r.request.ID, Service: r.service, Team: r.callerTeam(), Fingerprint: r.fingerprint, Parts: r.parts, Sent: p.sent, Ended: ended}) {
 		s.crashChecks[incarnation] = crash.NewCheck()
 		go r.gateway.checkCrash(incarnation, p.send)
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -87,7 +88,8 @@
 		delete(s.verdicts.suspects, p)
 		cleared = append(cleared, p)
 	}
-	r.gateway.reports.add(steward.Report{Served: cleared})
+	unserved := s.unserved.RecordServed(r.service, r.parts, maps.Keys(s.verdicts.parts.suspected), now)
+	r.gateway.reports.add(steward.Report{Served: cleared, Unserved: unserved})
 }
 
 // quarantineError returns why the request must be sent to no upstream, nil if it may be sent.
@@ -148,7 +150,7 @@
 
 // merge makes two reports pending, the older one first. The caller holds the lock.
 func (q *reports) merge(older, newer steward.Report) {
-	q.pending = steward.Report{Crashes: latest(older.Crashes, newer.Crashes), Served: latest(older.Served, newer.Served), Unused: latest(older.Unused, newer.Unused)}
+	q.pending = steward.Report{Crashes: latest(older.Crashes, newer.Crashes), Served: latest(older.Served, newer.Served), Unused: latest(older.Unused, newer.Unused), Unserved: latest(older.Unserved, newer.Unserved)}
 	select {
 	case q.ready <- struct{}{}:
 	default:
@@ -209,6 +211,9 @@
 func (g *Gateway) reportCrash(incarnation quarantine.Incarnation, attempts []quarantine.Attempt, now time.Time) {
 	s := g.state
 	crash := quarantine.NewCrash(incarnation, attempts, &s.served, s.verdicts.parts.listed, now)
+	if len(attempts) > 0 {
+		s.unserved.RecordLost(crash.Parts, attempts[0].Service)
+	}
 	if len(crash.Fingerprints)+len(crash.Parts) > 0 {
 		g.reports.add(steward.Report{Crashes: []quarantine.Crash{crash}})
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -168,6 +168,8 @@
 	// served holds the requests that were served lately: they are not considered the cause of
 	// a crash.
 	served quarantine.Served
+	// unserved finds parts of prompts that are served no more.
+	unserved quarantine.UnservedParts
 	// waiting holds the requests that wait for capacity, in the order of dispatch.
 	waiting []*waiter
 	// shares holds them instead if teams have shares, else it is nil.
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -179,10 +179,13 @@
 	Served []quarantine.Fingerprint `cbor:"2,keyasint,omitempty"`
 	// Unused are trials, by their parts, that were granted and reached no upstream.
 	Unused [][]quarantine.Fingerprint `cbor:"3,keyasint,omitempty"`
+	// Unserved are suspected parts of which this entry has seen no request served for a while, although
+	// it has seen others.
+	Unserved []quarantine.Fingerprint `cbor:"4,keyasint,omitempty"`
 }
 
 // Empty reports whether there is nothing to send.
-func (r *Report) Empty() bool { return len(r.Crashes)+len(r.Served)+len(r.Unused) == 0 }
+func (r *Report) Empty() bool { return len(r.Crashes)+len(r.Served)+len(r.Unused)+len(r.Unserved) == 0 }
 
 // StoreState is the state of one store; it may be used while Open.
 type StoreState struct {
--- a/internal/steward/reports.go
+++ b/internal/steward/reports.go
@@ -41,6 +41,9 @@
 	before := m.quarantine.Revision()
 	m.quarantine.AddCrashes(r.Crashes...)
 	m.quarantine.Served(r.Served...)
+	if len(r.Unserved) > 0 {
+		m.quarantine.Unserved(r.Unserved...)
+	}
 	for _, parts := range r.Unused {
 		m.quarantine.ReturnTrial(parts)
 	}
@@ -86,7 +89,7 @@
 
 // size returns the size of a report within a batch.
 func (r *Report) size() int {
-	n := len(r.Crashes) + len(r.Served) + len(r.Unused)
+	n := len(r.Crashes) + len(r.Served) + len(r.Unused) + len(r.Unserved)
 	for _, parts := range r.Unused {
 		n += len(parts)
 	}
@@ -118,6 +121,7 @@
 	}
 	b.report.Served = append(b.report.Served, r.Served...)
 	b.report.Unused = append(b.report.Unused, r.Unused...)
+	b.report.Unserved = append(b.report.Unserved, r.Unserved...)
 	return b
 }
 
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -48,12 +48,12 @@
 }
 
 // suspectedParts returns the parts that were in flight at SuspectThreshold groups of unexplained
-// crashes or more, those at the most groups first, at most MaxSuspectedParts. A part in the requests of
+// crashes or more, or at a burst, those at the most groups first, at most MaxSuspectedParts. A part in the requests of
 // all teams stands for those of single teams.
 func (t *Tracker) suspectedParts() []Fingerprint {
-	groups := make(map[Fingerprint]int)
+	groups, explained := make(map[Fingerprint]int), t.explainedCrashes()
 	for f, crashes := range t.unexplainedByPart(SuspectThreshold) {
-		if n := t.groups(crashes); n >= SuspectThreshold {
+		if n := t.groups(crashes); n >= SuspectThreshold || t.isBurst(crashes, explained) {
 			groups[f] = n
 		}
 	}
@@ -200,8 +200,12 @@
 	return explained
 }
 
-// servedBefore reports whether a part had been served shortly before one of the crashes.
+// servedBefore reports whether a part had been served shortly before one of the crashes, and nothing tells
+// that it is served no more.
 func (t *Tracker) servedBefore(part Fingerprint, crashes []int) bool {
+	if t.parts.unserved[part] || t.parts.unserved[part.Shared()] {
+		return false
+	}
 	return slices.ContainsFunc(crashes, func(i int) bool { return slices.Contains(t.crashes[i].ServedBefore, part) })
 }
 
--- a/quarantine/lost.go
+++ b/quarantine/lost.go
@@ -18,6 +18,7 @@
 // Attempt is an attempt that broke off, or whose answer ended with its connection.
 type Attempt struct {
 	Request     string
+	Service     string
 	Team        string
 	Fingerprint Fingerprint
 	// Parts are the fingerprints of the parts of its prompt that other requests may share.
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -34,13 +34,16 @@
 	// isQuarantined has the same parts.
 	isQuarantined map[Fingerprint]bool
 	suspects      []Fingerprint
+	// unserved are parts that were served before a crash, and of which no request was served since although
+	// others were.
+	unserved map[Fingerprint]bool
 	// group is the number of the latest group of crashes.
 	group uint64
 }
 
 // newPartState returns a state with quarantined parts and without crashes.
 func newPartState(quarantined []QuarantinedPart) partState {
-	s := partState{counts: make(map[Fingerprint]int), quarantined: slices.Clone(quarantined), isQuarantined: make(map[Fingerprint]bool)}
+	s := partState{counts: make(map[Fingerprint]int), unserved: make(map[Fingerprint]bool), quarantined: slices.Clone(quarantined), isQuarantined: make(map[Fingerprint]bool)}
 	for _, q := range quarantined {
 		s.isQuarantined[q.Part] = true
 	}
@@ -67,6 +70,7 @@
 	for _, f := range crash.Parts {
 		if s.counts[f]--; s.counts[f] == 0 {
 			delete(s.counts, f)
+			delete(s.unserved, f)
 		}
 		if s.isQuarantined[f] {
 			s.quarantined = slices.Clone(s.quarantined)
@@ -248,4 +252,16 @@
 		}
 	}
 	delete(t.parts.counts, f)
+	delete(t.parts.unserved, f)
+}
+
+// Unserved records that no request with these parts was served for a while although others were. Sound
+// parts are in flight at crashes because they are served all the time: these are not.
+func (t *Tracker) Unserved(parts ...Fingerprint) {
+	for _, f := range parts {
+		if t.parts.counts[f] > 0 {
+			t.parts.unserved[f] = true
+		}
+	}
+	t.update()
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -281,11 +281,14 @@
 	// Parts are the quarantined parts, Group is the number of the latest group of crashes.
 	Parts []QuarantinedPart `cbor:"3,keyasint,omitempty"`
 	Group uint64            `cbor:"4,keyasint,omitempty"`
+	// Unserved are the parts that Unserved recorded.
+	Unserved []Fingerprint `cbor:"5,keyasint,omitempty"`
 }
 
 // Save returns the state.
 func (t *Tracker) Save() State {
 	saved := State{Revision: t.revision, Parts: slices.Clone(t.parts.quarantined), Group: t.parts.group}
+	saved.Unserved = slices.SortedFunc(maps.Keys(t.parts.unserved), func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
 	for _, c := range t.crashes {
 		saved.Crashes = append(saved.Crashes, Crash{Incarnation: c.Incarnation, Fingerprints: slices.Clone(c.Fingerprints), Parts: slices.Clone(c.Parts), ServedBefore: slices.Clone(c.ServedBefore), Group: c.Group})
 	}
@@ -300,6 +303,9 @@
 		t.add(c)
 	}
 	t.parts.group = s.Group
+	for _, f := range s.Unserved {
+		t.parts.unserved[f] = true
+	}
 	t.update()
 	t.revision = s.Revision
 }
