quarantine: the crashes of a part are counted once, not for each scope

The probe of the capacity page recorded parts in one scope. Counts serve only to pass over parts at too few crashes: one for both scopes is enough.

--- a/internal/capacity/probes_quarantine.go
+++ b/internal/capacity/probes_quarantine.go
@@ -55,7 +55,9 @@
 		e.Fingerprints = append(e.Fingerprints, quarantine.Fingerprint{2, byte(i), byte(i >> 8), byte(n)})
 	}
 	for n := range requestsPerCrash * partsPerRequest {
-		e.Parts = append(e.Parts, quarantine.Fingerprint{3, byte(i), byte(i >> 8), byte(n)})
+		part := quarantine.Fingerprint{3, byte(i), byte(i >> 8), byte(n)}
+		part[len(part)-1] = 1 // that of a team
+		e.Parts = append(e.Parts, part.Scopes()...)
 	}
 	return e
 }
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -218,7 +218,7 @@
 		for _, f := range c.Parts {
 			// That a part is quarantined for one team leaves it in question for all teams.
 			explains := func(q Fingerprint) bool { return !q.within(f) }
-			if t.parts.counts[f] >= minCrashes && !slices.ContainsFunc(explaining, explains) {
+			if t.parts.counts[f.Shared()] >= minCrashes && !slices.ContainsFunc(explaining, explains) {
 				byPart[f] = append(byPart[f], i)
 			}
 		}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -116,7 +116,7 @@
 
 // Shared returns the fingerprint of a part in the requests of all teams.
 func (f Fingerprint) Shared() Fingerprint {
-	f.setTeam("", false)
+	clear(f[len(f)-teamBytes:])
 	return f
 }
 
@@ -132,8 +132,13 @@
 // within reports whether f is a part in the requests of one team, and other the same part in those of
 // all teams.
 func (f Fingerprint) within(other Fingerprint) bool {
+	return f.samePart(other) && f != other && other == other.Shared()
+}
+
+// samePart reports whether f and other are the same part, in any scope.
+func (f Fingerprint) samePart(other Fingerprint) bool {
 	const of = len(f) - teamBytes
-	return [of]byte(f[:of]) == [of]byte(other[:of]) && f != other && other == other.Shared()
+	return [of]byte(f[:of]) == [of]byte(other[:of])
 }
 
 // writeField writes a field prefixed with its length, so that different requests
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 const (
 	// MaxParts bounds the parts recorded for each crash, each in two scopes.
@@ -27,7 +30,8 @@
 
 // partState is what a Tracker knows about parts.
 type partState struct {
-	// counts is the number of recorded crashes at which each part was in flight.
+	// counts is the number of recorded crashes at which each part was in flight, by its fingerprint for all
+	// teams: with one for each scope it would be as large as all crashes together.
 	counts map[Fingerprint]int
 	// quarantined is in the order in which the parts were quarantined.
 	quarantined []QuarantinedPart
@@ -53,10 +57,13 @@
 // add records parts that were in flight at a recorded crash.
 func (s *partState) add(known *Crash, reported Crash) {
 	for _, f := range reported.Parts {
-		if len(known.Parts) < MaxParts && !slices.Contains(known.Parts, f) {
-			known.Parts = append(known.Parts, f)
-			s.counts[f]++
+		if len(known.Parts) == MaxParts || slices.Contains(known.Parts, f) {
+			continue
 		}
+		if !known.hasPart(f) {
+			s.counts[f.Shared()]++
+		}
+		known.Parts = append(known.Parts, f)
 	}
 	for _, f := range reported.ServedBefore {
 		if slices.Contains(known.Parts, f) && !slices.Contains(known.ServedBefore, f) {
@@ -68,16 +75,33 @@
 // drop removes the parts of a crash that is no longer recorded.
 func (s *partState) drop(crash *Crash) {
 	for _, f := range crash.Parts {
-		if s.counts[f]--; s.counts[f] == 0 {
-			delete(s.counts, f)
-			delete(s.unserved, f)
-		}
 		if s.isQuarantined[f] {
 			s.quarantined = slices.Clone(s.quarantined)
 			s.quarantined[s.find(f)].Confirmed = true
 		}
 	}
-	crash.Parts = nil
+	for last := len(crash.Parts) - 1; last >= 0; last-- {
+		f := crash.Parts[last]
+		crash.Parts = crash.Parts[:last]
+		s.uncount(crash, f)
+	}
+}
+
+// uncount takes into account that one scope of a part was removed from a crash.
+func (s *partState) uncount(crash *Crash, f Fingerprint) {
+	if crash.hasPart(f) {
+		return
+	}
+	shared := f.Shared()
+	if s.counts[shared]--; s.counts[shared] == 0 {
+		delete(s.counts, shared)
+		maps.DeleteFunc(s.unserved, func(other Fingerprint, _ bool) bool { return other.Shared() == shared })
+	}
+}
+
+// hasPart reports whether a part was in flight, in any scope.
+func (c *Crash) hasPart(f Fingerprint) bool {
+	return slices.ContainsFunc(c.Parts, f.samePart)
 }
 
 // find returns the index of a quarantined part, -1 if it is not quarantined.
@@ -92,6 +116,9 @@
 
 // explaining returns the quarantined parts that were in flight at a crash.
 func (s *partState) explaining(crash *Crash) []Fingerprint {
+	if len(s.quarantined) == 0 {
+		return nil
+	}
 	var list []Fingerprint
 	for _, f := range crash.Parts {
 		if s.isQuarantined[f] {
@@ -237,7 +264,7 @@
 		t.parts.release(at)
 		t.revision++
 	}
-	if t.parts.counts[f] == 0 {
+	if t.parts.counts[f.Shared()] == 0 {
 		return
 	}
 	for i := len(t.crashes) - 1; i >= 0; i-- {
@@ -249,9 +276,9 @@
 		default:
 			isPart := func(other Fingerprint) bool { return other == f }
 			c.Parts, c.ServedBefore = slices.DeleteFunc(c.Parts, isPart), slices.DeleteFunc(c.ServedBefore, isPart)
+			t.parts.uncount(c, f)
 		}
 	}
-	delete(t.parts.counts, f)
 	delete(t.parts.unserved, f)
 }
 
@@ -259,7 +286,7 @@
 // parts are in flight at crashes because they are served all the time: these are not.
 func (t *Tracker) Unserved(parts ...Fingerprint) {
 	for _, f := range parts {
-		if t.parts.counts[f] > 0 {
+		if t.parts.counts[f.Shared()] > 0 {
 			t.parts.unserved[f] = true
 		}
 	}
