--- a/internal/gateway/fleet_parts_scope_test.go
+++ b/internal/gateway/fleet_parts_scope_test.go
@@ -38,6 +38,19 @@
 		}}
 }
 
+// runPartFleets runs a test before a number of runners, with some seeds.
+func runPartFleets(t *testing.T, runners int, run func(t *testing.T, f *partFleet, seed int)) {
+	t.Parallel()
+	for seed := 1; seed <= *partSeeds; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			f := newPartFleet(t, 7, runners, uint64(seed))
+			defer f.stop()
+			time.Sleep(time.Second)
+			run(t, f, seed)
+		})
+	}
+}
+
 // Guards against a part that each of several teams must find for itself: one after the other, each
 // crashes as many runners with it as the first.
 func TestPartsOfSeveralTeamsThatCrashRunnersAreFound(t *testing.T) {
@@ -119,102 +132,84 @@
 // Guards against a team that crashes runners with parts that others use: the others' requests must go
 // on being served.
 func TestTeamThatCrashesRunnersBlocksNoOther(t *testing.T) {
-	t.Parallel()
-	for seed := range *partSeeds {
-		synctest.Test(t, func(t *testing.T) {
-			f := newPartFleet(t, 7, 9, uint64(seed+1))
-			defer f.stop()
-			time.Sleep(time.Second)
-			start := time.Now()
-			f.tasks.Go(func() {
-				f.every(soundInterval, 20*time.Second, func(n int) { f.callSoundAs(partTeams[1+n%3], "f1f1", fmt.Sprint("a", n%8)) })
-			})
-			// A team that uses one of the parts seldom.
-			f.tasks.Go(func() {
-				f.every(time.Second, 20*time.Second, func(int) { f.callSoundAs(partTeams[4], "f1f1", "0ddd") })
-			})
-			time.Sleep(2 * time.Second)
-			f.every(badInterval, 16*time.Second, func(n int) {
-				f.callAs(partTeams[0], fmt.Sprint(crashingBody, n), "f1f1", "0ddd")
-			})
-			time.Sleep(time.Until(start.Add(20 * time.Second)))
-			blamed, _ := f.blamedAttempts(start)
-			f.mu.Lock()
-			crashes := 0
-			for _, at := range f.crashes {
-				crashes += len(at)
-			}
-			f.mu.Unlock()
-			t.Logf("seed %d: %d crashes, %d requests of other teams refused because of a part", seed+1, crashes, blamed)
-			if blamed > 0 {
-				t.Errorf("seed %d: %d requests of other teams were refused because of a part", seed+1, blamed)
-			}
+	runPartFleets(t, 9, func(t *testing.T, f *partFleet, seed int) {
+		start := time.Now()
+		f.tasks.Go(func() {
+			f.every(soundInterval, 20*time.Second, func(n int) { f.callSoundAs(partTeams[1+n%3], "f1f1", fmt.Sprint("a", n%8)) })
 		})
-	}
+		// A team that uses one of the parts seldom.
+		f.tasks.Go(func() {
+			f.every(time.Second, 20*time.Second, func(int) { f.callSoundAs(partTeams[4], "f1f1", "0ddd") })
+		})
+		time.Sleep(2 * time.Second)
+		f.every(badInterval, 16*time.Second, func(n int) {
+			f.callAs(partTeams[0], fmt.Sprint(crashingBody, n), "f1f1", "0ddd")
+		})
+		time.Sleep(time.Until(start.Add(20 * time.Second)))
+		blamed, _ := f.blamedAttempts(start)
+		f.mu.Lock()
+		crashes := 0
+		for _, at := range f.crashes {
+			crashes += len(at)
+		}
+		f.mu.Unlock()
+		t.Logf("seed %d: %d crashes, %d requests of other teams refused because of a part", seed, crashes, blamed)
+		if blamed > 0 {
+			t.Errorf("seed %d: %d requests of other teams were refused because of a part", seed, blamed)
+		}
+	})
 }
 
 // Guards against parts being quarantined because all runners of a service crash at once, when nobody can
 // serve them for a while.
 func TestCrashOfAllRunnersHoldsNoPart(t *testing.T) {
-	t.Parallel()
-	for seed := range *partSeeds {
-		synctest.Test(t, func(t *testing.T) {
-			f := newPartFleet(t, 7, 9, uint64(seed+1))
-			defer f.stop()
-			time.Sleep(time.Second)
-			f.tasks.Go(func() {
-				f.every(soundInterval, 24*time.Second, func(n int) { f.callSoundAs(partTeams[n%3], "f1f1"+partTeams[n%3], fmt.Sprint("a", n%8)) })
-			})
-			for range 5 {
-				time.Sleep(4 * time.Second)
-				f.crash(runnerAddress(0), runnerAddress(1), runnerAddress(2), runnerAddress(3), runnerAddress(4), runnerAddress(5), runnerAddress(6), runnerAddress(7), runnerAddress(8))
-			}
-			time.Sleep(4 * time.Second)
-			if blamed, _ := f.blamedAttempts(time.Time{}); blamed > 0 {
-				t.Errorf("seed %d: %d requests were refused because of a part", seed+1, blamed)
-			}
+	runPartFleets(t, 9, func(t *testing.T, f *partFleet, seed int) {
+		f.tasks.Go(func() {
+			f.every(soundInterval, 24*time.Second, func(n int) { f.callSoundAs(partTeams[n%3], "f1f1"+partTeams[n%3], fmt.Sprint("a", n%8)) })
 		})
-	}
+		for range 5 {
+			time.Sleep(4 * time.Second)
+			f.crash(runnerAddress(0), runnerAddress(1), runnerAddress(2), runnerAddress(3), runnerAddress(4), runnerAddress(5), runnerAddress(6), runnerAddress(7), runnerAddress(8))
+		}
+		time.Sleep(4 * time.Second)
+		if blamed, _ := f.blamedAttempts(time.Time{}); blamed > 0 {
+			t.Errorf("seed %d: %d requests were refused because of a part", seed, blamed)
+		}
+	})
 }
 
 // Guards against a part being quarantined because many of its requests, the first ones, were in flight
 // as a rack crashed: they must be served again at once.
 func TestCrashOfRackHoldsNoNewPart(t *testing.T) {
-	t.Parallel()
-	for seed := range *partSeeds {
-		synctest.Test(t, func(t *testing.T) {
-			f := newPartFleet(t, 7, 18, uint64(seed+1))
-			defer f.stop()
-			time.Sleep(time.Second)
-			f.tasks.Go(func() {
-				f.every(soundInterval, 20*time.Second, func(n int) {
-					if n%2 == 0 {
-						f.callSound("f1f1", fmt.Sprintf("aa%02d", time.Now().Unix()/2%100))
-					} else {
-						ordinary(f, n)
-					}
-				})
-			})
-			held := make(map[quarantine.Fingerprint]bool)
-			for i := range 6 {
-				time.Sleep(time.Until(time.Now().Truncate(2 * time.Second).Add(2*time.Second + 80*time.Millisecond)))
-				addresses := make([]string, 6)
-				for k := range addresses {
-					addresses[k] = runnerAddress((i + 3*k) % 18)
-				}
-				f.crash(addresses...)
-				time.Sleep(200 * time.Millisecond)
-				f.mu.Lock()
-				for _, q := range f.tracker.QuarantinedParts() {
-					held[q.Part] = true
+	runPartFleets(t, 18, func(t *testing.T, f *partFleet, seed int) {
+		f.tasks.Go(func() {
+			f.every(soundInterval, 20*time.Second, func(n int) {
+				if n%2 == 0 {
+					f.callSound("f1f1", fmt.Sprintf("aa%02d", time.Now().Unix()/2%100))
+				} else {
+					ordinary(f, n)
 				}
-				f.mu.Unlock()
+			})
+		})
+		held := make(map[quarantine.Fingerprint]bool)
+		for i := range 6 {
+			time.Sleep(time.Until(time.Now().Truncate(2 * time.Second).Add(2*time.Second + 80*time.Millisecond)))
+			addresses := make([]string, 6)
+			for k := range addresses {
+				addresses[k] = runnerAddress((i + 3*k) % 18)
 			}
-			blamed, _ := f.blamedAttempts(time.Time{})
-			t.Logf("seed %d: %d parts quarantined, %d requests refused because of a part", seed+1, len(held), blamed)
-			if blamed > 0 {
-				t.Errorf("seed %d: %d requests were refused because of a part", seed+1, blamed)
+			f.crash(addresses...)
+			time.Sleep(200 * time.Millisecond)
+			f.mu.Lock()
+			for _, q := range f.tracker.QuarantinedParts() {
+				held[q.Part] = true
 			}
-		})
-	}
+			f.mu.Unlock()
+		}
+		blamed, _ := f.blamedAttempts(time.Time{})
+		t.Logf("seed %d: %d parts quarantined, %d requests refused because of a part", seed, len(held), blamed)
+		if blamed > 0 {
+			t.Errorf("seed %d: %d requests were refused because of a part", seed, blamed)
+		}
+	})
 }
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -48,8 +48,8 @@
 }
 
 // suspectedParts returns the parts that were in flight at SuspectThreshold groups of unexplained
-// crashes or more, or at a burst, those at the most groups first, at most MaxSuspectedParts. A part in the requests of
-// all teams stands for those of single teams.
+// crashes or more, or at a burst, those at the most groups first, at most MaxSuspectedParts. A part in
+// the requests of all teams stands for those of single teams.
 func (t *Tracker) suspectedParts() []Fingerprint {
 	groups, explained := make(map[Fingerprint]int), t.explainedCrashes()
 	for f, crashes := range t.unexplainedByPart(SuspectThreshold) {
