review: KV cache of a tenant that becomes isolated stays in use by others

Cause: the salt of a tenant that isn't isolated names only the model and the version of the weights, and stays the same when a configuration isolates a tenant. What its requests made before stays under the salt of all others.

Seen: 5 s after the acknowledgement of the configuration, all 10 prompts of another tenant run on the part that the isolated tenant's request made.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,7 @@
 // cases are the cases by name. trouble tells whether the
 // disruption is played.
 var cases = map[string]func(out *recorder, trouble bool) (code int, err error){
-	"versions": versions,
+	"versions": versions, "wall": wall,
 }
 
 func main() {
