--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,7 @@
 // cases are the cases by name. trouble tells whether the
 // disruption is played.
 var cases = map[string]func(out *recorder, trouble bool) (code int, err error){
-	"versions": versions, "wall": wall,
+	"versions": versions, "wall": wall, "routes": routes,
 }
 
 func main() {
