--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -162,7 +162,10 @@
 		switch message := r.message(); {
 		case down:
 		case r.late > 0:
-			time.AfterFunc(r.late, func() { r.send(ctx, client, m, message) })
+			// It has no answer within a second, and the next daemon is called, as late.
+			for i, m := range r.fleet.controls {
+				time.AfterFunc(r.late+time.Duration(i)*time.Second, func() { r.send(ctx, client, m, message) })
+			}
 		case !r.send(ctx, client, m, message):
 			next++
 			time.Sleep(50 * time.Millisecond)
