--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,10 +20,10 @@
 	held, broken, notRun = 0, 1, 2
 )
 
-// cases are the cases by name, and two findings that are no cases. trouble tells whether the
+// cases are the cases by name, and the findings that are no cases. trouble tells whether the
 // disruption is played.
 var cases = map[string]func(out *recorder, trouble bool) (code int, err error){
-	"versions": versions, "wall": wall, "routes": routes, "forming": forming, "braces": braces,
+	"versions": versions, "wall": wall, "routes": routes, "forming": forming, "stopping": stopping, "braces": braces,
 }
 
 func main() {
