--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -156,15 +156,20 @@
 	client := &http.Client{Timeout: time.Second}
 	for next := 0; ctx.Err() == nil; {
 		r.mu.Lock()
-		down := r.down
+		down, born := r.down, r.born
 		r.mu.Unlock()
 		m := r.fleet.controls[next%len(r.fleet.controls)]
 		switch message := r.message(); {
 		case down:
 		case r.late > 0:
-			// It has no answer within a second, and the next daemon is called, as late.
+			// It has no answer within a second, and the next daemon is called, as late, unless the runner
+			// has crashed meanwhile.
 			for i, m := range r.fleet.controls {
-				time.AfterFunc(r.late+time.Duration(i)*time.Second, func() { r.send(ctx, client, m, message) })
+				time.AfterFunc(time.Duration(i)*time.Second, func() {
+					if r.lives(born) {
+						time.AfterFunc(r.late, func() { r.send(ctx, client, m, message) })
+					}
+				})
 			}
 		case !r.send(ctx, client, m, message):
 			next++
@@ -216,7 +221,7 @@
 	id := q.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	r.mu.Lock()
-	version := strconv.Itoa(r.version)
+	version, born := strconv.Itoa(r.version), r.born
 	full := r.running >= r.slots+4
 	if !full {
 		r.running++
@@ -224,7 +229,9 @@
 	load := fmt.Sprintf("%d,%d,%d", min(r.running, r.slots), max(r.running-r.slots, 0), r.slots)
 	r.mu.Unlock()
 	if expected := q.Header.Get("Expect-Version"); expected != "" && expected != version {
-		r.leave(full)
+		if !full {
+			r.leave(born)
+		}
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -233,11 +240,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer r.leave(false)
+	defer r.leave(born)
 	w.Header().Set("Server-Load", load)
 	w.Header().Set("Server-Seal", "seal."+r.id+"."+id)
 	if r.engine {
-		r.generate(w, q, id)
+		r.generate(w, q, id, born)
 		return
 	}
 	time.Sleep(30 * time.Millisecond)
@@ -247,23 +254,33 @@
 	_, _ = io.WriteString(w, answer)
 }
 
-func (r *runner) leave(full bool) {
-	if full {
-		return
-	}
+// lives reports whether the incarnation that was born at a time still runs.
+func (r *runner) lives(born int64) bool {
 	r.mu.Lock()
-	r.running--
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	return !r.down && r.born == born
+}
+
+// leave ends a run of the incarnation that was born at a time.
+func (r *runner) leave(born int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.born == born {
+		r.running--
+	}
 }
 
 // generate answers a prompt: it reads the parts that are not cached, then sends the events.
-func (r *runner) generate(w http.ResponseWriter, q *http.Request, id string) {
+func (r *runner) generate(w http.ResponseWriter, q *http.Request, id string, born int64) {
 	salt, tenant := q.Header.Get("Cache-Salt"), q.Header.Get("Tenant")
 	done := run{request: id, tenant: tenant, salt: salt, runner: r.id, reused: make(map[string]part), at: r.fleet.out.now()}
 	kept := true
 	for entry := range strings.SplitSeq(q.Header.Get("Prompt-Prefix"), ",") {
 		name, count, _ := strings.Cut(entry, ":")
 		tokens, _ := strconv.Atoi(count)
+		if !r.lives(born) {
+			panic(http.ErrAbortHandler)
+		}
 		r.mu.Lock()
 		known, found := r.cache[[2]string{salt, name}]
 		// A part is not read again if all parts before it are cached too.
@@ -279,6 +296,9 @@
 			time.Sleep(time.Duration(tokens) * time.Millisecond / 112)
 		}
 	}
+	if !r.lives(born) {
+		panic(http.ErrAbortHandler)
+	}
 	r.mu.Lock()
 	software, version := r.software, r.version
 	r.mu.Unlock()
