A team that is isolated leaves the kept prompts that it shared

Cause: the salt under which runners and stores keep a part is made of model, weight version and, for a team that is isolated now, its name. When a team is isolated only the team itself moves to another salt; what it made stays under the salt that all others go on using. Runners and stores know neither team nor time, so that nobody can tell afterwards whose request made a part.

Change: the salt of the teams that share names a pool. A configuration that isolates a team that may have shared the present pool begins another one, named after its version. Which teams may have is derived from the series of accepted configurations and held with the configuration in the replicated state: the teams of the former one, and those that left since the pool began, by name and keys (bounded to 16,384 hashes; beyond it each newly isolated team counts as having shared). So it holds across restarts, elections, lost disks and overtaken versions, and entries receive it with the configuration. A state of an earlier release tells nothing of former teams: if it has an isolated team, another pool begins with it.

A configuration that isolates nobody changes no salt, and the first pool has the salt of before. One that isolates a team that never shared (new, or isolated from the first configuration on) neither.

--- a/cacheindex/outdated.go
+++ b/cacheindex/outdated.go
@@ -2,18 +2,18 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// Outdated returns the parts of an inventory to retire, which are those of outdated
-// weights. passed returns the fraction of a version that has moved on to later weights; as
+// Outdated returns the parts of an inventory to retire, which are those of scopes that prompts no
+// longer use. passed returns the fraction of a scope's prompts that have moved on to another one; as
 // large a fraction of its parts is returned. Each call selects the same parts, so that the
 // selection grows and does not move.
-func Outdated(parts []Change, passed func(model string, version uint64) float64) []Change {
+func Outdated(parts []Change, passed func(scope Scope) float64) []Change {
 	var outdated []Change
 	shares := make(map[string]float64)
 	for _, part := range parts {
 		share, known := shares[part.Key.Salt]
 		if !known {
-			if model, version, ok := ParseSalt(part.Key.Salt); ok {
-				share = passed(model, version)
+			if scope, ok := ParseSalt(part.Key.Salt); ok {
+				share = passed(scope)
 			}
 			shares[part.Key.Salt] = share
 		}
--- a/catalog/document.go
+++ b/catalog/document.go
@@ -157,16 +157,21 @@
 	Limits Limits `cbor:"6,keyasint"`
 	// Source is the document as the operator wrote it, to be returned on request.
 	Source []byte `cbor:"7,keyasint"`
+	// Sharing is set when the document is accepted; nil in one that an operator sent.
+	Sharing *Sharing `cbor:"8,keyasint,omitempty"`
 	// encoded is the encoded document if it is sent to many readers, or nil.
 	encoded []byte
 }
 
 // ForEntries returns the document in the form in which entries receive it: without its
-// source, because entries never return it to the operator, and encoded once for all of
-// them. The result must not be modified.
+// source, because entries never return it to the operator, without the former teams, and
+// encoded once for all of them. The result must not be modified.
 func (d *Document) ForEntries() *Document {
 	stripped := *d
-	stripped.Source, stripped.encoded = nil, nil
+	stripped.Source, stripped.encoded, stripped.Sharing = nil, nil, nil
+	if pool := d.CachePool(); pool != 0 {
+		stripped.Sharing = &Sharing{Pool: pool}
+	}
 	stripped.encoded = wire.MustMarshal((*plainDocument)(&stripped))
 	return &stripped
 }
--- a/catalog/index.go
+++ b/catalog/index.go
@@ -10,8 +10,10 @@
 type Index struct {
 	document *Document
 	// routes holds the routes of each host by prefix.
-	routes   map[string]map[string]*Route
-	teams    map[string]*Team
+	routes map[string]map[string]*Route
+	teams  map[string]*Team
+	// isolated tells by name which teams are isolated; it holds all teams.
+	isolated map[string]bool
 	services map[string]*Service
 	stores   []*Service
 	// lowestRank is the rank of the routes and teams that are served last.
@@ -24,6 +26,7 @@
 		document: d,
 		routes:   make(map[string]map[string]*Route),
 		teams:    make(map[string]*Team),
+		isolated: make(map[string]bool, len(d.Teams)),
 		services: make(map[string]*Service, len(d.Services)),
 	}
 	for i := range d.Routes {
@@ -39,6 +42,7 @@
 		if rank := d.Teams[i].Priority; rank != nil {
 			x.lowestRank = max(x.lowestRank, *rank)
 		}
+		x.isolated[d.Teams[i].Name] = x.isolated[d.Teams[i].Name] || d.Teams[i].Isolated
 		for _, key := range d.Teams[i].Keys {
 			x.teams[key] = &d.Teams[i]
 		}
@@ -83,6 +87,18 @@
 // Team returns the team that holds a key, or nil if none does.
 func (x *Index) Team(key string) *Team { return x.teams[key] }
 
+// Isolated reports whether the document isolates a team.
+func (x *Index) Isolated(team string) bool { return x.isolated[team] }
+
+// CacheTeam returns the team whose kept prompts a team's requests use alone, empty if they share
+// the pool. A team that is no longer in the document shares nothing.
+func (x *Index) CacheTeam(team string) string {
+	if isolated, known := x.isolated[team]; team == "" || known && !isolated {
+		return ""
+	}
+	return team
+}
+
 // Service returns the service with a name, or nil if there is none.
 func (x *Index) Service(name string) *Service { return x.services[name] }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,7 @@
 	g.logLearned(time.Now())
 	g.origins.add(records...)
 	if index != nil {
-		g.options.Log.Info("configuration in force", "version", index.Version(), "routes", len(index.Document().Routes))
+		g.options.Log.Info("configuration in force", "version", index.Version(), "routes", len(index.Document().Routes), "cache_pool", index.Document().CachePool())
 	}
 }
 
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -10,13 +10,14 @@
 	"github.com/lovagereach/lovagereach/placement"
 )
 
-// salt identifies the cache entries that a prompt may use: those of its model's weight version
+// salt identifies the cache entries that a run's prompt may use: those of its model's weight version
 // and, for an isolated team, of that team alone.
-func salt(model string, version uint64, team *catalog.Team) string {
-	if team != nil && team.Isolated {
-		return cacheindex.Salt(model, version, team.Name)
+func (r *run) salt(version uint64) string {
+	scope := cacheindex.Scope{Model: r.request.Prompt.Model, Version: version, Team: r.index.CacheTeam(r.teamName())}
+	if scope.Team == "" {
+		scope.Pool = uint64(r.index.Document().CachePool())
 	}
-	return cacheindex.Salt(model, version, "")
+	return scope.Salt()
 }
 
 // promptView is a prompt as placement gets it, under one salt.
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -147,7 +147,7 @@
 	newer.learn("m", 2)
 	newer.own.Requests = 100
 	shared := placement.Part{ID: "shared", Tokens: 9000}
-	s.recent.record(cacheindex.Key{Salt: salt("m", 1, nil), Part: shared.ID}, newer.incarnation(), now)
+	s.recent.record(cacheindex.Key{Salt: cacheindex.Scope{Model: "m", Version: 1}.Salt(), Part: shared.ID}, newer.incarnation(), now)
 	r := request("/stream/x")
 	r.Prompt = prompt(shared, placement.Part{ID: "own", Tokens: 500})
 	admitted, err := g.admit(t.Context(), r)
--- a/internal/steward/clockstepfree_test.go
+++ b/internal/steward/clockstepfree_test.go
@@ -42,7 +42,7 @@
 			l.steward.machine.applyDocument(&catalog.Document{
 				Version: 1, Routes: []catalog.Route{{Name: "r", Timeout: timeout}}, Services: []catalog.Service{{Name: "store", Store: store}},
 			})
-			old := cacheindex.Change{Key: cacheindex.Key{Salt: cacheindex.Salt("m", 1, ""), Part: "old"}, Tokens: 90}
+			old := cacheindex.Change{Key: cacheindex.Key{Salt: cacheindex.Scope{Model: "m", Version: 1}.Salt(), Part: "old"}, Tokens: 90}
 			l.steward.index.replace(store.Address, StoreEvents{Incarnation: 1, Next: 1, Changes: []cacheindex.Change{old}})
 			l.steward.index.reopen(store.Address, time.Now(), 0)
 			clock := int64(100_000)
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -133,6 +133,7 @@
 func (m *Machine) applyDocument(d *catalog.Document) catalog.Verdict {
 	v := catalog.Compare(m.document, d)
 	if v == catalog.Accepted {
+		d.Succeed(m.document)
 		m.document = d
 		m.software.SetCallersWait(d.LongestResumable())
 		m.notifyOrder()
@@ -222,6 +223,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.document, m.entryDocument = saved.Document, nil
+	if m.document != nil {
+		m.document.Restore()
+	}
 	m.weights = make(map[string]uint64, len(saved.Weights))
 	for _, w := range saved.Weights {
 		m.weights[w.Model] = w.Version
--- a/internal/steward/retirer.go
+++ b/internal/steward/retirer.go
@@ -102,7 +102,7 @@
 	if float64(used) < retireThreshold*float64(store.CapacityTokens) {
 		return
 	}
-	outdated := cacheindex.Outdated(parts, upgraded)
+	outdated := cacheindex.Outdated(parts, func(scope cacheindex.Scope) float64 { return upgraded(scope.Model, scope.Version) })
 	s.index.retire(store.Address, outdated)
 	for _, part := range outdated {
 		o.retiredAt[store.Address][part.Key] = now
--- a/internal/steward/retirer_test.go
+++ b/internal/steward/retirer_test.go
@@ -32,14 +32,14 @@
 	}
 	var parts []cacheindex.Change
 	for i := range 1000 {
-		parts = append(parts, cacheindex.Change{Key: cacheindex.Key{Salt: cacheindex.Salt("m.x", 2, "team"), Part: fmt.Sprint(i)}, Tokens: 5})
+		parts = append(parts, cacheindex.Change{Key: cacheindex.Key{Salt: cacheindex.Scope{Model: "m.x", Version: 2, Team: "team"}.Salt(), Part: fmt.Sprint(i)}, Tokens: 5})
 	}
 	parts = append(parts, cacheindex.Change{Key: cacheindex.Key{Salt: "strange", Part: "x"}, Tokens: 5})
-	first := cacheindex.Outdated(parts, upgraded)
+	first := cacheindex.Outdated(parts, func(scope cacheindex.Scope) float64 { return upgraded(scope.Model, scope.Version) })
 	if len(first) < 200 || len(first) > 300 {
 		t.Fatalf("%d of 1000 parts are outdated with a quarter of the runners upgraded", len(first))
 	}
-	again := cacheindex.Outdated(parts, func(string, uint64) float64 { return 0.5 })
+	again := cacheindex.Outdated(parts, func(cacheindex.Scope) float64 { return 0.5 })
 	chosen := make(map[string]bool)
 	for _, part := range again {
 		chosen[part.Key.Part] = true
@@ -56,8 +56,8 @@
 func TestPartsOfSupersededWeightsAreFreed(t *testing.T) {
 	f := newTestGroup(t)
 	f.startThree()
-	old := cacheindex.Key{Salt: cacheindex.Salt("m", 1, ""), Part: "old"}
-	fresh := cacheindex.Key{Salt: cacheindex.Salt("m", 2, ""), Part: "fresh"}
+	old := cacheindex.Key{Salt: cacheindex.Scope{Model: "m", Version: 1}.Salt(), Part: "old"}
+	fresh := cacheindex.Key{Salt: cacheindex.Scope{Model: "m", Version: 2}.Salt(), Part: "fresh"}
 	f.stores.add(cacheindex.Change{Key: old, Tokens: 90})
 	f.stores.add(cacheindex.Change{Key: fresh, Tokens: 5})
 	u := roster.Upstream{ID: "r", Service: "llm", Address: "r:1", State: roster.Serving, Sequence: 1, Loaded: []roster.Loaded{{Model: "m", Version: 2}}}
@@ -203,8 +203,8 @@
 		w.after(w.upTo(2*freeWithin), func() { w.free(due, incarnation, until) })
 	}
 	var records []cacheindex.Record
-	for _, part := range cacheindex.Outdated(parts, func(_ string, version uint64) float64 {
-		if version < w.version {
+	for _, part := range cacheindex.Outdated(parts, func(scope cacheindex.Scope) float64 {
+		if scope.Version < w.version {
 			return w.loaded
 		}
 		return 0
@@ -274,7 +274,7 @@
 
 // use sends an entry's prompt that fetches or stores a part.
 func (w *interleaving) use(e *simEntry) {
-	key := cacheindex.Key{Salt: cacheindex.Salt("m", w.version-uint64(w.r.IntN(2)), ""), Part: fmt.Sprint(w.r.IntN(12))}
+	key := cacheindex.Key{Salt: cacheindex.Scope{Model: "m", Version: w.version - uint64(w.r.IntN(2))}.Salt(), Part: fmt.Sprint(w.r.IntN(12))}
 	if w.now.Sub(e.at) >= InventoryMaxAge || e.index.Inconsistent() {
 		return
 	}
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -183,6 +183,7 @@
 	case message.Command != nil:
 		v, err := s.propose(ctx, *message.Command)
 		if err == nil && message.Command.Document != nil && v.Document != catalog.Conflicting {
+			s.logCachePool(message.Command.Document.Version)
 			err = s.awaitDocument(ctx, message.Command.Document.Version)
 		}
 		return submitted{Verdict: v}, err
@@ -190,6 +191,14 @@
 	return submitted{}, eris.New("steward: empty message")
 }
 
+// logCachePool logs a configuration that began another pool of kept prompts: prompts that several teams
+// share are read again after it.
+func (s *Steward) logCachePool(version catalog.Version) {
+	if d := s.machine.Document(); d != nil && d.Version == version && d.CachePool() == version {
+		s.options.Log.Info("a team that shared kept prompts is isolated, the others share new ones", "version", version)
+	}
+}
+
 // awaitDocument waits until a committed configuration is in force.
 func (s *Steward) awaitDocument(ctx context.Context, version catalog.Version) error {
 	l := s.leading.Load()
