gateway: a request that waited is sent by the isolation in force

What callers saw: nothing yet; found beside the fault of kept prompts that stay shared. A request that waits for room is sent up to its deadline later, with the salt of the configuration that it was admitted under.

Cause: the salt was made from the admission's configuration.

Change: it is made from the one in force when the upstream is chosen, at each send.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -253,7 +253,7 @@
 	stores, addresses := s.storeList(s.withEvacuated(candidates), service.Engine, now)
 	// The choice assumes the newest version among the candidates; the version of the chosen
 	// runner decides what may be fetched.
-	view := s.describePrompt(prompt, r.salt(version), service.Engine, candidates, addresses, now)
+	view := s.describePrompt(prompt, r.salt(s, version), service.Engine, candidates, addresses, now)
 	view.prompt.Output = p.output
 	if r.gateway.options.Load.ExpectOthers {
 		r.expectOthers(s, &view.prompt, &rates, candidates, runners, now)
@@ -264,7 +264,7 @@
 	p.upstream = candidates[at]
 	if has := r.versionOf(p.upstream); has != version {
 		version = has
-		view = s.describePrompt(prompt, r.salt(version), service.Engine, candidates[at:at+1], addresses, now)
+		view = s.describePrompt(prompt, r.salt(s, version), service.Engine, candidates[at:at+1], addresses, now)
 		view.prompt.Output = p.output
 		choice, _ = placement.Choose(&rates, view.salt, &view.prompt, runners[at:at+1], stores)
 	}
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -11,11 +11,12 @@
 )
 
 // salt identifies the cache entries that a run's prompt may use: those of its model's weight version
-// and, for an isolated team, of that team alone.
-func (r *run) salt(version uint64) string {
-	scope := cacheindex.Scope{Model: r.request.Prompt.Model, Version: version, Team: r.index.CacheTeam(r.teamName())}
+// and, for an isolated team, of that team alone. It follows the configuration in force and not that of
+// the admission: a request that has waited may be sent after its team, or another one, was isolated.
+func (r *run) salt(s *state, version uint64) string {
+	scope := cacheindex.Scope{Model: r.request.Prompt.Model, Version: version, Team: s.index.CacheTeam(r.teamName())}
 	if scope.Team == "" {
-		scope.Pool = uint64(r.index.Document().CachePool())
+		scope.Pool = uint64(s.index.Document().CachePool())
 	}
 	return scope.Salt()
 }
