steward: parts that no prompt uses any more are freed in the stores

What callers saw: nothing yet; found beside the fault of kept prompts that stay shared. A store evicts nothing by itself, and the leader frees the parts of superseded weights only. Parts of a former pool, and those of a team that is isolated no more or gone, are never read again and stay until new weights come: the store has no room for new parts.

Change: they are superseded in full, and freed as the others are: retired first, and freed once every fetch that an entry may have permitted has ended.

Evidence: the test waits in vain for its parts to be freed before (60 s), and passes after it.

--- a/internal/steward/clockstepfree_test.go
+++ b/internal/steward/clockstepfree_test.go
@@ -48,14 +48,14 @@
 			clock := int64(100_000)
 			l.inventories.recordClock(clock)
 			o := newRetirer(l)
-			upgraded := upgradedShare(l.steward.machine.live())
-			o.maintain(t.Context(), store, upgraded)
+			superseded := supersededShare(catalog.NewIndex(l.steward.machine.Document()), l.steward.machine.live())
+			o.maintain(t.Context(), store, superseded)
 			retired := time.Now()
 			time.Sleep(retiredBefore)
 			l.inventories.recordClock(clock + retiredBefore.Milliseconds() - step.Milliseconds())
 			for replica.proposed == 0 && time.Since(retired) < time.Minute {
 				time.Sleep(retireEvery)
-				o.maintain(t.Context(), store, upgraded)
+				o.maintain(t.Context(), store, superseded)
 			}
 			if freed := time.Since(retired); freed < least || freed > least+2*time.Second {
 				t.Errorf("timeout %v: freed %v after it was retired, a fetch may last for %v", timeout, freed, least)
--- a/internal/steward/retirer.go
+++ b/internal/steward/retirer.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// retireEvery is the interval at which parts of superseded weights are looked for.
+	// retireEvery is the interval at which superseded parts are looked for.
 	retireEvery = 500 * time.Millisecond
 	// retireThreshold is the used share of a store from which such parts are freed. Below it
 	// their space is not needed.
@@ -28,14 +28,17 @@
 	maxFreedParts = 500
 )
 
-// retirer frees the parts that superseded weights left in the stores. A store evicts nothing by
-// itself: after one or two new versions it would have no capacity for new parts.
+// retirer frees the parts that superseded weights, and teams since isolated, left in the stores. A
+// store evicts nothing by itself: after one or two new versions it would have no capacity for new
+// parts.
 //
 // A part is retired first: entries are notified that it may not be read any more. It is freed
 // once every fetch that any entry may have permitted has ended. The wait counts from this
 // leadership's own retirement, since an earlier leader may have sent entries another state.
 type retirer struct {
 	leadership *leadership
+	// config is the index of the configuration at the latest check.
+	config *catalog.Index
 	// retiredAt holds the time at which each part was retired, by store.
 	retiredAt map[string]map[cacheindex.Key]time.Time
 	// permitExtension is the time by which fetches that an entry has permitted may outlast
@@ -54,15 +57,30 @@
 		if d == nil {
 			continue
 		}
-		upgraded := upgradedShare(s.machine.live())
+		if o.config == nil || o.config.Document() != d {
+			o.config = catalog.NewIndex(d)
+		}
+		superseded := supersededShare(o.config, s.machine.live())
 		for i := range d.Services {
 			if store := d.Services[i].Store; store != nil && store.Managed {
-				o.maintain(ctx, store, upgraded)
+				o.maintain(ctx, store, superseded)
 			}
 		}
 	}
 }
 
+// supersededShare returns a function for the share of a scope's prompts that use another one by now:
+// all of them if the pool is a former one or the team is not isolated.
+func supersededShare(index *catalog.Index, live []roster.Upstream) func(cacheindex.Scope) float64 {
+	upgraded := upgradedShare(live)
+	return func(scope cacheindex.Scope) float64 {
+		if scope.Team != "" && !index.Isolated(scope.Team) || scope.Team == "" && scope.Pool != uint64(index.Document().CachePool()) {
+			return 1
+		}
+		return upgraded(scope.Model, scope.Version)
+	}
+}
+
 // upgradedShare returns a function for the share of a model's runners with weights newer than a
 // version.
 func upgradedShare(live []roster.Upstream) func(model string, version uint64) float64 {
@@ -86,7 +104,7 @@
 }
 
 // maintain retires and frees parts of one store.
-func (o *retirer) maintain(ctx context.Context, store *catalog.Store, upgraded func(string, uint64) float64) {
+func (o *retirer) maintain(ctx context.Context, store *catalog.Store, superseded func(cacheindex.Scope) float64) {
 	s := o.leadership.steward
 	parts, incarnation := s.index.list(store.Address)
 	now := time.Now()
@@ -102,7 +120,7 @@
 	if float64(used) < retireThreshold*float64(store.CapacityTokens) {
 		return
 	}
-	outdated := cacheindex.Outdated(parts, func(scope cacheindex.Scope) float64 { return upgraded(scope.Model, scope.Version) })
+	outdated := cacheindex.Outdated(parts, superseded)
 	s.index.retire(store.Address, outdated)
 	for _, part := range outdated {
 		o.retiredAt[store.Address][part.Key] = now
--- a/internal/steward/retirer_test.go
+++ b/internal/steward/retirer_test.go
@@ -5,10 +5,12 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/lovagereach/lovagereach/cacheindex"
+	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -92,6 +94,46 @@
 	}
 }
 
+// Guards against a store that fills with parts that no prompt uses any more: those of a former pool, and
+// those of a team that is no longer isolated.
+func TestPartsOfFormerPoolsAreFreed(t *testing.T) {
+	f := newTestGroup(t)
+	f.startThree()
+	scope := func(s cacheindex.Scope) cacheindex.Key {
+		s.Model, s.Version = "m", 1
+		return cacheindex.Key{Salt: s.Salt(), Part: "part"}
+	}
+	unused := []cacheindex.Key{scope(cacheindex.Scope{}), scope(cacheindex.Scope{Team: "released"}), scope(cacheindex.Scope{Team: "gone"})}
+	used := []cacheindex.Key{scope(cacheindex.Scope{Pool: 2}), scope(cacheindex.Scope{Team: "isolated"})}
+	for _, key := range unused {
+		f.stores.add(cacheindex.Change{Key: key, Tokens: 19})
+	}
+	for version := range catalog.Version(2) {
+		d := testDocument(version+1, fmt.Sprint(version))
+		d.Services[1].Store.Managed, d.Services[1].Store.CapacityTokens = true, 100
+		d.Teams = []catalog.Team{{Name: "isolated", Isolated: version > 0}, {Name: "released"}}
+		f.await("an acknowledgement of the configuration", func() bool {
+			_, err := f.any().PutDocument(context.Background(), d)
+			return err == nil
+		})
+	}
+	for _, key := range used {
+		f.stores.add(cacheindex.Change{Key: key, Tokens: 19})
+	}
+	f.await("the parts are freed", func() bool {
+		f.stores.mu.Lock()
+		defer f.stores.mu.Unlock()
+		return len(f.stores.freed) >= len(unused)
+	})
+	f.stores.mu.Lock()
+	defer f.stores.mu.Unlock()
+	for _, freed := range f.stores.freed {
+		if !slices.Contains(unused, freed.key) {
+			t.Errorf("%v is freed, which prompts use", freed.key)
+		}
+	}
+}
+
 // interleaving simulates leaders, entries, readers, writers and one store against each other,
 // in steps of virtual time.
 type interleaving struct {
