gateway: prompts that begin on weights past their bound are measured and logged

Nothing told when a prompt began on older weights, on which side of the minimum version it was sent, and how long it waited at its runner, so that these could not be told apart: a minimum version that is raised late, one that reaches an entry late, a choice before it and a send after it, and a wait at the runner.

Entries learn with the target versions how long the control host that answers has known them, and keep the time of each. A histogram has the time since when a prompt's runner lacks newer weights as it begins, a counter those past the bound, and a log line, one a second at most, names the upstream, the versions, the minimum version, the time of the send and that at the upstream.

--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -64,7 +64,7 @@
 		Host: s.Host, DataCentre: string(s.DataCentre), Callers: s.Callers, Directory: directory != nil, Sender: upstreams, Peers: peers, Regions: s.DataCentres,
 		Budget: gateway.BudgetLimits{Ratio: s.RetryRatio, Extra: s.RetryExtra},
 		Rates:  placement.DefaultRates(), Load: s.Load.Options(), Capacity: gateway.HostCapacity{Cores: s.ProcessorShare * s.ProcessorSpeed, LinkMbps: s.LinkMbps},
-		AnnounceEvery: s.AnnounceEvery(),
+		AnnounceEvery: s.AnnounceEvery(), VersionTime: s.VersionTime(),
 		// The follower's clock counts suspensions of the machine.
 		ConfigExpired: func(time.Time) bool { return follower.ConfigExpired(follower.Now()) },
 		Origins:       follower, RequestTrial: follower.RequestTrial, Clock: follower.Now,
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -94,6 +94,7 @@
 		p.answerStarted = true
 		s.prefillDone(p)
 		now := time.Now()
+		r.gateway.observeBegin(p, now)
 		p.endReads(now)
 		s.occupyLinksWithSaves(p, &r.gateway.options.Rates, now)
 		s.observePrefill(p, now)
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -22,15 +22,7 @@
 	defer s.mu.Unlock()
 	adopted := s.adopt(index)
 	s.takeLearned(answer, time.Now())
-	if answer.Weights != nil && answer.Weights.Revision >= s.weightsRevision {
-		s.weightsRevision = answer.Weights.Revision
-		for _, w := range answer.Weights.Newest {
-			s.weights[w.Model] = max(s.weights[w.Model], w.Version)
-		}
-	}
-	for _, f := range answer.MinVersions {
-		s.minVersions[f.Model] = max(s.minVersions[f.Model], f.Version)
-	}
+	s.applyWeights(answer, sent)
 	records := s.applyRosterAnswer(answer, sent)
 	if v := answer.Evacuation; v != nil && v.Revision > s.evacuation.Revision {
 		s.evacuation = *v
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,9 @@
 	// Capacity is the capacity of the host, from which the entry derives the request rate that
 	// it announces.
 	Capacity HostCapacity
+	// VersionTime is the time after which no prompt may begin on weights older than a target version;
+	// 0 if there is no bound.
+	VersionTime time.Duration
 	// AnnounceEvery is the interval of the upstreams' announcements.
 	AnnounceEvery time.Duration
 	// ConfigExpired reports whether the configuration may have been replaced too long ago; nil
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -17,6 +17,7 @@
 	"github.com/lovagereach/lovagereach/reach"
 	"github.com/lovagereach/lovagereach/replicate"
 	"github.com/lovagereach/lovagereach/resumption"
+	"github.com/lovagereach/lovagereach/rollout"
 	"github.com/lovagereach/lovagereach/roster"
 	"github.com/lovagereach/lovagereach/staleload"
 	"github.com/lovagereach/lovagereach/warmup"
@@ -105,6 +106,9 @@
 
 	weights         map[string]uint64
 	weightsRevision uint64
+	// targets holds the times since when this entry's control hosts have each target version.
+	targets           *rollout.TargetVersions
+	lateBeginLoggedAt time.Time
 	// minVersions is the oldest version of each model on which a prompt may start.
 	minVersions    map[string]uint64
 	rosterRevision uint64
@@ -235,6 +239,7 @@
 		started:          make(chan struct{}),
 		inventoriesReady: make(chan struct{}),
 		weights:          make(map[string]uint64),
+		targets:          rollout.NewTargetVersions(),
 		minVersions:      make(map[string]uint64),
 		upstreams:        make(map[string]*upstreamState),
 		loadedByOthers:   make(map[*upstreamState]struct{}),
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -256,6 +256,19 @@
 	return list
 }
 
+// weightsViewLocked returns the newest target versions with their ages. The caller holds the lock.
+func (m *Machine) weightsViewLocked(now time.Time) *WeightsView {
+	v := &WeightsView{Revision: m.weightsRevision, Newest: m.newestWeightsLocked()}
+	for _, w := range v.Newest {
+		age := time.Duration(0)
+		if since, known := m.targets.FirstLacked(w.Model, w.Version-1); known {
+			age = now.Sub(since)
+		}
+		v.Ages = append(v.Ages, age)
+	}
+	return v
+}
+
 // newestWeights lists the newest target versions by model.
 func (m *Machine) newestWeights() []roster.Loaded {
 	m.mu.Lock()
@@ -327,7 +340,7 @@
 		found = true
 	}
 	if m.weightsRevision > request.Weights {
-		answer.Weights = &WeightsView{Revision: m.weightsRevision, Newest: m.newestWeightsLocked()}
+		answer.Weights = m.weightsViewLocked(time.Now())
 		found = true
 	}
 	if m.roster.Revision() > request.Roster {
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -131,6 +131,17 @@
 type WeightsView struct {
 	Revision uint64          `cbor:"1,keyasint"`
 	Newest   []roster.Loaded `cbor:"2,keyasint"`
+	// Ages holds, for each of Newest, how long ago the answering host learnt of it; empty in an answer
+	// of an earlier release.
+	Ages []time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// Age returns how long ago the answering host learnt of one of Newest, 0 if that isn't known.
+func (v *WeightsView) Age(i int) time.Duration {
+	if i >= len(v.Ages) {
+		return 0
+	}
+	return max(v.Ages[i], 0)
 }
 
 // RosterView is a page of the upstreams that changed after revision Since, up to Revision,
