gateway: a prompt that waits at a runner does not begin past the bound of newer weights

What callers saw: work runs on the wrong version (VERSION): prompts begin on older weights later than version_ms after newer ones were acknowledged.

Cause: from nine tenths of the bound on no prompt is sent to a runner without the weights. A tenth of the bound is left for what was sent before, and a prompt waits at a busy runner for longer than that. A runner that carries out its load order refuses what has not begun; one that got no order, or does not answer it, goes on with its queue past the bound.

Change: an entry that is told a minimum version ends, when the bound of that version is over, the prompts that it has sent to runners without it and that have not begun. One that may be repeated is sent on, any other one fails, and may be sent again by its caller: whether it has begun meanwhile isn't known. It counts neither against its upstream nor as a crash. Where no minimum version is raised, as by a leader without contact to the runners, nothing is ended.

Why this works: a prompt begins with its first event, and until then its runner drops it when its connection closes. The end is at the entry that sent it, which learns of the bound with the target version, so that it depends on no message at that moment.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 		return nil, eris.New("gateway: Sender, Log and Decisions are required")
 	}
 	g := &Gateway{options: options, state: newState(options.Host, options.Rates.PrefillPerMs), reports: newReports(), origins: newOriginSender(options.Origins)}
-	g.state.directory = options.Directory
+	g.state.directory, g.state.versionTime = options.Directory, options.VersionTime
 	g.state.shareParts, g.state.copies.mbps = options.Load.ShareParts, options.Load.CopyMbps
 	g.state.runnerLinks = options.Load.ShareParts && options.Load.RunnerLinks
 	if options.Clock != nil {
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -27,8 +27,9 @@
 	first, waited [catalog.Stream + 1]*metrics.Histogram
 	// oldWeights is the time since when the runner of a prompt has lacked newer weights as the prompt
 	// begins, lateBegins counts the prompts that began after the bound of these.
-	oldWeights *metrics.Histogram
-	lateBegins *metrics.Counter
+	// overdue counts those that were ended because they had not begun by then.
+	oldWeights          *metrics.Histogram
+	lateBegins, overdue *metrics.Counter
 	// late counts answers that began after their route's target.
 	late *metrics.Counter
 	// excess is the time by which first events came later than predicted, and behindPrediction counts
@@ -107,7 +108,8 @@
 	}
 	counter := func(part string) *metrics.Counter { return m.set.NewCounter("lovagereach_gateway_" + part + "_total") }
 	m.excess = m.set.NewHistogram("lovagereach_gateway_first_excess_seconds")
-	m.oldWeights, m.lateBegins = m.set.NewHistogram("lovagereach_gateway_old_weights_seconds"), counter("late_begins")
+	m.oldWeights = m.set.NewHistogram("lovagereach_gateway_old_weights_seconds")
+	m.lateBegins, m.overdue = counter("late_begins"), counter("overdue_begins")
 	m.linkWait = m.set.NewHistogram("lovagereach_gateway_link_wait_seconds")
 	m.behindPrediction = counter("behind_prediction")
 	m.late, m.sends, m.retried, m.choices = counter("late"), counter("sends"), counter("sent_again"), counter("choices")
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -70,6 +70,9 @@
 	late          bool
 	answerStarted bool
 	released      bool
+	// overdue indicates that the send was ended because it had not begun within the bound of newer
+	// weights.
+	overdue bool
 	// checked indicates that it is known, or being checked, whether the upstream has crashed.
 	checked bool
 	choice  placement.Choice
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -174,7 +174,9 @@
 		return err
 	}
 	r.registerOrigin(p)
-	answer, err := r.gateway.options.Sender.Send(ctx, p.send)
+	sendCtx, ended := r.trackBegin(ctx, p)
+	defer ended()
+	answer, err := r.gateway.options.Sender.Send(sendCtx, p.send)
 	if connectionsUsed(err) {
 		r.recordConnectionsUsed(p)
 		return err
@@ -185,6 +187,9 @@
 			r.sends++
 			r.mayHaveRun = true
 		}
+		if overdue := r.recordOverdue(p); overdue != nil {
+			return overdue
+		}
 		r.recordFailure(ctx, p, err)
 		return err
 	}
@@ -317,6 +322,9 @@
 		}
 		if err != nil {
 			answer.Body.Close()
+			if overdue := r.recordOverdue(p); overdue != nil {
+				return overdue
+			}
 			r.recordFailure(ctx, p, err)
 			return err
 		}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -106,8 +106,11 @@
 
 	weights         map[string]uint64
 	weightsRevision uint64
-	// targets holds the times since when this entry's control hosts have each target version.
+	// targets holds the times since when this entry's control hosts have each target version; after
+	// versionTime no prompt may begin on an older one.
 	targets           *rollout.TargetVersions
+	versionTime       time.Duration
+	unbegun           unbegunPrompts
 	lateBeginLoggedAt time.Time
 	// minVersions is the oldest version of each model on which a prompt may start.
 	minVersions    map[string]uint64
@@ -240,6 +243,7 @@
 		inventoriesReady: make(chan struct{}),
 		weights:          make(map[string]uint64),
 		targets:          rollout.NewTargetVersions(),
+		unbegun:          make(unbegunPrompts),
 		minVersions:      make(map[string]uint64),
 		upstreams:        make(map[string]*upstreamState),
 		loadedByOthers:   make(map[*upstreamState]struct{}),
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -1,14 +1,22 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/lovagereach/lovagereach/internal/steward"
+	"github.com/lovagereach/lovagereach/outcome"
+	"github.com/lovagereach/lovagereach/rollout"
 )
 
-// lateBeginLogEvery is the minimum time between two log lines about prompts that began on weights past
-// their bound.
-const lateBeginLogEvery = time.Second
+const (
+	// lateBeginLogEvery is the minimum time between two log lines about prompts that began on weights
+	// past their bound.
+	lateBeginLogEvery = time.Second
+	// beginMargin is how long before the end of the bound the prompts that wait at runners without the
+	// weights are ended: the end takes a network transit, and a runner some time to notice it.
+	beginMargin = 100 * time.Millisecond
+)
 
 // applyWeights applies the target versions and the minimum versions of an answer to a request that was
 // sent at a time. The caller holds the lock.
@@ -21,18 +29,90 @@
 		}
 	}
 	for _, f := range answer.MinVersions {
-		s.minVersions[f.Model] = max(s.minVersions[f.Model], f.Version)
+		if f.Version > s.minVersions[f.Model] {
+			s.minVersions[f.Model] = f.Version
+			s.endOverdueAt(f.Model, f.Version, time.Now())
+		}
+	}
+}
+
+// unbegunPrompts holds the prompts that were sent and have not begun, each with the function that ends
+// its send.
+type unbegunPrompts map[*plan]context.CancelFunc
+
+// trackBegin returns a context for a send, which ends before the answer begins if the runner's weights
+// pass their bound, and a function to call at the end of the send.
+func (r *run) trackBegin(ctx context.Context, p *plan) (context.Context, func()) {
+	if p.send.Prompt == nil {
+		return ctx, func() {}
+	}
+	s := r.gateway.state
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unbegun[p] = cancel
+	return ctx, func() {
+		s.mu.Lock()
+		delete(s.unbegun, p)
+		s.mu.Unlock()
+		cancel()
+	}
+}
+
+// endOverdueAt ends, when the bound of a target version is over, the prompts that wait at runners
+// without it: no prompt is sent there any more, but those sent before may wait there for longer than
+// the rest of the bound. The caller holds the lock.
+func (s *state) endOverdueAt(model string, version uint64, now time.Time) {
+	due := now.Add(rollout.RaisedBefore(s.versionTime))
+	if since, known := s.targets.FirstLacked(model, version-1); known {
+		due = since.Add(s.versionTime)
 	}
+	time.AfterFunc(due.Add(-beginMargin).Sub(now), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.endOverdue(model, version)
+	})
+}
+
+// endOverdue ends the prompts that wait at runners with weights older than a version. The caller holds
+// the lock.
+func (s *state) endOverdue(model string, version uint64) {
+	for p, cancel := range s.unbegun {
+		if has := p.send.Prompt.Version; p.send.Request.Prompt.Model == model && has != 0 && has < version {
+			p.overdue = true
+			cancel()
+		}
+	}
+}
+
+// recordOverdue records the end of a send whose prompt had not begun within the bound of newer weights,
+// and returns the reason, nil for any other send. It tells nothing of the upstream's health.
+func (r *run) recordOverdue(p *plan) error {
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !p.overdue {
+		return nil
+	}
+	s.cancel(p)
+	r.tried[p.upstream] = true
+	r.mayHaveRun = true
+	r.gateway.meter.overdue.Inc()
+	return &outcome.Unknown{Reason: ReasonOldWeights, Detail: "it had not begun when the bound of newer weights was over"}
 }
 
 // observeBegin measures a prompt that began on older weights than the newest, and logs one that began
 // after the bound of the first target version that its runner lacks. The caller holds the lock.
 func (g *Gateway) observeBegin(p *plan, now time.Time) {
 	prompt := p.send.Prompt
-	if prompt == nil || prompt.Version == 0 {
+	if prompt == nil {
 		return
 	}
 	s, model := g.state, p.send.Request.Prompt.Model
+	delete(s.unbegun, p)
+	if prompt.Version == 0 {
+		return
+	}
 	since, lacks := s.targets.FirstLacked(model, prompt.Version)
 	if !lacks {
 		return
--- a/rollout/minimum_versions.go
+++ b/rollout/minimum_versions.go
@@ -67,6 +67,9 @@
 	return minimum
 }
 
+// RaisedBefore returns how long before the end of a version's bound the minimum version is raised.
+func RaisedBefore(bound time.Duration) time.Duration { return bound - fraction(raiseFraction, bound) }
+
 // countRunners counts the serving runners of a model: those that have the version or a newer one,
 // those that the leader hears from, and all.
 func countRunners(runners []Runner, model string, version uint64) (have, heard, total int) {
