gateway: the minimum version holds at the send, not only at the choice

What callers saw: nothing known; found beside prompts that begin past the bound of newer weights. A runner is chosen, and the prompt is sent a moment later by another goroutine. If the process does not run in between, the minimum version may have risen above that runner's, and its queue been ended already: the prompt would begin there past the bound.

Change: the versions are compared at the moment of the send, under the lock under which the prompts that wait are ended. The prompt goes to another runner.

Evidence: the test raises the minimum version between the choice and the send. Before, the prompt is sent to the runner below it; after, to the one above it.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -101,7 +101,7 @@
 
 // triesNext reports whether a request that was not sent to an upstream may be sent to the next one.
 func triesNext(reason outcome.Reason) bool {
-	return reason == outcome.ReasonDial || reason == ReasonRestarted
+	return reason == outcome.ReasonDial || reason == ReasonRestarted || reason == ReasonOldWeights
 }
 
 // unknownOutcome returns the final answer after a send that may have run.
@@ -174,7 +174,10 @@
 		return err
 	}
 	r.registerOrigin(p)
-	sendCtx, ended := r.trackBegin(ctx, p)
+	sendCtx, ended, err := r.trackBegin(ctx, p)
+	if err != nil {
+		return err
+	}
 	defer ended()
 	answer, err := r.gateway.options.Sender.Send(sendCtx, p.send)
 	if connectionsUsed(err) {
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -32,8 +32,8 @@
 	// ReasonOrigin indicates that a stream can't go on: the software version that began it is
 	// not known, or none of its upstreams is left.
 	ReasonOrigin outcome.Reason = "stream-version"
-	// ReasonOldWeights indicates that a prompt waited at an upstream without the newer weights until
-	// the bound of these was over.
+	// ReasonOldWeights indicates that the bound of newer weights was over before a prompt was sent to an
+	// upstream without them, or while it waited there.
 	ReasonOldWeights outcome.Reason = "weights-past-bound"
 	// ReasonBudget indicates that no further attempt is allowed at present.
 	ReasonBudget outcome.Reason = "retry-budget"
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -41,22 +41,28 @@
 type unbegunPrompts map[*plan]context.CancelFunc
 
 // trackBegin returns a context for a send, which ends before the answer begins if the runner's weights
-// pass their bound, and a function to call at the end of the send.
-func (r *run) trackBegin(ctx context.Context, p *plan) (context.Context, func()) {
-	if p.send.Prompt == nil {
-		return ctx, func() {}
+// pass their bound, and a function to call at the end of the send. It returns an error if the minimum
+// version has risen above the runner's since the choice: this process may not have run meanwhile.
+func (r *run) trackBegin(ctx context.Context, p *plan) (context.Context, func(), error) {
+	prompt := p.send.Prompt
+	if prompt == nil {
+		return ctx, func() {}, nil
 	}
 	s := r.gateway.state
-	ctx, cancel := context.WithCancel(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if prompt.Version != 0 && prompt.Version < s.minVersions[r.request.Prompt.Model] {
+		s.cancel(p)
+		return nil, nil, &outcome.NotRun{Reason: ReasonOldWeights, Detail: "the bound of newer weights was over before it was sent"}
+	}
+	ctx, cancel := context.WithCancel(ctx)
 	s.unbegun[p] = cancel
 	return ctx, func() {
 		s.mu.Lock()
 		delete(s.unbegun, p)
 		s.mu.Unlock()
 		cancel()
-	}
+	}, nil
 }
 
 // endOverdueAt ends, when the bound of a target version is over, the prompts that wait at runners
--- a/internal/gateway/weights_test.go
+++ b/internal/gateway/weights_test.go
@@ -83,6 +83,35 @@
 	return g, sender
 }
 
+// Guards against a prompt that an entry chose a runner for, and sends after a stall in which the minimum
+// version rose above that runner's.
+func TestMinimumVersionHoldsAtTheSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, sender := versionGateway(t, map[string]time.Duration{"l1": time.Millisecond, "l2": time.Millisecond})
+		l2 := g.state.upstreams["l2"]
+		l2.own.Requests = 1000
+		r := request("/stream/x")
+		r.Prompt = prompt(placement.Part{ID: "p", Tokens: 100})
+		// Asked between the choice and the send.
+		r.Left = func() bool {
+			g.state.mu.Lock()
+			l2.own.Requests = 0
+			g.state.mu.Unlock()
+			answer := testAnswer()
+			answer.Document, answer.Roster, answer.Inventories, answer.Weights = nil, nil, nil, nil
+			answer.MinVersions = []roster.Loaded{{Model: "m", Version: 2}}
+			g.ApplyAnswer(answer, time.Now())
+			return false
+		}
+		if got := serve(g, r); got.end != "done" || sender.count() != 1 || sender.sends[0].Upstream != "l2" {
+			t.Fatalf("ends %q after sends %+v: %v", got.end, sender.sends, got.cause)
+		}
+		if u := g.state.upstreams["l1"]; u.own.Requests != 0 || len(g.state.unbegun) != 0 {
+			t.Errorf("l1 has %d requests, %d prompts have not begun", u.own.Requests, len(g.state.unbegun))
+		}
+	})
+}
+
 // Guards against a prompt that begins on older weights past the bound of newer ones, since it waited at
 // its runner from before the minimum version was raised.
 func TestPromptsDoNotBeginPastTheBoundOfNewerWeights(t *testing.T) {
