steward: a large configuration is acknowledged, or refused as too large

A key can't be taken away, nor a route changed, until the configuration is made smaller.

Cause: a command of the log was bounded to 1 MiB, and a configuration is proposed with its text and its decoded form together. The error was told as an outage.

Ruled out are time (0.1 s each) and the leader (a small one is acknowledged in between).

Change: the bound is the frame between hosts, less 64 KiB for the message around the command, so that what is accepted also reaches the other hosts.

--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -385,6 +385,8 @@
 	Reason string `cbor:"6,keyasint,omitempty"`
 	// Granted indicates that the request may be sent, as a trial.
 	Granted bool `cbor:"7,keyasint,omitempty"`
+	// TooLarge is ErrTooLarge. Uncertain is set with it, for hosts of an earlier release.
+	TooLarge bool `cbor:"8,keyasint,omitempty"`
 }
 
 // maxReason bounds the reason in a leader's answer.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -47,6 +47,9 @@
 	// segmentBytes bounds one file of the log. At most two of them and two snapshots are on the
 	// disk, of which a control host has 128 MB.
 	segmentBytes = 16 << 20
+	// maxCommandBytes bounds a command of the log, which other hosts receive in one frame; the rest of the
+	// frame is for the message around it.
+	maxCommandBytes = peer.DefaultMaxFrame - 64<<10
 	// reserveBytes is the size of the steps in which disk space is reserved ahead of the log.
 	reserveBytes = 256 << 10
 )
@@ -166,6 +169,7 @@
 		SnapshotBytes: segmentBytes / 4,
 		Quorum: quorum.Options{
 			Heartbeat: heartbeat, ElectionMin: electionMin, ElectionMax: electionMax, QuickRestart: o.Handover,
+			MaxCommandBytes: maxCommandBytes,
 		},
 		Clock: o.Clock,
 		Log:   o.Log,
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -11,6 +11,7 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wire"
+	"github.com/lovagereach/lovagereach/quorum"
 	"github.com/lovagereach/lovagereach/roster"
 )
 
@@ -31,6 +32,10 @@
 // ErrConflict reports a document whose version is taken by other content.
 var ErrConflict = errors.New("steward: another configuration has this version; read it and send a higher version")
 
+// ErrTooLarge reports a configuration that is too large for the log. It changed nothing, and sending it
+// again is in vain.
+var ErrTooLarge = errors.New("steward: the configuration is too large; remove routes or teams, or merge routes into longer prefixes")
+
 // ErrForeignWriter reports an announcement that was not sent by the upstream itself. It changed
 // nothing.
 var ErrForeignWriter = errors.New("steward: not a word of this upstream's own")
@@ -126,9 +131,13 @@
 	case string(s.options.Self):
 		return submitted{}, eris.Wrap(ErrUnavailable, "this host was elected and has not caught up")
 	}
+	body := wire.MustMarshal(message)
+	if len(body) > maxCommandBytes {
+		return submitted{}, ErrTooLarge
+	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	raw, err := s.transport.Call(ctx, s.peerAddress(s.replica().Status().Leader), methodSubmit, wire.MustMarshal(message))
+	raw, err := s.transport.Call(ctx, s.peerAddress(s.replica().Status().Leader), methodSubmit, body)
 	if err != nil {
 		return submitted{}, errors.Join(ErrUnavailable, err)
 	}
@@ -137,6 +146,8 @@
 		return submitted{}, eris.Wrap(err, "steward: decode the leader's answer")
 	}
 	switch {
+	case answer.TooLarge:
+		return submitted{}, ErrTooLarge
 	case answer.NotLeader:
 		return submitted{}, eris.Wrapf(ErrUnavailable, "%s does not lead", leader)
 	case answer.Uncertain:
@@ -156,7 +167,7 @@
 	answer, err := s.executeMessage(ctx, message)
 	if err != nil {
 		reason := err.Error()
-		return wire.MustMarshal(submitted{Uncertain: true, Reason: reason[:min(len(reason), maxReason)]}), nil
+		return wire.MustMarshal(submitted{Uncertain: true, TooLarge: errors.Is(err, ErrTooLarge), Reason: reason[:min(len(reason), maxReason)]}), nil
 	}
 	return wire.MustMarshal(answer), nil
 }
@@ -223,6 +234,10 @@
 	defer cancel()
 	began := time.Now()
 	raw, err := s.replica().Propose(ctx, wire.MustMarshal(c))
+	if errors.Is(err, quorum.ErrTooLarge) {
+		s.counters.failed.Inc()
+		return verdict{}, ErrTooLarge
+	}
 	if err != nil {
 		s.counters.failed.Inc()
 		return verdict{}, errors.Join(ErrUnavailable, err)
