telemetry: open connections do not delay the end of a process

What callers saw: nothing.

Cause: with connections without a request open to its listeners for callers and for metrics both are waited for, one after the other: 7.3 s of the time to stop for callers, and then 2 s for metrics.

Change: the listener for metrics waits 0.3 s, which fits into the 0.7 s that a process leaves of its time. A scrape takes some ms.

Evidence: the test ends after 2.0 s before, 0.3 s after.

--- a/internal/adapter/telemetry/server.go
+++ b/internal/adapter/telemetry/server.go
@@ -18,7 +18,8 @@
 	writeTimeout      = 60 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 16 << 10
-	shutdownTimeout   = 2 * time.Second
+	// shutdownTimeout is for a scrape under way. It counts at the end of the time that a process has to stop.
+	shutdownTimeout = 300 * time.Millisecond
 )
 
 // Options configures a Server.
--- a/internal/adapter/telemetry/telemetry_test.go
+++ b/internal/adapter/telemetry/telemetry_test.go
@@ -1,11 +1,14 @@
 package telemetry
 
 import (
+	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/lovagereach/lovagereach/internal/wire"
 )
@@ -48,3 +51,34 @@
 		t.Errorf("/healthz of a process that is not ready: got %d, want 200", code)
 	}
 }
+
+// Guards against a process that ends past its time to stop, since connections without a request are open to
+// its listener for metrics: they are waited for after everything else has stopped.
+func TestOpenConnectionsDoNotDelayTheEnd(t *testing.T) {
+	server, err := Listen(Options{Address: "127.0.0.1:0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx) }()
+	for _, sent := range []string{"", "GET /met"} {
+		c, err := net.Dial("tcp", server.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := c.Write([]byte(sent)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(began); took > 700*time.Millisecond {
+		t.Errorf("the server ended after %v; a process that stops has 0.7 s left for it", took)
+	}
+}
