--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -14,8 +14,9 @@
 	// past their bound.
 	lateBeginLogEvery = time.Second
 	// beginMargin is how long before the end of the bound the prompts that wait at runners without the
-	// weights are ended: the end takes a network transit, and a runner some time to notice it.
-	beginMargin = 100 * time.Millisecond
+	// weights are ended: a busy host runs a timer late, the end takes a network transit, and a runner some
+	// time to notice it.
+	beginMargin = 250 * time.Millisecond
 )
 
 // applyWeights applies the target versions and the minimum versions of an answer to a request that was
