--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -87,7 +87,7 @@
 
 // PromptSend is the placement of a prompt's parts.
 type PromptSend struct {
-	// Salt separates the caches of weight versions and isolated teams.
+	// Salt separates the caches of weight versions, pools and isolated teams.
 	Salt string
 	// Version is the weight version that the runner must have.
 	Version uint64
--- a/internal/steward/retirer.go
+++ b/internal/steward/retirer.go
@@ -28,9 +28,9 @@
 	maxFreedParts = 500
 )
 
-// retirer frees the parts that superseded weights, and teams since isolated, left in the stores. A
-// store evicts nothing by itself: after one or two new versions it would have no capacity for new
-// parts.
+// retirer frees the parts that superseded weights, former pools and teams that are isolated no more left
+// in the stores. A store evicts nothing by itself: after one or two new versions it would have no capacity
+// for new parts.
 //
 // A part is retired first: entries are notified that it may not be read any more. It is freed
 // once every fetch that any entry may have permitted has ended. The wait counts from this
