--- a/catalog/sharing_test.go
+++ b/catalog/sharing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/lovagereach/lovagereach/internal/wire"
@@ -100,6 +101,21 @@
 	}
 }
 
+func TestStateKeepsWhatIsShared(t *testing.T) {
+	var s series
+	for i, teams := range [][]Team{{team("a", true)}, {team("a", true), team("b", false)}, {team("a", true)}, {team("a", true), team("b", true)}} {
+		s.accept(teams...)
+		before := *s.current.Sharing
+		s.current = saved(t, s.current, false)
+		if after := *s.current.Sharing; after.Pool != before.Pool || after.Unknown || !slices.Equal(after.Former, before.Former) {
+			t.Errorf("document %d: %+v is restored as %+v", i, before, after)
+		}
+	}
+	if s.current.CachePool() != s.current.Version {
+		t.Error("a team that left the pool before a restart is isolated, and no other pool begins")
+	}
+}
+
 func TestFormerTeamsAreBounded(t *testing.T) {
 	var s series
 	for i := range maxFormer + 10 {
