--- a/internal/steward/largeconfig_test.go
+++ b/internal/steward/largeconfig_test.go
@@ -1,6 +1,7 @@
 //go:build !race
 
-// The race detector makes the commit of a large command take longer than proposeTimeout on a busy machine.
+// Under the race detector the commit of a large command takes longer than proposeTimeout on a busy machine.
+
 package steward
 
 import (
