Logs tell when weights were named, when the minimum version rose, and what each process knows after its start

Cause: of a request that began on older weights after their bound, no log told whether the minimum version had risen, whether leader and entry knew it after their start, or when the weights had been named; after a restart of all processes not even the late begin was logged, since it was counted from the start. Change: no decision is changed. Each process logs target and minimum version of each model that it knows, when these change and first after its start; the leader logs each minimum version that it raises or doesn't, with the counts that decide; each late begin is logged within the budget of failures, by the process's own count and by wall clocks (it was one line a second, by the former alone). A counter of raised minimum versions. MinimumVersions.Raise returns what it decided, List the versions.

--- a/internal/decision/requests.go
+++ b/internal/decision/requests.go
@@ -177,6 +177,34 @@
 	return []any{"request", e.Request, "resumes", e.Resumes, "after", e.After, "upstream", e.Upstream, "software", e.Software, "began", e.Began}
 }
 
+// PromptBeganLate is logged when a prompt begins on weights after the bound of newer ones.
+type PromptBeganLate struct {
+	Request, Upstream, Model string
+	// Version is the version on which it began, Newest the newest target version and Minimum the
+	// minimum version that the entry knows.
+	Version, Newest, Minimum uint64
+	// Age is the time since the first version that the upstream lacks became the target, as the entry
+	// counts it, and SinceNamed that since Newest was named, by wall clocks; zero if it isn't known.
+	Age, SinceNamed time.Duration
+	// SentAge is Age at the send, AtUpstream the time from the send to the begin, and InForce the time
+	// since the entry's first configuration after its start.
+	SentAge, AtUpstream, InForce time.Duration
+}
+
+// Class implements Event.
+func (e *PromptBeganLate) Class() Class { return Failure }
+
+// Message implements Event.
+func (e *PromptBeganLate) Message() string { return "prompt began on weights past their bound" }
+
+// Fields implements Event.
+func (e *PromptBeganLate) Fields() []any {
+	return []any{
+		"request", e.Request, "upstream", e.Upstream, "model", e.Model, "version", e.Version, "newest", e.Newest, "minimum", e.Minimum,
+		"after", e.Age, "since_named", e.SinceNamed, "sent_after", e.SentAge, "at_upstream", e.AtUpstream, "in_force", e.InForce,
+	}
+}
+
 func (c *Choice) append(fields []any) []any {
 	if c.Upstream == "" {
 		return fields
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,9 @@
 	meter    *meter
 	traffic  traffic
 	reports  *reports
-	origins  *originSender
+	// weightsLog is used by ApplyAnswer only.
+	weightsLog *steward.WeightsLog
+	origins    *originSender
 }
 
 // New returns a gateway without a configuration; ApplyAnswer supplies it.
@@ -102,7 +104,7 @@
 	if options.Sender == nil || options.Log == nil || options.Decisions == nil {
 		return nil, eris.New("gateway: Sender, Log and Decisions are required")
 	}
-	g := &Gateway{options: options, state: newState(options.Host, options.Rates.PrefillPerMs), reports: newReports(), origins: newOriginSender(options.Origins)}
+	g := &Gateway{options: options, state: newState(options.Host, options.Rates.PrefillPerMs), reports: newReports(), origins: newOriginSender(options.Origins), weightsLog: steward.NewWeightsLog(options.Log)}
 	g.state.directory, g.state.versionTime = options.Directory, options.VersionTime
 	g.state.shareParts, g.state.copies.mbps = options.Load.ShareParts, options.Load.CopyMbps
 	g.state.runnerLinks = options.Load.ShareParts && options.Load.RunnerLinks
@@ -141,6 +143,7 @@
 	g.state.mu.Unlock()
 	index, records := g.state.apply(answer, sent)
 	g.logLearned(time.Now())
+	g.logWeights(answer)
 	g.origins.add(records...)
 	if index != nil {
 		g.options.Log.Info("configuration in force", "version", index.Version(), "routes", len(index.Document().Routes), "cache_pool", index.Document().CachePool())
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -108,10 +108,11 @@
 	weightsRevision uint64
 	// targets holds the times since when this entry's control hosts have each target version; after
 	// versionTime no prompt may begin on an older one.
-	targets           *rollout.TargetVersions
-	versionTime       time.Duration
-	unbegun           unbegunPrompts
-	lateBeginLoggedAt time.Time
+	targets     *rollout.TargetVersions
+	versionTime time.Duration
+	unbegun     unbegunPrompts
+	// weightsView is the latest list of the target versions that was received.
+	weightsView steward.WeightsView
 	// minVersions is the oldest version of each model on which a prompt may start.
 	minVersions    map[string]uint64
 	rosterRevision uint64
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -4,20 +4,16 @@
 	"context"
 	"time"
 
+	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/rollout"
 )
 
-const (
-	// lateBeginLogEvery is the minimum time between two log lines about prompts that began on weights
-	// past their bound.
-	lateBeginLogEvery = time.Second
-	// beginMargin is how long before the end of the bound the prompts that wait at runners without the
-	// weights are ended: a busy host runs a timer late, the end takes a network transit, and a runner some
-	// time to notice it.
-	beginMargin = 250 * time.Millisecond
-)
+// beginMargin is how long before the end of the bound the prompts that wait at runners without the
+// weights are ended: a busy host runs a timer late, the end takes a network transit, and a runner some
+// time to notice it.
+const beginMargin = 250 * time.Millisecond
 
 // applyWeights applies the target versions and the minimum versions of an answer to a request that was
 // sent at a time. The caller holds the lock.
@@ -28,6 +24,7 @@
 			s.weights[w.Model] = max(s.weights[w.Model], w.Version)
 			s.targets.Record(w.Model, w.Version, sent.Add(answer.OpenFor-v.Age(i)))
 		}
+		s.weightsView = *v
 	}
 	for _, f := range answer.MinVersions {
 		if f.Version > s.minVersions[f.Model] {
@@ -37,6 +34,15 @@
 	}
 }
 
+// logWeights logs the target and minimum versions that an answer changed, and which host and leader it
+// is from.
+func (g *Gateway) logWeights(answer *steward.WatchAnswer) {
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.weightsLog.Log(&s.weightsView, func(model string) uint64 { return s.minVersions[model] }, "term", answer.Term, "leader", answer.Leader)
+}
+
 // unbegunPrompts holds the prompts that were sent and have not begun, each with the function that ends
 // its send.
 type unbegunPrompts map[*plan]context.CancelFunc
@@ -126,14 +132,27 @@
 	}
 	age := now.Sub(since)
 	g.meter.oldWeights.Update(age.Seconds())
-	if g.options.VersionTime <= 0 || age <= g.options.VersionTime {
+	sinceNamed := s.sinceNamed(model, now)
+	if g.options.VersionTime <= 0 || max(age, sinceNamed) <= g.options.VersionTime {
 		return
 	}
-	g.meter.lateBegins.Inc()
-	if now.Sub(s.lateBeginLoggedAt) < lateBeginLogEvery {
-		return
+	if age > g.options.VersionTime {
+		g.meter.lateBegins.Inc()
+	}
+	g.options.Decisions.Emit(&decision.PromptBeganLate{
+		Request: p.send.Request.ID, Upstream: p.send.Upstream, Model: model, Version: prompt.Version,
+		Newest: s.weights[model], Minimum: s.minVersions[model], Age: age, SinceNamed: sinceNamed, SentAge: p.sent.Sub(since), AtUpstream: now.Sub(p.sent),
+		InForce: now.Sub(s.startedAt),
+	})
+}
+
+// sinceNamed returns the time since the newest version of a model was named, by wall clocks, which may
+// step; zero if that isn't known. The caller holds the lock.
+func (s *state) sinceNamed(model string, now time.Time) time.Duration {
+	for i, w := range s.weightsView.Newest {
+		if named := s.weightsView.Naming(i); w.Model == model && named != nil {
+			return time.Duration(now.UnixMilli()-named.AtMs) * time.Millisecond
+		}
 	}
-	s.lateBeginLoggedAt = now
-	g.options.Log.Warn("prompt began on weights past their bound", "upstream", p.send.Upstream, "model", model, "version", prompt.Version,
-		"newest", s.weights[model], "minimum", s.minVersions[model], "after", age, "sent_after", p.sent.Sub(since), "at_upstream", now.Sub(p.sent))
+	return 0
 }
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -31,6 +31,9 @@
 	controlHostsWithin = 150 * time.Millisecond
 	// maxControlHosts bounds the control hosts whose calls are recorded.
 	maxControlHosts = 64
+	// withheldLogEvery is the minimum time between two log lines about minimum versions that are not
+	// raised.
+	withheldLogEvery = time.Second
 	// housekeeping is the interval at which silent upstreams are checked.
 	housekeeping = 500 * time.Millisecond
 )
@@ -54,6 +57,8 @@
 	// minVersionsList is the result of minVersions as of minVersionsAt.
 	minVersionsList []roster.Loaded
 	minVersionsAt   time.Time
+	// withheldAt is the time of the latest log line about a minimum version that was not raised.
+	withheldAt time.Time
 
 	grantMu   sync.Mutex
 	granter   *warmup.Granter
@@ -194,7 +199,7 @@
 	}
 	l.minVersionsAt = now
 	targets := s.machine.targetVersions()
-	l.minVersionsList = l.minVersions.Raise(targets, func() []rollout.Runner {
+	due := l.minVersions.Raise(targets, func() []rollout.Runner {
 		live := s.machine.live()
 		silent := make(map[string]bool)
 		for _, id := range l.silent(live, now) {
@@ -206,9 +211,31 @@
 		}
 		return runners
 	}, l.since, s.options.VersionTime, now)
+	l.logDue(due, now)
+	l.minVersionsList = l.minVersions.List()
 	return l.minVersionsList
 }
 
+// logDue logs the target versions that became the minimum version, and those whose bound expires and
+// that did not. The caller holds minVersionsMu.
+func (l *leadership) logDue(due []rollout.Due, now time.Time) {
+	s := l.steward
+	for _, d := range due {
+		message := "minimum version raised"
+		switch {
+		case d.Raised:
+			s.counters.minimumsRaised.Inc()
+		case now.Sub(l.withheldAt) < withheldLogEvery:
+			continue
+		default:
+			message = "minimum version not raised"
+			l.withheldAt = now
+		}
+		s.options.Log.Info(message, "model", d.Model, "version", d.Version, "term", l.elected, "after", d.Age, "led", now.Sub(l.since),
+			"have", d.Have, "heard", d.Heard, "of", d.Total)
+	}
+}
+
 // housekeep removes lost upstreams and expired crashes, and commits what entries have learned.
 func (l *leadership) housekeep(ctx context.Context) {
 	for wait.For(ctx, housekeeping) {
--- a/internal/steward/loads_test.go
+++ b/internal/steward/loads_test.go
@@ -15,7 +15,7 @@
 
 func testLoader(runners int) (*loader, []roster.Upstream) {
 	machine := NewMachine()
-	machine.applyWeights(roster.Loaded{Model: "m", Version: 2})
+	machine.applyWeights(roster.Loaded{Model: "m", Version: 2}, nil)
 	s := &Steward{machine: machine, options: Options{MaxConcurrentLoads: 3, VersionTime: 15 * time.Second, Log: log.New(io.Discard)}}
 	var live []roster.Upstream
 	for i := range runners {
@@ -97,7 +97,7 @@
 		for elapsed := time.Duration(0); elapsed < time.Minute; elapsed = time.Since(began) {
 			if next := uint64(2 + elapsed/every); next > newest {
 				newest = next
-				machine.applyWeights(roster.Loaded{Model: "m", Version: newest})
+				machine.applyWeights(roster.Loaded{Model: "m", Version: newest}, nil)
 			}
 			for i := range live {
 				id := live[i].ID
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -17,7 +17,7 @@
 	"github.com/lovagereach/lovagereach/roster"
 )
 
-// command is one entry of the log. Exactly one field is set.
+// command is one entry of the log. Exactly one field is set, but for Naming.
 type command struct {
 	Document         *catalog.Document `cbor:"1,keyasint,omitempty"`
 	Weights          *roster.Loaded    `cbor:"2,keyasint,omitempty"`
@@ -33,6 +33,15 @@
 	Trial []quarantine.Fingerprint `cbor:"9,keyasint,omitempty"`
 	// Learned is what entries have learned together.
 	Learned []byte `cbor:"10,keyasint,omitempty"`
+	// Naming comes with Weights.
+	Naming *Naming `cbor:"11,keyasint,omitempty"`
+}
+
+// Naming tells when a target version was named, and to which control host. The time is that of the
+// host's wall clock: it is for operators, and nothing is decided by it.
+type Naming struct {
+	Host string `cbor:"1,keyasint"`
+	AtMs int64  `cbor:"2,keyasint"`
 }
 
 // storeIncarnation is the incarnation in which a store was last opened to entries. A new leader
@@ -59,6 +68,8 @@
 	// weights is the newest target version of each model.
 	weights         map[string]uint64
 	weightsRevision uint64
+	// namings holds when and where the newest target versions were named, where that is known.
+	namings map[string]Naming
 	// targets holds the time at which this host learnt of each target version. It is not
 	// replicated: hosts have no common monotonic clock, and a restarted host counts each
 	// version from its own start.
@@ -89,7 +100,7 @@
 // NewMachine returns the state before the first command.
 func NewMachine() *Machine {
 	return &Machine{
-		weights: make(map[string]uint64), targets: rollout.NewTargetVersions(), storeIncarnations: make(map[string]uint64),
+		weights: make(map[string]uint64), namings: make(map[string]Naming), targets: rollout.NewTargetVersions(), storeIncarnations: make(map[string]uint64),
 		software: resumption.NewVersions(time.Time{}),
 		roster:   roster.New(), quarantine: quarantine.NewTracker(),
 		evacuation: evacuation.NewRegistry(), changed: make(chan struct{}), orderChanged: make(chan struct{}),
@@ -109,7 +120,7 @@
 	case c.Document != nil:
 		v.Document = m.applyDocument(c.Document)
 	case c.Weights != nil:
-		m.applyWeights(*c.Weights)
+		m.applyWeights(*c.Weights, c.Naming)
 	case c.Upstream != nil:
 		m.applyUpstreams([]roster.Upstream{*c.Upstream})
 	case len(c.Upstreams) > 0:
@@ -159,11 +170,15 @@
 	}
 }
 
-func (m *Machine) applyWeights(w roster.Loaded) {
+func (m *Machine) applyWeights(w roster.Loaded, named *Naming) {
 	if w.Version <= m.weights[w.Model] {
 		return
 	}
 	m.weights[w.Model] = w.Version
+	delete(m.namings, w.Model)
+	if named != nil {
+		m.namings[w.Model] = *named
+	}
 	m.targets.Record(w.Model, w.Version, time.Now())
 	m.weightsRevision++
 	m.notifyOrder()
@@ -193,6 +208,7 @@
 	Evacuation        evacuation.View   `cbor:"7,keyasint"`
 	Learned           []byte            `cbor:"8,keyasint,omitempty"`
 	LearnedRevision   uint64            `cbor:"9,keyasint,omitempty"`
+	Namings           map[string]Naming `cbor:"10,keyasint,omitempty"`
 }
 
 // Snapshot implements port.StateMachine.
@@ -209,6 +225,7 @@
 		Evacuation:        m.evacuation.View(),
 		Learned:           m.learned,
 		LearnedRevision:   m.learnedRevision,
+		Namings:           m.namings,
 	}
 	data, err := wire.Marshal(saved)
 	return data, eris.Wrap(err, "steward: encode snapshot")
@@ -232,6 +249,9 @@
 		m.targets.Record(w.Model, w.Version, time.Now())
 	}
 	m.weightsRevision = saved.WeightsRevision
+	if m.namings = saved.Namings; m.namings == nil {
+		m.namings = make(map[string]Naming)
+	}
 	m.roster.Restore(saved.Roster)
 	m.restoreSoftware(saved.Roster.Upstreams, time.Now())
 	m.pages = rosterPages{}
@@ -265,10 +285,18 @@
 			age = now.Sub(since)
 		}
 		v.Ages = append(v.Ages, age)
+		v.Namings = append(v.Namings, m.namings[w.Model])
 	}
 	return v
 }
 
+// weightsView returns the newest target versions with their ages.
+func (m *Machine) weightsView(now time.Time) *WeightsView {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.weightsViewLocked(now)
+}
+
 // newestWeights lists the newest target versions by model.
 func (m *Machine) newestWeights() []roster.Loaded {
 	m.mu.Lock()
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -134,6 +134,17 @@
 	// Ages holds, for each of Newest, how long ago the answering host learnt of it; empty in an answer
 	// of an earlier release.
 	Ages []time.Duration `cbor:"3,keyasint,omitempty"`
+	// Namings holds, for each of Newest, when and where it was named; empty in an answer of an earlier
+	// release.
+	Namings []Naming `cbor:"4,keyasint,omitempty"`
+}
+
+// Naming returns when and where one of Newest was named, nil if that isn't known.
+func (v *WeightsView) Naming(i int) *Naming {
+	if i >= len(v.Namings) || v.Namings[i].AtMs == 0 {
+		return nil
+	}
+	return &v.Namings[i]
 }
 
 // Age returns how long ago the answering host learnt of one of Newest, 0 if that isn't known.
--- a/internal/steward/metrics.go
+++ b/internal/steward/metrics.go
@@ -28,6 +28,8 @@
 	commits *metrics.Histogram
 	failed  *metrics.Counter
 	orders  *metrics.Counter
+	// minimumsRaised counts the minimum versions that this host raised as the leader.
+	minimumsRaised *metrics.Counter
 	// announced is the time until announcements were answered, and unannounced counts those
 	// that were not acknowledged. shed counts the watches that a leader turned away because it
 	// had no time.
@@ -43,6 +45,7 @@
 	m.storesLost, m.listings = counter("stores_lost_total"), counter("store_listings_total")
 	m.commits, m.failed = m.set.NewHistogram("lovagereach_steward_commit_seconds"), counter("commit_failures_total")
 	m.orders, m.shed = counter("orders_total"), counter("watches_shed_total")
+	m.minimumsRaised = counter("minimum_versions_raised_total")
 	m.announced, m.unannounced = m.set.NewHistogram("lovagereach_steward_announcement_seconds"), counter("announcement_failures_total")
 	s.learned.results = make(map[handover.Result]*metrics.Counter)
 	for _, result := range handover.Results {
--- a/internal/steward/minversions_test.go
+++ b/internal/steward/minversions_test.go
@@ -22,6 +22,7 @@
 		MaxConcurrentLoads: 3, VersionTime: 15 * time.Second, Log: log.New(io.Discard),
 	}}
 	s.relay = newRelayState(machine, s.index, s.options.Log)
+	s.counters = newControlMetrics(s)
 	var leased port.Replica = &leasedReplica{steward: s}
 	s.opened.Store(&leased)
 	for i, version := range versions {
@@ -54,7 +55,7 @@
 func TestNewLeaderSendsMinVersionOfMostRunners(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := testLeadership(2, 2, 2, 2, 2, 1)
-		l.steward.machine.applyWeights(roster.Loaded{Model: "m", Version: 2})
+		l.steward.machine.applyWeights(roster.Loaded{Model: "m", Version: 2}, nil)
 		time.Sleep(11 * time.Second)
 		l = newLeadership(l.steward, 3, time.Now())
 		time.Sleep(3900 * time.Millisecond)
--- a/internal/steward/restarted_test.go
+++ b/internal/steward/restarted_test.go
@@ -18,7 +18,6 @@
 func restartedLeader() *leadership {
 	l := testLeadership(2)
 	s := l.steward
-	s.counters = newControlMetrics(s)
 	s.machine.applyDocument(&catalog.Document{Version: 1, Source: []byte("x"), Services: []catalog.Service{
 		{Name: "store", Store: &catalog.Store{Address: "store:1", CapacityTokens: 1000000}},
 	}})
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -299,6 +299,7 @@
 	tasks.Go(func() error { s.followLeader(ctx); return nil })
 	tasks.Go(func() error { s.requestJoin(ctx); return nil })
 	tasks.Go(func() error { s.deliverDeferred(ctx); return nil })
+	tasks.Go(func() error { s.logWeights(ctx); return nil })
 	tasks.Go(func() error { newReachMonitor(s).run(ctx); return nil })
 	tasks.Go(func() error { return s.watchDisk(ctx) })
 	return tasks.Wait()
--- a/internal/steward/submit.go
+++ b/internal/steward/submit.go
@@ -64,9 +64,10 @@
 
 // PutWeights sets a newer target version of a model's weights.
 func (s *Steward) PutWeights(ctx context.Context, model string, version uint64) error {
-	_, err := s.submit(ctx, submission{Command: &command{Weights: &roster.Loaded{Model: model, Version: version}}})
+	named := &Naming{Host: string(s.options.Self), AtMs: time.Now().UnixMilli()}
+	_, err := s.submit(ctx, submission{Command: &command{Weights: &roster.Loaded{Model: model, Version: version}, Naming: named}})
 	if err == nil {
-		s.options.Log.Info("weights named", "model", model, "version", version)
+		s.options.Log.Info("weights named", "model", model, "version", version, "host", named.Host)
 	}
 	return err
 }
--- a/rollout/minimum_versions.go
+++ b/rollout/minimum_versions.go
@@ -41,25 +41,45 @@
 // NewMinimumVersions returns a MinimumVersions that allows all versions.
 func NewMinimumVersions() *MinimumVersions { return &MinimumVersions{oldest: make(map[string]uint64)} }
 
+// Due is a target version whose bound expires, and whether it became the minimum version.
+type Due struct {
+	Model   string
+	Version uint64
+	// Age is the time since it became the target.
+	Age    time.Duration
+	Raised bool
+	// Have is the number of serving runners that have the version or a newer one, Heard of
+	// those that the leader hears from, and Total of all.
+	Have, Heard, Total int
+}
+
 // Raise raises the minimum versions to those whose bound expires, for a leader that was
-// elected at the time led, and returns the minimum versions by model. fleet is called only
-// when a version is due.
-func (m *MinimumVersions) Raise(targets *TargetVersions, fleet func() []Runner, led time.Time, bound time.Duration, now time.Time) []roster.Loaded {
+// elected at the time led, and returns these. fleet is called only when a version is due.
+func (m *MinimumVersions) Raise(targets *TargetVersions, fleet func() []Runner, led time.Time, bound time.Duration, now time.Time) []Due {
 	var runners []Runner
-	for model, list := range targets.byModel {
-		for _, target := range list {
+	var list []Due
+	for model, versions := range targets.byModel {
+		for _, target := range versions {
 			if target.version <= m.oldest[model] || now.Sub(target.at) < fraction(raiseFraction, bound) {
 				continue
 			}
 			if runners == nil {
 				runners = fleet()
 			}
-			have, heard, total := countRunners(runners, model, target.version)
-			if 2*have > total || now.Sub(led) >= fraction(minLeadFraction, bound) && 2*heard > total {
+			due := Due{Model: model, Version: target.version, Age: now.Sub(target.at)}
+			due.Have, due.Heard, due.Total = countRunners(runners, model, target.version)
+			if 2*due.Have > due.Total || now.Sub(led) >= fraction(minLeadFraction, bound) && 2*due.Heard > due.Total {
 				m.oldest[model] = target.version
+				due.Raised = true
 			}
+			list = append(list, due)
 		}
 	}
+	return list
+}
+
+// List lists the minimum versions by model.
+func (m *MinimumVersions) List() []roster.Loaded {
 	var minimum []roster.Loaded
 	for _, model := range slices.Sorted(maps.Keys(m.oldest)) {
 		minimum = append(minimum, roster.Loaded{Model: model, Version: m.oldest[model]})
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -91,8 +91,9 @@
 		{"a leader that hears from too few runners", 0, 22 * time.Second, nil, tooFew},
 	}
 	for _, c := range cases {
-		got := NewMinimumVersions().Raise(targets, func() []Runner { return c.fleet }, start.Add(c.led), bound, start.Add(c.at))
-		if !slices.Equal(got, c.minimum) {
+		minimum := NewMinimumVersions()
+		minimum.Raise(targets, func() []Runner { return c.fleet }, start.Add(c.led), bound, start.Add(c.at))
+		if got := minimum.List(); !slices.Equal(got, c.minimum) {
 			t.Errorf("%s: minimum versions %v", c.name, got)
 		}
 	}
@@ -105,9 +106,11 @@
 	targets.Record("m", 2, start)
 	fleet := []Runner{{Upstream: runner("a", 2)}, {Upstream: runner("b", 2)}}
 	listFleet := func() []Runner { return fleet }
-	want := minimum.Raise(targets, listFleet, start, bound, start.Add(14*time.Second))
+	minimum.Raise(targets, listFleet, start, bound, start.Add(14*time.Second))
+	want := minimum.List()
 	fleet = []Runner{{Upstream: runner("a", 1)}, {Upstream: runner("b", 1)}}
-	if got := minimum.Raise(targets, listFleet, start, bound, start.Add(15*time.Second)); len(want) != 1 || !slices.Equal(got, want) {
+	minimum.Raise(targets, listFleet, start, bound, start.Add(15*time.Second))
+	if got := minimum.List(); len(want) != 1 || !slices.Equal(got, want) {
 		t.Fatalf("the minimum version is %v, then %v", want, got)
 	}
 }
