Minimum versions of weights are in the log: a bound that is over does not begin again

What callers saw: after a restart of all processes, prompts began on weights whose bound had been over before it. Change: a leader commits each minimum version that it raises, with the age of the target. Leader and relays tell it with each answer, so that an entry has it with its first configuration, and hosts and entries count the bound from that age on, so that late begins are seen and runners that are overdue load first. The leader raises and commits without a host that calls, too. Why it works: enforced before it is committed, committed within ms, a tenth of the bound before anyone may rely on it; no clock is compared between hosts or across a start.

--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -26,9 +26,12 @@
 		}
 		s.weightsView = *v
 	}
-	for _, f := range answer.MinVersions {
+	for i, f := range answer.MinVersions {
 		if f.Version > s.minVersions[f.Model] {
 			s.minVersions[f.Model] = f.Version
+			if i < len(answer.MinAges) {
+				s.targets.Backdate(f.Model, f.Version, sent.Add(answer.OpenFor-answer.MinAges[i]))
+			}
 			s.endOverdueAt(f.Model, f.Version, time.Now())
 		}
 	}
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -138,6 +138,7 @@
 	tasks.Go(func() error { l.inventories.run(ctx); return nil })
 	tasks.Go(func() error { l.housekeep(ctx); return nil })
 	tasks.Go(func() error { l.loader.run(ctx); return nil })
+	tasks.Go(func() error { l.recordMinimums(ctx); return nil })
 	tasks.Go(func() error { newRetirer(l).run(ctx); return nil })
 	for wait.For(ctx, leaderPoll) {
 		status := s.replica().Status()
@@ -164,6 +165,8 @@
 	l.watchers.newest, l.watchers.clock = s.machine.documentVersion, l.clock
 	l.inventories = newInventoryFollower(l)
 	l.loader = newLoader(l)
+	// What an earlier leader told this host may not be recorded, or was not by an earlier release.
+	l.minVersions.Adopt(s.relay.minimumVersions())
 	s.index.lead(term)
 	// The entries call within one watch; until then the previous leader's list keeps callers
 	// supplied with addresses.
@@ -198,6 +201,7 @@
 		return l.minVersionsList
 	}
 	l.minVersionsAt = now
+	l.minVersions.Adopt(s.machine.minimumVersions())
 	targets := s.machine.targetVersions()
 	due := l.minVersions.Raise(targets, func() []rollout.Runner {
 		live := s.machine.live()
@@ -407,7 +411,7 @@
 	answer.Relaying = answer.EntryCount > maxDirectEntries || answer.Counting && l.steward.learnedEntries() > maxDirectEntries
 	answer.Relays = l.relays(now)
 	answer.Loading = l.loader.loading()
-	answer.MinVersions = l.raiseMinVersions(now)
+	l.steward.machine.addMinimums(answer, l.raiseMinVersions(now), now)
 	answer.Clock = l.inventories.clock(now)
 	answer.Loads = l.watchers.loadsExcept(from.Host, nil, now)
 }
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -35,6 +35,8 @@
 	Learned []byte `cbor:"10,keyasint,omitempty"`
 	// Naming comes with Weights.
 	Naming *Naming `cbor:"11,keyasint,omitempty"`
+	// Minimum is a minimum version that a leader raised.
+	Minimum *minimumVersion `cbor:"12,keyasint,omitempty"`
 }
 
 // Naming tells when a target version was named, and to which control host. The time is that of the
@@ -70,9 +72,11 @@
 	weightsRevision uint64
 	// namings holds when and where the newest target versions were named, where that is known.
 	namings map[string]Naming
+	// minimums holds the minimum version of each model.
+	minimums map[string]minimumVersion
 	// targets holds the time at which this host learnt of each target version. It is not
 	// replicated: hosts have no common monotonic clock, and a restarted host counts each
-	// version from its own start.
+	// version from its own start, except for those that are minimum versions.
 	targets           *rollout.TargetVersions
 	roster            *roster.Roster
 	storeIncarnations map[string]uint64
@@ -100,7 +104,7 @@
 // NewMachine returns the state before the first command.
 func NewMachine() *Machine {
 	return &Machine{
-		weights: make(map[string]uint64), namings: make(map[string]Naming), targets: rollout.NewTargetVersions(), storeIncarnations: make(map[string]uint64),
+		weights: make(map[string]uint64), namings: make(map[string]Naming), minimums: make(map[string]minimumVersion), targets: rollout.NewTargetVersions(), storeIncarnations: make(map[string]uint64),
 		software: resumption.NewVersions(time.Time{}),
 		roster:   roster.New(), quarantine: quarantine.NewTracker(),
 		evacuation: evacuation.NewRegistry(), changed: make(chan struct{}), orderChanged: make(chan struct{}),
@@ -121,6 +125,8 @@
 		v.Document = m.applyDocument(c.Document)
 	case c.Weights != nil:
 		m.applyWeights(*c.Weights, c.Naming)
+	case c.Minimum != nil:
+		m.applyMinimum(*c.Minimum, time.Now())
 	case c.Upstream != nil:
 		m.applyUpstreams([]roster.Upstream{*c.Upstream})
 	case len(c.Upstreams) > 0:
@@ -209,6 +215,7 @@
 	Learned           []byte            `cbor:"8,keyasint,omitempty"`
 	LearnedRevision   uint64            `cbor:"9,keyasint,omitempty"`
 	Namings           map[string]Naming `cbor:"10,keyasint,omitempty"`
+	Minimums          []minimumVersion  `cbor:"11,keyasint,omitempty"`
 }
 
 // Snapshot implements port.StateMachine.
@@ -226,6 +233,7 @@
 		Learned:           m.learned,
 		LearnedRevision:   m.learnedRevision,
 		Namings:           m.namings,
+		Minimums:          m.minimumsLocked(),
 	}
 	data, err := wire.Marshal(saved)
 	return data, eris.Wrap(err, "steward: encode snapshot")
@@ -243,6 +251,10 @@
 	if m.document != nil {
 		m.document.Restore()
 	}
+	// A snapshot of an earlier release has none, and they never decrease.
+	for _, minimum := range saved.Minimums {
+		m.applyMinimum(minimum, time.Now())
+	}
 	m.weights = make(map[string]uint64, len(saved.Weights))
 	for _, w := range saved.Weights {
 		m.weights[w.Model] = w.Version
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -275,6 +275,9 @@
 	// MinVersions lists the minimum weight versions on which a prompt may begin, for the models
 	// whose older versions are past their time bound.
 	MinVersions []roster.Loaded `cbor:"21,keyasint,omitempty"`
+	// MinAges holds, for each of MinVersions, how long it has been a target at least; empty in an
+	// answer of an earlier release.
+	MinAges []time.Duration `cbor:"52,keyasint,omitempty"`
 	// StateAge is the age of Document, Weights, Roster, Quarantine and Evacuation, measured in
 	// the same way.
 	StateAge time.Duration `cbor:"22,keyasint,omitempty"`
--- a/internal/steward/relaystate.go
+++ b/internal/steward/relaystate.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/ratelimit"
+	"github.com/lovagereach/lovagereach/roster"
 	"github.com/lovagereach/lovagereach/warmup"
 )
 
@@ -236,6 +237,13 @@
 	return b.latest.Relays
 }
 
+// minimumVersions lists the minimum versions that the leader told this host.
+func (b *relayState) minimumVersions() []roster.Loaded {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.latest.MinVersions
+}
+
 // asOf implements watchSource. While this host serves, its log has reached the position that
 // the leader's had at the request.
 func (b *relayState) asOf(time.Time) time.Time {
@@ -279,7 +287,8 @@
 	answer.Leader = latest.Leader
 	answer.Relaying, answer.Relays = latest.Relaying, latest.Relays
 	answer.EntryCount, answer.Counting, answer.ActiveEntries = latest.EntryCount, latest.Counting, latest.ActiveEntries
-	answer.Silent, answer.SilentRevision, answer.Loading, answer.MinVersions = latest.Silent, latest.SilentRevision, latest.Loading, latest.MinVersions
+	answer.Silent, answer.SilentRevision, answer.Loading = latest.Silent, latest.SilentRevision, latest.Loading
+	b.machine.addMinimums(answer, latest.MinVersions, time.Now())
 	if latest.Clock > 0 {
 		// This elapsed time must not count suspensions: an inventory answer from before a
 		// suspension could otherwise permit fetches for longer.
--- a/internal/steward/testgroup_test.go
+++ b/internal/steward/testgroup_test.go
@@ -129,6 +129,8 @@
 	handover bool
 	// clock is the clock of all hosts, nil for the default.
 	clock func() time.Time
+	// versionTime is Options.VersionTime of all hosts.
+	versionTime time.Duration
 }
 
 func (f *testGroup) filesOf(name string) func(string) (disk.FS, error) {
@@ -161,7 +163,7 @@
 	f := &testGroup{
 		t: t, dir: t.TempDir(), port: port, stores: &fakeStores{incarnation: 1},
 		runners: &fakeRunners{versions: make(map[string]uint64)}, running: make(map[ident.Host]*member),
-		incarnations: make(map[ident.Host]ident.Incarnation),
+		incarnations: make(map[ident.Host]ident.Incarnation), versionTime: 10 * time.Second,
 	}
 	t.Cleanup(f.stopAll)
 	return f
@@ -179,7 +181,7 @@
 		Self: host, DataCentre: "north", Incarnation: f.incarnations[host], PeerPort: f.port, Listener: listener,
 		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, Bootstrap: bootstrap, Tolerated: 1,
 		Cluster: "test", Key: []byte("a key of the test processes"), Data: filepath.Join(f.dir, folder),
-		MaxConcurrentLoads: 2, VersionTime: 10 * time.Second, HolderLease: 50 * time.Millisecond,
+		MaxConcurrentLoads: 2, VersionTime: f.versionTime, HolderLease: 50 * time.Millisecond,
 		Handover: f.handover, Stores: f.stores, Runners: f.runners, Log: log.New(io.Discard), Files: f.filesOf(folder), Clock: f.clock,
 	})
 	if err != nil {
--- a/internal/steward/weightslog.go
+++ b/internal/steward/weightslog.go
@@ -7,7 +7,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/lovagereach/lovagereach/internal/wait"
-	"github.com/lovagereach/lovagereach/roster"
+	"github.com/lovagereach/lovagereach/rollout"
 )
 
 // weightsLogEvery is the minimum time between two looks at the target versions for the log: a log that
@@ -48,25 +48,14 @@
 func (s *Steward) logWeights(ctx context.Context) {
 	weights := NewWeightsLog(s.options.Log)
 	for wait.For(ctx, weightsLogEvery) {
-		minimum, term := s.knownMinimums()
-		weights.Log(s.machine.weightsView(time.Now()), func(model string) uint64 {
-			for _, m := range minimum {
-				if m.Model == model {
-					return m.Version
-				}
-			}
-			return 0
-		}, "term", term)
-	}
-}
-
-// knownMinimums returns the minimum versions that this host knows as the leader, or from the leader of
-// a term.
-func (s *Steward) knownMinimums() (minimum []roster.Loaded, term uint64) {
-	if l := s.leading.Load(); l != nil {
-		return l.raiseMinVersions(time.Now()), l.elected
+		known, term := rollout.NewMinimumVersions(), s.relay.term()
+		known.Adopt(s.machine.minimumVersions())
+		if l := s.leading.Load(); l != nil {
+			term = l.elected
+			known.Adopt(l.raiseMinVersions(time.Now()))
+		} else {
+			known.Adopt(s.relay.minimumVersions())
+		}
+		weights.Log(s.machine.weightsView(time.Now()), known.Of, "term", term)
 	}
-	s.relay.mu.Lock()
-	defer s.relay.mu.Unlock()
-	return s.relay.latest.MinVersions, s.relay.latest.Term
 }
--- a/rollout/minimum_versions.go
+++ b/rollout/minimum_versions.go
@@ -29,7 +29,9 @@
 }
 
 // MinimumVersions tracks, for one leader, the oldest version of each model on which a
-// prompt may still begin. It is not safe for concurrent use.
+// prompt may still begin. It is not safe for concurrent use. What a leader raises must outlive
+// it and every process: a bound that is over does not begin again with the next leader, which
+// Adopts what is recorded.
 //
 // Load steps alone cannot enforce the bound: a runner may refuse its orders, be unreachable
 // for the leader, or restart with weights whose bound expired long ago. A leader that does
@@ -41,6 +43,13 @@
 // NewMinimumVersions returns a MinimumVersions that allows all versions.
 func NewMinimumVersions() *MinimumVersions { return &MinimumVersions{oldest: make(map[string]uint64)} }
 
+// Adopt raises the minimum versions to at least those of a list.
+func (m *MinimumVersions) Adopt(list []roster.Loaded) {
+	for _, v := range list {
+		m.oldest[v.Model] = max(m.oldest[v.Model], v.Version)
+	}
+}
+
 // Due is a target version whose bound expires, and whether it became the minimum version.
 type Due struct {
 	Model   string
@@ -60,7 +69,7 @@
 	var list []Due
 	for model, versions := range targets.byModel {
 		for _, target := range versions {
-			if target.version <= m.oldest[model] || now.Sub(target.at) < fraction(raiseFraction, bound) {
+			if target.version <= m.oldest[model] || now.Sub(target.at) < RaiseAge(bound) {
 				continue
 			}
 			if runners == nil {
@@ -78,6 +87,9 @@
 	return list
 }
 
+// Of returns the minimum version of a model, 0 if there is none.
+func (m *MinimumVersions) Of(model string) uint64 { return m.oldest[model] }
+
 // List lists the minimum versions by model.
 func (m *MinimumVersions) List() []roster.Loaded {
 	var minimum []roster.Loaded
@@ -87,8 +99,11 @@
 	return minimum
 }
 
+// RaiseAge returns the age of a target version at which it becomes the minimum version.
+func RaiseAge(bound time.Duration) time.Duration { return fraction(raiseFraction, bound) }
+
 // RaisedBefore returns how long before the end of a version's bound the minimum version is raised.
-func RaisedBefore(bound time.Duration) time.Duration { return bound - fraction(raiseFraction, bound) }
+func RaisedBefore(bound time.Duration) time.Duration { return bound - RaiseAge(bound) }
 
 // countRunners counts the serving runners of a model: those that have the version or a newer one,
 // those that the leader hears from, and all.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -115,6 +115,52 @@
 	}
 }
 
+// Guards against a process that starts between two bounds, learns of an older target version after the
+// newest one, and counts both from its start.
+func TestTargetVersionsAreBackdated(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		version uint64
+		at      time.Duration
+		// since are the times since which versions 1, 2 and 3 have been lacked, in s.
+		since [3]int
+	}{
+		{"a version that is not known yet", 2, -9 * time.Second, [3]int{-9, 10, 10}},
+		{"the newest", 3, -5 * time.Second, [3]int{-5, -5, 10}},
+		{"a later time than is known", 3, time.Second, [3]int{0, 0, 10}},
+		{"a newer version, before it is a target", 4, -5 * time.Second, [3]int{-5, -5, -5}},
+	} {
+		targets := NewTargetVersions()
+		if c.version == 2 {
+			targets.Record("m", 3, start.Add(10*time.Second))
+		} else {
+			targets.Record("m", 3, start)
+		}
+		if c.version != 4 {
+			targets.Record("m", 4, start.Add(10*time.Second))
+		}
+		targets.Backdate("m", c.version, start.Add(c.at))
+		for i, want := range c.since {
+			if since, lacks := targets.FirstLacked("m", uint64(i+1)); !lacks || since.Sub(start) != time.Duration(want)*time.Second {
+				t.Errorf("%s: version %d has been lacked since %v, %v, want %d s", c.name, i+1, since.Sub(start), lacks, want)
+			}
+		}
+	}
+}
+
+// Guards against a leader that counts the bounds anew which were over under an earlier one.
+func TestMinimumVersionsAreAdopted(t *testing.T) {
+	targets, minimum := NewTargetVersions(), NewMinimumVersions()
+	targets.Record("m", 3, start)
+	minimum.Adopt([]roster.Loaded{{Model: "m", Version: 2}})
+	minimum.Adopt([]roster.Loaded{{Model: "m", Version: 1}})
+	listFleet := func() []Runner { return []Runner{{Upstream: runner("a", 1)}} }
+	minimum.Raise(targets, listFleet, start, bound, start.Add(time.Second))
+	if got := minimum.Of("m"); got != 2 {
+		t.Fatalf("the minimum version is %d, want 2", got)
+	}
+}
+
 func TestTargetVersionsAreBoundedAndKeepOldest(t *testing.T) {
 	targets := NewTargetVersions()
 	for version := uint64(2); version < 500; version++ {
--- a/rollout/target_versions.go
+++ b/rollout/target_versions.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxTargets bounds the target versions remembered for one model. A fleet is brought to
 // each within a bound of some ten seconds, so that 64 targets cover minutes even if they
@@ -39,6 +42,27 @@
 	t.byModel[model] = list
 }
 
+// Backdate records that a version became the target at a time or earlier, as for a process that
+// learns later than others.
+func (t *TargetVersions) Backdate(model string, version uint64, at time.Time) {
+	list := t.byModel[model]
+	i := 0
+	for i < len(list) && list[i].version < version {
+		if list[i].at.After(at) {
+			list[i].at = at
+		}
+		i++
+	}
+	switch {
+	case i < len(list) && list[i].version == version:
+		if list[i].at.After(at) {
+			list[i].at = at
+		}
+	case len(list) < maxTargets:
+		t.byModel[model] = slices.Insert(list, i, target{version: version, at: at})
+	}
+}
+
 // Newest returns the newest target version of a model, or 0 if there is none.
 func (t *TargetVersions) Newest(model string) uint64 {
 	list := t.byModel[model]
