The bound of new weights goes on when a leader is replaced that still runs

What callers would see: prompts that begin on weights past their bound at runners that take no load order, after changes of leader that nobody disturbed (a leader that gets no processor). Cause: of a leader that finds most runners without the weights the next condition is that it has led for six tenths of the bound, counted from its own election: it could not tell a change from an outage, after which a raised minimum refuses most prompts. Change: it can. A leader tells the control hosts that follow it its incarnation and for how long the group has been led. A host that is elected within 2 s of the last answer goes on with that time once the former leader calls in the same incarnation; one that was lost is down or in another. Without such a call, or from an earlier release, it counts from its election as before. `minimum version raised` shows `group_led`.

--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -82,6 +82,9 @@
 	lastContacts map[string]time.Time
 	// successions tracks announcements of incarnations with earlier start times.
 	successions roster.Successions
+	// former is the leader before, and ledSince the time since which the group has been led.
+	former   formerLeader
+	ledSince time.Time
 	// reportedEntries is the maximum number of entries that watchers had received from earlier
 	// leaders. sizeKnown reports whether they, or this host, know the number of entries.
 	reportedEntries int
@@ -149,6 +152,7 @@
 	s.leading.Store(nil)
 	s.index.stepDown()
 	cancel()
+	s.relay.recordOwn(l, time.Now())
 	if err := tasks.Wait(); err != nil {
 		s.options.Log.Error("leader tasks failed", "err", err)
 	}
@@ -167,6 +171,8 @@
 	l.loader = newLoader(l)
 	// What an earlier leader told this host may not be recorded, or was not by an earlier release.
 	l.minVersions.Adopt(s.relay.minimumVersions())
+	l.former, l.ledSince = s.relay.former(), now
+	l.recordFormer(port.Peer{Host: s.options.Self, Incarnation: s.options.Incarnation})
 	s.index.lead(term)
 	// The entries call within one watch; until then the previous leader's list keeps callers
 	// supplied with addresses.
@@ -214,7 +220,7 @@
 			runners[i] = rollout.Runner{Upstream: live[i], Reachable: !silent[live[i].ID]}
 		}
 		return runners
-	}, l.since, s.options.VersionTime, now)
+	}, l.groupLedSince(), s.options.VersionTime, now)
 	l.logDue(due, now)
 	l.minVersionsList = l.minVersions.List()
 	return l.minVersionsList
@@ -235,7 +241,7 @@
 			message = "minimum version not raised"
 			l.withheldAt = now
 		}
-		s.options.Log.Info(message, "model", d.Model, "version", d.Version, "term", l.elected, "after", d.Age, "led", now.Sub(l.since),
+		s.options.Log.Info(message, "model", d.Model, "version", d.Version, "term", l.elected, "after", d.Age, "led", now.Sub(l.since), "group_led", now.Sub(l.groupLedSince()),
 			"have", d.Have, "heard", d.Heard, "of", d.Total)
 	}
 }
@@ -268,6 +274,9 @@
 		l.controlHosts[from.Host] = true
 	}
 	l.mu.Unlock()
+	if request.Entry == nil {
+		l.recordFormer(from)
+	}
 	for _, contact := range request.LastContacts {
 		l.recordContact(contact.Upstream, now.Add(-contact.Age))
 	}
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -7,6 +7,7 @@
 	"github.com/lovagereach/lovagereach/cacheindex"
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/evacuation"
+	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/ratelimit"
@@ -319,6 +320,11 @@
 	// EntriesUnchanged is set if Entries is left out because the list last sent to the caller,
 	// a control host, still holds.
 	EntriesUnchanged bool `cbor:"29,keyasint,omitempty"`
+	// Incarnation is the incarnation of the leader, and Led the time for which the group has been led,
+	// over changes of leader that no lost host caused. Only a leader's answers to control hosts have
+	// them; they are zero in those of an earlier release.
+	Incarnation ident.Incarnation `cbor:"53,keyasint,omitempty"`
+	Led         time.Duration     `cbor:"54,keyasint,omitempty"`
 	// Partial is set on an answer that was applied after another one that was requested later,
 	// or about as late: only Document, Weights, Roster, Quarantine and Evacuation, which have
 	// revisions, are still valid.
--- a/internal/steward/minversions_test.go
+++ b/internal/steward/minversions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/roster"
 )
@@ -18,13 +20,7 @@
 // versions.
 func testLeadership(versions ...uint64) *leadership {
 	machine := NewMachine()
-	s := &Steward{machine: machine, index: newSharedIndex(), options: Options{
-		MaxConcurrentLoads: 3, VersionTime: 15 * time.Second, Log: log.New(io.Discard),
-	}}
-	s.relay = newRelayState(machine, s.index, s.options.Log)
-	s.counters = newControlMetrics(s)
-	var leased port.Replica = &leasedReplica{steward: s}
-	s.opened.Store(&leased)
+	s := testSteward(machine, Options{MaxConcurrentLoads: 3, VersionTime: 15 * time.Second, Log: log.New(io.Discard)})
 	for i, version := range versions {
 		id := string(rune('a' + i))
 		machine.roster.Announce(roster.Upstream{
@@ -35,6 +31,16 @@
 	return newLeadership(s, 2, time.Now())
 }
 
+// testSteward returns a control host with a state that others may share.
+func testSteward(machine *Machine, options Options) *Steward {
+	s := &Steward{machine: machine, index: newSharedIndex(), options: options}
+	s.relay = newRelayState(machine, s.index, options.Log)
+	s.counters = newControlMetrics(s)
+	var leased port.Replica = &leasedReplica{steward: s}
+	s.opened.Store(&leased)
+	return s
+}
+
 // leasedReplica is a replica whose host holds the lease while it leads.
 type leasedReplica struct {
 	port.Replica
@@ -99,3 +105,72 @@
 		}
 	})
 }
+
+// succeed returns the leadership of the next host after a change of leader: a host that followed l until now,
+// and which the leader before calls in an incarnation, 0 for never.
+func succeed(t *testing.T, l *leadership, returns ident.Incarnation) *leadership {
+	t.Helper()
+	options := l.steward.options
+	options.Incarnation++
+	options.Self = ident.Host(fmt.Sprint("c", options.Incarnation))
+	s := testSteward(l.steward.machine, options)
+	answer := &WatchAnswer{}
+	l.steward.finishAnswer(l, controlPeer("c"), &WatchRequest{}, answer, time.Now())
+	s.relay.apply(answer, time.Now(), time.Now())
+	time.Sleep(electionMax)
+	next := newLeadership(s, l.elected+1, time.Now())
+	if returns != 0 {
+		former := controlPeer(string(l.steward.options.Self))
+		former.Incarnation = returns
+		next.recordWatcher(former, &WatchRequest{}, time.Now())
+	}
+	return next
+}
+
+// Guards against a leader that counts the bound of new weights from its own election after changes of leader
+// in which no host was lost, and lets prompts begin on older weights past the bound.
+func TestBoundOfNewWeightsGoesOnWhenALeaderIsReplaced(t *testing.T) {
+	const bound = 15 * time.Second
+	for _, c := range []struct {
+		name    string
+		changes []time.Duration
+		// restarts is set if the leader that is replaced calls in another incarnation.
+		restarts bool
+		from, to time.Duration
+	}{
+		{"once", []time.Duration{7 * time.Second}, false, 0, bound},
+		{"twice", []time.Duration{5 * time.Second, 10 * time.Second}, false, 0, bound},
+		{"shortly before the end", []time.Duration{4 * time.Second, 9 * time.Second, 13 * time.Second}, false, 0, bound},
+		{"with the loss of the leader, before any runner could load", []time.Duration{10 * time.Second}, true, bound, 20 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := testLeadership(1, 1, 2)
+				l.steward.options.Self, l.steward.options.Incarnation = "c1", 1
+				l.steward.machine.applyWeights(roster.Loaded{Model: "m", Version: 2}, nil)
+				named := time.Now()
+				for _, at := range c.changes {
+					time.Sleep(time.Until(named.Add(at)))
+					returns := l.steward.options.Incarnation
+					if c.restarts {
+						returns = 99
+					}
+					l = succeed(t, l, returns)
+				}
+				raised := time.Duration(0)
+				for raised == 0 && time.Since(named) < 2*bound {
+					for _, id := range []string{"a", "b", "c"} {
+						l.recordContact(id, time.Now())
+					}
+					if len(l.raiseMinVersions(time.Now())) > 0 {
+						raised = time.Since(named)
+					}
+					time.Sleep(loadEvery)
+				}
+				if raised <= c.from || raised > c.to {
+					t.Errorf("the minimum version is raised after %v, want after %v and within %v", raised, c.from, c.to)
+				}
+			})
+		})
+	}
+}
--- a/internal/steward/relaystate.go
+++ b/internal/steward/relaystate.go
@@ -51,6 +51,8 @@
 	latest     WatchAnswer
 	knownAt    time.Time
 	receivedAt time.Time
+	// lastLeader is the leader that this host followed last, or this host itself.
+	lastLeader formerLeader
 	// storeStates are the states of the stores as of inventoriesAt, the time at which the
 	// inventories were last complete.
 	storeStates   []StoreState
@@ -154,6 +156,7 @@
 	b.required = answer.revisions()
 	before := b.latest
 	b.latest, b.knownAt, b.receivedAt = *answer, requestedAt.Add(-answer.StateAge), steady
+	b.recordLeader(answer, steady)
 	if answer.EntriesUnchanged {
 		b.latest.Entries = before.Entries
 	}
--- a/internal/steward/watch.go
+++ b/internal/steward/watch.go
@@ -137,6 +137,9 @@
 	}
 	answer.Pause = s.pauseAfter(b, request, answer)
 	answer.Members = s.memberNames()
+	if l, leads := b.(*leadership); leads && request.Entry == nil {
+		answer.Incarnation, answer.Led = s.options.Incarnation, now.Sub(l.groupLedSince())
+	}
 	if request.Entry != nil {
 		answer.Entries = nil
 	}
