An entry holds the bound of new weights where the leader's word on it is late

What callers would see: prompts that begin on older weights for some 0.3 s after the bound, at one entry. Cause: the minimum version rises a tenth of the bound before its end, and reaches an entry with the next answer. An answer that is later than that leaves the entry without it, though it knows the target, its age and the bound. Change: an entry raises the minimum version itself a quarter of a second before the end of the bound if most serving runners have the version, the leader's own condition, and ends the prompts that wait at the others. Where most lack it the leader decides, as it knows whether they could get orders. A metric counts these.

--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -163,6 +163,7 @@
 	waiting("in-time", func(n admit.QueueStatus) int { return n.InTime })
 	waiting("late", func(n admit.QueueStatus) int { return n.Late })
 	waiting("relaxed", func(n admit.QueueStatus) int { return n.Relaxed })
+	gauge("own_minimum_versions_total", func(s *state, _ time.Time) float64 { return float64(s.ownMinimums) })
 	gauge("config_version", func(s *state, _ time.Time) float64 { return float64(s.version()) })
 	gauge("entries", func(s *state, _ time.Time) float64 { return float64(s.entries) })
 	gauge("upstreams", func(s *state, _ time.Time) float64 { return float64(len(s.upstreams)) })
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -113,8 +113,12 @@
 	unbegun     unbegunPrompts
 	// weightsView is the latest list of the target versions that was received.
 	weightsView steward.WeightsView
-	// minVersions is the oldest version of each model on which a prompt may start.
+	// minVersions is the oldest version of each model on which a prompt may start. ownMinimumAt is the
+	// newest version of each model that this entry raises itself if the leader's word is late, and
+	// ownMinimums the number of those that it raised.
 	minVersions    map[string]uint64
+	ownMinimumAt   map[string]uint64
+	ownMinimums    int
 	rosterRevision uint64
 	// rosterListed holds the upstreams received so far of a complete roster in several pages,
 	// nil if none is being received.
@@ -246,6 +250,7 @@
 		targets:          rollout.NewTargetVersions(),
 		unbegun:          make(unbegunPrompts),
 		minVersions:      make(map[string]uint64),
+		ownMinimumAt:     make(map[string]uint64),
 		upstreams:        make(map[string]*upstreamState),
 		loadedByOthers:   make(map[*upstreamState]struct{}),
 		activeUpstreams:  make(map[string]*upstreamState),
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -23,6 +23,7 @@
 		for i, w := range v.Newest {
 			s.weights[w.Model] = max(s.weights[w.Model], w.Version)
 			s.targets.Record(w.Model, w.Version, sent.Add(answer.OpenFor-v.Age(i)))
+			s.raiseOwnAt(w.Model, w.Version, time.Now())
 		}
 		s.weightsView = *v
 	}
@@ -46,6 +47,44 @@
 	g.weightsLog.Log(&s.weightsView, func(model string) uint64 { return s.minVersions[model] }, "term", answer.Term, "leader", answer.Leader)
 }
 
+// raiseOwnAt raises the minimum version when the bound of a target version is over, unless the leader has told
+// it by then: an answer may be late by more than the rest of the bound. The caller holds the lock.
+func (s *state) raiseOwnAt(model string, version uint64, now time.Time) {
+	since, known := s.targets.FirstLacked(model, version-1)
+	if s.versionTime <= 0 || !known || version <= s.ownMinimumAt[model] {
+		return
+	}
+	s.ownMinimumAt[model] = version
+	time.AfterFunc(since.Add(s.versionTime-beginMargin).Sub(now), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if version <= s.minVersions[model] || !s.mostHave(model, version) {
+			return
+		}
+		s.minVersions[model] = version
+		s.ownMinimums++
+		s.endOverdue(model, version)
+	})
+}
+
+// mostHave reports whether most serving runners of a model have a version. The leader decides for any
+// other fleet: it knows whether the runners could get their orders. The caller holds the lock.
+func (s *state) mostHave(model string, version uint64) bool {
+	have, total := 0, 0
+	for _, upstreams := range s.serving {
+		for _, u := range upstreams {
+			has := u.versionOf(model)
+			if has != 0 {
+				total++
+			}
+			if has >= version {
+				have++
+			}
+		}
+	}
+	return 2*have > total
+}
+
 // unbegunPrompts holds the prompts that were sent and have not begun, each with the function that ends
 // its send.
 type unbegunPrompts map[*plan]context.CancelFunc
--- a/internal/gateway/weights_test.go
+++ b/internal/gateway/weights_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -166,3 +167,44 @@
 		})
 	}
 }
+
+// Guards against prompts that begin past the bound of newer weights at an entry that the leader's word on it
+// reaches late. Where most runners lack the weights, they may not have got their orders, and the leader decides.
+func TestMinimumVersionHoldsWhileTheLeadersWordIsLate(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		behind []string
+		want   uint64
+	}{
+		{"one runner lacks the weights", []string{"l1"}, 2},
+		{"most runners lack the weights", []string{"a1", "a2", "l1"}, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g, _ := versionGateway(t, map[string]time.Duration{"l1": 3 * time.Second, "l2": time.Millisecond})
+			named := time.Now().Add(-5 * time.Second)
+			g.state.mu.Lock()
+			for id, u := range g.state.upstreams {
+				u.record.Loaded = []roster.Loaded{{Model: "m", Version: 2}}
+				if slices.Contains(c.behind, id) {
+					u.record.Loaded[0].Version = 1
+				}
+			}
+			g.state.upstreams["l2"].own.Requests = 1000
+			g.state.mu.Unlock()
+			time.Sleep(time.Until(named.Add(9 * time.Second)))
+			r := request("/stream/x")
+			r.Wait = 5 * time.Second
+			r.Prompt = prompt(placement.Part{ID: "p", Tokens: 100})
+			got := serve(g, r)
+			ended := time.Since(named)
+			g.state.mu.Lock()
+			defer g.state.mu.Unlock()
+			if raised := g.state.minVersions["m"]; raised != c.want {
+				t.Errorf("%s: the minimum version is %d, want %d", c.name, raised, c.want)
+			}
+			if ended := ended < 10*time.Second; ended != (c.want > 0) {
+				t.Errorf("%s: a prompt that waits at l1 ends %q within the bound: %v", c.name, got.end, ended)
+			}
+		})
+	}
+}
