--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,10 @@
 	if options.Sender == nil || options.Log == nil || options.Decisions == nil {
 		return nil, eris.New("gateway: Sender, Log and Decisions are required")
 	}
-	g := &Gateway{options: options, state: newState(options.Host, options.Rates.PrefillPerMs), reports: newReports(), origins: newOriginSender(options.Origins), weightsLog: steward.NewWeightsLog(options.Log)}
+	g := &Gateway{
+		options: options, state: newState(options.Host, options.Rates.PrefillPerMs), reports: newReports(),
+		origins: newOriginSender(options.Origins), weightsLog: steward.NewWeightsLog(options.Log),
+	}
 	g.state.directory, g.state.versionTime = options.Directory, options.VersionTime
 	g.state.shareParts, g.state.copies.mbps = options.Load.ShareParts, options.Load.CopyMbps
 	g.state.runnerLinks = options.Load.ShareParts && options.Load.RunnerLinks
--- a/internal/steward/clocksteps_test.go
+++ b/internal/steward/clocksteps_test.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/lovagereach/lovagereach/ident"
 )
 
@@ -92,13 +89,7 @@
 // followOnce starts an entry, and stops it once it has the configuration.
 func (f *testGroup) followOnce(host ident.Host, incarnation ident.Incarnation) {
 	f.t.Helper()
-	follower, err := NewEntryFollower(EntryOptions{
-		Cluster: "test", Key: []byte("a key of the test processes"), Host: host, DataCentre: "north", Incarnation: incarnation,
-		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, PeerPort: f.port, Log: log.New(io.Discard),
-	})
-	if err != nil {
-		f.t.Fatal(err)
-	}
+	follower := f.newFollower(host, incarnation)
 	ctx, cancel := context.WithCancel(context.Background())
 	received, done := make(chan struct{}, 1), make(chan struct{})
 	go func() {
--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -241,8 +241,8 @@
 			message = "minimum version not raised"
 			l.withheldAt = now
 		}
-		s.options.Log.Info(message, "model", d.Model, "version", d.Version, "term", l.elected, "after", d.Age, "led", now.Sub(l.since), "group_led", now.Sub(l.groupLedSince()),
-			"have", d.Have, "heard", d.Heard, "of", d.Total)
+		s.options.Log.Info(message, "model", d.Model, "version", d.Version, "term", l.elected, "after", d.Age,
+			"led", now.Sub(l.since), "group_led", now.Sub(l.groupLedSince()), "have", d.Have, "heard", d.Heard, "of", d.Total)
 	}
 }
 
--- a/internal/steward/learned_test.go
+++ b/internal/steward/learned_test.go
@@ -38,13 +38,7 @@
 // learned; report is what it has learned itself.
 func (f *testGroup) askAsEntry(name string, report []byte) (snapshot []byte) {
 	f.t.Helper()
-	follower, err := NewEntryFollower(EntryOptions{
-		Cluster: "test", Key: []byte("a key of the test processes"), Host: ident.Host(name), DataCentre: "north",
-		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, PeerPort: f.port, Log: log.New(io.Discard),
-	})
-	if err != nil {
-		f.t.Fatal(err)
-	}
+	follower := f.newFollower(ident.Host(name), 0)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	follower.Run(ctx, func() *WatchRequest {
--- a/internal/steward/machine.go
+++ b/internal/steward/machine.go
@@ -104,7 +104,8 @@
 // NewMachine returns the state before the first command.
 func NewMachine() *Machine {
 	return &Machine{
-		weights: make(map[string]uint64), namings: make(map[string]Naming), minimums: make(map[string]minimumVersion), targets: rollout.NewTargetVersions(), storeIncarnations: make(map[string]uint64),
+		weights: make(map[string]uint64), namings: make(map[string]Naming), minimums: make(map[string]minimumVersion),
+		targets: rollout.NewTargetVersions(), storeIncarnations: make(map[string]uint64),
 		software: resumption.NewVersions(time.Time{}),
 		roster:   roster.New(), quarantine: quarantine.NewTracker(),
 		evacuation: evacuation.NewRegistry(), changed: make(chan struct{}), orderChanged: make(chan struct{}),
--- a/internal/steward/minimums_test.go
+++ b/internal/steward/minimums_test.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/roster"
@@ -22,13 +19,7 @@
 // firstAnswer returns the answer with which an entry that starts gets its configuration.
 func (f *testGroup) firstAnswer(name string) *WatchAnswer {
 	f.t.Helper()
-	follower, err := NewEntryFollower(EntryOptions{
-		Cluster: "test", Key: []byte("a key of the test processes"), Host: ident.Host(name), DataCentre: "north",
-		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, PeerPort: f.port, Log: log.New(io.Discard),
-	})
-	if err != nil {
-		f.t.Fatal(err)
-	}
+	follower := f.newFollower(ident.Host(name), 0)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	var first *WatchAnswer
--- a/internal/steward/relaying_test.go
+++ b/internal/steward/relaying_test.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/lovagereach/lovagereach/cacheindex"
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/ident"
@@ -26,13 +23,7 @@
 }
 
 func (f *testGroup) followAs(ctx context.Context, name string) *followingEntry {
-	follower, err := NewEntryFollower(EntryOptions{
-		Cluster: "test", Key: []byte("a key of the test processes"), Host: ident.Host(name), DataCentre: "north",
-		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, PeerPort: f.port, Log: log.New(io.Discard),
-	})
-	if err != nil {
-		f.t.Fatal(err)
-	}
+	follower := f.newFollower(ident.Host(name), 0)
 	e := &followingEntry{index: cacheindex.NewIndex(false)}
 	go follower.Run(ctx, func() *WatchRequest {
 		e.mu.Lock()
--- a/internal/steward/reports_test.go
+++ b/internal/steward/reports_test.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/quarantine"
 )
@@ -34,13 +31,7 @@
 
 func (f *testGroup) startReporting(ctx context.Context, name string) *reportingEntry {
 	f.t.Helper()
-	follower, err := NewEntryFollower(EntryOptions{
-		Cluster: "test", Key: []byte("a key of the test processes"), Host: ident.Host(name), DataCentre: "north",
-		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, PeerPort: f.port, Log: log.New(io.Discard),
-	})
-	if err != nil {
-		f.t.Fatal(err)
-	}
+	follower := f.newFollower(ident.Host(name), 0)
 	e := &reportingEntry{follower: follower}
 	go follower.Run(ctx, func() *WatchRequest {
 		e.mu.Lock()
--- a/internal/steward/testgroup_test.go
+++ b/internal/steward/testgroup_test.go
@@ -199,6 +199,19 @@
 	return s
 }
 
+// newFollower returns an entry's side of the watches; incarnation 0 draws one.
+func (f *testGroup) newFollower(host ident.Host, incarnation ident.Incarnation) *Follower {
+	f.t.Helper()
+	follower, err := NewEntryFollower(EntryOptions{
+		Cluster: "test", Key: []byte("a key of the test processes"), Host: host, DataCentre: "north", Incarnation: incarnation,
+		Seeds: []ident.Host{hostName(1), hostName(2), hostName(3)}, PeerPort: f.port, Log: log.New(io.Discard),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return follower
+}
+
 // kill ends a host without a departure announcement.
 func (f *testGroup) kill(host ident.Host) {
 	f.mu.Lock()
