Logs and a counter tell that an upstream sent what is no event, or not the one due

Nothing told of it: a stream with a missing event had one request line with the usual outcome, and its runner kept its trust. Nothing is decided by it yet, so what callers get is unchanged.

--- a/internal/decision/state_changes.go
+++ b/internal/decision/state_changes.go
@@ -51,6 +51,33 @@
 	return []any{"upstream", e.Upstream, "avoided", e.Ejected, "in_row", e.ConsecutiveFailures, "failures", e.FailureRate, "cause", e.Cause}
 }
 
+// InvalidAnswer is logged when an upstream sends bytes that are not what is due in its answer.
+type InvalidAnswer struct {
+	// Request is the ID of the caller's attempt, Send the number of its send.
+	Request, Route, Upstream, Software string
+	Send                               int
+	Reason, Detail                     string
+	// ID is the identity of what came, where event Due was due.
+	ID  string
+	Due uint64
+	// Begun indicates that the caller has received the answer's beginning.
+	Begun bool
+}
+
+// Class implements Event.
+func (e *InvalidAnswer) Class() Class { return StateChange }
+
+// Message implements Event.
+func (e *InvalidAnswer) Message() string { return "invalid answer" }
+
+// Fields implements Event.
+func (e *InvalidAnswer) Fields() []any {
+	return []any{
+		"request", e.Request, "route", e.Route, "upstream", e.Upstream, "software", e.Software, "sends", e.Send, "reason", e.Reason,
+		"detail", e.Detail, "event", e.ID, "due", e.Due, "begun", e.Begun,
+	}
+}
+
 // UpstreamBackOff is logged when an upstream asks an entry to send it nothing for a time.
 type UpstreamBackOff struct {
 	Upstream string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/lovagereach/lovagereach/placement"
 	"github.com/lovagereach/lovagereach/quarantine"
 	"github.com/lovagereach/lovagereach/resumption"
+	"github.com/lovagereach/lovagereach/sequence"
 )
 
 const (
@@ -266,8 +267,9 @@
 	dueAt time.Time
 	// headSent indicates that the caller has received the status and headers.
 	headSent bool
-	// lastEvent is the last event forwarded to the caller.
+	// lastEvent is the last event forwarded to the caller, and events checks those that follow it.
 	lastEvent string
+	events    sequence.Checker
 	// origin is what began the stream that the run goes on with, if pinned: it then may be sent
 	// to upstreams of that software version only.
 	origin resumption.Origin
@@ -313,7 +315,7 @@
 	}
 	r := &run{
 		gateway: g, request: request, index: index, route: route,
-		tried: make(map[*upstreamState]bool), guessed: make(map[*upstreamState]uint64), lastEvent: request.ResumeAfter,
+		tried: make(map[*upstreamState]bool), guessed: make(map[*upstreamState]uint64), lastEvent: request.ResumeAfter, events: eventsAfter(request.ResumeAfter),
 	}
 	if index.Document().Keyed && !route.Public {
 		if r.team = index.Team(request.Key); r.team == nil {
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -73,6 +73,8 @@
 	firstServed atomic.Int64
 	// unframed counts answers that ended with their connection, without a length or chunks.
 	unframed *metrics.Counter
+	// invalid counts pieces of answers that were not what was due, by reason.
+	invalid map[string]*metrics.Counter
 	// crashes counts upstreams that were found to have crashed under requests.
 	crashes *metrics.Counter
 	// quarantined counts requests that were sent to no upstream because they crash upstreams.
@@ -125,6 +127,10 @@
 	m.connectionsUsed, m.outputsGrown = counter("connections_used"), counter("outputs_grown")
 	m.forwarded, m.received = counter("forwarded"), counter("forwarded_received")
 	m.unframed = counter("unframed_answers")
+	m.invalid = make(map[string]*metrics.Counter)
+	for _, reason := range invalidReasons {
+		m.invalid[reason] = m.set.NewCounter(fmt.Sprintf(`lovagereach_gateway_invalid_answers_total{reason=%q}`, reason))
+	}
 	m.partsRead, m.partsReadAgain = counter("shared_tokens_read"), counter("shared_tokens_read_again")
 	m.crashes, m.quarantined, m.trials = counter("upstream_ends"), counter("held"), counter("trials")
 	m.snapshots = make(map[handover.Result]*metrics.Counter)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -331,6 +331,9 @@
 			r.recordFailure(ctx, p, err)
 			return err
 		}
+		if answer.Status/100 == 2 {
+			r.checkEvent(p, piece)
+		}
 		r.recordAnswerStart(p)
 		r.countEvent(p, time.Now())
 		if r.first == 0 {
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -161,6 +161,8 @@
 	Data []byte
 	// ID is the event's identity, empty if it has none.
 	ID string
+	// Problem is the reason why the bytes are no event, nil if they are one.
+	Problem error
 }
 
 // Body yields an answer's pieces. Next returns io.EOF at the end of a complete body, and
