Bytes of a stream that are no event, or not the one due, reach no caller

Callers saw streams with an event whose id was empty after events with good ones, and streams that ended as complete before their last event.

Cause: in routed deployments an entry split a stream at empty lines and passed on what lay between, whatever it said. Nobody asked whether a line is one of an event, whether it has an id, or which one is due; the first bytes of any kind counted as the beginning of the answer, also for learning, trust and the record of what began the stream. The native pipeline has such a check.

A success on a route for streams that is no stream of events is no answer. An invalid answer is a failure of its upstream: it is repeated, or resumed after the last event, within the budget, or breaks off so that nobody takes it for whole. Comments and empty lines are passed on with the event that they precede, and count for nothing. Bytes that are no answer do not make the incarnation of their upstream doubtful: they came from a process that runs.

Fakes of tests that answered streams without events, with event 1 twice or with numbers from 6 on now send what sound upstreams do: they would be refused.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -112,22 +112,6 @@
 	return nil
 }
 
-// Check returns an error if raw is not one event, with comments before it.
-func Check(raw []byte, extraField string) error {
-	b := block{extraField: extraField}
-	for len(raw) > 0 {
-		length := bytes.IndexByte(raw, '\n') + 1
-		if length == 0 {
-			return ErrTruncated
-		}
-		if ends, err := b.add(raw[:length]); ends || err != nil {
-			return err
-		}
-		raw = raw[length:]
-	}
-	return ErrTruncated
-}
-
 // end handles an empty line.
 func (b *block) end() (bool, error) {
 	switch {
--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -12,10 +12,17 @@
 )
 
 // gatedBody is an answer's body that ends when its gate opens.
-type gatedBody struct{ open chan struct{} }
+type gatedBody struct {
+	open  chan struct{}
+	begun bool
+}
 
 func (b *gatedBody) Next() (Piece, error) {
-	<-b.open
+	if !b.begun {
+		<-b.open
+		b.begun = true
+		return Piece{Data: []byte("id: 1\n\n"), ID: "1"}, nil
+	}
 	return Piece{}, io.EOF
 }
 
@@ -32,7 +39,7 @@
 
 func fillRunnerMemory(t *testing.T, shares bool) {
 	open := make(chan struct{})
-	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return &Answer{Status: 200, Body: &gatedBody{open}}, nil })
+	g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return &Answer{Status: 200, Body: &gatedBody{open: open}}, nil })
 	g.state.waitLimits = waitLimits{longest: time.Minute, first: 10}
 	if shares {
 		g.state.shares = newShareQueues(nil)
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -44,7 +44,7 @@
 			return nil, noConnectionLeft()
 		}
 		used[s.Upstream]++
-		return &Answer{Status: 200, Length: -1, Body: &gatedBody{gate}}, nil
+		return &Answer{Status: 200, Length: -1, Body: &gatedBody{open: gate}}, nil
 	})
 	withConnections(g, share)
 	g.state.waitLimits = waitLimits{longest: time.Minute}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"errors"
+	"fmt"
+
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/eventstream"
+	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/sequence"
 )
 
@@ -23,39 +27,79 @@
 	return sequence.StartingAt(number + 1)
 }
 
+// isStream reports whether a success is a stream of events.
+func (r *run) isStream() bool { return r.route.Kind == catalog.Stream }
+
 // Reasons why bytes of an answer are not what is due, labels of a metric.
 const (
-	invalidSyntax   = "syntax"
-	invalidID       = "id"
+	// invalidSyntax: they are no event.
+	invalidSyntax = "syntax"
+	// invalidID: an event without a number.
+	invalidID = "id"
+	// invalidPosition: another event than the one that is due.
 	invalidPosition = "position"
 )
 
 var invalidReasons = []string{invalidSyntax, invalidID, invalidPosition}
 
-// checkEvent logs and counts a piece of a stream that is not the event that is due.
-func (r *run) checkEvent(p *plan, piece Piece) {
-	if r.route.Kind != catalog.Stream {
-		return
+// invalidError reports bytes of an answer that are not what is due.
+type invalidError struct {
+	reason, detail string
+	// id is the identity of what came, where event due was due.
+	id  string
+	due uint64
+}
+
+// Error implements error.
+func (e *invalidError) Error() string {
+	return fmt.Sprintf("%s: event %q where %d was due: %s", e.reason, e.id, e.due, e.detail)
+}
+
+// checkPiece returns an error for a piece of a stream that is not the event that is due.
+func (r *run) checkPiece(answer *Answer, piece Piece) error {
+	if !r.isStream() || answer.Status/100 != 2 || piece.Comment {
+		return nil
 	}
 	due, _ := r.events.Due()
 	number, valid := eventstream.ParseID(piece.ID)
-	reason, detail := "", ""
+	if !valid {
+		return &invalidError{reason: invalidID, detail: "no number", id: piece.ID, due: due}
+	}
+	if position := r.events.Observe(number); position != sequence.Due {
+		return &invalidError{reason: invalidPosition, detail: position.String(), id: piece.ID, due: due}
+	}
+	return nil
+}
+
+// invalid returns the part of an answer that is not what is due, nil if the answer ended for another reason.
+func (r *run) invalid(cause error) *invalidError {
+	var invalid *invalidError
+	var syntax *eventstream.SyntaxError
 	switch {
-	case piece.Problem != nil:
-		reason, detail = invalidSyntax, piece.Problem.Error()
-	case !valid:
-		reason = invalidID
-	default:
-		if position := r.events.Observe(number); position != sequence.Due {
-			reason, detail = invalidPosition, position.String()
-		}
-	}
-	if reason == "" {
-		return
-	}
-	r.gateway.meter.invalid[reason].Inc()
-	r.gateway.options.Decisions.Emit(&decision.InvalidAnswer{
-		Request: r.request.ID, Route: r.route.Name, Upstream: p.send.Upstream, Software: p.origin.Software,
-		Reason: reason, Detail: detail, ID: piece.ID, Due: due, Send: r.sends, Begun: r.headSent,
-	})
+	case errors.As(cause, &invalid):
+		return invalid
+	case errors.As(cause, &syntax) || errors.Is(cause, eventstream.ErrTooLong):
+		due, _ := r.events.Due()
+		return &invalidError{reason: invalidSyntax, detail: cause.Error(), due: due}
+	}
+	return nil
+}
+
+// rejected logs and counts an answer of an upstream, or of another entry if p is nil, that ended with an
+// error because of its bytes. It returns the answer's outcome, nil if it is whole.
+func (r *run) rejected(cause error, p *plan) error {
+	invalid := r.invalid(cause)
+	if invalid == nil {
+		return cause
+	}
+	event := &decision.InvalidAnswer{
+		Request: r.request.ID, Route: r.route.Name, Upstream: r.forwardedTo,
+		Reason: invalid.reason, Detail: invalid.detail, ID: invalid.id, Due: invalid.due, Send: r.sends, Begun: r.headSent,
+	}
+	if p != nil {
+		event.Upstream, event.Software = p.send.Upstream, p.origin.Software
+	}
+	r.gateway.meter.invalid[invalid.reason].Inc()
+	r.gateway.options.Decisions.Emit(event)
+	return &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: invalid.Error()}
 }
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -37,7 +38,19 @@
 	f.sends = append(f.sends, s)
 	n := len(f.sends)
 	f.mu.Unlock()
-	return f.script(n, s)
+	answer, err := f.script(n, s)
+	if err == nil && s.Stream && answer.Status == http.StatusOK {
+		answer.addEvent(s.ResumeAfter)
+	}
+	return answer, err
+}
+
+// addEvent adds an event to an answer of status, as each new stream has one.
+func (a *Answer) addEvent(last string) {
+	if body, isStatus := a.Body.(*events); isStatus && a.Length == 0 && len(body.pieces) == 0 {
+		id := strconv.Itoa(eventAfter(last))
+		body.pieces = []Piece{{Data: []byte("id: " + id + "\n\n"), ID: id}}
+	}
 }
 
 // Connects implements Sender.
--- a/internal/gateway/fleet_cut_test.go
+++ b/internal/gateway/fleet_cut_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -120,8 +121,15 @@
 	return nil
 }
 
+// idOf returns the identity of an event that another entry passed on, in one of the forms that the
+// simulated upstreams write.
+func idOf(event []byte) string {
+	text := strings.TrimPrefix(string(event), "id: ")
+	return text[:max(strings.IndexAny(text, "@\n"), 0)]
+}
+
 func (p *passedAnswer) Piece(data []byte) error {
-	p.pieces <- Piece{Data: data, ID: "1"}
+	p.pieces <- Piece{Data: data, ID: idOf(data)}
 	return nil
 }
 
--- a/internal/gateway/fleet_parts_model_test.go
+++ b/internal/gateway/fleet_parts_model_test.go
@@ -362,7 +362,7 @@
 		f.crashUnder(causes, runner)
 		return s.cut(runner, unframed)
 	}
-	return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: &partBody{ctx: ctx, runner: runner, left: 4}}, nil
+	return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: &partBody{ctx: ctx, runner: runner, next: eventAfter(send.ResumeAfter)}}, nil
 }
 
 // arrive records the arrival of a request and returns what crashes its runner: the request's body, or parts
@@ -450,22 +450,32 @@
 	return crash.Running
 }
 
+// partEvents is the number of events of a stream.
+const partEvents = 4
+
+// eventAfter returns the number of the first event of a stream that is resumed after an event, or begins.
+func eventAfter(last string) int {
+	number, _ := strconv.Atoi(last)
+	return number + 1
+}
+
 // partBody yields events until its runner crashes.
 type partBody struct {
 	ctx    context.Context
 	runner *partRunner
-	left   int
+	next   int
 }
 
 func (b *partBody) Next() (Piece, error) {
-	if b.left == 0 {
+	if b.next > partEvents {
 		return Piece{}, io.EOF
 	}
 	if b.runner.crashesWithin(b.ctx, 20*time.Millisecond) {
 		return Piece{}, connectionLost()
 	}
-	b.left--
-	return Piece{Data: []byte("x"), ID: fmt.Sprint(9 - b.left)}, nil
+	id := strconv.Itoa(b.next)
+	b.next++
+	return Piece{Data: []byte("id: " + id + "\n\n"), ID: id}, nil
 }
 
 func (b *partBody) Close() {}
--- a/internal/gateway/meter_test.go
+++ b/internal/gateway/meter_test.go
@@ -26,6 +26,8 @@
 			return nil, connectionLost()
 		case 3:
 			return stream(connectionLost(), "1"), nil
+		case 4:
+			return stream(io.EOF, "2"), nil
 		}
 		return stream(io.EOF, "1"), nil
 	})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -127,7 +127,7 @@
 	r.forwardedTo = peer.Host
 	g.meter.forwarded.Inc()
 	answer, err := g.options.Peers.Forward(ctx, &Forward{
-		Request: r.request, Host: peer.Host, Address: peer.Callers, Wait: time.Until(r.deadline), UnderWay: time.Since(r.request.Arrived), ResumeAfter: r.lastEvent,
+		Request: r.request, Host: peer.Host, Address: peer.Callers, Wait: time.Until(r.deadline), UnderWay: time.Since(r.request.Arrived), Stream: r.isStream(), ResumeAfter: r.lastEvent,
 	})
 	if err != nil {
 		r.recordForwardFailure(ctx, load, err)
@@ -161,7 +161,11 @@
 		if errors.Is(err, io.EOF) {
 			return fw.begin()
 		}
+		if err == nil {
+			err = r.checkPiece(answer, piece)
+		}
 		if err != nil {
+			err = r.rejected(err, nil)
 			return &outcome.Unknown{Reason: outcome.ReasonStreamBroken, Detail: "the peer's answer ended early: " + err.Error()}
 		}
 		if r.first == 0 {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -126,7 +126,7 @@
 	}
 	p := &plan{candidates: len(candidates), late: r.late}
 	p.send = &Send{
-		Request: r.request, Team: r.teamName(), Rank: r.sendRank(), ResumeAfter: r.lastEvent,
+		Request: r.request, Team: r.teamName(), Rank: r.sendRank(), Stream: r.isStream(), ResumeAfter: r.lastEvent,
 		Wait: r.deadline.Sub(now), Connections: s.connections(service), SameIncarnation: r.pinned && r.origin.Software != "", StatesStart: statesStart(service),
 	}
 	if r.request.Prompt != nil && service != nil && service.Engine != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -323,17 +323,18 @@
 			}
 			return nil
 		}
+		if err == nil {
+			err = r.checkPiece(answer, piece)
+		}
 		if err != nil {
 			answer.Body.Close()
 			if overdue := r.recordOverdue(p); overdue != nil {
 				return overdue
 			}
+			err = r.rejected(err, p)
 			r.recordFailure(ctx, p, err)
 			return err
 		}
-		if answer.Status/100 == 2 {
-			r.checkEvent(p, piece)
-		}
 		r.recordAnswerStart(p)
 		r.countEvent(p, time.Now())
 		if r.first == 0 {
@@ -363,6 +364,9 @@
 }
 
 func (f *forwarder) piece(piece Piece) error {
+	if piece.Comment && !f.run.headSent {
+		return nil
+	}
 	if f.buffering && len(f.buffered)+len(piece.Data) <= maxBuffered {
 		f.buffered = append(f.buffered, piece.Data...)
 		return nil
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -118,6 +118,8 @@
 	Team string
 	// Rank is the request's rank; 0 is served first.
 	Rank int
+	// Stream indicates that a success is a stream of events.
+	Stream bool
 	// ResumeAfter is the last event forwarded to the caller, empty for none.
 	ResumeAfter string
 	Prompt      *PromptSend
@@ -161,8 +163,8 @@
 	Data []byte
 	// ID is the event's identity, empty if it has none.
 	ID string
-	// Problem is the reason why the bytes are no event, nil if they are one.
-	Problem error
+	// Comment indicates what follows the last event of a stream, and is none.
+	Comment bool
 }
 
 // Body yields an answer's pieces. Next returns io.EOF at the end of a complete body, and
@@ -221,6 +223,8 @@
 	Host, Address string
 	// Wait is the time left for the answer, UnderWay the time since the caller's attempt arrived.
 	Wait, UnderWay time.Duration
+	// Stream indicates that a success is a stream of events.
+	Stream bool
 	// ResumeAfter is the last event forwarded to the caller, empty for none.
 	ResumeAfter string
 }
