An answer whose end nothing confirms does not look whole

Callers got a 200 with an empty or short body, or a stream that ended early, framed as whole, when an upstream that goes on running closed the connection of an answer with neither a length nor chunks.

Cause: an entry took the end of such a connection for the end of the body and gave it chunks, or, for a short body, a length. The check whether the process of the upstream had crashed can't tell an upstream that lives and breaks off.

A success of which a head came, without a length and without a byte of a body, is no answer, and neither is a stream without any event. Where another upstream can tell, it is asked within the budget and twice the time that the answer took: for a safe request by answering too, for a resumable stream by going on after its last event (it answers with no event if there is none). That is done for upstreams that otherwise frame their answers, and for all ends of streams for 30 s after an upstream sent bytes that are no answer. Without an answer the first one is delivered. A stream that the caller gets in chunks does not end with the unconfirmed end of another answer.

TestUnframedAnswerEndsWithUpstream expected an empty stream without framing from an upstream that runs to count as served, which is the fault; it is refused now.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/lovagereach/lovagereach/catalog"
 	"github.com/lovagereach/lovagereach/internal/decision"
@@ -38,9 +39,11 @@
 	invalidID = "id"
 	// invalidPosition: another event than the one that is due.
 	invalidPosition = "position"
+	// invalidEnd: an end before anything that an answer consists of.
+	invalidEnd = "end"
 )
 
-var invalidReasons = []string{invalidSyntax, invalidID, invalidPosition}
+var invalidReasons = []string{invalidSyntax, invalidID, invalidPosition, invalidEnd}
 
 // invalidError reports bytes of an answer that are not what is due.
 type invalidError struct {
@@ -98,8 +101,26 @@
 	}
 	if p != nil {
 		event.Upstream, event.Software = p.send.Upstream, p.origin.Software
+		s := r.gateway.state
+		s.mu.Lock()
+		p.upstream.framing.invalidAt = time.Now()
+		s.mu.Unlock()
 	}
 	r.gateway.meter.invalid[invalid.reason].Inc()
 	r.gateway.options.Decisions.Emit(event)
 	return &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: invalid.Error()}
 }
+
+// checkEnd returns an error if an answer whose body has ended can't be whole.
+func (f *forwarder) checkEnd() error {
+	r := f.run
+	due, _ := r.events.Due()
+	switch {
+	case f.answer.Status/100 != 2 || f.pieces > 0:
+	case r.isStream() && r.lastEvent == "":
+		return &invalidError{reason: invalidEnd, detail: "a stream without events", due: due}
+	case f.answer.Unframed:
+		return &invalidError{reason: invalidEnd, detail: "neither a body nor its length", due: due}
+	}
+	return nil
+}
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -86,6 +86,7 @@
 		end    string
 		body   string
 	}{
+		"alone":      {[]Piece{comment}, "refused", ""},
 		"at the end": {[]Piece{{Data: []byte("id: 1\n\n"), ID: "1"}, comment}, "done", "id: 1\n\n: wait\n\n"},
 	} {
 		g, _ := testGateway(t, func(int, *Send) (*Answer, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -274,6 +274,12 @@
 	// to upstreams of that software version only.
 	origin resumption.Origin
 	pinned bool
+	// headUnframed indicates that the answer whose head the caller has ends with its connection.
+	headUnframed bool
+	// ended indicates that the stream has ended and that another upstream was asked for the rest.
+	ended bool
+	// held is a whole answer whose end another upstream is to confirm, nil for none.
+	held *forwarder
 	// status is the status forwarded to the caller, first the time until the first piece of
 	// the answer.
 	status int
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -158,16 +158,22 @@
 	fw := &forwarder{run: r, respond: respond, answer: answer, buffering: r.route.Kind == catalog.Safe}
 	for {
 		piece, err := answer.Body.Next()
-		if errors.Is(err, io.EOF) {
-			return fw.begin()
-		}
-		if err == nil {
+		ended := errors.Is(err, io.EOF)
+		switch {
+		case ended && r.endsChunks(fw):
+			err = unfinished()
+		case ended:
+			err = fw.checkEnd()
+		case err == nil:
 			err = r.checkPiece(answer, piece)
 		}
 		if err != nil {
 			err = r.rejected(err, nil)
 			return &outcome.Unknown{Reason: outcome.ReasonStreamBroken, Detail: "the peer's answer ended early: " + err.Error()}
 		}
+		if ended {
+			return fw.begin()
+		}
 		if r.first == 0 {
 			r.first = time.Since(r.request.Arrived)
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -26,6 +26,10 @@
 			r.logRetry(err)
 			continue
 		}
+		if r.forwardUnconfirmed(ctx, respond) {
+			r.logEnd(nil)
+			return
+		}
 		r.logEnd(final)
 		if r.headSent {
 			respond.Abort()
@@ -89,7 +93,7 @@
 			return true, nil
 		}
 		return false, r.refusal(outcome.ReasonRefused, r.retryAfterRefusal(now), err.Error())
-	case errors.As(err, &failed):
+	case errors.As(err, &failed) || errors.Is(err, errUnconfirmed):
 		return true, nil
 	case r.handedOver:
 		return false, unknownOutcome(err)
@@ -210,6 +214,11 @@
 	}
 	r.mayHaveRun = true
 	r.confirmVersion(p)
+	if r.held != nil && answer.Status/100 != 2 {
+		answer.Body.Close()
+		r.complete(p, answer.Status < 500)
+		return &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: "a whole answer was to be confirmed, and a failure was answered"}
+	}
 	if r.retriesFailure(answer) {
 		answer.Body.Close()
 		r.complete(p, false)
@@ -303,25 +312,7 @@
 	for {
 		piece, err := answer.Body.Next()
 		if errors.Is(err, io.EOF) {
-			if answer.Unframed {
-				r.unframed = true
-				r.gateway.meter.unframed.Inc()
-				if err := r.confirmEnd(ctx, p); err != nil {
-					r.recordFailure(ctx, p, err)
-					return err
-				}
-			}
-			if err := fw.begin(); err != nil {
-				answer.Body.Close()
-				r.release(p)
-				return err
-			}
-			r.complete(p, answer.Status < 500)
-			if answer.Status/100 == 2 {
-				r.recordServed()
-				r.forgetOrigin()
-			}
-			return nil
+			return r.finish(ctx, p, fw)
 		}
 		if err == nil {
 			err = r.checkPiece(answer, piece)
@@ -352,6 +343,44 @@
 	}
 }
 
+// finish handles the end of an answer's body.
+func (r *run) finish(ctx context.Context, p *plan, fw *forwarder) error {
+	var err error
+	if fw.answer.Unframed {
+		r.unframed = true
+		r.gateway.meter.unframed.Inc()
+		err = r.confirmEnd(ctx, p)
+	}
+	if err == nil {
+		err = r.rejected(fw.checkEnd(), p)
+	}
+	if err != nil {
+		r.recordFailure(ctx, p, err)
+		return err
+	}
+	if r.asksForRest(p, fw) {
+		r.complete(p, true)
+		r.tried[p.upstream] = true
+		return errUnconfirmed
+	}
+	if r.endsChunks(fw) {
+		r.complete(p, true)
+		r.tried[p.upstream] = true
+		return unfinished()
+	}
+	if err := fw.end(); err != nil {
+		fw.answer.Body.Close()
+		r.release(p)
+		return err
+	}
+	r.complete(p, fw.answer.Status < 500)
+	if fw.answer.Status/100 == 2 {
+		r.recordServed()
+		r.forgetOrigin()
+	}
+	return nil
+}
+
 // forwarder forwards one answer to the caller. A short answer to a safe request is buffered
 // until it is complete: once the caller has received a part of it, the request can't be
 // repeated, since the caller would get the head of one answer with the body of another.
@@ -361,11 +390,18 @@
 	answer    *Answer
 	buffering bool
 	buffered  []byte
+	// pieces is the number of pieces of the answer, without comments.
+	pieces int
 }
 
 func (f *forwarder) piece(piece Piece) error {
-	if piece.Comment && !f.run.headSent {
-		return nil
+	if piece.Comment {
+		if !f.run.headSent {
+			return nil
+		}
+	} else {
+		f.pieces++
+		f.run.ended = false
 	}
 	if f.buffering && len(f.buffered)+len(piece.Data) <= maxBuffered {
 		f.buffered = append(f.buffered, piece.Data...)
@@ -390,7 +426,7 @@
 		if f.respond.Begin(f.answer) != nil {
 			return errCallerGone
 		}
-		f.run.headSent = true
+		f.run.headSent, f.run.headUnframed = true, f.answer.Unframed
 		f.run.status = f.answer.Status
 	}
 	if len(f.buffered) > 0 {
@@ -401,3 +437,12 @@
 	}
 	return nil
 }
+
+// end forwards what is buffered of a complete answer. Of two answers without framing the longer one is
+// taken.
+func (f *forwarder) end() error {
+	if held := f.run.held; held != nil && f.answer.Unframed && f.buffering && len(held.buffered) > len(f.buffered) {
+		return held.begin()
+	}
+	return f.begin()
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -32,6 +32,7 @@
 	// loadsAt of the state.
 	own, others steward.Load
 	health      health
+	framing     framing
 	// loading indicates that the runner is ordered to load weights.
 	loading bool
 	// fullUntil is the time until which the upstream gets a penalty after it refused a request
--- /dev/null
+++ b/internal/gateway/unconfirmed.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/lovagereach/lovagereach/catalog"
+	"github.com/lovagereach/lovagereach/outcome"
+)
+
+const (
+	// doubtFor is how long the ends of an upstream's answers are doubted after it sent bytes that are no
+	// answer.
+	doubtFor = 30 * time.Second
+	// minConfirmTime bounds the time that the confirmation of an end may take, if that is more than twice
+	// the time that the answer took.
+	minConfirmTime = 250 * time.Millisecond
+)
+
+// errUnconfirmed reports an answer that has ended in order, but whose end another upstream is asked to
+// confirm.
+var errUnconfirmed = errors.New("the end of the answer is not confirmed")
+
+// framing is what is known of how an upstream ends its answers.
+type framing struct {
+	// framed indicates that it has sent answers with a length or chunks, so that one without may have been
+	// cut off.
+	framed bool
+	// invalidAt is when it last sent bytes that are no answer.
+	invalidAt time.Time
+}
+
+// doubtsEnd reports whether an answer that has ended in order may still lack its end.
+func (r *run) doubtsEnd(p *plan, fw *forwarder, now time.Time) bool {
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := &p.upstream.framing
+	if !fw.answer.Unframed {
+		known.framed = true
+		return r.isStream() && now.Sub(known.invalidAt) < doubtFor
+	}
+	return known.framed || r.endsChunks(fw)
+}
+
+// endsChunks reports whether an answer without framing goes on with a stream that the caller gets in
+// chunks, whose end would state that it is whole.
+func (r *run) endsChunks(fw *forwarder) bool {
+	return fw.answer.Unframed && r.isStream() && r.headSent && !r.headUnframed
+}
+
+// asksForRest decides whether another upstream is to confirm the end of an answer: of a stream by going on
+// after its last event, of a safe request by answering too.
+func (r *run) asksForRest(p *plan, fw *forwarder) bool {
+	now := time.Now()
+	took := now.Sub(p.sent)
+	within := max(2*took, minConfirmTime)
+	isStream := r.resumable() && r.lastEvent != ""
+	isBuffered := r.route.Kind == catalog.Safe && fw.buffering
+	switch {
+	case fw.answer.Status/100 != 2 || !isStream && !isBuffered || !r.doubtsEnd(p, fw, now):
+		return false
+	case !r.mayRepeat() || r.sends >= r.maxAttempts() || r.deadline.Sub(now) < within || !r.takeRetryBudget(now):
+		return false
+	}
+	r.deadline = now.Add(within)
+	if isStream {
+		r.ended = !r.endsChunks(fw)
+	} else {
+		r.held = fw
+	}
+	return true
+}
+
+// forwardUnconfirmed ends a request whose answer has ended, if its end could not be confirmed, with what
+// its first upstream stated. It reports false if there is no such answer.
+func (r *run) forwardUnconfirmed(ctx context.Context, respond Responder) bool {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return false
+	case r.headSent && r.ended:
+	case !r.headSent && r.held != nil && r.held.begin() == nil:
+	default:
+		return false
+	}
+	respond.Done()
+	return true
+}
+
+// unfinished is the outcome of a stream that can't be ended as whole.
+func unfinished() error {
+	return &outcome.Unknown{Reason: outcome.ReasonStreamBroken, Detail: "the rest of a stream in chunks came without, and its end is not confirmed"}
+}
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -28,7 +28,7 @@
 		served               bool
 	}{
 		"running":                               {ids: []string{"1"}, end: "done", sends: 1, served: true},
-		"running, empty":                        {end: "done", sends: 1, served: true},
+		"running, empty":                        {end: "refused", sends: 2},
 		"crashed before the first event":        {crashed: true, end: "refused", sends: 2},
 		"crashed between events":                {crashed: true, ids: []string{"1"}, end: "broken", sends: 2},
 		"unreachable, so that nothing is known": {unreachable: true, ids: []string{"1"}, end: "broken", sends: 2},
