--- a/internal/adapter/engine/bench_test.go
+++ b/internal/adapter/engine/bench_test.go
@@ -91,6 +91,7 @@
 	for b.Loop() {
 		n++
 		s, _ := testStream(context.Background(), bytes.NewReader(body.Bytes()), 0)
+		s.request.MaxTokens = tokens
 		for {
 			event, err := s.Next(context.Background())
 			if err != nil {
