--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -15,6 +15,8 @@
 	limit int
 	raw   []byte
 	block block
+	// dropComments indicates that raw holds no comments before an event.
+	dropComments bool
 	// failed is returned by Next after an error.
 	failed error
 }
@@ -25,6 +27,9 @@
 	return &Reader{lines: bufio.NewReaderSize(r, bufferBytes), limit: limit, block: block{extraField: extraField}}
 }
 
+// DropComments makes Next leave comments and empty lines before an event out of Raw and of the limit.
+func (r *Reader) DropComments() { r.dropComments = true }
+
 // Next returns the next event, valid until the next call. It returns io.EOF if the stream ends between
 // events, ErrTruncated if it ends within one, ErrTooLong, a *SyntaxError or an error of the underlying
 // reader. After an error it returns the same one again: what follows bytes that are no event is none.
@@ -48,6 +53,9 @@
 		if ends {
 			return Event{Raw: r.raw, ID: string(r.block.id), Data: r.block.data}, nil
 		}
+		if r.dropComments && !r.block.hasFields {
+			r.raw = r.raw[:0]
+		}
 	}
 }
 
