The native pipeline reads streams with eventstream and sequence

Cause: each pipeline had a reader of events and an idea of the order of its own. That of the native one skipped lines that are no part of an event, so junk between tokens went unnoticed, and dropped a token with a negative index as if it had been delivered before; after the final event, too.

Callers of the native pipeline got no junk, since tokens are decoded and numbered, but an answer counted as whole, and its engine as sound, after bytes of no event.

Order, repeats and the confirmed count are sequence.Checker's.

--- a/internal/adapter/engine/stream.go
+++ b/internal/adapter/engine/stream.go
@@ -8,9 +8,11 @@
 	"io"
 	"time"
 
+	"github.com/lovagereach/lovagereach/internal/eventstream"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/upstreamapi"
 	"github.com/lovagereach/lovagereach/outcome"
+	"github.com/lovagereach/lovagereach/sequence"
 )
 
 // streamControl cancels a stream when its idle timer expires or its caller cancels.
@@ -26,12 +28,13 @@
 	ctx      context.Context
 	request  port.GenerateRequest
 	body     io.ReadCloser
-	events   *upstreamapi.EventReader
+	events   *eventstream.Reader
 	codec    *upstreamapi.TokenCodec
 	control  streamControl
 	counters *Counters
-	// next is the index of the next token expected, repeated the highest one that came again.
-	next, repeated int
+	// order is that of the tokens, repeated the highest index that came again.
+	order    sequence.Checker
+	repeated int
 	// progress is what came since the latest token of the answer.
 	progress *progress
 	// finalEvent is the event with the finish reason, returned once the end of the
@@ -82,19 +85,24 @@
 // drainTimeout is the maximum time to wait for the end of the body after the last event.
 const drainTimeout = 100 * time.Millisecond
 
-var errStreamEnded = errors.New("stream is over")
+var (
+	errStreamEnded  = errors.New("stream is over")
+	errNoFinalEvent = errors.New("the stream ended before its final event")
+)
 
 func newStream(ctx context.Context, req port.GenerateRequest, body io.ReadCloser, control streamControl, counters *Counters) *stream {
 	received := &progress{since: time.Now()}
+	events := eventstream.NewReader(&activityReader{body: body, control: control, progress: received}, upstreamapi.MaxEventBytes, "")
+	events.DropComments()
 	return &stream{
 		ctx:      ctx,
 		request:  req,
 		body:     body,
-		events:   upstreamapi.NewEventReader(&activityReader{body: body, control: control, progress: received}),
+		events:   events,
 		codec:    upstreamapi.NewTokenCodec(req.Request, req.Attempt),
 		control:  control,
 		counters: counters,
-		next:     req.ResumeAt,
+		order:    sequence.StartingAt(uint64(req.ResumeAt)),
 		repeated: -1,
 		progress: received,
 	}
@@ -128,13 +136,14 @@
 // read returns the next event of this attempt and drops events of other attempts.
 func (s *stream) read() (port.TokenEvent, error) {
 	for {
-		data, err := s.events.Next()
+		received, err := s.events.Next()
 		if err != nil {
 			return port.TokenEvent{}, err
 		}
+		data := received.Data
 		if string(data) == upstreamapi.EndOfStream {
 			if s.finalEvent == nil {
-				return port.TokenEvent{}, upstreamapi.ErrTruncated
+				return port.TokenEvent{}, errNoFinalEvent
 			}
 			return *s.finalEvent, nil
 		}
@@ -188,23 +197,39 @@
 // before. A token after a gap is an error: the caller would otherwise get a shortened
 // answer that looks complete.
 func (s *stream) handleToken(index int, text string) (port.TokenEvent, bool, error) {
-	if index < s.next {
-		s.counters.Duplicated.Add(1)
-		if index > s.repeated {
-			s.repeated = index
-			s.progress.restart()
-		}
-		return port.TokenEvent{}, false, nil
+	if index < 0 {
+		return port.TokenEvent{}, false, fmt.Errorf("token %d came", index)
 	}
 	if most := s.request.MaxTokens; most > 0 && index >= most {
 		return port.TokenEvent{}, false, fmt.Errorf("token %d came where at most %d were asked for", index, most)
 	}
-	if index > s.next || s.finalEvent != nil {
-		return port.TokenEvent{}, false, fmt.Errorf("token %d came where %d was due", index, s.next)
+	due := s.due()
+	switch position := s.order.Observe(uint64(index)); position {
+	case sequence.Due:
+		s.progress.restart()
+		return port.TokenEvent{Index: index, Text: text}, true, nil
+	case sequence.Repeated:
+		s.recordRepeated(index)
+		return port.TokenEvent{}, false, nil
+	default:
+		return port.TokenEvent{}, false, fmt.Errorf("token %d came where %d was due: %v", index, due, position)
+	}
+}
+
+// recordRepeated counts a token that was delivered before. A higher one than before is progress: an
+// engine may resume an answer from its start.
+func (s *stream) recordRepeated(index int) {
+	s.counters.Duplicated.Add(1)
+	if index > s.repeated {
+		s.repeated = index
+		s.progress.restart()
 	}
-	s.next++
-	s.progress.restart()
-	return port.TokenEvent{Index: index, Text: text}, true, nil
+}
+
+// due returns the index of the next token.
+func (s *stream) due() int {
+	index, _ := s.order.Due()
+	return int(index)
 }
 
 // finish stores the final event until the end of the stream confirms it.
@@ -212,11 +237,11 @@
 	if chunk.Usage == nil {
 		return errors.New("last event carries no usage")
 	}
-	if chunk.Usage.CompletionTokens != s.next {
-		return fmt.Errorf("engine counts %d tokens where %d came", chunk.Usage.CompletionTokens, s.next)
+	if err := s.order.End(uint64(chunk.Usage.CompletionTokens)); err != nil {
+		return fmt.Errorf("the engine counts %d tokens: %w", chunk.Usage.CompletionTokens, err)
 	}
 	s.finalEvent = &port.TokenEvent{
-		Index:        s.next,
+		Index:        s.due(),
 		Done:         true,
 		FinishReason: choice.FinishReason,
 		Usage: port.Usage{
@@ -238,7 +263,7 @@
 		return failed
 	}
 	s.counters.Broken.Add(1)
-	detail := fmt.Sprintf("after %d tokens: %v", s.next, err)
+	detail := fmt.Sprintf("after %d tokens: %v", s.due(), err)
 	switch {
 	case ctx.Err() != nil || s.ctx.Err() != nil:
 		return &outcome.Unknown{Reason: contextReason(ctx, s.ctx), Detail: detail}
--- a/internal/loadgen/prompt.go
+++ b/internal/loadgen/prompt.go
@@ -11,6 +11,7 @@
 
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/adapter/callers"
+	"github.com/lovagereach/lovagereach/internal/eventstream"
 	"github.com/lovagereach/lovagereach/internal/standin"
 	"github.com/lovagereach/lovagereach/internal/upstreamapi"
 	"github.com/lovagereach/lovagereach/outcome"
@@ -148,19 +149,20 @@
 		result:   promptResult{kind: outcome.KindUnknown, prompt: len(job.tokens), detail: "stream ended early"},
 	}
 	check.result.crossed = resp.Header.Get(callers.HeaderRequestID) != job.request.String()
-	events := upstreamapi.NewEventReader(resp.Body)
+	events := eventstream.NewReader(resp.Body, upstreamapi.MaxEventBytes, "")
+	events.DropComments()
 	for {
-		data, err := events.Next()
+		event, err := events.Next()
 		if err != nil {
 			check.result.detail = err.Error()
 			check.result.noOutcome = true
 			break
 		}
-		if string(data) == upstreamapi.EndOfStream {
+		if string(event.Data) == upstreamapi.EndOfStream {
 			check.finish()
 			break
 		}
-		if !check.handleEvent(data) {
+		if !check.handleEvent(event.Data) {
 			break
 		}
 	}
