A service's answer that ends after its head is not a success without a body

Callers of a plain service got a 200 with an empty body, framed as whole, where a replica sent a head with neither a length nor chunks and closed the connection: such a body ends with its connection, so one that broke off before its first byte looks like an empty one, and the check whether the replica's process has crashed doesn't tell them apart.

The client of services now waits for the first byte of such a body where the status is a success, and reports the answer as unknown if there is none: a repeatable call goes to another replica within the retry budget, any other ends as unknown. Answers with a length or chunks, without a body by method or status, and error statuses are as before. The wait is bounded by the call's deadline.

--- a/internal/adapter/service/service.go
+++ b/internal/adapter/service/service.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strings"
 
@@ -35,7 +36,7 @@
 
 // Forward implements port.Service. It returns any answer that has the request ID and
 // attempt of the call, whatever its status. An answer with other IDs belongs to another
-// call and is reported as an error.
+// call and is reported as an error, as is a 2xx that ends with its connection before its body.
 func (c *Client) Forward(ctx context.Context, call port.ServiceCall) (port.ServiceAnswer, error) {
 	req, err := c.request(ctx, call)
 	if err != nil {
@@ -49,6 +50,13 @@
 		resp.Body.Close()
 		return port.ServiceAnswer{}, err
 	}
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	if unframed && resp.StatusCode/100 == 2 {
+		if err := awaitBody(resp); err != nil {
+			resp.Body.Close()
+			return port.ServiceAnswer{}, err
+		}
+	}
 	// These headers are internal; callers identify the request by the headers of the
 	// entry.
 	resp.Header.Del(httpsend.HeaderRequest)
@@ -58,10 +66,27 @@
 		Header:   resp.Header,
 		Body:     resp.Body,
 		Length:   resp.ContentLength,
-		Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
+		Unframed: unframed,
 	}, nil
 }
 
+// awaitBody waits for the first byte of a body that ends with its connection. An empty one can't be told
+// from one that broke off after the head.
+func awaitBody(resp *http.Response) error {
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(resp.Body, first); err != nil {
+		return httpsend.Broken(err)
+	}
+	resp.Body = begunBody{Reader: io.MultiReader(bytes.NewReader(first), resp.Body), Closer: resp.Body}
+	return nil
+}
+
+// begunBody is a body of which a part was read.
+type begunBody struct {
+	io.Reader
+	io.Closer
+}
+
 func (c *Client) request(ctx context.Context, call port.ServiceCall) (*http.Request, error) {
 	path := call.Path
 	if !strings.HasPrefix(path, "/") {
