A service's answer that breaks off resets its caller's connection

Callers of a plain service that speak HTTP/1.0 got an answer that had broken off as whole: without a length, its body ends with the connection, and the entry closed that regularly, as at a whole answer.

An answer that can't be completed now resets the connection, whatever its framing: the caller's read fails. Hijacking is how a handler of net/http reaches the connection; the handler still ends with http.ErrAbortHandler.

TestBrokenAnswerNeverEndsRegularly failed before: "chunks, 102400 bytes, HTTP/1.0: 102400 bytes, framed by "", read to a regular end". Its eleven other cases passed.

--- a/internal/adapter/callers/server_test.go
+++ b/internal/adapter/callers/server_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
+
+	"github.com/lovagereach/lovagereach/internal/entry"
+	"github.com/lovagereach/lovagereach/outcome"
 )
 
 // exchange serves a handler with small limits, sends raw and returns all that the server
@@ -94,3 +99,57 @@
 		t.Errorf("got %d %v", got.Code, got.Header())
 	}
 }
+
+// serviceAnswer serves a service's answer to one call. It returns the answer's body as its caller reads it,
+// the framing and the error that ended it.
+func serviceAnswer(t *testing.T, protocol string, answer entry.ServiceAnswer) (body, framing string, err error) {
+	t.Helper()
+	fake := newFakeEntry(t)
+	answer.Status, answer.Provenance = http.StatusOK, entry.Provenance{Outcome: outcome.KindDone, Upstream: "app-1"}
+	fake.service = answer
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := newHandler(t, fake, Options{IdleTimeout: 100 * time.Millisecond}).Server()
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET %sapp/lots/7 HTTP/%s\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", PathServices, protocol, goodToken)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "", "", err
+	}
+	switch {
+	case resp.ContentLength >= 0:
+		framing = "length"
+	case len(resp.TransferEncoding) > 0:
+		framing = "chunks"
+	}
+	read, err := io.ReadAll(resp.Body)
+	return string(read), framing, err
+}
+
+// brokenBody returns a body that breaks off after a text.
+func brokenBody(text string) io.ReadCloser {
+	return io.NopCloser(io.MultiReader(strings.NewReader(text), iotest.ErrReader(errors.New("connection lost"))))
+}
+
+// Guards against an answer with a length or chunks that broke off looking whole, also to a caller whose
+// protocol has no chunks.
+func TestBrokenAnswerNeverEndsRegularly(t *testing.T) {
+	for name, length := range map[string]int64{"length": 200 << 10, "chunks": -1} {
+		for _, size := range []int{0, 1, 100 << 10} {
+			for _, protocol := range []string{"1.1", "1.0"} {
+				body, framing, err := serviceAnswer(t, protocol, entry.ServiceAnswer{Body: brokenBody(strings.Repeat("x", size)), Length: length})
+				if err == nil {
+					t.Errorf("%s, %d bytes, HTTP/%s: %d bytes, framed by %q, read to a regular end", name, size, protocol, len(body), framing)
+				}
+			}
+		}
+	}
+}
--- a/internal/adapter/callers/services.go
+++ b/internal/adapter/callers/services.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -137,12 +138,26 @@
 	w.WriteHeader(answer.Status)
 	if err := h.copyBody(w, answer.Body); err != nil {
 		h.writeFailed(err)
-		// The status has been sent, so aborting the connection is the only way to
+		// The status has been sent, so resetting the connection is the only way to
 		// signal that the answer is incomplete.
+		resetConnection(w)
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// resetConnection closes the connection of an answer by a reset: a regular close would be the end of a
+// body without length or chunks.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // as in tests, without a connection
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // an error means that the connection is closed
+	}
+	_ = conn.Close()
+}
+
 // copyBody copies body to w and extends the write deadline before each write.
 func (h *Handler) copyBody(w http.ResponseWriter, body io.Reader) error {
 	buffer := make([]byte, copyBuffer)
