An unframed answer of a service isn't framed as whole

Callers of a plain service got an answer framed by a length or chunks, and so as whole, where its replica had sent neither, and only the end of its connection told its end. A replica that breaks off such an answer in its middle and lives on can't be told from one that has sent it whole: the check of its process says that it runs. The caller, too, could no longer tell.

Such an answer is now passed on without length or chunks, and its end is the end of the caller's connection ("Transfer-Encoding: identity" is how net/http's server is told; it isn't sent). If the entry knows that it broke off, it resets the connection.

TestUnframedAnswerStaysUnframed failed before in five of six cases ("whole: 1 bytes, framed by "length"", "whole: 102400 bytes, framed by "chunks""); with a long answer HTTP/1.0 has no framing either way. TestRecordedAnswerStaysUnframed failed at the first and at the repeated answer ("unframed false, length 9").

--- a/internal/adapter/callers/server_test.go
+++ b/internal/adapter/callers/server_test.go
@@ -139,6 +139,26 @@
 	return io.NopCloser(io.MultiReader(strings.NewReader(text), iotest.ErrReader(errors.New("connection lost"))))
 }
 
+// Guards against an answer that ends with its connection being framed as whole, and against one that broke
+// off ending as if it were whole.
+func TestUnframedAnswerStaysUnframed(t *testing.T) {
+	for _, size := range []int{1, 100, 100 << 10} {
+		for _, protocol := range []string{"1.1", "1.0"} {
+			t.Run(fmt.Sprintf("%d bytes, HTTP/%s", size, protocol), func(t *testing.T) {
+				text := strings.Repeat("x", size)
+				body, framing, err := serviceAnswer(t, protocol, entry.ServiceAnswer{Body: io.NopCloser(strings.NewReader(text)), Length: -1, Unframed: true})
+				if err != nil || body != text || framing != "" {
+					t.Errorf("whole: %d bytes, framed by %q, %v", len(body), framing, err)
+				}
+				body, framing, err = serviceAnswer(t, protocol, entry.ServiceAnswer{Body: brokenBody(text), Length: -1, Unframed: true})
+				if err == nil {
+					t.Errorf("broken off: %d bytes, framed by %q, read to a regular end", len(body), framing)
+				}
+			})
+		}
+	}
+}
+
 // Guards against an answer with a length or chunks that broke off looking whole, also to a caller whose
 // protocol has no chunks.
 func TestBrokenAnswerNeverEndsRegularly(t *testing.T) {
--- a/internal/adapter/callers/services.go
+++ b/internal/adapter/callers/services.go
@@ -131,7 +131,11 @@
 	if answer.Repeated {
 		header.Set(HeaderRepeated, "true")
 	}
-	if answer.Length >= 0 {
+	switch {
+	case answer.Unframed:
+		// Without it, net/http adds a length or chunks, which state that the body is whole.
+		header.Set("Transfer-Encoding", "identity")
+	case answer.Length >= 0:
 		header.Set("Content-Length", fmt.Sprint(answer.Length))
 	}
 	h.extendWrite(w)
--- a/internal/entry/replay.go
+++ b/internal/entry/replay.go
@@ -27,7 +27,9 @@
 		}
 	}
 	answer.Body = io.NopCloser(bytes.NewReader(body))
-	answer.Length = int64(len(body))
+	if !answer.Unframed {
+		answer.Length = int64(len(body))
+	}
 	record := once.Answer{
 		Status:   answer.Status,
 		Body:     body,
@@ -41,9 +43,17 @@
 	slices.SortFunc(record.Header, func(a, b once.HeaderField) int {
 		return strings.Compare(a.Name+a.Value, b.Name+b.Value)
 	})
+	if answer.Unframed {
+		// First, since the ledger shortens long headers.
+		record.Header = slices.Insert(record.Header, 0, unframedField)
+	}
 	return record, nil
 }
 
+// unframedField is in the header of a recorded answer whose body ended with the upstream's connection. It
+// is in no upstream's header: the HTTP client removes or refuses it.
+var unframedField = once.HeaderField{Name: "Transfer-Encoding", Value: "identity"}
+
 // replayAnswer converts a recorded answer to one for the caller.
 func (e *Entry) replayAnswer(j *serviceJob, record once.Answer) (ServiceAnswer, error) {
 	if record.BodyOmitted {
@@ -67,6 +77,10 @@
 		},
 	}
 	for _, field := range record.Header {
+		if field == unframedField {
+			answer.Unframed, answer.Length = true, -1
+			continue
+		}
 		answer.Header.Add(field.Name, field.Value)
 	}
 	return answer, nil
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -252,10 +252,11 @@
 		body.confirm = func() error { return confirmEnd(ctx, record(true)) }
 	}
 	return ServiceAnswer{
-		Status: answer.Status,
-		Header: answer.Header,
-		Body:   body,
-		Length: answer.Length,
+		Status:   answer.Status,
+		Header:   answer.Header,
+		Body:     body,
+		Length:   answer.Length,
+		Unframed: answer.Unframed,
 		Provenance: Provenance{
 			Request:  j.call.Request,
 			Outcome:  outcome.KindDone,
--- a/internal/entry/services_test.go
+++ b/internal/entry/services_test.go
@@ -310,3 +310,27 @@
 		})
 	}
 }
+
+// Guards against the answer to a call that isn't repeatable being framed as whole, at once or when it is
+// repeated, though only the end of its connection told its end.
+func TestRecordedAnswerStaysUnframed(t *testing.T) {
+	for name, unframed := range map[string]bool{"unframed": true, "framed": false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestEntry(t)
+			b.service(t, "app-1").unframed = unframed
+			runEntries(t, b)
+			for id := byte(1); id <= 2; id++ {
+				body, answer, err := b.call(t, id, http.MethodPost, "/bids", "bid-1")
+				if err != nil || body != "ran /bids" || answer.Repeated != (id == 2) {
+					t.Fatalf("%s: %q, repeated %t, %v", name, body, answer.Repeated, err)
+				}
+				if answer.Unframed != unframed || (answer.Length < 0) != unframed {
+					t.Errorf("%s, answer %d: unframed %t, length %d", name, id, answer.Unframed, answer.Length)
+				}
+				if te := answer.Header.Get("Transfer-Encoding"); te != "" {
+					t.Errorf("%s, answer %d has the header Transfer-Encoding: %s", name, id, te)
+				}
+			}
+		})
+	}
+}
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -117,8 +117,11 @@
 	Status int
 	Header http.Header
 	// Body is closed by the receiver.
-	Body       io.ReadCloser
-	Length     int64
+	Body   io.ReadCloser
+	Length int64
+	// Unframed indicates that the upstream sent neither a length nor chunks, so
+	// that only the end of its connection told the end of the body.
+	Unframed   bool
 	Provenance Provenance
 	// Repeated is set if the answer was recorded for an earlier call with the
 	// same idempotency key.
