An update of the cache index whose parts lack their tokens is not applied

A batch with parts and no tokens, from a process of another release or one that is wrong, ended the process that received it (index out of range -1); one with fewer tokens than parts counted as applied up to its position, so that the rest was missing for good. Now it changes nothing, and the next query asks by progress.

TestUpdateWithoutTokensIsNotApplied panicked before.

--- a/cacheindex/batch.go
+++ b/cacheindex/batch.go
@@ -1,5 +1,7 @@
 package cacheindex
 
+import "slices"
+
 // Batch is a sequence of records of one source and one salt in the form in which they are
 // sent, with the common fields only once.
 type Batch struct {
@@ -40,7 +42,12 @@
 	return batches
 }
 
-// toRecords returns the records of batches.
+// validBatches reports whether each part of the batches has its tokens.
+func validBatches(batches []Batch) bool {
+	return !slices.ContainsFunc(batches, func(b Batch) bool { return len(b.Parts) != len(b.Tokens) })
+}
+
+// toRecords returns the records of valid batches.
 func toRecords(batches []Batch) []Record {
 	var records []Record
 	for i := range batches {
@@ -48,7 +55,7 @@
 		if batch.Cleared || len(batch.Parts) == 0 {
 			records = append(records, Record{Address: batch.Address, Cleared: batch.Cleared, Incarnation: batch.Incarnation})
 		}
-		for at, part := range batch.Parts[:min(len(batch.Parts), len(batch.Tokens))] {
+		for at, part := range batch.Parts {
 			records = append(records, Record{
 				Address: batch.Address, Change: Change{Key: Key{Salt: batch.Salt, Part: part}, Tokens: batch.Tokens[at]},
 			})
--- a/cacheindex/index.go
+++ b/cacheindex/index.go
@@ -267,8 +267,12 @@
 }
 
 // Apply applies the answer to a query of this index and reports whether the index is now
-// complete.
+// complete. An answer that is not valid changes nothing, and the next query is by progress.
 func (x *Index) Apply(u *Update) bool {
+	if !validBatches(u.Batches) {
+		x.position, x.complete = Position{}, false
+		return false
+	}
 	for _, record := range toRecords(u.Batches) {
 		x.apply(record)
 		x.logRecord(record)
--- a/cacheindex/index_test.go
+++ b/cacheindex/index_test.go
@@ -324,3 +324,16 @@
 		}
 	}
 }
+
+// Guards against an update of another release that lacks the tokens of its parts: it ends the process, or counts
+// as applied.
+func TestUpdateWithoutTokensIsNotApplied(t *testing.T) {
+	for _, tokens := range [][]int{nil, {5}, {5, 6, 7}} {
+		index := NewIndex(true)
+		index.Apply(&Update{At: Position{Term: 1, Next: 2}, Batches: []Batch{{Address: "store:1", Cleared: true, Incarnation: 1, Next: 2}}})
+		index.Apply(&Update{At: Position{Term: 1, Next: 4}, Batches: []Batch{{Address: "store:1", Parts: []string{"a", "b"}, Tokens: tokens, Next: 4}}})
+		if next, _ := index.Next("store:1"); next != 2 || index.Complete() || index.Inventory("store:1").Len() != 0 || !index.NextQuery().ByProgress {
+			t.Errorf("tokens %v: at %d, complete %v, %v", tokens, next, index.Complete(), index.Inventory("store:1").All())
+		}
+	}
+}
