Positions that a store's or runner's answer cannot be at are not taken over

next_token of kv-events was stored whatever it said. One answer with an absurd position (same boot_epoch, nothing lost) made the leader ask for events from there on: a source that takes the caller to know more than itself reports no change any more, so that parts that were freed stay known as held, and after a change of leaders entries, which are 'ahead', get no inventory at all and recompute every prompt. One that went back was repeated from there.

An answer of the same incarnation must be at the position asked for or beyond, by at most its events and a million more. A store with another one is listed, a runner's cache is read from its beginning. If the listing is behind what readers hold, it is sent whole, with parts that are retired still so.

--- a/internal/steward/inventories.go
+++ b/internal/steward/inventories.go
@@ -203,6 +203,12 @@
 			wait.For(ctx, storeRetry)
 			continue
 		}
+		if events.Incarnation == incarnation && !events.follows(next) {
+			k.index.forget(address)
+			behind = nil
+			wait.For(ctx, storeRetry)
+			continue
+		}
 		k.recordClock(events.Clock)
 		caughtUp := events.caughtUp()
 		events.Changes = dropSmall(events.Changes)
@@ -272,8 +278,9 @@
 		if events.Incarnation != incarnation {
 			k.closeStore(address, errStoreRestarted)
 		}
-		// The missed events may include the removal of a part; only a listing shows that.
-		if !events.Lost && events.Incarnation == incarnation {
+		// The missed events may include the removal of a part; only a listing shows that, and at
+		// which position the store is.
+		if !events.Lost && events.Incarnation == incarnation && events.follows(next) {
 			k.recordClock(events.Clock)
 			k.index.add(address, events)
 			if events.caughtUp() {
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -33,6 +33,16 @@
 // caughtUp reports whether no past event is still to be sent.
 func (e *StoreEvents) caughtUp() bool { return len(e.Changes) < caughtUpBelow }
 
+// maxUnlisted bounds by how much a position may grow beyond the events of an answer: a few events
+// never arrive.
+const maxUnlisted = 1 << 20
+
+// follows reports whether the answer can be one to a query from position since on, in the same
+// incarnation.
+func (e *StoreEvents) follows(since uint64) bool {
+	return e.Lost || e.Next >= since && e.Next-since <= uint64(len(e.Changes))+maxUnlisted
+}
+
 // Stores queries stores for their contents.
 type Stores interface {
 	// List returns all complete parts of a store.
--- a/internal/steward/sharedindex.go
+++ b/internal/steward/sharedindex.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -134,7 +135,7 @@
 }
 
 // replace applies a listing of a source. In the same incarnation only the differences are
-// written.
+// written, unless the readers' position is beyond that of the listing.
 func (b *sharedIndex) replace(address string, listing StoreEvents) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -146,6 +147,10 @@
 		b.write(address, listing.Changes, listing.Next, []cacheindex.Record{{Address: address, Cleared: true, Incarnation: listing.Incarnation}})
 		return
 	}
+	if next, _ := b.index.Next(address); listing.Next < next {
+		b.write(address, keepRetired(listing.Changes, inventory), listing.Next, []cacheindex.Record{{Address: address, Cleared: true, Incarnation: listing.Incarnation}})
+		return
+	}
 	listed := make(map[cacheindex.Key]bool, len(listing.Changes))
 	var differences []cacheindex.Change
 	for _, change := range listing.Changes {
@@ -162,6 +167,17 @@
 	b.write(address, differences, listing.Next, nil)
 }
 
+// keepRetired returns a listing in which the parts stay retired that are so in an inventory.
+func keepRetired(listed []cacheindex.Change, inventory *cacheindex.Inventory) []cacheindex.Change {
+	kept := slices.Clone(listed)
+	for i := range kept {
+		if inventory.Retired(kept[i].Key) {
+			kept[i].Tokens = -kept[i].Tokens
+		}
+	}
+	return kept
+}
+
 // write adds changes to records and writes them all, up to next. The removal of a part that is
 // not held is left out. The caller holds the lock.
 func (b *sharedIndex) write(address string, changes []cacheindex.Change, next uint64, records []cacheindex.Record) {
