An upstream's Retry-After is kept for at most ten minutes

A 503 with Retry-After: kept its upstream without requests from that entry for as long as one of the two ran: up to 31 years were taken as stated, and no later answer can end the time, since no request is sent. Now one answer holds for ten minutes; an upstream that still wants none says so again. Times below that are kept to their end, as before.

TestBackOffIsBounded failed before.

--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -10,6 +10,9 @@
 // that were on their way.
 const backOffGrace = 500 * time.Millisecond
 
+// maxBackOff bounds the time for which an upstream gets no requests because of one answer.
+const maxBackOff = 10 * time.Minute
+
 // recordBackOff records how long an upstream wants no requests from this entry. A later, shorter
 // time ends an earlier one no sooner.
 func (r *run) recordBackOff(p *plan, wait time.Duration) {
@@ -20,7 +23,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u, now := p.upstream, time.Now()
-	until := now.Add(wait)
+	until := now.Add(min(wait, maxBackOff))
 	if !until.After(u.backOffUntil) {
 		return
 	}
--- a/internal/gateway/backoff_test.go
+++ b/internal/gateway/backoff_test.go
@@ -113,3 +113,19 @@
 		}
 	})
 }
+
+// Guards against one wrong answer of an upstream after which it gets no requests as long as this process runs.
+func TestBackOffIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := backOffGateway(t, nil)
+		u := g.state.upstreams["l1"]
+		(&run{gateway: g}).recordBackOff(&plan{upstream: u}, 1e9*time.Second)
+		time.Sleep(maxBackOff - time.Millisecond)
+		if !u.backsOff(time.Now()) {
+			t.Error("ended too soon")
+		}
+		if time.Sleep(time.Millisecond); u.backsOff(time.Now()) {
+			t.Errorf("no requests for over %v", maxBackOff)
+		}
+	})
+}
