A configuration with weights whose sum overflows is refused

Two weights near the largest int add up to less than 0, which is not 0: the configuration was acknowledged and in force, and each request of the route panicked in the draw of a service (rand.IntN of a negative number), at every entry. A weight is now at most 2^31.

TestValidateReportsFieldAndReason failed before for the new case.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -96,6 +97,9 @@
 		}},
 		{"weights of zero", "routes[2].weight", func(d *Document) { d.Routes[2].Targets = []Target{{"app", 0}, {"llm", 0}} }},
 		{"a negative weight", "routes[2].weight", func(d *Document) { d.Routes[2].Targets[0].Weight = -1 }},
+		{"weights whose sum overflows", "routes[2].weight", func(d *Document) {
+			d.Routes[2].Targets = []Target{{"app", math.MaxInt}, {"llm", math.MaxInt}}
+		}},
 		{"no timeout", "routes[0].timeout", func(d *Document) { d.Routes[0].Timeout = 0 }},
 		{"prefix without a final slash", "routes[0].prefix", func(d *Document) { d.Routes[0].Prefix = "/plans" }},
 		{"no kind", "routes[0].kind", func(d *Document) { d.Routes[0].Kind = 0 }},
--- a/catalog/validate.go
+++ b/catalog/validate.go
@@ -71,6 +71,9 @@
 	return nil
 }
 
+// maxWeight is the largest weight of a target. The sum of a route's weights fits an int.
+const maxWeight = 1 << 31
+
 func (r *Route) check(field string, services map[string]bool) error {
 	switch {
 	case r.Host == "":
@@ -89,8 +92,8 @@
 		if !services[target.Service] {
 			return invalid(field+".service", "%q is not among the services", target.Service)
 		}
-		if target.Weight < 0 {
-			return invalid(field+".weight", "%d is below 0", target.Weight)
+		if target.Weight < 0 || target.Weight > maxWeight {
+			return invalid(field+".weight", "%d is not from 0 to %d", target.Weight, maxWeight)
 		}
 		total += target.Weight
 	}
