A clock far ahead in one answer of a store or runner is not believed at once

clock_ms was taken over from whichever source answered last. One answer with a clock far ahead moved Kv-Until of the fetches that entries permit, and until_ms of orders to free, just as far: for up to 0.4 s fetches were permitted that no store or runner throws away, while parts that they read are freed 3.9 s later. The value also overflowed the difference to the clock before.

A value over 1 s ahead of the known clock now counts only if the next one agrees; the clock that is used meanwhile is earlier, which shortens permits. A step forward of the upstreams' clock is known one answer later.

--- a/internal/steward/inventories.go
+++ b/internal/steward/inventories.go
@@ -20,6 +20,9 @@
 	storeTimeout = storeWait + 500*time.Millisecond
 	// clockLag is the maximum age of the clock value in an answer.
 	clockLag = storeWait + 100*time.Millisecond
+	// maxClockLead is by how much a clock value may be ahead of the known clock without another one
+	// that agrees: both may be old.
+	maxClockLead = 2 * clockLag
 	// unreachedAfter is the time after which a store that this leader has never reached is
 	// dropped from the index.
 	unreachedAfter = 3 * time.Second
@@ -69,6 +72,9 @@
 	// clockMs is the upstreams' clock in milliseconds as received at clockAt.
 	clockMs int64
 	clockAt time.Time
+	// aheadMs is a value far ahead of that clock as received at aheadAt, 0 if none is.
+	aheadMs int64
+	aheadAt time.Time
 	// clockStep is the size of the latest backward step of that clock, found at clockSteppedAt.
 	clockStep      time.Duration
 	clockSteppedAt time.Time
@@ -367,7 +373,8 @@
 	}
 }
 
-// recordClock records a value of the upstreams' clock.
+// recordClock records a value of the upstreams' clock. One far ahead of it, which would permit fetches for
+// longer, counts only if the next value agrees.
 func (k *inventoryFollower) recordClock(clockMs int64) {
 	if clockMs <= 0 {
 		return
@@ -376,16 +383,27 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	back := time.Duration(k.clockMs+now.Sub(k.clockAt).Milliseconds()-clockMs) * time.Millisecond
-	if k.clockMs > 0 && back > clockLag {
+	backMs := k.clockMs + now.Sub(k.clockAt).Milliseconds() - clockMs
+	if k.clockMs > 0 && -backMs > maxClockLead.Milliseconds() && !k.agreesAhead(clockMs, now) {
+		k.aheadMs, k.aheadAt = clockMs, now
+		return
+	}
+	k.aheadMs = 0
+	if k.clockMs > 0 && backMs > clockLag.Milliseconds() {
 		// No request, and so none of its fetches, outlasts its route's timeout.
-		if back = min(back, longest); back >= k.permitExtensionLocked(now) {
+		if back := time.Duration(min(backMs, longest.Milliseconds())) * time.Millisecond; back >= k.permitExtensionLocked(now) {
 			k.clockStep, k.clockSteppedAt = back, now
 		}
 	}
 	k.clockMs, k.clockAt = clockMs, now
 }
 
+// agreesAhead reports whether the value before was as far ahead of the known clock. The caller holds the lock.
+func (k *inventoryFollower) agreesAhead(clockMs int64, now time.Time) bool {
+	difference := clockMs - k.aheadMs - now.Sub(k.aheadAt).Milliseconds()
+	return k.aheadMs > 0 && max(difference, -difference) <= clockLag.Milliseconds()
+}
+
 // permitExtension returns the time by which fetches may outlast FetchPermit that were permitted
 // before the upstreams' clock stepped back.
 func (k *inventoryFollower) permitExtension(now time.Time) time.Duration {
--- a/internal/steward/storeclock_test.go
+++ b/internal/steward/storeclock_test.go
@@ -71,3 +71,33 @@
 		t.Error("a store that was never queried counts as open")
 	}
 }
+
+// Guards against one answer with a clock far ahead: fetches would be permitted until then, and parts freed
+// while they are read.
+func TestClockFarAheadIsNotBelievedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval, step = 150 * time.Millisecond, time.Minute
+		k := testLeadership(2).inventories
+		k.recordClock(100_000)
+		began := time.Now()
+		for _, wild := range []int64{1 << 50, 100_000 + 20_000, 1 << 40} {
+			time.Sleep(interval)
+			k.recordClock(wild)
+			if got, want := k.clock(time.Now()), 100_000+time.Since(began).Milliseconds(); got != want {
+				t.Errorf("after %d: %d, want %d", wild, got, want)
+			}
+			time.Sleep(interval)
+			k.recordClock(100_000 + time.Since(began).Milliseconds())
+		}
+		if extension := k.permitExtension(time.Now()); extension != 0 {
+			t.Errorf("the clock counts as stepped back, by %v", extension)
+		}
+		for range 2 {
+			time.Sleep(interval)
+			k.recordClock(100_000 + (time.Since(began) + step).Milliseconds())
+		}
+		if got, want := k.clock(time.Now()), 100_000+(time.Since(began)+step).Milliseconds(); got != want {
+			t.Errorf("after a step of the clock: %d, want %d", got, want)
+		}
+	})
+}
