Times in an answer of a control host are bounded to what can be

OpenFor and the ages came from another process and were used as they came: an answer that states it was open for an hour, or an age below zero, from a process that is wrong, moved the time as of which an entry knows its configuration an hour ahead, so that it serves by an old one for that long when it loses the control hosts; the same for inventories, grants and minimum versions. An answer cannot have been open longer than its call took, nor be younger than now.

TestTimesOfAnswersAreBounded failed before.

--- a/internal/steward/follower.go
+++ b/internal/steward/follower.go
@@ -391,6 +391,7 @@
 // applied is partial: its other parts build on the state held at the request.
 func (f *Follower) apply(call *watchCall, deliver func(*WatchAnswer, time.Time)) {
 	answer := &call.answer
+	answer.boundTimes(f.Now().Sub(call.sent))
 	if answer.Term > f.term {
 		// A new leader names only hosts that are in contact with it. Without this, after a
 		// restart of all hosts, the entries that avoid those would all query the leader.
--- a/internal/steward/follower_test.go
+++ b/internal/steward/follower_test.go
@@ -15,6 +15,7 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/wire"
+	"github.com/lovagereach/lovagereach/roster"
 )
 
 // scriptedHosts answers watches from a table; a host without an answer is silent.
@@ -344,3 +345,27 @@
 		time.Sleep(lateTimeout)
 	})
 }
+
+// Guards against an answer of a host that states wrong times: an entry would take what it holds for fresh, and serve
+// by it, for as long as that.
+func TestTimesOfAnswersAreBounded(t *testing.T) {
+	const wrong = time.Hour
+	hosts := &scriptedHosts{answers: map[string]*WatchAnswer{"c1": {
+		Term: 1, Leader: "c1", OpenFor: wrong, StateAge: -wrong, InventoryAge: -wrong, GrantsAge: -wrong, Led: -wrong,
+		MinVersions: []roster.Loaded{{Model: "m", Version: 2}}, MinAges: []time.Duration{-wrong},
+	}}}
+	f := testFollower(hosts)
+	delivered := 0
+	f.once(t.Context(), &WatchRequest{Entry: &EntryView{Host: "e1"}}, func(answer *WatchAnswer, inventoriesAt time.Time) {
+		delivered++
+		if now := f.Now(); answer.OpenFor > time.Minute || inventoriesAt.After(now) || f.configTime().After(now) {
+			t.Errorf("open for %v, inventories as of %v, configuration as of %v from now", answer.OpenFor, inventoriesAt.Sub(now), f.configTime().Sub(now))
+		}
+		if min(answer.StateAge, answer.InventoryAge, answer.GrantsAge, answer.Led, answer.MinAges[0]) < 0 {
+			t.Errorf("ages %v, %v, %v, %v, %v", answer.StateAge, answer.InventoryAge, answer.GrantsAge, answer.Led, answer.MinAges[0])
+		}
+	})
+	if delivered != 1 {
+		t.Errorf("%d answers", delivered)
+	}
+}
--- a/internal/steward/messages.go
+++ b/internal/steward/messages.go
@@ -333,6 +333,18 @@
 	waited time.Duration
 }
 
+// boundTimes limits the times in an answer to what can be: it was read after its request was sent, which
+// is elapsed ago, and before it came.
+func (a *WatchAnswer) boundTimes(elapsed time.Duration) {
+	a.OpenFor = min(max(a.OpenFor, 0), elapsed)
+	for _, age := range []*time.Duration{&a.StateAge, &a.InventoryAge, &a.GrantsAge, &a.Led} {
+		*age = max(*age, 0)
+	}
+	for i := range a.MinAges {
+		a.MinAges[i] = max(a.MinAges[i], 0)
+	}
+}
+
 // orders reports whether the answer carries anything that operators ordered, or a change of the
 // quarantine.
 func (a *WatchAnswer) orders() bool {
