Loads that entries report are bounded to what can be

The leader and its relays add up what each entry states of its work at an upstream. One that stated less than 0, or close to the largest int, took away what the others had stated, and a full upstream looked idle to every entry. Each value now counts from 0 to 2^40.

TestLoadsOutOfRangeAreBounded failed before for all three values.

--- a/internal/steward/watchers.go
+++ b/internal/steward/watchers.go
@@ -66,7 +66,7 @@
 // one from then on.
 func (w *watchers) record(from port.Peer, request *WatchRequest, now time.Time) {
 	now = w.clock.at(now)
-	next := &watcher{views: request.RelayedEntries, loads: request.Loads, seen: now, idle: request.Idle}
+	next := &watcher{views: request.RelayedEntries, loads: boundLoads(request.Loads), seen: now, idle: request.Idle}
 	switch {
 	case request.Entry != nil:
 		view := *request.Entry
@@ -149,6 +149,19 @@
 	w.cachedViewsAt = time.Time{}
 }
 
+// maxLoad bounds each value of a load, so that the sum of all watchers' fits an int.
+const maxLoad = 1 << 40
+
+// boundLoads limits loads to values that can be, in place.
+func boundLoads(loads []Load) []Load {
+	for i := range loads {
+		for _, value := range []*int{&loads[i].Requests, &loads[i].Tokens, &loads[i].Unread} {
+			*value = min(max(*value, 0), maxLoad)
+		}
+	}
+	return loads
+}
+
 // addLoads adds loads to the totals, or with sign -1 subtracts them. The caller holds the lock.
 func (w *watchers) addLoads(loads []Load, sign int) {
 	for _, load := range loads {
--- a/internal/steward/watchers_test.go
+++ b/internal/steward/watchers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -74,3 +75,18 @@
 		t.Fatalf("relays %v at first, %v when silent", w.relays(now), relays)
 	}
 }
+
+// Guards against an entry that is wrong about its work, and makes an upstream that is full look idle to all others.
+func TestLoadsOutOfRangeAreBounded(t *testing.T) {
+	now := time.Now()
+	w := newWatchers(log.New(io.Discard))
+	w.record(entryPeer("e1"), entryRequest("e1", true, Load{Upstream: "a", Requests: 5, Tokens: 20, Unread: 5}), now)
+	for _, wrong := range []int{-1 << 62, math.MinInt, math.MaxInt} {
+		for _, host := range []string{"e2", "e3"} {
+			w.record(entryPeer(host), entryRequest(host, true, Load{Upstream: "a", Requests: wrong, Tokens: wrong, Unread: wrong}), now)
+		}
+		if got := w.loadsExcept("e9", nil, now)[0]; got.Requests < 5 || got.Tokens < 20 || got.Unread < 5 {
+			t.Errorf("%d: %+v", wrong, got)
+		}
+	}
+}
