Contacts and limits with an age below zero count from now

Control hosts tell the leader how long ago an upstream announced itself, and any process how long ago one named its limit. An age below 0 put that into the future: the upstream is then not silent for so much longer than it may, and keeps getting requests after it ended; later limits of it are older and ignored.

TestContactsAndLimitsOfTheFutureCountFromNow failed before for both.

--- a/internal/steward/leadership.go
+++ b/internal/steward/leadership.go
@@ -278,7 +278,7 @@
 		l.recordFormer(from)
 	}
 	for _, contact := range request.LastContacts {
-		l.recordContact(contact.Upstream, now.Add(-contact.Age))
+		l.recordContact(contact.Upstream, now.Add(-max(contact.Age, 0)))
 	}
 	l.recordLimits(request.Limits, now)
 	l.watchers.record(from, request, now)
--- a/internal/steward/limits.go
+++ b/internal/steward/limits.go
@@ -17,7 +17,7 @@
 		if live, known := l.steward.machine.upstream(o.Upstream); !known || live.StartedMs != o.StartedMs {
 			continue
 		}
-		if l.limits.Record(o.Upstream, o.StartedMs, o.Limit, now.Add(-o.Age), now) {
+		if l.limits.Record(o.Upstream, o.StartedMs, o.Limit, now.Add(-max(o.Age, 0)), now) {
 			l.steward.options.Log.Info("upstream limit", "upstream", o.Upstream, "limited", o.Limit.Limited, "per_s", o.Limit.PerSecond)
 		}
 	}
--- a/internal/steward/watchers_test.go
+++ b/internal/steward/watchers_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/port"
+	"github.com/lovagereach/lovagereach/ratelimit"
 )
 
 func controlPeer(host string) port.Peer {
@@ -90,3 +91,22 @@
 		}
 	}
 }
+
+// Guards against a process that is wrong about when an upstream announced itself or named its limit: it counts as being
+// in contact long after it ended, and its next limit is ignored.
+func TestContactsAndLimitsOfTheFutureCountFromNow(t *testing.T) {
+	l := testLeadership(2)
+	now := time.Now()
+	l.recordWatcher(controlPeer("c2"), &WatchRequest{LastContacts: []LastContact{{Upstream: "a", Age: -time.Hour}}}, now)
+	if at := l.lastContacts["a"]; at.After(l.clock.at(now)) {
+		t.Errorf("in contact %v from now", at.Sub(now))
+	}
+	for _, o := range []ratelimit.Observation{{Limit: ratelimit.Limit{Limited: true, PerSecond: 5}, Age: -time.Hour}, {Limit: ratelimit.Limit{Limited: true, PerSecond: 7}}} {
+		o.Upstream = "a"
+		now = now.Add(time.Second)
+		l.recordWatcher(controlPeer("c2"), &WatchRequest{Limits: []ratelimit.Observation{o}}, now)
+	}
+	if got := l.limits.Limit("a"); got.PerSecond != 7 {
+		t.Errorf("limit %+v, named last is 7", got)
+	}
+}
