--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -11,7 +11,7 @@
 const backOffGrace = 500 * time.Millisecond
 
 // maxBackOff bounds the time for which an upstream gets no requests because of one answer.
-const maxBackOff = 10 * time.Minute
+const maxBackOff = 24 * time.Hour
 
 // recordBackOff records how long an upstream wants no requests from this entry. A later, shorter
 // time ends an earlier one no sooner.
