The end of an entry's process is not the end of an answer without framing

From the head to the end of such an answer a close resets the connection (SO_LINGER of 0), also the kernel's at the end of the process; End makes the close regular again once all is written.

--- a/internal/adapter/callers/callers.go
+++ b/internal/adapter/callers/callers.go
@@ -8,7 +8,9 @@
 package callers
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -219,9 +221,15 @@
 		ReadTimeout:       h.options.ReadTimeout,
 		IdleTimeout:       h.options.IdleTimeout,
 		MaxHeaderBytes:    headerReadFactor * h.options.MaxHeader,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, callerConn{}, c)
+		},
 	}
 }
 
+// callerConn is the key of the connection in the context of its requests.
+type callerConn struct{}
+
 func (h *Handler) health(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(headerContentType, "text/plain")
 	_, _ = w.Write([]byte("ok\n"))
--- a/internal/adapter/callers/services.go
+++ b/internal/adapter/callers/services.go
@@ -10,6 +10,7 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/entry"
 	"github.com/lovagereach/lovagereach/internal/httpbound"
+	"github.com/lovagereach/lovagereach/internal/unframed"
 )
 
 // maxKey is the maximum length of an idempotency key in bytes.
@@ -56,7 +57,8 @@
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
-	h.relay(w, answer)
+	conn, _ := r.Context().Value(callerConn{}).(net.Conn)
+	h.relay(w, conn, answer)
 }
 
 // splitService splits /v1/services/{service}/{path}?{query} into the service and the rest.
@@ -118,7 +120,7 @@
 }
 
 // relay sends a service's answer to the caller.
-func (h *Handler) relay(w http.ResponseWriter, answer entry.ServiceAnswer) {
+func (h *Handler) relay(w http.ResponseWriter, conn net.Conn, answer entry.ServiceAnswer) {
 	header := w.Header()
 	for name, values := range answer.Header {
 		header[name] = values
@@ -133,8 +135,7 @@
 	}
 	switch {
 	case answer.Unframed:
-		// Without it, net/http adds a length or chunks, which state that the body is whole.
-		header.Set("Transfer-Encoding", "identity")
+		unframed.Begin(header, conn)
 	case answer.Length >= 0:
 		header.Set("Content-Length", fmt.Sprint(answer.Length))
 	}
@@ -147,6 +148,9 @@
 		resetConnection(w)
 		panic(http.ErrAbortHandler)
 	}
+	if answer.Unframed {
+		unframed.End(conn)
+	}
 }
 
 // resetConnection closes the connection of an answer by a reset: a regular close would be the end of a
