The rest of a stream that was cut early has the time that the caller has

An upstream that is asked to go on after the last event of an answer without framing was given twice the time that the first part took, at least 250 ms: a stream that was cut after its first event would have broken off again. Only the second answer to a safe request is bounded so. Found by reading; the test failed before.

--- a/internal/gateway/unconfirmed.go
+++ b/internal/gateway/unconfirmed.go
@@ -13,8 +13,8 @@
 	// doubtFor is how long the ends of an upstream's answers are doubted after it sent bytes that are no
 	// answer.
 	doubtFor = 30 * time.Second
-	// minConfirmTime bounds the time that the confirmation of an end may take, if that is more than twice
-	// the time that the answer took.
+	// minConfirmTime bounds the time in which another upstream may answer a safe request that has an
+	// answer, if that is more than twice the time that the first took.
 	minConfirmTime = 250 * time.Millisecond
 )
 
@@ -64,12 +64,12 @@
 	case !r.mayRepeat() || r.sends >= r.maxAttempts() || r.deadline.Sub(now) < within || !r.takeRetryBudget(now):
 		return false
 	}
-	r.deadline = now.Add(within)
 	if isStream {
+		// The rest of a stream that was cut may take any time.
 		r.ended = !r.endsChunks(fw)
-	} else {
-		r.held = fw
+		return true
 	}
+	r.held, r.deadline = fw, now.Add(within)
 	return true
 }
 
--- a/internal/gateway/unconfirmed_test.go
+++ b/internal/gateway/unconfirmed_test.go
@@ -80,3 +80,22 @@
 		}
 	}
 }
+
+// Guards against the rest of a stream that was cut early being cut again, because the first part took
+// little time.
+func TestRestOfCutStreamHasTime(t *testing.T) {
+	var left time.Duration
+	answers := []*Answer{unframed("1"), stream(io.EOF, "2")}
+	g, _ := testGateway(t, func(n int, s *Send) (*Answer, error) {
+		left = s.Wait
+		return answers[n-1], nil
+	})
+	for _, u := range g.state.upstreams {
+		u.framing.framed = true
+	}
+	r := request("/resume/x")
+	r.Prompt = prompt()
+	if rec := serve(g, r); rec.end != "done" || left < r.Wait/2 {
+		t.Errorf("ends %q (%v), the second send has %v", rec.end, rec.cause, left)
+	}
+}
