Comments at the end of a stream count for nothing that is learned

An entry learned the time of a first event, an estimate of outputs and, for a new stream, the software version that it goes on with, from comments: an answer without any event counted as begun, and one with a trailing comment as one event longer.

Cause: forward recorded each piece before it asked whether it is a comment.

TestNothingIsLearnedFromComments failed before ('alone: 1 events, begun true, pinned true', 'at the end: 2 events').

--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -99,3 +100,28 @@
 		}
 	}
 }
+
+// Guards against comments that count as the beginning of an answer, or as an event, in what is learned.
+func TestNothingIsLearnedFromComments(t *testing.T) {
+	comment := Piece{Data: []byte(": wait\n\n"), Comment: true}
+	for name, c := range map[string]struct {
+		pieces []Piece
+		events int
+	}{
+		"alone":      {[]Piece{comment}, 0},
+		"at the end": {[]Piece{{Data: []byte("id: 1\n\n"), ID: "1"}, comment}, 1},
+	} {
+		g, sender := testGateway(t, nil)
+		r, err := g.admit(t.Context(), request("/stream/x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		sender.script = func(int, *Send) (*Answer, error) {
+			return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: &events{pieces: c.pieces, end: io.EOF}}, nil
+		}
+		r.serve(t.Context(), &recorder{})
+		if r.last.events != c.events || r.last.answerStarted != (c.events > 0) || r.pinned != (c.events > 0) {
+			t.Errorf("%s: %d events, begun %t, pinned %t", name, r.last.events, r.last.answerStarted, r.pinned)
+		}
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -174,7 +174,7 @@
 		if ended {
 			return fw.begin()
 		}
-		if r.first == 0 {
+		if r.first == 0 && !piece.Comment {
 			r.first = time.Since(r.request.Arrived)
 		}
 		if err := fw.piece(piece); err != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -326,14 +326,12 @@
 			r.recordFailure(ctx, p, err)
 			return err
 		}
-		r.recordAnswerStart(p)
-		r.countEvent(p, time.Now())
-		if r.first == 0 {
-			r.first = time.Since(r.request.Arrived)
-		}
-		if !begun && answer.Status/100 == 2 {
-			r.recordBegin(p)
-			begun = true
+		if !piece.Comment {
+			r.recordPiece(p)
+			if !begun && answer.Status/100 == 2 {
+				r.recordBegin(p)
+				begun = true
+			}
 		}
 		if err := fw.piece(piece); err != nil {
 			answer.Body.Close()
@@ -343,6 +341,15 @@
 	}
 }
 
+// recordPiece records that a piece of an answer has come.
+func (r *run) recordPiece(p *plan) {
+	r.recordAnswerStart(p)
+	r.countEvent(p, time.Now())
+	if r.first == 0 {
+		r.first = time.Since(r.request.Arrived)
+	}
+}
+
 // finish handles the end of an answer's body.
 func (r *run) finish(ctx context.Context, p *plan, fw *forwarder) error {
 	var err error
