A whole answer doesn't wait long for an upstream that confirms nothing

Callers got a whole answer without framing only at their deadline (mostly after they had given up) where the upstream asked to confirm its end said nothing; and a stream that went on after a doubted end could no longer be resumed.

Cause: the time to confirm was a lower deadline of the run, which bounds waits for capacity and is told to upstreams, but ends no send; and it stayed when the stream had gone on. Now the send ends at that time unless something of its answer has come, without blame, as the time may be short; the first event restores the deadline.

TestConfirmationIsNotAwaitedForLong failed before (4.003 s of 4 s, upstream ejected), TestStreamThatGoesOnKeepsItsDeadline too (deadline 3.74 s earlier).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -278,6 +278,9 @@
 	headUnframed bool
 	// ended indicates that the stream has ended and that another upstream was asked for the rest.
 	ended bool
+	// confirming indicates that deadline is that of the confirmation of an end, instead of fullDeadline.
+	confirming   bool
+	fullDeadline time.Time
 	// held is a whole answer whose end another upstream is to confirm, nil for none.
 	held *forwarder
 	// status is the status forwarded to the caller, first the time until the first piece of
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -127,7 +127,7 @@
 	r.forwardedTo = peer.Host
 	g.meter.forwarded.Inc()
 	answer, err := g.options.Peers.Forward(ctx, &Forward{
-		Request: r.request, Host: peer.Host, Address: peer.Callers, Wait: time.Until(r.deadline), UnderWay: time.Since(r.request.Arrived), Stream: r.isStream(), ResumeAfter: r.lastEvent,
+		Request: r.request, Host: peer.Host, Address: peer.Callers, Wait: r.timeForAnswer(time.Now()), UnderWay: time.Since(r.request.Arrived), Stream: r.isStream(), ResumeAfter: r.lastEvent,
 	})
 	if err != nil {
 		r.recordForwardFailure(ctx, load, err)
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -73,6 +73,9 @@
 	// overdue indicates that the send was ended because it had not begun within the bound of newer
 	// weights.
 	overdue bool
+	// silent indicates that the send was ended because nothing of the answer that was to confirm another's
+	// end came in time.
+	silent bool
 	// checked indicates that it is known, or being checked, whether the upstream has crashed.
 	checked bool
 	choice  placement.Choice
@@ -127,7 +130,7 @@
 	p := &plan{candidates: len(candidates), late: r.late}
 	p.send = &Send{
 		Request: r.request, Team: r.teamName(), Rank: r.sendRank(), Stream: r.isStream(), ResumeAfter: r.lastEvent,
-		Wait: r.deadline.Sub(now), Connections: s.connections(service), SameIncarnation: r.pinned && r.origin.Software != "", StatesStart: statesStart(service),
+		Wait: r.timeForAnswer(now), Connections: s.connections(service), SameIncarnation: r.pinned && r.origin.Software != "", StatesStart: statesStart(service),
 	}
 	if r.request.Prompt != nil && service != nil && service.Engine != nil {
 		r.placePrompt(s, p, service, candidates, now)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -183,6 +183,8 @@
 		return err
 	}
 	defer ended()
+	sendCtx, stop := r.boundConfirmation(sendCtx, p)
+	defer stop()
 	answer, err := r.gateway.options.Sender.Send(sendCtx, p.send)
 	if connectionsUsed(err) {
 		r.recordConnectionsUsed(p)
@@ -194,8 +196,8 @@
 			r.sends++
 			r.mayHaveRun = true
 		}
-		if overdue := r.recordOverdue(p); overdue != nil {
-			return overdue
+		if ended := cmp.Or(r.recordOverdue(p), r.recordSilent(p)); ended != nil {
+			return ended
 		}
 		r.recordFailure(ctx, p, err)
 		return err
@@ -319,8 +321,8 @@
 		}
 		if err != nil {
 			answer.Body.Close()
-			if overdue := r.recordOverdue(p); overdue != nil {
-				return overdue
+			if ended := cmp.Or(r.recordOverdue(p), r.recordSilent(p)); ended != nil {
+				return ended
 			}
 			err = r.rejected(err, p)
 			r.recordFailure(ctx, p, err)
@@ -408,7 +410,9 @@
 		}
 	} else {
 		f.pieces++
-		f.run.ended = false
+		if f.run.isStream() {
+			f.run.goesOn()
+		}
 	}
 	if f.buffering && len(f.buffered)+len(piece.Data) <= maxBuffered {
 		f.buffered = append(f.buffered, piece.Data...)
--- a/internal/gateway/unconfirmed.go
+++ b/internal/gateway/unconfirmed.go
@@ -13,8 +13,8 @@
 	// doubtFor is how long the ends of an upstream's answers are doubted after it sent bytes that are no
 	// answer.
 	doubtFor = 30 * time.Second
-	// minConfirmTime bounds the time in which another upstream may answer a safe request that has an
-	// answer, if that is more than twice the time that the first took.
+	// minConfirmTime bounds the time until the answer that is to confirm an end begins, if that is more
+	// than twice the time that the first answer took.
 	minConfirmTime = 250 * time.Millisecond
 )
 
@@ -64,15 +64,72 @@
 	case !r.mayRepeat() || r.sends >= r.maxAttempts() || r.deadline.Sub(now) < within || !r.takeRetryBudget(now):
 		return false
 	}
-	if isStream {
-		// The rest of a stream that was cut may take any time.
+	if !r.confirming {
+		r.confirming, r.fullDeadline = true, r.deadline
+	}
+	r.deadline = now.Add(within)
+	switch {
+	case isStream:
 		r.ended = !r.endsChunks(fw)
-		return true
+	case r.held == nil || len(fw.buffered) > len(r.held.buffered):
+		r.held = fw
 	}
-	r.held, r.deadline = fw, now.Add(within)
 	return true
 }
 
+// timeForAnswer is the time that an upstream has for its answer. The rest of a stream whose end is to be
+// confirmed may take any time, once it has begun.
+func (r *run) timeForAnswer(now time.Time) time.Duration {
+	if r.confirming && r.isStream() {
+		return r.fullDeadline.Sub(now)
+	}
+	return r.deadline.Sub(now)
+}
+
+// goesOn records that a stream whose end was doubted goes on, so that its deadline applies again.
+func (r *run) goesOn() {
+	if r.confirming {
+		r.confirming, r.deadline = false, r.fullDeadline
+	}
+	r.ended = false
+}
+
+// boundConfirmation returns a context for a send, which ends if the send is to confirm an end and nothing of
+// its answer comes in time, and a function to call at the end of the send.
+func (r *run) boundConfirmation(ctx context.Context, p *plan) (context.Context, func()) {
+	if !r.confirming {
+		return ctx, func() {}
+	}
+	s := r.gateway.state
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(time.Until(r.deadline), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !p.answerStarted {
+			p.silent = true
+			cancel()
+		}
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
+// recordSilent records the end of a send that confirmed nothing in time, and returns the reason, nil for any
+// other send. It tells nothing of the upstream's health, as the time may be short.
+func (r *run) recordSilent(p *plan) error {
+	s := r.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !p.silent {
+		return nil
+	}
+	s.cancel(p)
+	r.tried[p.upstream] = true
+	return &outcome.Unknown{Reason: outcome.ReasonTimeout, Detail: "the end of the answer was not confirmed in time"}
+}
+
 // forwardUnconfirmed ends a request whose answer has ended, if its end could not be confirmed, with what
 // its first upstream stated. It reports false if there is no such answer.
 func (r *run) forwardUnconfirmed(ctx context.Context, respond Responder) bool {
--- a/internal/gateway/unconfirmed_test.go
+++ b/internal/gateway/unconfirmed_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"testing"
@@ -99,3 +100,65 @@
 		t.Errorf("ends %q (%v), the second send has %v", rec.end, rec.cause, left)
 	}
 }
+
+// hangingSender gets no answer to any send but the first.
+type hangingSender struct{ *scriptedSender }
+
+func (h hangingSender) Send(ctx context.Context, s *Send) (*Answer, error) {
+	if h.count() == 0 {
+		return h.scriptedSender.Send(ctx, s)
+	}
+	<-ctx.Done()
+	return nil, connectionLost()
+}
+
+// Guards against a whole answer that its caller gets only at its deadline, because the upstream that is to
+// confirm its end says nothing.
+func TestConfirmationIsNotAwaitedForLong(t *testing.T) {
+	for path, answer := range map[string]*Answer{"/safe/x": plain("whole", true), "/resume/x": unframed("1")} {
+		g, sender := testGateway(t, func(int, *Send) (*Answer, error) { return answer, nil })
+		for _, u := range g.state.upstreams {
+			u.framing.framed = true
+		}
+		g.options.Sender = hangingSender{sender}
+		r := request(path)
+		if path == "/resume/x" {
+			r.Prompt = prompt()
+		}
+		rec := serve(g, r)
+		if took := time.Since(r.Arrived); rec.end != "done" || took > r.Wait/2 {
+			t.Errorf("%s ends %q (%v) after %v", path, rec.end, rec.cause, took)
+		}
+		for _, u := range g.state.upstreams {
+			if u.health.consecutive > 0 || u.own.Requests > 0 {
+				t.Errorf("%s: %+v, %d requests", path, u.health, u.own.Requests)
+			}
+		}
+	}
+}
+
+// Guards against a stream that goes on after a doubted end, and that may no longer be resumed because little
+// time was left to confirm that end.
+func TestStreamThatGoesOnKeepsItsDeadline(t *testing.T) {
+	g, sender := testGateway(t, nil)
+	for _, u := range g.state.upstreams {
+		u.framing.framed = true
+	}
+	r := request("/resume/x")
+	r.Prompt = prompt()
+	sender.script = func(n int, _ *Send) (*Answer, error) {
+		if n == 1 {
+			return unframed("1"), nil
+		}
+		return stream(io.EOF, "2"), nil
+	}
+	run, err := g.admit(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, rec := run.deadline, &recorder{}
+	run.serve(t.Context(), rec)
+	if !run.deadline.Equal(want) || rec.end != "done" || sender.count() != 2 {
+		t.Errorf("ends %q, deadline %v earlier", rec.end, want.Sub(run.deadline))
+	}
+}
