Native: an answer without framing is written before its close is its end

Up to 4 KB of it were still in the server's buffer when the close of the connection was made regular: a process that ended there ended the answer early but regularly, as in routed deployments before. Found by reading, without a test of its own.

--- a/internal/adapter/callers/services.go
+++ b/internal/adapter/callers/services.go
@@ -148,7 +148,7 @@
 		resetConnection(w)
 		panic(http.ErrAbortHandler)
 	}
-	if answer.Unframed {
+	if answer.Unframed && http.NewResponseController(w).Flush() == nil {
 		unframed.End(conn)
 	}
 }
