What a caller says that it has costs no upstream its trust

A caller that resumed after an event that never was had one upstream after another counted as failing, since the events that came were not those that its claim made due; on routes whose streams aren't resumed a sound stream from 1 was refused. Now such an answer is no failure of its upstream, and streams of routes without resumption may begin anywhere where the caller names an event.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/lovagereach/lovagereach/catalog"
@@ -15,14 +17,14 @@
 // firstEvent is the number of a stream's first event.
 const firstEvent = 1
 
-// eventsAfter returns a checker of the events that follow the last one that a caller has. A stream whose
-// caller names an event without a number may go on with any.
-func eventsAfter(last string) sequence.Checker {
+// eventsAfter returns a checker of the events that follow the last one that a caller has. Any may follow
+// one without a number, or where upstreams needn't resume a stream.
+func eventsAfter(last string, resumable bool) sequence.Checker {
 	if last == "" {
 		return sequence.StartingAt(firstEvent)
 	}
 	number, valid := eventstream.ParseID(last)
-	if !valid {
+	if !valid || !resumable || number == math.MaxUint64 {
 		return sequence.StartingAnywhere()
 	}
 	return sequence.StartingAt(number + 1)
@@ -51,6 +53,8 @@
 	// id is the identity of what came, where event due was due.
 	id  string
 	due uint64
+	// claimed indicates that the event is due by what the caller says that it has only.
+	claimed bool
 }
 
 // Error implements error.
@@ -69,7 +73,8 @@
 		return &invalidError{reason: invalidID, detail: "no number", id: piece.ID, due: due}
 	}
 	if position := r.events.Observe(number); position != sequence.Due {
-		return &invalidError{reason: invalidPosition, detail: position.String(), id: piece.ID, due: due}
+		claimed := r.request.ResumeAfter != "" && r.lastEvent == r.request.ResumeAfter
+		return &invalidError{reason: invalidPosition, detail: position.String(), id: piece.ID, due: due, claimed: claimed}
 	}
 	return nil
 }
@@ -101,14 +106,29 @@
 	}
 	if p != nil {
 		event.Upstream, event.Software = p.send.Upstream, p.origin.Software
+	}
+	r.gateway.meter.invalid[invalid.reason].Inc()
+	r.gateway.options.Decisions.Emit(event)
+	return &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: invalid.Error()}
+}
+
+// failed records that the answer to a send ended with an error, and returns its outcome.
+func (r *run) failed(ctx context.Context, p *plan, cause error) error {
+	invalid, err := r.invalid(cause), r.rejected(cause, p)
+	if invalid != nil && invalid.claimed {
+		// Otherwise a caller could have upstreams avoided by what it says that it has.
+		r.release(p)
+		r.tried[p.upstream] = true
+		return err
+	}
+	if invalid != nil {
 		s := r.gateway.state
 		s.mu.Lock()
 		p.upstream.framing.invalidAt = time.Now()
 		s.mu.Unlock()
 	}
-	r.gateway.meter.invalid[invalid.reason].Inc()
-	r.gateway.options.Decisions.Emit(event)
-	return &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: invalid.Error()}
+	r.recordFailure(ctx, p, err)
+	return err
 }
 
 // checkEnd returns an error if an answer whose body has ended can't be whole.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -324,7 +324,7 @@
 	}
 	r := &run{
 		gateway: g, request: request, index: index, route: route,
-		tried: make(map[*upstreamState]bool), guessed: make(map[*upstreamState]uint64), lastEvent: request.ResumeAfter, events: eventsAfter(request.ResumeAfter),
+		tried: make(map[*upstreamState]bool), guessed: make(map[*upstreamState]uint64), lastEvent: request.ResumeAfter, events: eventsAfter(request.ResumeAfter, route.Resumable),
 	}
 	if index.Document().Keyed && !route.Public {
 		if r.team = index.Team(request.Key); r.team == nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -324,9 +324,7 @@
 			if ended := cmp.Or(r.recordOverdue(p), r.recordSilent(p)); ended != nil {
 				return ended
 			}
-			err = r.rejected(err, p)
-			r.recordFailure(ctx, p, err)
-			return err
+			return r.failed(ctx, p, err)
 		}
 		if !piece.Comment {
 			r.recordPiece(p)
@@ -361,11 +359,10 @@
 		err = r.confirmEnd(ctx, p)
 	}
 	if err == nil {
-		err = r.rejected(fw.checkEnd(), p)
+		err = fw.checkEnd()
 	}
 	if err != nil {
-		r.recordFailure(ctx, p, err)
-		return err
+		return r.failed(ctx, p, err)
 	}
 	if r.asksForRest(p, fw) {
 		r.complete(p, true)
