A head that is no answer makes the incarnation of its upstream doubtful again

Bytes that are no answer were no reason for doubt since streams are checked, also in a head: an upstream that was restarted, and whose first answer on a new connection is none, was taken for the process before. Only what follows a head is exempt, which came from the process that sent it. Found by reading, without a test of its own.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -125,7 +125,10 @@
 	now := time.Now()
 	p.upstream.health.failed(now)
 	s.recordBrokenSend(p.upstream, cause, now)
-	s.recordDisconnect(p.upstream, cause)
+	if !p.headCame || !isBadAnswer(cause) {
+		// Bytes that are no answer after a head came from the process that the head came from.
+		s.recordDisconnect(p.upstream, cause)
+	}
 	if ctx.Err() == nil {
 		s.recordPathFailure(p.upstream, cause, now)
 	}
@@ -136,6 +139,12 @@
 	s.dropPendingSaves(p)
 }
 
+// isBadAnswer reports whether a send failed because of the bytes of its answer.
+func isBadAnswer(cause error) bool {
+	var unknown *outcome.Unknown
+	return errors.As(cause, &unknown) && unknown.Reason == outcome.ReasonBadAnswer
+}
+
 // dropPendingSaves removes the pending saves of a send that failed.
 func (s *state) dropPendingSaves(p *plan) {
 	if p.send.Prompt == nil {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -76,6 +76,8 @@
 	// silent indicates that the send was ended because nothing of the answer that was to confirm another's
 	// end came in time.
 	silent bool
+	// headCame indicates that the head of an answer has come.
+	headCame bool
 	// checked indicates that it is known, or being checked, whether the upstream has crashed.
 	checked bool
 	choice  placement.Choice
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -187,13 +187,13 @@
 }
 
 // recordDisconnect records a failed send after which the upstream may have been restarted: all but one
-// that waited in vain, was not tried, or got bytes that are no answer. The caller holds the lock.
+// that waited in vain or was not tried. The caller holds the lock.
 func (s *state) recordDisconnect(u *upstreamState, cause error) {
 	var unsent *outcome.NotRun
 	var unknown *outcome.Unknown
 	switch {
 	case errors.As(cause, &unsent) && unsent.Reason != outcome.ReasonDial && unsent.Reason != ReasonRestarted:
-	case errors.As(cause, &unknown) && (unknown.Reason == outcome.ReasonTimeout || unknown.Reason == outcome.ReasonBadAnswer):
+	case errors.As(cause, &unknown) && unknown.Reason == outcome.ReasonTimeout:
 	default:
 		s.doubtIncarnation(u, s.clockNow())
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -203,6 +203,7 @@
 		return err
 	}
 	r.sends++
+	p.headCame = true
 	defer answer.Body.Close()
 	r.recordReceived(p)
 	r.observeIncarnation(p, answer)
