Recent parts and pending saves take the same time however many there are

Callers: after 60 clients with Prompt-Prefix of thousands of parts an entry answered nobody for 20 s and more; sound clients of 2,730 new parts a second at one entry reach the same.

Cause: the table of recent parts walked over all its 8,192 entries for each further part while all were younger than their time, with the entry's state locked, and then forgot the new part. The pending saves of a store, without any bound, were added up anew for each choice of a runner.

Both are maps now whose entries expire in the order in which they were set: a new part drops the oldest one, and the pending tokens are a running total.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -152,7 +152,7 @@
 	}
 	for i, address := range p.send.Prompt.Save {
 		if store := s.stores[address]; address != "" && store != nil {
-			delete(store.pending, p.keys[i])
+			store.pending.remove(p.keys[i])
 		}
 	}
 }
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -151,7 +151,7 @@
 		}
 		pending := s.store(batch.Address).pending
 		for _, part := range batch.Parts {
-			delete(pending, cacheindex.Key{Salt: batch.Salt, Part: part})
+			pending.remove(cacheindex.Key{Salt: batch.Salt, Part: part})
 		}
 	}
 	if !s.caches.Apply(answer.Inventories) {
--- a/internal/gateway/fleet_model_test.go
+++ b/internal/gateway/fleet_model_test.go
@@ -289,7 +289,7 @@
 		store.next++
 		f.caches.Write(cacheindex.Record{Address: store.address, Change: cacheindex.Change{Key: cacheindex.Key{Salt: salt, Part: part.ID}, Tokens: part.Tokens}, Next: store.next})
 		for _, g := range f.gateways {
-			delete(g.state.stores[store.address].pending, cacheindex.Key{Salt: salt, Part: part.ID})
+			g.state.stores[store.address].pending.remove(cacheindex.Key{Salt: salt, Part: part.ID})
 		}
 	})
 }
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -38,8 +38,6 @@
 	// round trip and for the traffic between data centres.
 	crossDCBase  = 3 * time.Millisecond
 	crossDCPerKB = 350 * time.Microsecond
-	// saveTimeout is how long a pending save counts.
-	saveTimeout = 4 * time.Second
 	// evictionRisk is the probability that a part has been evicted from a runner's cache by
 	// the time that another runner fetches it. The view of the caches is 100 to 300 ms old,
 	// and a cache turns over in two to three seconds.
--- a/internal/gateway/recent.go
+++ b/internal/gateway/recent.go
@@ -4,19 +4,20 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/cacheindex"
+	"github.com/lovagereach/lovagereach/internal/expiring"
 )
 
 const (
 	// recentTTL is how long a part is assumed to be cached by a runner after a request with it
 	// was sent there. A runner's cache turns over in a few seconds.
 	recentTTL = 3 * time.Second
-	// maxRecent bounds the remembered parts; each takes about 150 bytes.
+	// maxRecent bounds the remembered parts; each takes about 250 bytes.
 	maxRecent = 8192
 )
 
 // recentParts records the runner that each part was last sent to.
 type recentParts struct {
-	last map[cacheindex.Key]recentPart
+	last *expiring.Map[cacheindex.Key, incarnation]
 }
 
 // incarnation identifies one incarnation of an upstream.
@@ -25,39 +26,21 @@
 	startedMs uint64
 }
 
-type recentPart struct {
-	runner incarnation
-	at     time.Time
-}
-
 func newRecentParts() *recentParts {
-	return &recentParts{last: make(map[cacheindex.Key]recentPart)}
+	return &recentParts{last: expiring.NewMap[cacheindex.Key, incarnation](recentTTL, maxRecent, nil)}
 }
 
 func (r *recentParts) record(key cacheindex.Key, runner incarnation, now time.Time) {
-	if len(r.last) >= maxRecent {
-		r.prune(now)
-	}
-	if len(r.last) < maxRecent {
-		r.last[key] = recentPart{runner: runner, at: now}
-	}
-}
-
-func (r *recentParts) prune(now time.Time) {
-	for key, part := range r.last {
-		if now.Sub(part.at) > recentTTL {
-			delete(r.last, key)
-		}
-	}
+	r.last.Set(key, runner, now)
 }
 
 func (r *recentParts) has(key cacheindex.Key, runner incarnation, now time.Time) bool {
-	part, known := r.last[key]
-	return known && part.runner == runner && now.Sub(part.at) <= recentTTL
+	last, known := r.last.Get(key, now)
+	return known && last == runner
 }
 
 // knows reports whether a part was sent to any runner lately.
 func (r *recentParts) knows(key cacheindex.Key, now time.Time) bool {
-	part, known := r.last[key]
-	return known && now.Sub(part.at) <= recentTTL
+	_, known := r.last.Get(key, now)
+	return known
 }
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -79,7 +79,7 @@
 		stores = append(stores, placement.Store{
 			Address: service.Store.Address, DataCentre: service.Store.DataCentre, LinkMbps: service.Store.LinkMbps,
 			FirstByte: service.Store.FirstByte, Capacity: service.Store.CapacityTokens,
-			Used: s.caches.Inventory(service.Store.Address).Tokens() + known.pendingTokens(now), Open: valid && known.open,
+			Used: s.caches.Inventory(service.Store.Address).Tokens() + known.pending.tokens(now), Open: valid && known.open,
 			Queued: known.queued(s, service.Store.LinkMbps, engine.TokenBytes, now),
 		})
 		addresses = append(addresses, service.Store.Address)
@@ -125,18 +125,6 @@
 	return total
 }
 
-func (st *storeState) pendingTokens(now time.Time) int {
-	total := 0
-	for key, save := range st.pending {
-		if now.After(save.until) {
-			delete(st.pending, key)
-			continue
-		}
-		total += save.tokens
-	}
-	return total
-}
-
 // fetchAndSave sets the source of each part and the store that it is saved to.
 func (s *state) fetchAndSave(rates *placement.Rates, p *plan, view *promptView, choice placement.Choice, stores []placement.Store, addresses []string, now time.Time) {
 	parts := view.prompt.Parts
@@ -196,7 +184,7 @@
 	s.takeCopies(p, now)
 	for i, address := range p.send.Prompt.Save {
 		if address != "" {
-			s.stores[address].pending[p.keys[i]] = pendingSave{tokens: parts[i].Tokens, until: now.Add(saveTimeout)}
+			s.stores[address].pending.add(p.keys[i], parts[i].Tokens, now)
 		}
 	}
 }
@@ -214,7 +202,7 @@
 
 func (s *state) isPending(key cacheindex.Key, now time.Time) bool {
 	for _, store := range s.stores {
-		if save, known := store.pending[key]; known && now.Before(save.until) {
+		if store.pending.has(key, now) {
 			return true
 		}
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -229,13 +229,7 @@
 	// queue are the transfers of this entry's prompts that have not ended.
 	queue    replicate.Queue
 	slowdown slowdown
-	// pending holds the saves under way, with the time at which they no longer count.
-	pending map[cacheindex.Key]pendingSave
-}
-
-type pendingSave struct {
-	tokens int
-	until  time.Time
+	pending  *pendingSaves
 }
 
 func newState(host string, startPerMs float64) *state {
@@ -328,7 +322,7 @@
 func (s *state) store(address string) *storeState {
 	store := s.stores[address]
 	if store == nil {
-		store = &storeState{pending: make(map[cacheindex.Key]pendingSave)}
+		store = &storeState{pending: newPendingSaves()}
 		s.stores[address] = store
 	}
 	return store
