Work on a prompt is bounded, however many parts it names

Callers: TestMisbehavingPromptsOfManyParts (60 clients, 60 KB of parts) and its case within the limits (200 clients, 15 KB) on the code before: no ordinary request within 20 s. Both pass since.

Cause: choices of an upstream, fingerprints (each compared with all before it), fetches, saves, and what is remembered of a request go through its parts, some of them once for each upstream or part.

An entry tells 64 parts of a prompt apart; the last of them stands for all that follow. Such a prompt is forwarded unchanged and served, but its parts are neither fetched from a store nor saved to one, since these are named part by part. A part has 2^32 tokens at most, so that sums don't overflow.

--- a/internal/gateway/lost.go
+++ b/internal/gateway/lost.go
@@ -115,21 +115,27 @@
 		return
 	}
 	event := &decision.UpstreamLost{Upstream: incarnation.Upstream, Crashed: crashed}
+	parts, teams := make(map[quarantine.Fingerprint]bool), make(map[string]bool)
 	for _, a := range attempts {
 		event.Requests = append(event.Requests, a.Request)
 		event.Fingerprints = append(event.Fingerprints, a.Fingerprint.String())
 		for _, part := range a.Parts {
-			event.Parts = appendNew(event.Parts, part.String())
+			if isNew(parts, part) && len(event.Parts) < quarantine.MaxParts {
+				event.Parts = append(event.Parts, part.String())
+			}
+		}
+		if isNew(teams, a.Team) {
+			event.Teams = append(event.Teams, a.Team)
 		}
-		event.Teams = appendNew(event.Teams, a.Team)
 	}
 	g.options.Decisions.Emit(event)
 }
 
-// appendNew appends an item to a list unless it is listed.
-func appendNew(list []string, item string) []string {
-	if slices.Contains(list, item) {
-		return list
+// isNew reports whether an item is not in a set, and adds it.
+func isNew[T comparable](set map[T]bool, item T) bool {
+	if set[item] {
+		return false
 	}
-	return append(list, item)
+	set[item] = true
+	return true
 }
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -37,6 +37,10 @@
 	d.prompt.CachesKnown = s.cachesKnown(candidates)
 	for i, part := range prompt.Parts {
 		d.keys[i] = cacheindex.Key{Salt: salt, Part: part.ID}
+		if prompt.Merged > 0 {
+			// Sources and stores are named part by part, and the last part here stands for several.
+			continue
+		}
 		for index, address := range addresses {
 			if s.caches.ReadableTokens(address, d.keys[i]) >= part.Tokens {
 				d.prompt.Complete[i] = append(d.prompt.Complete[i], index)
@@ -131,6 +135,9 @@
 	fetch, fetches := make([]FetchSource, len(parts)), false
 	save, saves := make([]string, len(parts)), false
 	for i := range parts[:max(len(parts)-1, 0)] {
+		if p.send.Request.Prompt.Merged > 0 {
+			break
+		}
 		if at := choice.Fetch[i]; at >= 0 {
 			fetch[i] = FetchSource{Address: addresses[at], Tokens: parts[i].Tokens}
 			fetches = true
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -42,14 +42,37 @@
 // Prompt describes the prompt of a request to a model.
 type Prompt struct {
 	Model string
-	// Parts are the prompt's parts in order; the last belongs to the request.
+	// Parts are the prompt's parts in order, at most MaxParts; the last belongs to the request.
 	Parts []placement.Part
+	// Merged is the number of parts beyond MaxParts. The last of Parts stands for them all.
+	Merged int
 	// Output is the largest number of tokens that the answer may have.
 	Output int
 	// OutputHint is the caller's estimate of them, 0 for none.
 	OutputHint int
 }
 
+const (
+	// MaxParts bounds the parts of a prompt that are told apart: each costs work at each choice of an
+	// upstream, and memory in what is remembered of the request.
+	MaxParts = 64
+	// maxPartTokens bounds the size of a part; sums of it fit an int.
+	maxPartTokens = 1 << 32
+)
+
+// Append adds a part behind the others.
+func (p *Prompt) Append(part placement.Part) {
+	part.Tokens = min(part.Tokens, maxPartTokens)
+	if len(p.Parts) < MaxParts {
+		p.Parts = append(p.Parts, part)
+		return
+	}
+	last := &p.Parts[MaxParts-1]
+	last.ID = part.ID
+	last.Tokens += part.Tokens
+	p.Merged++
+}
+
 // Request is one attempt of a caller. Its method, path, headers and body are forwarded to the
 // upstream unchanged.
 type Request struct {
