What clients make a routed process hold is counted before it is held

Callers, operators and probes: on the code before, with 64 MiB and 512 descriptors a process, the crowds of platform/soak make an entry use 116 to 305 MiB (heads of many lines, whole, unfinished or before a body; heads of one name; headers without end; heads at the readiness probe) and a control host 217 and 321 MiB (bodies and heads at the operators' listener). Connections that send nothing, or idle after a request, take all 512 descriptors at the callers', probe, operators', directory's and peers' listeners, and no ordinary request is answered for 20 s in four of these tests.

Cause: net/http bounds the bytes of a head, while its lines take memory, some 100 bytes each for a line of 6; heads, prompts and bodies at the operators' listener had no bound over all clients, and the connections of most listeners none at all. A bound by netutil.LimitListener keeps new clients out.

Answers that are not read for 20 s end.

--- a/cmd/lovage-fleet/control.go
+++ b/cmd/lovage-fleet/control.go
@@ -15,6 +15,7 @@
 
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/adapter/telemetry"
+	"github.com/lovagereach/lovagereach/internal/ingress"
 	"github.com/lovagereach/lovagereach/internal/process"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/internal/wait"
@@ -40,10 +41,11 @@
 	if err != nil {
 		return errors.Join(process.ErrUsage, eris.Wrap(err, "directory: listen"))
 	}
-	c := &controlHost{env: env, settings: s}
+	c := &controlHost{env: env, settings: s, guard: ingress.New(s.Resources())}
 	dump := telemetry.NewRegistry()
 	dump.Register("control", c.dump)
-	telemetryServer, err := listenTelemetry(s, dump, c.ready)
+	metrics.RegisterSet(c.guard.Metrics())
+	telemetryServer, err := listenTelemetry(s, dump, c.ready, c.guard)
 	if err != nil {
 		return err
 	}
@@ -51,7 +53,9 @@
 	seeds := s.SeedHosts()
 	c.seeds.Store(&seeds)
 	operatorsServer := platform.NewOperators(c.current.Load, s.Operators, env.Log)
+	operators = c.guard.Protect(operatorsServer, operators, ingress.ShareOperators, nil)
 	directoryServer := platform.NewDirectory(c.addresses)
+	directory = c.guard.Protect(directoryServer, directory, ingress.ShareDirectory, nil)
 	tasks, ctx := errgroup.WithContext(ctx)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -77,6 +81,7 @@
 type controlHost struct {
 	env      *process.Env
 	settings *platform.Settings
+	guard    *ingress.Guard
 	seeds    atomic.Pointer[[]ident.Host]
 	current  atomic.Pointer[steward.Steward]
 }
@@ -144,7 +149,7 @@
 	}
 	management := platform.NewManagement()
 	host, err := steward.New(steward.Options{
-		Self: ident.Host(s.Host), DataCentre: s.DataCentre, PeerPort: s.PeerPorts[0], Listener: peers,
+		Self: ident.Host(s.Host), DataCentre: s.DataCentre, PeerPort: s.PeerPorts[0], Listener: peers, Guard: c.guard,
 		Seeds: *c.seeds.Load(), Bootstrap: s.Bootstrap, Tolerated: s.ToleratedDisks,
 		Cluster: cluster, Key: []byte(peerKey), Data: s.Data,
 		MaxConcurrentLoads: maxConcurrentLoads, VersionTime: s.VersionTime(), HolderLease: s.HolderLease(),
--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -5,12 +5,10 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lovagereach/lovagereach/ident"
@@ -18,6 +16,7 @@
 	"github.com/lovagereach/lovagereach/internal/adapter/telemetry"
 	"github.com/lovagereach/lovagereach/internal/decision"
 	"github.com/lovagereach/lovagereach/internal/gateway"
+	"github.com/lovagereach/lovagereach/internal/ingress"
 	"github.com/lovagereach/lovagereach/internal/process"
 	"github.com/lovagereach/lovagereach/internal/steward"
 	"github.com/lovagereach/lovagereach/internal/wait"
@@ -34,8 +33,6 @@
 	// complete before the process has to exit; its caller finds another entry
 	// sooner if the listener is closed.
 	acceptWindow = 2700 * time.Millisecond
-	// maxDirectoryConns bounds the connections of callers that ask for addresses, at some 20 KB each.
-	maxDirectoryConns = 512
 )
 
 func runEntry(ctx context.Context, env *process.Env, s *platform.Settings) error {
@@ -51,6 +48,7 @@
 	if err != nil {
 		return err
 	}
+	guard := ingress.New(s.Resources())
 	incarnation := peer.NewIncarnation()
 	follower, err := steward.NewEntryFollower(steward.EntryOptions{
 		Cluster: cluster, Key: []byte(peerKey), Host: ident.Host(s.Host), DataCentre: s.DataCentre, Incarnation: incarnation,
@@ -75,24 +73,29 @@
 	}
 	dump := telemetry.NewRegistry()
 	dump.Register("entry", func() any { return g.Dump() })
-	telemetryServer, err := listenTelemetry(s, dump, func() error { return readyError(g.Ready()) })
+	telemetryServer, err := listenTelemetry(s, dump, func() error { return readyError(g.Ready()) }, guard)
 	if err != nil {
 		return err
 	}
+	metrics.RegisterSet(guard.Metrics())
 	metrics.RegisterSet(g.Metrics())
 	metrics.RegisterSet(follower.Metrics())
 	env.Log.Info("started", "role", "entry", "name", s.Name, "host", s.Host, "callers", s.Callers, "incarnation", uint64(incarnation))
 	e := &entry{
-		env: env, gateway: g, callers: platform.NewCallers(g, s.MemoryMB*mebibyte, env.Log), readiness: platform.NewReadiness(g.Ready),
-		directory: closeWhenCrowded(platform.NewDirectory(g.Addresses), maxDirectoryConns/2), stopWithin: s.StopWithin(),
+		env: env, gateway: g, callers: platform.NewCallers(g, env.Log), readiness: platform.NewReadiness(g.Ready),
+		directory: platform.NewDirectory(g.Addresses), stopWithin: s.StopWithin(),
 	}
 	tasks, ctx := errgroup.WithContext(ctx)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	tasks.Go(func() error { return e.callers.Serve(callers) })
-	tasks.Go(func() error { return serve(e.readiness, readiness) })
+	tasks.Go(func() error { return e.callers.Serve(callers, guard) })
+	tasks.Go(func() error {
+		return serve(e.readiness, guard.Protect(e.readiness, readiness, ingress.ShareProbes, nil))
+	})
 	if directory != nil {
-		tasks.Go(func() error { return serve(e.directory, directory) })
+		tasks.Go(func() error {
+			return serve(e.directory, guard.Protect(e.directory, directory, ingress.ShareDirectory, nil))
+		})
 	}
 	tasks.Go(func() error { upstreams.Run(ctx); return nil })
 	tasks.Go(func() error { peers.Run(ctx); return nil })
@@ -124,29 +127,7 @@
 	if err != nil {
 		return nil, errors.Join(process.ErrUsage, eris.Wrap(err, "directory: listen"))
 	}
-	return netutil.LimitListener(listener, maxDirectoryConns), nil
-}
-
-// closeWhenCrowded lets callers keep their connections to a server only while few do, so that those of
-// some don't keep all others out.
-func closeWhenCrowded(server *http.Server, crowd int64) *http.Server {
-	var open atomic.Int64
-	server.ConnState = func(_ net.Conn, state http.ConnState) {
-		switch state {
-		case http.StateNew:
-			open.Add(1)
-		case http.StateClosed, http.StateHijacked:
-			open.Add(-1)
-		}
-	}
-	handler := server.Handler
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if open.Load() > crowd {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
-	return server
+	return listener, nil
 }
 
 // readyError returns the reason why an entry that isn't ready accepts no callers.
--- a/cmd/lovage-fleet/main.go
+++ b/cmd/lovage-fleet/main.go
@@ -9,10 +9,10 @@
 	"context"
 	"fmt"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/lovagereach/lovagereach/internal/decision"
+	"github.com/lovagereach/lovagereach/internal/ingress"
 	"github.com/lovagereach/lovagereach/internal/process"
 	"github.com/lovagereach/lovagereach/platform"
 )
@@ -23,11 +23,6 @@
 	// own and are provisioned with none.
 	cluster = "lovagereach"
 	peerKey = "lovagereach processes of one fleet"
-	// memoryShare is the share of a machine's memory that is set as the soft
-	// memory limit of the garbage collector; the rest is for memory outside the
-	// Go heap.
-	memoryShare = 0.7
-	mebibyte    = 1 << 20
 	// logFlushTimeout bounds the writing of the remaining log lines at the exit.
 	logFlushTimeout = 300 * time.Millisecond
 )
@@ -80,7 +75,7 @@
 		NeedsConfig: true,
 		Run: func(ctx context.Context, env *process.Env, s *platform.Settings) error {
 			if s.MemoryMB > 0 {
-				debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB*mebibyte)))
+				ingress.SetRuntimeLimit(s.Resources().Memory)
 			}
 			return run(ctx, env, s)
 		},
--- a/cmd/lovage-fleet/telemetry.go
+++ b/cmd/lovage-fleet/telemetry.go
@@ -8,6 +8,7 @@
 
 	"github.com/lovagereach/lovagereach/internal/adapter/telemetry"
 	"github.com/lovagereach/lovagereach/internal/decision"
+	"github.com/lovagereach/lovagereach/internal/ingress"
 	"github.com/lovagereach/lovagereach/internal/process"
 	"github.com/lovagereach/lovagereach/platform"
 )
@@ -22,11 +23,11 @@
 
 // listenTelemetry opens the listener for metrics and state dumps. It returns nil
 // when the settings have no telemetry port.
-func listenTelemetry(s *platform.Settings, dump *telemetry.Registry, ready func() error) (*telemetry.Server, error) {
+func listenTelemetry(s *platform.Settings, dump *telemetry.Registry, ready func() error, guard *ingress.Guard) (*telemetry.Server, error) {
 	if s.TelemetryPort == 0 {
 		return nil, nil
 	}
-	server, err := telemetry.Listen(telemetry.Options{Address: s.TelemetryAddress(), Dump: dump, Ready: ready})
+	server, err := telemetry.Listen(telemetry.Options{Address: s.TelemetryAddress(), Dump: dump, Ready: ready, Guard: guard})
 	if err != nil {
 		return nil, errors.Join(process.ErrUsage, err)
 	}
--- a/internal/adapter/peer/options.go
+++ b/internal/adapter/peer/options.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/lovagereach/lovagereach/internal/ingress"
 	"github.com/lovagereach/lovagereach/internal/port"
 )
 
@@ -63,6 +64,8 @@
 	// HandlerLimit is the maximum number of requests of one connection that run
 	// concurrently.
 	HandlerLimit int
+	// Guard bounds what strangers take at the listener, nil for no bound.
+	Guard *ingress.Guard
 	// MaxConns is the maximum number of accepted connections, MaxLinks that of
 	// addresses dialled.
 	MaxConns int
--- a/internal/adapter/peer/serve.go
+++ b/internal/adapter/peer/serve.go
@@ -9,6 +9,8 @@
 	"github.com/coder/websocket"
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/netutil"
+
+	"github.com/lovagereach/lovagereach/internal/ingress"
 )
 
 const maxHeaderBytes = 8 << 10
@@ -34,10 +36,12 @@
 	}
 	t.server = server
 	t.mu.Unlock()
-	limited := netutil.LimitListener(listener, t.options.MaxConns)
-	var err error
 	if t.certs != nil {
 		server.TLSConfig = t.certs.serverConfig()
+	}
+	limited := netutil.LimitListener(t.options.Guard.Protect(server, listener, ingress.SharePeers, nil), t.options.MaxConns)
+	var err error
+	if t.certs != nil {
 		err = server.ServeTLS(limited, "", "")
 	} else {
 		err = server.Serve(limited)
@@ -68,6 +72,7 @@
 		_ = t.logRefusal(r.RemoteAddr, err)
 		return
 	}
+	ingress.KeepOpen(r.Context())
 	c := newConn(t, ws, remote)
 	if certificate != nil {
 		c.expires = certificate.NotAfter
--- a/internal/adapter/telemetry/server.go
+++ b/internal/adapter/telemetry/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
+
+	"github.com/lovagereach/lovagereach/internal/ingress"
 )
 
 // Limits of the listener.
@@ -28,6 +30,8 @@
 	Address string
 	// Dump serves /debug/dump; the path isn't served if it is nil.
 	Dump *Registry
+	// Guard bounds what clients take, nil for no bound.
+	Guard *ingress.Guard
 	// Ready is called for /readyz. It returns nil if the process is ready, otherwise
 	// the reason why it isn't.
 	Ready func() error
@@ -52,7 +56,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	return &Server{listener: listener, server: server}, nil
+	return &Server{listener: opts.Guard.Protect(server, listener, ingress.ShareProbes, nil), server: server}, nil
 }
 
 // Address returns the address of the listener.
--- a/internal/httpbound/httpbound.go
+++ b/internal/httpbound/httpbound.go
@@ -11,6 +11,8 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"github.com/lovagereach/lovagereach/internal/ingress"
 )
 
 // MaxJSONDepth is the maximum nesting depth of objects and arrays in a body.
@@ -34,16 +36,16 @@
 }
 
 // ReadBody reads the complete body of r. A body of more than limit bytes is a
-// BodyError.
+// BodyError, as is one for which there is no memory; it may be sent again.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, tooLarge(limit)
 	}
-	var body bytes.Buffer
-	if r.ContentLength > 0 {
-		body.Grow(int(r.ContentLength) + bytes.MinRead)
+	body, err := ingress.ReadBody(r.Context(), http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	if errors.Is(err, ingress.ErrMemory) {
+		w.Header().Set("Retry-After", memoryRetryAfter)
+		return nil, &BodyError{Status: http.StatusServiceUnavailable, Message: err.Error()}
 	}
-	_, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
 	var over *http.MaxBytesError
 	if errors.As(err, &over) {
 		return nil, tooLarge(limit)
@@ -51,9 +53,12 @@
 	if err != nil {
 		return nil, &BodyError{Status: http.StatusBadRequest, Message: "the body ended early: " + err.Error()}
 	}
-	return body.Bytes(), nil
+	return body, nil
 }
 
+// memoryRetryAfter is the Retry-After value of requests refused for lack of memory, in seconds.
+const memoryRetryAfter = "1"
+
 func tooLarge(limit int64) error {
 	return &BodyError{
 		Status:  http.StatusRequestEntityTooLarge,
--- a/internal/steward/options.go
+++ b/internal/steward/options.go
@@ -11,6 +11,7 @@
 	"github.com/lovagereach/lovagereach/cacheindex"
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/adapter/disk"
+	"github.com/lovagereach/lovagereach/internal/ingress"
 )
 
 // StoreEvents is a store's report on changes of its parts.
@@ -109,6 +110,8 @@
 	Incarnation ident.Incarnation
 	// PeerPort is the port of all processes' peer listeners.
 	PeerPort int
+	// Guard bounds what strangers take at Listener, nil for no bound.
+	Guard *ingress.Guard
 	// Listener accepts connections of the other processes. New takes ownership.
 	Listener net.Listener
 	// Seeds are the control hosts known at the start.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -140,6 +140,7 @@
 		Host: o.Self, DataCentre: o.DataCentre, Incarnation: o.Incarnation, Role: replica.RoleControl,
 	})
 	peers.Dial = o.dial
+	peers.Guard = o.Guard
 	s.transport, err = peer.New(peers)
 	if err != nil {
 		return eris.Wrap(err, "steward: peers")
--- a/internal/unframed/unframed.go
+++ b/internal/unframed/unframed.go
@@ -6,7 +6,6 @@
 package unframed
 
 import (
-	"crypto/tls"
 	"net"
 	"net/http"
 )
@@ -22,8 +21,12 @@
 func End(conn net.Conn) { setLinger(conn, -1) }
 
 func setLinger(conn net.Conn, seconds int) {
-	if secure, isTLS := conn.(*tls.Conn); isTLS {
-		conn = secure.NetConn()
+	for {
+		outer, wraps := conn.(interface{ NetConn() net.Conn })
+		if !wraps {
+			break
+		}
+		conn = outer.NetConn()
 	}
 	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
 		// It fails only for a connection that is closed.
