What clients make a native process hold is counted before it is held

Callers and operators: on the code before, with a runtime limit of 64 MiB and 512 descriptors, the crowds make lovage-entry use 186 to 663 MiB (heads, bodies, prompts of many tokens) and lovage-control 225 MiB (bodies at the operators' listener), and take all descriptors at each of the six listeners.

Cause: as in the routed processes; besides, a prompt takes up to 16 times its body: a word of one letter becomes a token of 4 bytes, and of up to 11 in the request to the engine.

A decoded prompt counts with its request.

--- a/internal/adapter/callers/prompts.go
+++ b/internal/adapter/callers/prompts.go
@@ -5,8 +5,14 @@
 
 	"github.com/lovagereach/lovagereach/internal/entry"
 	"github.com/lovagereach/lovagereach/internal/httpbound"
+	"github.com/lovagereach/lovagereach/internal/ingress"
+	"github.com/lovagereach/lovagereach/outcome"
 )
 
+// decodedPrompt is what a prompt takes in memory beside its body, as a multiple of the body's bytes: a word
+// of one letter becomes a token of 4 bytes, and one of up to 11 in the request to the engine.
+const decodedPrompt = 16
+
 func (h *Handler) completions(w http.ResponseWriter, r *http.Request) {
 	h.prompt(w, r, textFormat, decodeText)
 }
@@ -27,6 +33,10 @@
 		h.refuse(w, in.request, err)
 		return
 	}
+	if err := ingress.Reserve(r.Context(), decodedPrompt*int64(len(body))); err != nil {
+		h.refuse(w, in.request, &outcome.NotRun{Reason: outcome.ReasonOverloaded, Detail: err.Error(), RetryAfter: openRetryAfter})
+		return
+	}
 	call, err := decode(body, limits{h.options.MaxPromptTokens, h.options.MaxAnswerTokens})
 	if err != nil {
 		h.refuse(w, in.request, err)
--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -11,12 +11,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/intake"
 	"github.com/lovagereach/lovagereach/internal/adapter/disk"
 	"github.com/lovagereach/lovagereach/internal/adapter/engine"
 	"github.com/lovagereach/lovagereach/internal/adapter/peer"
 	"github.com/lovagereach/lovagereach/internal/adapter/telemetry"
 	"github.com/lovagereach/lovagereach/internal/boottime"
 	"github.com/lovagereach/lovagereach/internal/control"
+	"github.com/lovagereach/lovagereach/internal/ingress"
 	"github.com/lovagereach/lovagereach/internal/ledger"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/internal/replica"
@@ -41,6 +43,8 @@
 	ledger    *ledger.Client
 	operators *http.Server
 	telemetry *telemetry.Server
+	// guard bounds what clients take at all listeners.
+	guard *ingress.Guard
 }
 
 // New assembles a Host and opens its data folder; Run serves.
@@ -53,6 +57,7 @@
 		config:   control.NewMachine(),
 		ledgers:  make(map[port.GroupID]*ledger.Machine),
 		replicas: make(map[port.GroupID]*deferredReplica),
+		guard:    ingress.New(intake.Resources{}),
 	}
 	for _, build := range []func() error{h.buildPeers, h.buildGroups, h.buildControl, h.buildAudit, h.buildListeners} {
 		if err := build(); err != nil {
@@ -70,6 +75,7 @@
 		Self:    port.Peer{Host: o.Host, DataCentre: o.DataCentre, Incarnation: o.Incarnation, Role: roleControl},
 		Key:     o.PeerKey,
 		TLS:     o.TLS,
+		Guard:   h.guard,
 		Log:     o.Log,
 	})
 	return eris.Wrap(err, "control: peers")
@@ -201,7 +207,7 @@
 }
 
 func (h *Host) metricSets() []*metrics.Set {
-	return []*metrics.Set{h.transport.Metrics(), h.folder.Metrics(), h.manager.Metrics(), h.server.Metrics()}
+	return []*metrics.Set{h.transport.Metrics(), h.folder.Metrics(), h.manager.Metrics(), h.server.Metrics(), h.guard.Metrics()}
 }
 
 // openAndRun opens the groups and then runs the parts that act while this host leads
--- a/internal/controlhost/listeners.go
+++ b/internal/controlhost/listeners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net/http"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/lovagereach/lovagereach/internal/adapter/operators"
 	"github.com/lovagereach/lovagereach/internal/adapter/telemetry"
 	"github.com/lovagereach/lovagereach/internal/control"
+	"github.com/lovagereach/lovagereach/internal/ingress"
 )
 
 // Limits of the operators' listener. closeTimeout bounds the closing of the peer
@@ -32,7 +34,7 @@
 	dump.Register("groups", h.groupStatus)
 	if h.options.TelemetryAddress != "" {
 		var err error
-		h.telemetry, err = telemetry.Listen(telemetry.Options{Address: h.options.TelemetryAddress, Dump: dump, Ready: h.server.Ready})
+		h.telemetry, err = telemetry.Listen(telemetry.Options{Address: h.options.TelemetryAddress, Dump: dump, Ready: h.server.Ready, Guard: h.guard})
 		if err != nil {
 			return err
 		}
@@ -77,10 +79,15 @@
 		return nil
 	}
 	var err error
-	if files := h.options.OperatorsTLS; files != nil {
-		err = h.operators.ServeTLS(h.options.OperatorListener, files.Certificate, files.Key)
+	files := h.options.OperatorsTLS
+	if files != nil {
+		h.operators.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	listener := h.guard.Protect(h.operators, h.options.OperatorListener, ingress.ShareOperators, nil)
+	if files != nil {
+		err = h.operators.ServeTLS(listener, files.Certificate, files.Key)
 	} else {
-		err = h.operators.Serve(h.options.OperatorListener)
+		err = h.operators.Serve(listener)
 	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lovagereach/lovagereach/audit"
+	"github.com/lovagereach/lovagereach/intake"
 	"github.com/lovagereach/lovagereach/internal/adapter/announce"
 	"github.com/lovagereach/lovagereach/internal/adapter/callers"
 	"github.com/lovagereach/lovagereach/internal/adapter/peer"
@@ -22,6 +23,7 @@
 	"github.com/lovagereach/lovagereach/internal/control/client"
 	"github.com/lovagereach/lovagereach/internal/control/protocol"
 	"github.com/lovagereach/lovagereach/internal/entry"
+	"github.com/lovagereach/lovagereach/internal/ingress"
 	"github.com/lovagereach/lovagereach/internal/ledger"
 	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/member"
@@ -40,6 +42,8 @@
 	announce         *http.Server
 	operators        *http.Server
 	operatorListener net.Listener
+	// guard bounds what clients take at all listeners.
+	guard *ingress.Guard
 }
 
 // New builds an entry process; Run serves.
@@ -49,7 +53,7 @@
 	}
 	setDefault(&options.DrainTimeout, DefaultDrainTimeout)
 	setDefault(&options.Incarnation, peer.NewIncarnation())
-	h := &Host{options: options, metrics: metrics.NewSet()}
+	h := &Host{options: options, metrics: metrics.NewSet(), guard: ingress.New(intake.Resources{})}
 	for _, build := range []func() error{h.buildPeers, h.buildControl, h.buildLedger, h.buildEntry, h.buildListeners} {
 		if err := build(); err != nil {
 			return nil, err
@@ -72,6 +76,7 @@
 		Self:    port.Peer{Host: o.Host, DataCentre: o.DataCentre, Incarnation: o.Incarnation, Role: "entry"},
 		Key:     o.PeerKey,
 		TLS:     o.TLS,
+		Guard:   h.guard,
 		Log:     o.Log,
 	})
 	if err != nil {
@@ -171,13 +176,21 @@
 func (h *Host) Run(ctx context.Context, drain <-chan struct{}) error {
 	metrics.RegisterSet(h.metrics)
 	defer metrics.UnregisterSet(h.metrics, true)
+	metrics.RegisterSet(h.guard.Metrics())
+	defer metrics.UnregisterSet(h.guard.Metrics(), true)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return h.transport.Serve(h.options.Listeners.Peer) })
-	group.Go(func() error { return serve(h.callers, h.options.Listeners.Callers) })
-	group.Go(func() error { return serve(h.announce, h.options.Listeners.Announce) })
-	group.Go(func() error { return serve(h.operators, h.operatorListener) })
+	group.Go(func() error {
+		return serve(h.callers, h.guard.Protect(h.callers, h.options.Listeners.Callers, ingress.ShareCallers, nil))
+	})
+	group.Go(func() error {
+		return serve(h.announce, h.guard.Protect(h.announce, h.options.Listeners.Announce, ingress.ShareDirectory, nil))
+	})
+	group.Go(func() error {
+		return serve(h.operators, h.guard.Protect(h.operators, h.operatorListener, ingress.ShareProbes, nil))
+	})
 	group.Go(func() error { return h.control.Run(ctx) })
 	group.Go(func() error { h.ledger.Run(ctx); return nil })
 	group.Go(func() error { h.audit.Run(ctx); return nil })
