--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -17,6 +17,9 @@
 	block block
 	// dropComments indicates that raw holds no comments before an event.
 	dropComments bool
+	// reserve is called before raw grows beyond reserved bytes; nil for no bound.
+	reserve  func(bytes int) error
+	reserved int
 	// failed is returned by Next after an error.
 	failed error
 }
@@ -30,6 +33,12 @@
 // DropComments makes Next leave comments and empty lines before an event out of Raw and of the limit.
 func (r *Reader) DropComments() { r.dropComments = true }
 
+// ReserveBy makes Next call reserve before it holds more bytes of an event than ever before. It returns the
+// error of reserve.
+func (r *Reader) ReserveBy(reserve func(bytes int) error) {
+	r.reserve, r.reserved = reserve, bufferBytes
+}
+
 // Next returns the next event, valid until the next call. It returns io.EOF if the stream ends between
 // events, ErrTruncated if it ends within one, ErrTooLong, a *SyntaxError or an error of the underlying
 // reader. After an error it returns the same one again: what follows bytes that are no event is none.
@@ -67,6 +76,9 @@
 func (r *Reader) readLine() error {
 	for {
 		part, err := r.lines.ReadSlice('\n')
+		if failed := r.reserveFor(len(r.raw) + len(part)); failed != nil {
+			return failed
+		}
 		r.raw = append(r.raw, part...)
 		switch {
 		case len(r.raw) > r.limit:
@@ -77,6 +89,19 @@
 	}
 }
 
+// reserveFor reserves what raw takes with a number of bytes; its capacity doubles as it grows.
+func (r *Reader) reserveFor(bytes int) error {
+	if r.reserve == nil || bytes <= r.reserved {
+		return nil
+	}
+	more := 2*bytes - r.reserved
+	if err := r.reserve(more); err != nil {
+		return err
+	}
+	r.reserved += more
+	return nil
+}
+
 // classify returns the error of a stream whose next line can't be read. cut indicates that a part of
 // the line has come.
 func (r *Reader) classify(err error, cut bool) error {
