What is remembered of answered requests doesn't hold their heads in memory

Cause: recent parts and pending saves were kept for 3 and 4 s under the parts' own names. These are cut from the head as it was received, so that each of up to 8,192 entries held a whole head.

Change: both are kept under a hash, seeded by each process. Fingerprints and what control hosts are told of streams were digests before.

--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -16,25 +16,25 @@
 
 // pendingSaves are the saves to a store that are under way.
 type pendingSaves struct {
-	saves *expiring.Map[cacheindex.Key, int]
+	saves *expiring.Map[partHash, int]
 	total int
 }
 
 func newPendingSaves() *pendingSaves {
 	p := &pendingSaves{}
-	p.saves = expiring.NewMap[cacheindex.Key](saveTimeout, maxPendingSaves, func(tokens int) { p.total -= tokens })
+	p.saves = expiring.NewMap[partHash](saveTimeout, maxPendingSaves, func(tokens int) { p.total -= tokens })
 	return p
 }
 
 func (p *pendingSaves) add(key cacheindex.Key, tokens int, now time.Time) {
-	p.saves.Set(key, tokens, now)
+	p.saves.Set(hashPart(key), tokens, now)
 	p.total += tokens
 }
 
-func (p *pendingSaves) remove(key cacheindex.Key) { p.saves.Delete(key) }
+func (p *pendingSaves) remove(key cacheindex.Key) { p.saves.Delete(hashPart(key)) }
 
 func (p *pendingSaves) has(key cacheindex.Key, now time.Time) bool {
-	_, found := p.saves.Get(key, now)
+	_, found := p.saves.Get(hashPart(key), now)
 	return found
 }
 
--- a/internal/gateway/recent.go
+++ b/internal/gateway/recent.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"hash/maphash"
 	"time"
 
 	"github.com/lovagereach/lovagereach/cacheindex"
@@ -15,9 +16,19 @@
 	maxRecent = 8192
 )
 
+// partHashSeed is that of this process, so that no caller can choose names of equal hashes.
+var partHashSeed = maphash.MakeSeed()
+
+// partHash stands for a part in what this entry remembers of answered requests: the part's own name is as
+// long as its caller likes, and holds the head of its request in memory. Equal hashes of two parts shift
+// choices and break no guarantee.
+type partHash uint64
+
+func hashPart(key cacheindex.Key) partHash { return partHash(maphash.Comparable(partHashSeed, key)) }
+
 // recentParts records the runner that each part was last sent to.
 type recentParts struct {
-	last *expiring.Map[cacheindex.Key, incarnation]
+	last *expiring.Map[partHash, incarnation]
 }
 
 // incarnation identifies one incarnation of an upstream.
@@ -27,20 +38,20 @@
 }
 
 func newRecentParts() *recentParts {
-	return &recentParts{last: expiring.NewMap[cacheindex.Key, incarnation](recentTTL, maxRecent, nil)}
+	return &recentParts{last: expiring.NewMap[partHash, incarnation](recentTTL, maxRecent, nil)}
 }
 
 func (r *recentParts) record(key cacheindex.Key, runner incarnation, now time.Time) {
-	r.last.Set(key, runner, now)
+	r.last.Set(hashPart(key), runner, now)
 }
 
 func (r *recentParts) has(key cacheindex.Key, runner incarnation, now time.Time) bool {
-	last, known := r.last.Get(key, now)
+	last, known := r.last.Get(hashPart(key), now)
 	return known && last == runner
 }
 
 // knows reports whether a part was sent to any runner lately.
 func (r *recentParts) knows(key cacheindex.Key, now time.Time) bool {
-	_, known := r.last.Get(key, now)
+	_, known := r.last.Get(hashPart(key), now)
 	return known
 }
