Ingress: closed listeners are forgotten, whole seconds in Retry-After

A control host that reads its data folder again after a disk failure opens its listener for peers anew each time; the guard kept all former ones. Retry-After has whole seconds in HTTP.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -15,7 +15,7 @@
 )
 
 // ReadBody reads a body of the given length, -1 if unknown. Its memory is reserved before it is read, with the
-// request that ctx belongs to. An error is ErrMemory, that of ctx or that of from.
+// request that ctx belongs to. An error is that of Reserve or of from.
 func ReadBody(ctx context.Context, from io.Reader, length int64) ([]byte, error) {
 	var body bytes.Buffer
 	if length >= 0 {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -26,7 +26,7 @@
 	// no deadline: a client that reads nothing would hold its answer for good.
 	writeTimeout = 20 * time.Second
 	// unavailableRetryAfter is the Retry-After value of requests refused for lack of memory, in seconds.
-	unavailableRetryAfter = "0.5"
+	unavailableRetryAfter = "1"
 )
 
 // Conn is a connection of a client. What it holds is counted until its request has been answered.
@@ -165,6 +165,7 @@
 	c.inHead.Store(false)
 	retry := ""
 	if status == http.StatusServiceUnavailable {
+		c.listener.guard.refused.Inc()
 		retry = "Retry-After: " + unavailableRetryAfter + "\r\n"
 	}
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -158,6 +159,13 @@
 	return l
 }
 
+// remove forgets a listener that was closed.
+func (g *Guard) remove(closed *listener) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listeners = slices.DeleteFunc(g.listeners, func(l *listener) bool { return l == closed })
+}
+
 // acquire takes shared memory. If there is none, it closes a connection whose client has been slow with a
 // request that holds some, and waits for a moment.
 func (g *Guard) acquire(ctx context.Context, bytes int64) error {
@@ -168,7 +176,6 @@
 	ctx, cancel := context.WithTimeout(ctx, MemoryWait)
 	defer cancel()
 	if g.shared.Acquire(ctx, bytes) != nil {
-		g.refused.Inc()
 		return ErrMemory
 	}
 	return nil
@@ -176,7 +183,7 @@
 
 func (g *Guard) closeSlowest() {
 	g.mu.Lock()
-	listeners := g.listeners
+	listeners := slices.Clone(g.listeners)
 	g.mu.Unlock()
 	for _, l := range listeners {
 		if l.closeSlowest(time.Now()) {
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.guard.remove(l)
+	return l.Listener.Close()
+}
+
 // admit adds a connection to the table, for another one if that is full, and reports whether it did.
 func (l *listener) admit(c *Conn) bool {
 	for end := time.Now().Add(acceptWait); ; time.Sleep(acceptPoll) {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -4,31 +4,35 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 
 	"github.com/lovagereach/lovagereach/intake"
 )
 
 // Reserve counts bytes that a request is about to hold, until it has been answered. ctx is the request's
-// context; without a guarded connection nothing is counted. An error is ErrMemory, or that of ctx.
+// context; without a guarded connection nothing is counted. An error is ErrMemory, or net.ErrClosed if the
+// client has been closed.
 func Reserve(ctx context.Context, bytes int64) error {
 	c, _ := ctx.Value(connKey{}).(*Conn)
 	if c == nil {
 		return nil
 	}
-	if err := c.Reserve(ctx, bytes); err != nil && !errors.Is(err, net.ErrClosed) {
-		return err
+	err := c.Reserve(ctx, bytes)
+	if errors.Is(err, ErrMemory) {
+		c.listener.guard.refused.Inc()
 	}
-	return ctx.Err()
+	return err
 }
 
 // Await is Reserve for a part of an answer, which waits until ctx is done if need be: the request is under
 // way and can't be refused any more.
 func Await(ctx context.Context, bytes int64) error {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	if c == nil {
+		return nil
+	}
 	for {
-		err := Reserve(ctx, bytes)
-		if !errors.Is(err, ErrMemory) || ctx.Err() != nil {
+		if err := c.Reserve(ctx, bytes); !errors.Is(err, ErrMemory) || ctx.Err() != nil {
 			return err
 		}
 	}
@@ -50,6 +54,7 @@
 	}
 	// What arrived together with the end of the request before has not been counted yet.
 	if c.reserveRest(r) != nil {
+		c.listener.guard.refused.Inc()
 		w.Header().Set("Retry-After", unavailableRetryAfter)
 		w.Header().Set("Connection", "close")
 		http.Error(w, ErrMemory.Error(), http.StatusServiceUnavailable)
