A connection whose client has sent bytes is not closed for a new one

Callers: beside a crowd of 800 (trial on a scratch copy, 134 MiB) an ordinary request was closed while its body was read: "use of closed network connection".

Cause: a connection counted as waiting for its client from 100 ms on, also if the bytes had arrived and the process, short of processor, had not read them.

Change: such a connection is passed over, and the rest of a request that has begun has 300 ms.

--- a/intake/connections.go
+++ b/intake/connections.go
@@ -6,9 +6,13 @@
 )
 
 const (
-	// minAwait is how long a connection may wait for the bytes of its client before it is closed for a new
-	// one: a client over a slow link has the time to send an ordinary request.
-	minAwait = 100 * time.Millisecond
+	// minIdle is how long a connection may wait for the first bytes of a request before it is closed for a
+	// new one, and minIncomplete for the rest: a client over a slow link has the time to send an ordinary
+	// request.
+	minIdle       = 100 * time.Millisecond
+	minIncomplete = 300 * time.Millisecond
+	// maxLooks bounds the connections looked at for one that is closed.
+	maxLooks = 32
 	// minStalled is the same for a connection whose client takes no bytes of an answer.
 	minStalled = time.Second
 )
@@ -27,6 +31,16 @@
 type awaiting[K comparable] struct {
 	connection K
 	since      time.Time
+	// begun indicates that a part of a request has arrived.
+	begun bool
+}
+
+// mayClose reports whether the client has had the time to send.
+func (a awaiting[K]) mayClose(now time.Time) bool {
+	if a.begun {
+		return now.Sub(a.since) >= minIncomplete
+	}
+	return now.Sub(a.since) >= minIdle
 }
 
 // NewConnections returns a table of at most limit connections.
@@ -42,13 +56,25 @@
 
 // Add adds a new connection, which waits for its client.
 func (c *Connections[K]) Add(connection K, now time.Time) {
-	c.open[connection] = c.awaiting.PushBack(awaiting[K]{connection, now})
+	c.open[connection] = c.awaiting.PushBack(awaiting[K]{connection: connection, since: now})
+}
+
+// Begin records that the first bytes of a request have arrived on a connection.
+func (c *Connections[K]) Begin(connection K, now time.Time) {
+	if at := c.open[connection]; at != nil {
+		c.refresh(at, awaiting[K]{connection, now, true})
+	}
+}
+
+func (c *Connections[K]) refresh(at *list.Element, a awaiting[K]) {
+	at.Value = a
+	c.awaiting.MoveToBack(at)
 }
 
 // Await records that a connection waits for its client from now on.
 func (c *Connections[K]) Await(connection K, now time.Time) {
 	if at, found := c.open[connection]; found && at == nil {
-		c.open[connection] = c.awaiting.PushBack(awaiting[K]{connection, now})
+		c.open[connection] = c.awaiting.PushBack(awaiting[K]{connection: connection, since: now})
 	}
 }
 
@@ -68,15 +94,33 @@
 	delete(c.open, connection)
 }
 
-// Victim returns the connection to close for a new one; found is false if there is none now. stalledSince
-// returns since when a client has not taken bytes of an answer, zero if it takes them.
-func (c *Connections[K]) Victim(now time.Time, stalledSince func(K) time.Time) (victim K, found bool) {
-	if first := c.awaiting.Front(); first != nil {
-		if oldest := first.Value.(awaiting[K]); now.Sub(oldest.since) >= minAwait {
+// Client tells what the client of a connection does.
+type Client[K comparable] interface {
+	// HasSent reports whether bytes have arrived that were not read: the process is late, not the client.
+	HasSent(connection K) bool
+	// StalledSince returns since when the client has not taken bytes of an answer, zero if it takes them.
+	StalledSince(connection K) time.Time
+}
+
+// Victim returns the connection to close for a new one; found is false if there is none now.
+func (c *Connections[K]) Victim(now time.Time, client Client[K]) (victim K, found bool) {
+	at := c.awaiting.Front()
+	for range maxLooks {
+		if at == nil {
+			break
+		}
+		oldest, next := at.Value.(awaiting[K]), at.Next()
+		switch {
+		case !oldest.mayClose(now):
+		case client.HasSent(oldest.connection):
+			oldest.since = now
+			c.refresh(at, oldest)
+		default:
 			return oldest.connection, true
 		}
+		at = next
 	}
-	return c.Stalled(now, stalledSince)
+	return c.Stalled(now, client.StalledSince)
 }
 
 // Stalled returns the connection whose client has not taken bytes of an answer for longest, if that is long
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -56,7 +56,20 @@
 	}
 }
 
-func takesBytes(int) time.Time { return time.Time{} }
+// client is a Client whose fields may be nil.
+type client struct {
+	hasSent func(int) bool
+	stalled func(int) time.Time
+}
+
+func (c client) HasSent(connection int) bool { return c.hasSent != nil && c.hasSent(connection) }
+
+func (c client) StalledSince(connection int) time.Time {
+	if c.stalled == nil {
+		return time.Time{}
+	}
+	return c.stalled(connection)
+}
 
 // Guards against closing a connection whose request is under way, or one that has just come, while others
 // wait for their clients for longer.
@@ -70,21 +83,21 @@
 	if !c.Full() {
 		t.Error("3 of 3 connections leave a place")
 	}
-	if _, found := c.Victim(at(50), takesBytes); found {
+	if _, found := c.Victim(at(50), client{}); found {
 		t.Error("a connection is closed 50 ms after it has come")
 	}
 	c.Work(0)
-	if victim, found := c.Victim(at(200), takesBytes); !found || victim != 1 {
+	if victim, found := c.Victim(at(200), client{}); !found || victim != 1 {
 		t.Errorf("victim %d, %t: 1 has waited longest", victim, found)
 	}
 	c.Await(0, at(201))
 	c.Remove(1)
-	if victim, _ := c.Victim(at(400), takesBytes); victim != 2 {
+	if victim, _ := c.Victim(at(400), client{}); victim != 2 {
 		t.Errorf("victim %d: 0 has been served meanwhile", victim)
 	}
 	c.Work(0)
 	c.Work(2)
-	if _, found := c.Victim(at(10_000), takesBytes); found {
+	if _, found := c.Victim(at(10_000), client{}); found {
 		t.Error("a connection is closed whose request is under way")
 	}
 	stalled := func(connection int) time.Time {
@@ -93,14 +106,38 @@
 		}
 		return time.Time{}
 	}
-	if victim, found := c.Victim(at(10_000), stalled); !found || victim != 2 {
+	if victim, found := c.Victim(at(10_000), client{stalled: stalled}); !found || victim != 2 {
 		t.Errorf("victim %d, %t: the client of 2 takes no bytes", victim, found)
 	}
-	if _, found := c.Victim(at(8_500), stalled); found {
+	if _, found := c.Victim(at(8_500), client{stalled: stalled}); found {
 		t.Error("a client that pauses for half a second is cut off")
 	}
 }
 
+// Guards against closing a connection whose client has sent a request that a busy process has not read, and
+// one whose request is on its way, while others have sent nothing.
+func TestVictimHasSentNothing(t *testing.T) {
+	start := time.Unix(0, 0)
+	c := NewConnections[int](4)
+	for connection := range 4 {
+		c.Add(connection, start)
+	}
+	c.Begin(1, start)
+	now := start.Add(200 * time.Millisecond)
+	sent := client{hasSent: func(connection int) bool { return connection == 0 }}
+	if victim, found := c.Victim(now, sent); !found || victim != 2 {
+		t.Errorf("victim %d, %t: 0 has sent, 1 has begun to", victim, found)
+	}
+	c.Remove(2)
+	c.Remove(3)
+	if victim, found := c.Victim(now, sent); found {
+		t.Errorf("victim %d", victim)
+	}
+	if victim, found := c.Victim(start.Add(minIncomplete), sent); !found || victim != 1 {
+		t.Errorf("victim %d, %t: 1 has not sent the rest", victim, found)
+	}
+}
+
 // Guards against a client that holds shared memory for long with an incomplete request.
 func TestLongestHolderIsFound(t *testing.T) {
 	c, start := NewConnections[int](3), time.Unix(0, 0)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lovagereach/lovagereach/intake"
@@ -87,6 +88,7 @@
 	limits := c.listener.limits()
 	if c.head.Bytes == 0 {
 		c.boundHead(limits.Timeout)
+		c.listener.begin(c)
 	}
 	before := c.head.Cost()
 	c.head.Add(p[:n])
@@ -229,6 +231,29 @@
 	c.held, c.shared = 0, 0
 }
 
+// hasUnread reports whether bytes of the client wait to be read.
+func (c *Conn) hasUnread() bool {
+	inner := c.Conn
+	if secure, wraps := inner.(interface{ NetConn() net.Conn }); wraps {
+		inner = secure.NetConn()
+	}
+	socket, found := inner.(syscall.Conn)
+	if !found {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, failed := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = failed == nil && n > 0
+	})
+	return err == nil && unread
+}
+
 // stalledWithShared is stalledSince for connections that hold shared memory.
 func (c *Conn) stalledWithShared() time.Time {
 	if !c.holdsShared() {
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -71,7 +71,7 @@
 	defer l.mu.Unlock()
 	if l.table.Full() {
 		var found bool
-		victim, found = l.table.Victim(now, (*Conn).stalledSince)
+		victim, found = l.table.Victim(now, clients{})
 		if !found {
 			return nil, false
 		}
@@ -107,6 +107,21 @@
 	return found
 }
 
+// clients implements intake.Client.
+type clients struct{}
+
+// HasSent implements intake.Client.
+func (clients) HasSent(c *Conn) bool { return c.hasUnread() }
+
+// StalledSince implements intake.Client.
+func (clients) StalledSince(c *Conn) time.Time { return c.stalledSince() }
+
+func (l *listener) begin(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Begin(c, time.Now())
+}
+
 func (l *listener) await(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
