--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -62,6 +62,7 @@
 		s.startedAt = time.Now()
 	}
 	s.index = index
+	s.callerLimits.Store(&index.Document().Limits)
 	s.versions.SetCallersWait(index.Document().LongestResumable())
 	s.origins.SetLife(s.versions.Life())
 	return index
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -198,6 +198,14 @@
 	return g.state.index
 }
 
+// Limits returns what the configuration in force allows callers, zero for no configuration.
+func (g *Gateway) Limits() catalog.Limits {
+	if limits := g.state.callerLimits.Load(); limits != nil {
+		return *limits
+	}
+	return catalog.Limits{}
+}
+
 func notRun(reason outcome.Reason, after time.Duration, detail string) *outcome.NotRun {
 	return &outcome.NotRun{Reason: reason, Detail: detail, RetryAfter: after}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lovagereach/lovagereach/cacheindex"
@@ -216,6 +217,8 @@
 	runnerLinks bool
 	reads       replicate.Reads
 	copies      copies
+	// callerLimits are those of the configuration in force, nil without one. They are read without the lock.
+	callerLimits atomic.Pointer[catalog.Limits]
 	// origins holds what began the streams of this entry that are not complete.
 	origins *resumption.Records
 }
