An idle connection of a caller is closed after 1.5 times the configured time

Change: the slack that heads have. It costs descriptors for longer; at the bound idle connections are closed for new ones anyway.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -17,8 +17,8 @@
 const (
 	// headSlack is what a head may have beyond its limit in bytes, for the request line.
 	headSlack = 4 << 10
-	// timeoutSlack is the time that a head may take as a multiple of the configured one: clients keep to it
-	// at their end of the link.
+	// timeoutSlack is the time that a head may take, or a connection be idle, as a multiple of the configured
+	// one: clients keep to it at their end of the link, and a process reads late what has arrived in time.
 	timeoutSlack = 1.5
 	// lingerTime is how long a refused client may go on sending: a close with unread bytes would reset the
 	// connection before the client has read the answer.
@@ -135,7 +135,7 @@
 		if c.head.Bytes == 0 {
 			deadline = earlier(deadline, limits.Idle)
 		} else {
-			deadline = earlier(deadline, time.Duration(timeoutSlack*float64(limits.Timeout)))
+			deadline = earlier(deadline, limits.Timeout)
 		}
 		c.deadline = deadline
 	}
@@ -144,19 +144,20 @@
 
 // boundHead sets the deadline of a head whose first bytes have come.
 func (c *Conn) boundHead(timeout time.Duration) {
-	if deadline := earlier(c.deadline, time.Duration(timeoutSlack*float64(timeout))); deadline != c.deadline {
+	if deadline := earlier(c.deadline, timeout); deadline != c.deadline {
 		c.deadline = deadline
 		// It fails only for a connection that is closed.
 		_ = c.Conn.SetReadDeadline(deadline)
 	}
 }
 
-// earlier returns the earlier of a deadline, zero for none, and the end of a time from now on, 0 for none.
-func earlier(deadline time.Time, within time.Duration) time.Time {
-	if within <= 0 {
+// earlier returns the earlier of a deadline, zero for none, and the end of a configured time from now on, 0
+// for none.
+func earlier(deadline time.Time, configured time.Duration) time.Time {
+	if configured <= 0 {
 		return deadline
 	}
-	if end := time.Now().Add(within); deadline.IsZero() || end.Before(deadline) {
+	if end := time.Now().Add(time.Duration(timeoutSlack * float64(configured))); deadline.IsZero() || end.Before(deadline) {
 		return end
 	}
 	return deadline
