Control hosts take more connections of operators and upstreams

With 3,002 upstreams the busiest control host had 1,299 connections of all kinds (docs/CAPACITY.md); 0.3 of 4,096 descriptors are 1,228, which ordinary upstreams could meet. 0.4 are 1,638.

--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -37,7 +37,7 @@
 const (
 	ShareCallers   = 0.4
 	SharePeers     = 0.3
-	ShareOperators = 0.3
+	ShareOperators = 0.4
 	ShareDirectory = 0.1
 	ShareProbes    = 0.05
 )
