--- a/review/standin-2/case_leaving.go
+++ b/review/standin-2/case_leaving.go
@@ -12,6 +12,9 @@
 
 func init() { cases["leaving"] = leavingThroughAnother }
 
+// exitAfter is how long a runner goes on that has said that it leaves and gets no acknowledgement.
+const exitAfter = 3300 * time.Millisecond
+
 // leavingThroughAnother partitions the entries from all runners for a few seconds: the connections of one
 // are reset and those of the other live on, while new ones are refused. Meanwhile a runner that is cut off
 // from control begins to leave and says so in its answers. The first entry passes such an answer on, which
@@ -42,7 +45,7 @@
 	for round := range 3 {
 		for _, m := range f.entries {
 			for part := range 12 {
-				a := c.send(ctx, m, plan(fmt.Sprintf("a%d%d", round, part)))
+				a := c.send(ctx, m, plan(fmt.Sprintf("a%d%d", round, part), 2))
 				for _, u := range runners {
 					u.claim(a.id, m)
 				}
@@ -62,7 +65,7 @@
 		w.rec.line("%s and %s are partitioned from all runners: connections of the first are reset, those of the second live on, new ones are refused", cut.name, other.name)
 	}
 	if !until(ctx, 4*time.Second, func() bool {
-		return c.send(ctx, cut, plan(c.part())).status == http.StatusOK
+		return c.send(ctx, cut, plan(c.part(), 2)).status == http.StatusOK
 	}) {
 		return verdict{}, fmt.Errorf("%s serves nothing through another entry", cut.name)
 	}
@@ -70,9 +73,10 @@
 	leaves.leaving, leaves.state = true, "draining"
 	leaves.mu.Unlock()
 	w.rec.line("%s begins to leave", leaves.id)
+	began := time.Now()
 	var passed time.Time
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end) && passed.IsZero(); pause(ctx, 30*time.Millisecond) {
-		a := c.send(ctx, cut, plan(c.part()))
+		a := c.send(ctx, cut, plan(c.part(), 2))
 		if a.header.Get("Server-Leaving") != "" {
 			passed = time.Now()
 			w.rec.line("%s passes on the answer to %s with Server-Leaving, signature %s", cut.name, a.id, a.header.Get("Server-Seal"))
@@ -84,6 +88,11 @@
 		}
 		passed = time.Now()
 	}
+	exit := time.AfterFunc(exitAfter, func() {
+		leaves.end()
+		w.rec.line("%s has ended, %.1f s after it began to leave", leaves.id, time.Since(began).Seconds())
+	})
+	defer exit.Stop()
 	if troubled() {
 		pause(ctx, 300*time.Millisecond)
 		for _, u := range runners {
@@ -100,11 +109,11 @@
 	}
 	var mu sync.Mutex
 	var senders sync.WaitGroup
-	sent, reached, served := 0, 0, 0
-	for range 4 {
+	sent, reached, served, lost := 0, 0, 0, 0
+	for range 12 {
 		senders.Go(func() {
 			for end := passed.Add(drainTime + 3*time.Second); time.Now().Before(end) && ctx.Err() == nil; pause(ctx, 20*time.Millisecond) {
-				a := c.send(ctx, cut, plan(c.part()))
+				a := c.send(ctx, cut, plan(c.part(), 40))
 				mu.Lock()
 				if a.sent.Sub(passed) > drainTime {
 					sent++
@@ -113,7 +122,10 @@
 					}
 					if leaves.runs(a.id) > 0 {
 						reached++
-						w.rec.line("request %s, sent to %s %.1f s after that answer, reaches %s", a.id, cut.name, a.sent.Sub(passed).Seconds(), leaves.id)
+						if a.status != http.StatusOK || !a.whole {
+							lost++
+						}
+						w.rec.line("request %s, sent to %s %.1f s after that answer, reaches %s; status %d, whole answer %v", a.id, cut.name, a.sent.Sub(passed).Seconds(), leaves.id, a.status, a.whole)
 					}
 				}
 				mu.Unlock()
@@ -121,7 +133,7 @@
 		})
 	}
 	senders.Wait()
-	seen := fmt.Sprintf("of %d requests sent to %s later than %v after it had passed on an answer with Server-Leaving, %d reached that runner; %d were served", sent, cut.name, drainTime, reached, served)
+	seen := fmt.Sprintf("of %d requests sent to %s later than %v after it had passed on an answer with Server-Leaving, %d reached that runner, of which %d were lost when it ended; %d were served", sent, cut.name, drainTime, reached, lost, served)
 	return verdict{broken: reached > 0, seen: seen}, nil
 }
 
--- a/review/standin-2/clients.go
+++ b/review/standin-2/clients.go
@@ -17,6 +17,7 @@
 	world  *world
 	client *http.Client
 	sent   atomic.Int64
+	parts  atomic.Int64
 }
 
 func newClients(w *world) *clients {
@@ -71,12 +72,13 @@
 	return a
 }
 
-// plan is a prompt of the larger kind: a long part that many requests share, and one of its own.
-func plan(shared string) request {
-	return request{path: "/plan/x", method: http.MethodPost, body: []byte("prompt"), deadline: 6 * time.Second, header: map[string]string{
-		"Model": model, "Token-Usage": "17060,17", "Prompt-Prefix": fmt.Sprintf("%s:12800,%x:4260", shared, time.Now().UnixNano()),
+// plan is a prompt of the larger kind: a long part that many requests share, and one of its own. A route that
+// doesn't allow its stream to be resumed takes it.
+func plan(shared string, output int) request {
+	return request{path: "/once/x", method: http.MethodPost, body: []byte("prompt"), deadline: 6 * time.Second, header: map[string]string{
+		"Model": model, "Token-Usage": fmt.Sprintf("17060,%d", output), "Prompt-Prefix": fmt.Sprintf("%s:12800,%x:4260", shared, time.Now().UnixNano()),
 	}}
 }
 
 // part returns the id of a shared part that no request had before.
-func (c *clients) part() string { return fmt.Sprintf("b%07x", c.sent.Load()) }
+func (c *clients) part() string { return fmt.Sprintf("b%07x", c.parts.Add(1)) }
--- a/review/standin-2/operator.go
+++ b/review/standin-2/operator.go
@@ -123,7 +123,9 @@
 		"tenants":  []any{map[string]any{"name": "growers", "api_keys": []string{key}, "priority": 1}},
 	}
 	if engine {
-		d["routes"] = append(d["routes"].([]any), route("plan", "streaming", 2, "llm"))
+		d["routes"] = append(d["routes"].([]any), route("plan", "streaming", 2, "llm"), route("once", "streaming", 1, "llm"))
+		once := d["routes"].([]any)[3].(map[string]any)
+		once["resumable"] = false
 		d["services"] = append(d["services"].([]any), map[string]any{
 			"name": "llm", "health_path": "/healthz", "max_connections": 230, "protocol": "h1", "tls": false,
 			"engine": map[string]any{
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -131,20 +131,19 @@
 	}
 }
 
-// streamEvents is the number of events of a stream.
-const streamEvents = 5
-
-// answerStream answers with a stream, which may go on after an event.
+// answerStream answers with a stream of an event for each token, which may go on after an event.
 func (u *runner) answerStream(w http.ResponseWriter, r *http.Request) {
 	u.read(r)
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	_, output, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
+	events, _ := strconv.Atoi(output)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Weight-Versions", "1")
 	w.Header().Set("Server-Seal", u.seal(r.Header.Get("Request-Id")))
-	for n := after + 1; n <= streamEvents && r.Context().Err() == nil; n++ {
+	for n := after + 1; n <= events && r.Context().Err() == nil; n++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, u.id, n)
 		_ = http.NewResponseController(w).Flush()
-		pause(r.Context(), 20*time.Millisecond)
+		pause(r.Context(), 40*time.Millisecond)
 	}
 }
 
@@ -257,3 +256,6 @@
 	defer u.mu.Unlock()
 	return u.ran[id]
 }
+
+// end ends the runner: it closes its listener and all connections.
+func (u *runner) end() { _ = u.gate.server.Close() }
