review: case 5, streams can't be taken up after a restart of the core

Rule LOST, streams that clients take up again. Two software versions serve. The control hosts are killed together and are back after 0.5 s; they hold the origins of open streams in memory only, and no entry tells them again. When an entry is killed 4.2 s later, its streams go on nowhere.

--- a/review/standin-2/operator.go
+++ b/review/standin-2/operator.go
@@ -111,7 +111,7 @@
 func document(engine bool) map[string]any {
 	route := func(name, kind string, attempts int, service string) map[string]any {
 		return map[string]any{
-			"name": name, "host": "review.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000, "target_latency_ms": 300,
+			"name": name, "host": "review.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 6000, "target_latency_ms": 300,
 			"priority": 1, "service": service, "max_attempts": attempts, "public": false, "session_affinity": kind == "streaming", "resumable": kind == "streaming", "target_gap_ms": 200,
 		}
 	}
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -22,8 +22,11 @@
 	address     string
 	slots       int
 	work        time.Duration
-	born        int64
-	models      []any
+	// software is the version of its software, pauses the time between two events.
+	software string
+	pauses   time.Duration
+	born     int64
+	models   []any
 
 	mu       sync.Mutex
 	sequence int
@@ -50,7 +53,7 @@
 // newRunner starts a runner on an address of its own.
 func (f *fleet) newRunner(ctx context.Context, service, id string, n int) (*runner, error) {
 	u := &runner{
-		world: f.world, service: service, id: id, slots: 6, work: 100 * time.Millisecond, born: time.Now().UnixMilli(),
+		world: f.world, service: service, id: id, slots: 6, work: 100 * time.Millisecond, software: "v1", pauses: 40 * time.Millisecond, born: time.Now().UnixMilli(),
 		state: "ready", ran: make(map[string]int), cached: make(map[string]bool),
 	}
 	if service == "llm" {
@@ -141,9 +144,9 @@
 	w.Header().Set("Weight-Versions", "1")
 	w.Header().Set("Server-Seal", u.seal(r.Header.Get("Request-Id")))
 	for n := after + 1; n <= events && r.Context().Err() == nil; n++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, u.id, n)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", n, u.id, u.software, n)
 		_ = http.NewResponseController(w).Flush()
-		pause(r.Context(), 40*time.Millisecond)
+		pause(r.Context(), u.pauses)
 	}
 }
 
@@ -216,7 +219,7 @@
 	u.next++
 	host := u.hosts[u.next%len(u.hosts)]
 	message := map[string]any{
-		"service": u.service, "address": u.address, "zone": zone, "version": "v1", "slots": u.slots, "state": u.state,
+		"service": u.service, "address": u.address, "zone": zone, "version": u.software, "slots": u.slots, "state": u.state,
 		"cold_remaining_ms": 0, "sequence": u.sequence, "born": u.born,
 	}
 	if u.models != nil {
@@ -257,5 +260,13 @@
 	return u.ran[id]
 }
 
+// setSoftware sets the version of the runner's software, and the time between two events, before its first
+// request.
+func (u *runner) setSoftware(version string, pauses time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.software, u.pauses = version, pauses
+}
+
 // end ends the runner: it closes its listener and all connections.
 func (u *runner) end() { _ = u.gate.server.Close() }
