--- a/review/standin-2/gate.go
+++ b/review/standin-2/gate.go
@@ -18,13 +18,24 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]*machine
+	// all are the open connections.
+	all map[net.Conn]bool
 }
 
 type connKey struct{}
 
 func newGate(server *http.Server, address string) *gate {
-	g := &gate{address: address, server: server, conns: make(map[net.Conn]*machine)}
+	g := &gate{address: address, server: server, conns: make(map[net.Conn]*machine), all: make(map[net.Conn]bool)}
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if state == http.StateClosed {
+			delete(g.all, c)
+		} else {
+			g.all[c] = true
+		}
+	}
 	return g
 }
 
@@ -62,3 +73,15 @@
 	defer g.mu.Unlock()
 	g.conns[c] = m
 }
+
+// down refuses new connections and resets all.
+func (g *gate) down() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_ = g.listener.Close()
+	for c := range g.all {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	clear(g.all)
+}
