--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -270,3 +270,15 @@
 
 // end ends the runner: it closes its listener and all connections.
 func (u *runner) end() { _ = u.gate.server.Close() }
+
+// answerUnframed answers with neither a length nor chunks: the answer ends with its connection.
+func (u *runner) answerUnframed(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nServer-Seal: %s\r\nConnection: close\r\n\r\nanswer to %s", id, u.id, u.seal(id), id)
+	_ = buffered.Flush()
+	_ = conn.Close()
+}
