--- a/review/standin-2/case_denied.go
+++ b/review/standin-2/case_denied.go
@@ -64,7 +64,7 @@
 	statuses := c.many(ctx, first, 8, newPath)
 	w.rec.line("8 clients send GET %s to %s at the same time: statuses %v", newPath, first.name, statuses)
 	if troubled() {
-		pause(ctx, time.Second)
+		pause(ctx, 2*time.Second)
 		for _, u := range runners {
 			if err := u.gate.open(); err != nil {
 				return verdict{}, err
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -244,18 +243,6 @@
 	return m.command.Process.Pid
 }
 
-// peakMemory returns the largest resident memory of the process so far in MiB.
-func (m *machine) peakMemory() int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.pid()))
-	if err != nil {
-		return 0
-	}
-	_, after, _ := bytes.Cut(status, []byte("VmHWM:"))
-	field, _, _ := bytes.Cut(after, []byte("kB"))
-	kilobytes, _ := strconv.Atoi(string(bytes.TrimSpace(field)))
-	return kilobytes >> 10
-}
-
 // fleet is a small deployment.
 type fleet struct {
 	*world
