--- a/review/standin-2/case_replace.go
+++ b/review/standin-2/case_replace.go
@@ -13,16 +13,12 @@
 
 func init() { cases["replace"] = replaceTwo }
 
-// sigtermAfter is how long a successor has run when the machine that it replaces gets SIGTERM, and margin what
-// is waited beyond catch_up_s before the next replacement.
-const (
-	sigtermAfter = 2 * time.Second
-	margin       = 500 * time.Millisecond
-)
+// margin is what a successor has run beyond catch_up_s when the machine that it replaces gets SIGTERM.
+const margin = 200 * time.Millisecond
 
 // replaceTwo replaces two of the three control hosts, one after the other, as an operator does: the new one
-// first, with an empty disk and another address, then SIGTERM for the old one. The second replacement begins
-// when the first successor has run for longer than catch_up_s.
+// first, with an empty disk and another address, then, when it has run for longer than catch_up_s, SIGTERM for the
+// old one. The second replacement begins when the first machine has ended.
 func replaceTwo(ctx context.Context, w *world) (verdict, error) {
 	f, err := w.startFleet(3, 2)
 	if err != nil {
@@ -52,7 +48,6 @@
 			if !o.put(ctx, 2, document(false), 2*time.Second) {
 				w.rec.line("configuration 2 was not acknowledged before the second replacement")
 			}
-			pause(ctx, time.Until(present[at].startedAt.Add(catchUp+margin)))
 		}
 	}
 	// Service may be suspended until recovery_s after all machines are back.
@@ -70,8 +65,8 @@
 	if err := successor.start(); err != nil {
 		return nil, err
 	}
-	pause(ctx, sigtermAfter)
-	f.rec.line("%s gets SIGTERM and leaves: %s has run for %v in its place", old.name, successor.name, sigtermAfter)
+	pause(ctx, time.Until(successor.startedAt.Add(catchUp+margin)))
+	f.rec.line("%s gets SIGTERM and leaves: %s has run for %v in its place", old.name, successor.name, catchUp+margin)
 	old.signal(syscall.SIGTERM)
 	if !old.awaitEnd(8 * time.Second) {
 		return nil, fmt.Errorf("%s did not end", old.name)
