An answer that was reset while its request was written is broken off

What callers saw: an upstream answered a long upload at once, without a length or chunks, and reset the connection while the upload was still being written. The caller got the part that had come as a complete answer.

Cause: a reset leaves one pending error at the socket. The write that is in progress takes it, and the read that follows gets a regular end. Without a length or a final chunk that end is the answer's. net/http's transport does the same: the result of its write is dropped once the answer has begun.

Evidence: a stand-in that reads 4 KB, answers and closes with the rest unread.

Change: the end of the connection ends a body only once the request is written, in both pipelines, for streams and between entries. Where net/http's transport has closed the connection at the end of the answer, an unfinished write makes it broken.

Every answer with a length or chunks is read as before.

--- a/internal/adapter/httpsend/conn.go
+++ b/internal/adapter/httpsend/conn.go
@@ -17,6 +17,9 @@
 	mu     sync.Mutex
 	writes uint64
 	closed bool
+	// writing is held during a write, and guards failed, the error of the write that failed.
+	writing sync.Mutex
+	failed  error
 }
 
 // Write implements io.Writer. It counts the write before it sends the bytes, because a
@@ -29,7 +32,20 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.failed = err
+	}
+	return n, err
+}
+
+// writeError returns the error of a write that failed, nil if none did. It waits for a write in progress.
+func (c *countedConn) writeError() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.failed
 }
 
 // count returns the number of writes.
--- a/internal/adapter/httpsend/send.go
+++ b/internal/adapter/httpsend/send.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/unframed"
 	"github.com/lovagereach/lovagereach/retry"
 )
 
@@ -76,8 +77,8 @@
 // sendOnce sends the request on one connection. unsent is true if this was a reused one,
 // no byte of the request was written to it, and it is closed to later writes.
 func (t *Transport) sendOnce(req *http.Request, request ident.Request, attempt uint32) (resp *http.Response, unsent bool, err error) {
-	tracker := &connTracker{}
-	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
+	tracker := &connTracker{wrote: make(chan error, 1)}
+	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn, WroteRequest: tracker.wroteRequest}
 	traced := req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	traced.Header = req.Header.Clone()
 	if traced.Header == nil {
@@ -91,6 +92,9 @@
 		evidence := tracker.evidence(req.Context(), err)
 		return nil, tracker.reusedUnwritten(evidence), retry.Classify(evidence)
 	}
+	if unframed.Is(resp) {
+		resp.Body = unframed.NewBody(resp.Body, func() error { return tracker.awaitWritten(req.Context()) })
+	}
 	evidence := matchAnswer(resp.Header, request, attempt)
 	if evidence.Refused || evidence.Mismatched {
 		resp.Body.Close()
@@ -138,6 +142,8 @@
 	// untracked is set if the request got a second connection or one that isn't a
 	// countedConn.
 	untracked bool
+	// wrote receives the result of writing the request.
+	wrote chan error
 }
 
 func (w *connTracker) gotConn(info httptrace.GotConnInfo) {
--- /dev/null
+++ b/internal/adapter/service/broken_test.go
@@ -0,0 +1,124 @@
+package service
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/adapter/httpsend"
+	"github.com/lovagereach/lovagereach/internal/port"
+)
+
+// earlyReplica answers each call after the first bytes of its body, without a length or chunks, and then ends
+// the connection by end.
+func earlyReplica(t *testing.T, end func(c *net.TCPConn)) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := io.ReadFull(c, make([]byte, 4<<10)); err != nil {
+					return
+				}
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 1\r\n\r\nanswer", httpsend.HeaderRequest, ident.Request{7}, httpsend.HeaderAttempt)
+				end(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return New(listener.Addr().String(), nil)
+}
+
+// forward makes a call with a body and returns the answer's.
+func forward(t *testing.T, client *Client, bytes int) (string, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	answer, err := client.Forward(ctx, port.ServiceCall{Request: ident.Request{7}, Attempt: 1, Method: "POST", Path: "/lots", Body: make([]byte, bytes)})
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
+// Guards against a part of an answer that looks whole: its connection was reset, or ended, while the call was
+// written.
+func TestAnswerThatEndsDuringUploadIsBroken(t *testing.T) {
+	const plays = 40
+	for name, c := range map[string]struct {
+		// bytes are the lengths of the calls' bodies. Sixteen MiB take longer to write than any buffers hold.
+		bytes []int
+		end   func(*net.TCPConn)
+	}{
+		"reset": {[]int{64 << 10, 768 << 10, 16 << 20}, func(*net.TCPConn) {}},
+		"closed, then reset": {[]int{16 << 20}, func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			time.Sleep(time.Millisecond)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := earlyReplica(t, c.end)
+			for _, bytes := range c.bytes {
+				whole := 0
+				for range plays {
+					if _, err := forward(t, client, bytes); err == nil {
+						whole++
+					}
+				}
+				if whole > 0 {
+					t.Errorf("%d bytes: %d of %d answers look whole", bytes, whole, plays)
+				}
+			}
+		})
+	}
+}
+
+// Guards against answers being refused whose call was written as a whole.
+func TestAnswerAfterUploadIsWhole(t *testing.T) {
+	const plays = 40
+	for _, bytes := range []int{5 << 10, 768 << 10, 4 << 20} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		go answerWhole(listener, bytes)
+		for range plays {
+			if body, err := forward(t, New(listener.Addr().String(), nil), bytes); err != nil || body != "answer" {
+				t.Fatalf("%d bytes: %q, %v", bytes, body, err)
+			}
+		}
+	}
+}
+
+// answerWhole answers calls with bodies of some bytes once they have come whole, and closes the connection.
+func answerWhole(listener net.Listener, bytes int) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil {
+			if n, _ := io.Copy(io.Discard, r.Body); n == int64(bytes) {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 1\r\n\r\nanswer", httpsend.HeaderRequest, ident.Request{7}, httpsend.HeaderAttempt)
+			}
+		}
+		_ = c.Close()
+	}
+}
--- a/internal/adapter/service/service.go
+++ b/internal/adapter/service/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovagereach/lovagereach/internal/adapter/httpsend"
 	"github.com/lovagereach/lovagereach/internal/port"
+	"github.com/lovagereach/lovagereach/internal/unframed"
 	"github.com/lovagereach/lovagereach/internal/upstreamapi"
 	"github.com/lovagereach/lovagereach/outcome"
 )
@@ -50,8 +51,8 @@
 		resp.Body.Close()
 		return port.ServiceAnswer{}, err
 	}
-	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-	if unframed && resp.StatusCode/100 == 2 {
+	endsWithConnection := unframed.Is(resp)
+	if endsWithConnection && resp.StatusCode/100 == 2 {
 		if err := awaitBody(resp); err != nil {
 			resp.Body.Close()
 			return port.ServiceAnswer{}, err
@@ -66,7 +67,7 @@
 		Header:   resp.Header,
 		Body:     resp.Body,
 		Length:   resp.ContentLength,
-		Unframed: unframed,
+		Unframed: endsWithConnection,
 	}, nil
 }
 
--- a/internal/unframed/unframed.go
+++ b/internal/unframed/unframed.go
@@ -1,5 +1,5 @@
-// Package unframed writes HTTP answers that have neither a length nor chunks, and whose end is that of
-// their connection.
+// Package unframed reads and writes HTTP answers that have neither a length nor chunks, and whose end is that
+// of their connection.
 //
 // Such an answer also ends when the process that writes it does, since the kernel closes its connections.
 // From Begin to End any close therefore resets the connection, which no reader takes for an end.
