An answer with a blank in the name of a header field is none

What callers saw: an upstream in trouble wrote a field whose name held a blank, or had one before the colon, and the caller got the 200 without that line. With "Content-Length : 9" before five bytes, or "Transfer-Encoding : chunked", it got as whole what was cut off or still in chunks.

Cause: net/http keeps such a field under the name as it stands, so that it is neither a length nor an encoding, and leaves it out when it writes a head. A line that begins with a blank is added to the value of the line before, the upstream's seal among them.

Change: package httphead checks names against the grammar, and finds folded lines while a head of the routed pipeline is read; interim answers too. Such an answer has an unknown outcome.

--- a/internal/adapter/httpsend/send.go
+++ b/internal/adapter/httpsend/send.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/httphead"
 	"github.com/lovagereach/lovagereach/internal/unframed"
+	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/retry"
 )
 
@@ -92,6 +94,10 @@
 		evidence := tracker.evidence(req.Context(), err)
 		return nil, tracker.reusedUnwritten(evidence), retry.Classify(evidence)
 	}
+	if err := httphead.Check(resp); err != nil {
+		resp.Body.Close()
+		return nil, false, &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: err.Error()}
+	}
 	if unframed.Is(resp) {
 		resp.Body = unframed.NewBody(resp.Body, func() error { return tracker.awaitWritten(req.Context()) })
 	}
--- a/internal/adapter/service/broken_test.go
+++ b/internal/adapter/service/broken_test.go
@@ -13,6 +13,7 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/adapter/httpsend"
 	"github.com/lovagereach/lovagereach/internal/port"
+	"github.com/lovagereach/lovagereach/outcome"
 )
 
 // earlyReplica answers each call after the first bytes of its body, without a length or chunks, and then ends
@@ -122,3 +123,22 @@
 		_ = c.Close()
 	}
 }
+
+// Guards against an answer with a broken head that reaches a caller.
+func TestBrokenHeadsAreNoAnswers(t *testing.T) {
+	const whole = "Content-Length: 5\r\n\r\nwhole"
+	for name, c := range map[string]struct{ status, rest string }{
+		"a name with a blank": {"200 OK", "X Foo: bar\r\n" + whole}, "a blank before the colon": {"200 OK", "X-Foo : bar\r\n" + whole},
+		"a length with a blank": {"200 OK", "Content-Length : 9\r\n\r\nwhole"}, "chunks with a blank": {"200 OK", "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+		"a name with a control byte": {"200 OK", "X\x01Foo: bar\r\n" + whole}, "a name with a tab": {"200 OK", "X\tFoo: bar\r\n" + whole},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			answer, err := replica(t, c.status, c.rest).Forward(ctx, port.ServiceCall{Request: ident.Request{7}, Attempt: 1, Method: "POST", Path: "/lots"})
+			if outcome.KindOf(err) != outcome.KindUnknown {
+				t.Errorf("got %d, %v", answer.Status, err)
+			}
+		})
+	}
+}
