An answer whose status is outside 100 to 599 is none

What callers saw: in the native pipeline the answer of a service with status 000, 099, 101, 600 or 999 was taken for its answer. net/http's writer panics on the first two, tried apart: the caller's connection ends with no answer. In the routed pipeline callers got 600 and 999.

Cause: net/http takes any three digits. Its transport returns all of them but the interim ones as final, 101 too.

Change: the check of heads covers the status. 101 is none, since no request asks for another protocol. In the routed pipeline a status under 100 was read as that of an interim answer, and what followed as the next head.

--- a/internal/adapter/service/broken_test.go
+++ b/internal/adapter/service/broken_test.go
@@ -124,10 +124,13 @@
 	}
 }
 
-// Guards against an answer with a broken head that reaches a caller.
+// Guards against an answer with a broken head that reaches a caller, or that ends the caller's connection by a
+// panic.
 func TestBrokenHeadsAreNoAnswers(t *testing.T) {
 	const whole = "Content-Length: 5\r\n\r\nwhole"
 	for name, c := range map[string]struct{ status, rest string }{
+		"status 000": {"000 No", whole}, "status 099": {"099 No", whole}, "status 600": {"600 No", whole}, "status 999": {"999 No", whole},
+		"status 101": {"101 Switching Protocols", "\r\nwhole"}, "status 20": {"20 OK", whole}, "status 1000": {"1000 OK", whole}, "no status": {"OK", whole},
 		"a name with a blank": {"200 OK", "X Foo: bar\r\n" + whole}, "a blank before the colon": {"200 OK", "X-Foo : bar\r\n" + whole},
 		"a length with a blank": {"200 OK", "Content-Length : 9\r\n\r\nwhole"}, "chunks with a blank": {"200 OK", "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
 		"a name with a control byte": {"200 OK", "X\x01Foo: bar\r\n" + whole}, "a name with a tab": {"200 OK", "X\tFoo: bar\r\n" + whole},
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -8,15 +8,24 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // Error is the reason why a head is none of an answer.
 type Error struct{ reason string }
 
 // Error implements error.
 func (e *Error) Error() string { return e.reason }
 
-// Check returns an *Error if the head of resp is none of an HTTP answer. net/http keeps fields whose names hold blanks, under those names: a length or an encoding among them
+// Check returns an *Error if the head of resp is none of an HTTP answer to a request that asked for no other
+// protocol. net/http keeps fields whose names hold blanks, under those names: a length or an encoding among them
 // would be ignored, and the body be taken for another one.
 func Check(resp *http.Response) error {
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols {
+		return &Error{fmt.Sprintf("an answer with status %03d", resp.StatusCode)}
+	}
 	for name := range resp.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return &Error{fmt.Sprintf("an answer with a header field named %q", name)}
