Long answers of upstreams are read in turn

What operators saw: faulty upstreams sent bytes that were no answer, without end. The process that had called them kept them all and ran out of memory, and the requests of its other clients ended with it.

Cause: each answer that is needed whole has a limit, but not all of them together.

Change: package longanswer. Up to 64 KiB of an answer is read beside any number of others. The rest of a longer one waits for its turn, which lasts until it is decoded and at most as long as its call.

The price: while runners send without end, answers over 64 KiB of other runners come later or not within their call. Their caches are unknown then, which costs choice, not service.

--- a/internal/adapter/engine/endless_test.go
+++ b/internal/adapter/engine/endless_test.go
@@ -7,11 +7,13 @@
 	"net"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/adapter/httpsend"
+	"github.com/lovagereach/lovagereach/internal/port"
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
@@ -106,3 +108,56 @@
 		})
 	}
 }
+
+// Guards against calls of many engines whose answers have no end, all of which are kept at the same time.
+func TestCallsWithoutEnd(t *testing.T) {
+	// maxHeap is the memory of two answers of a usual kind, with room for copies.
+	const engines, limit, maxHeap = 32, time.Minute, 24 << 20
+	options := Options{Transport: httpsend.NoRetryTransport()}
+	calls := map[string]func(ctx context.Context, c *Client) error{
+		"import": func(ctx context.Context, c *Client) error { _, err := c.Import(ctx, port.ImportRequest{}); return err },
+		"export": func(ctx context.Context, c *Client) error { _, err := c.Export(ctx, port.ExportRequest{}); return err },
+		"order":  func(ctx context.Context, c *Client) error { _, err := c.Order(ctx, port.Order{}); return err },
+		"state":  func(ctx context.Context, c *Client) error { _, err := c.State(ctx); return err },
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			var running sync.WaitGroup
+			for range engines {
+				address, _ := endlessEngine(t, "HTTP/1.1 200 OK\r\n\r\n{", " ")
+				running.Go(func() {
+					if err := call(ctx, New(address, options)); err == nil || ctx.Err() != nil {
+						t.Errorf("%v, %v", err, ctx.Err())
+					}
+				})
+			}
+			done := make(chan struct{})
+			go func() {
+				running.Wait()
+				close(done)
+			}()
+			if grown := heapGrowth(done); grown > maxHeap {
+				t.Errorf("the heap grew by %d MiB", grown>>20)
+			}
+		})
+	}
+}
+
+// heapGrowth returns how much memory in use grows at most until done is closed, in bytes.
+func heapGrowth(done <-chan struct{}) (grown int64) {
+	var before, during runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for {
+		runtime.GC()
+		runtime.ReadMemStats(&during)
+		grown = max(grown, int64(during.HeapAlloc)-int64(before.HeapAlloc))
+		select {
+		case <-done:
+			return grown
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
--- a/internal/adapter/httpcall/httpcall.go
+++ b/internal/adapter/httpcall/httpcall.go
@@ -70,7 +70,7 @@
 	if resp.StatusCode < 200 || resp.StatusCode > 299 {
 		return eris.Wrap(Failure(resp, id, 1), req.URL.Path)
 	}
-	if err := read(resp, limit, answer); err != nil {
+	if err := c.read(ctx, resp, limit, answer); err != nil {
 		return &outcome.Unknown{Reason: outcome.ReasonBadAnswer, Detail: req.URL.Path + ": " + err.Error()}
 	}
 	return nil
@@ -79,12 +79,13 @@
 // read reads a response completely, even if only the status is needed: a truncated
 // response proves nothing, and a connection can be reused only after its response was
 // read.
-func read(resp *http.Response, limit int64, answer any) error {
-	data, err := upstreamapi.ReadBounded(resp.Body, limit)
-	if err != nil || answer == nil || resp.StatusCode == http.StatusNoContent {
-		return err
-	}
-	return json.Unmarshal(data, answer)
+func (c *Caller) read(ctx context.Context, resp *http.Response, limit int64, answer any) error {
+	return c.transport.Answers.Read(ctx, resp, limit, func(data []byte) error {
+		if answer == nil || resp.StatusCode == http.StatusNoContent {
+			return nil
+		}
+		return json.Unmarshal(data, answer)
+	})
 }
 
 // Failure converts an error response into *outcome.Failed, with the upstream's message
--- a/internal/adapter/httpsend/transport.go
+++ b/internal/adapter/httpsend/transport.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/lovagereach/lovagereach/internal/longanswer"
 )
 
 // Limits of connections to upstreams.
@@ -26,7 +28,9 @@
 // Transport is an http.RoundTripper that writes each request to at most one
 // connection.
 type Transport struct {
-	base *http.Transport
+	// Answers reads the answers that are needed whole.
+	Answers *longanswer.Reader
+	base    *http.Transport
 }
 
 // NoRetryTransport returns a Transport that uses HTTP/1.1 only, ignores proxy settings
@@ -43,7 +47,7 @@
 	// HTTP/2 is disabled because it has retry rules of its own.
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &Transport{base: &http.Transport{
+	return &Transport{Answers: longanswer.NewReader(), base: &http.Transport{
 		DialContext:            dial,
 		MaxIdleConns:           maxIdle,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
