Control hosts of the native interface read long answers of all engines in turn

Cause: each client of an engine had a transport of its own there, and with it a turn of its own, so that the answers of several engines without end were still kept at the same time. Seen in the code, not played: only orders go out from there, a few at a time.

Change: one transport for all engines, as at entries; it also keeps one pool of connections.

--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -14,6 +14,7 @@
 	"github.com/lovagereach/lovagereach/intake"
 	"github.com/lovagereach/lovagereach/internal/adapter/disk"
 	"github.com/lovagereach/lovagereach/internal/adapter/engine"
+	"github.com/lovagereach/lovagereach/internal/adapter/httpsend"
 	"github.com/lovagereach/lovagereach/internal/adapter/peer"
 	"github.com/lovagereach/lovagereach/internal/adapter/telemetry"
 	"github.com/lovagereach/lovagereach/internal/boottime"
@@ -142,7 +143,7 @@
 	}
 	ledger.NewServer(groups, time.Now).Register(h.transport)
 	h.transport.Handle(methodMembers, port.PeerHandlerFunc(h.handleMembers))
-	engines := engine.Options{Counters: &engine.Counters{}}
+	engines := engine.Options{Transport: httpsend.NoRetryTransport(), Counters: &engine.Counters{}}
 	h.orderer = control.NewOrderer(control.OrderOptions{
 		Server: h.server,
 		Dial:   func(address string) (port.Engine, error) { return engine.New(address, engines), nil },
