A leaving entry refuses requests that may outlast its process

What callers saw: in a planned stop of one entry, in calm, requests that came some 2 s after the signal were passed on and ran. When the process ended they were cut with no answer, requests that must not be repeated among them.

Cause: a leaving entry took requests for 2.7 s, whatever their time limit, and ended 7.3 s after the signal. A limit of 6 s goes beyond that. Natively the same holds for calls near the end of drain_timeout.

Change: an entry that leaves knows when its process ends. A request whose time limit ends later than 0.2 s before that is refused as not run, reason draining; its caller finds another entry with nearly all of its time left. All others have an answer in time, if only that their time was up. Slow bodies, requests on open connections and requests forwarded by other entries are decided alike.

Requests taken before the signal with a limit beyond the end are cut as before: nobody can serve them.

--- a/cmd/lovage-fleet/entry.go
+++ b/cmd/lovage-fleet/entry.go
@@ -29,10 +29,12 @@
 	// the process exits by itself before it is killed.
 	stopReserve = 700 * time.Millisecond
 	// acceptWindow is how long a leaving entry accepts further requests: most callers
-	// cache an answer of the directory for 2 s. A request accepted later might not
-	// complete before the process has to exit; its caller finds another entry
-	// sooner if the listener is closed.
+	// cache an answer of the directory for 2 s. Most requests that arrive later
+	// would be refused, because they might not complete before the process has to
+	// exit; callers find another entry sooner if the listener is closed.
 	acceptWindow = 2700 * time.Millisecond
+	// answerReserve is how long before the process ends the last answers begin at the latest.
+	answerReserve = 200 * time.Millisecond
 )
 
 func runEntry(ctx context.Context, env *process.Env, s *platform.Settings) error {
@@ -155,7 +157,7 @@
 	select {
 	case <-ctx.Done():
 	case <-e.env.Drain:
-		e.gateway.Leave()
+		e.gateway.Leave(time.Now().Add(e.stopWithin - stopReserve - answerReserve))
 		e.env.Log.Info("leaving", "open", e.gateway.Open())
 		wait.For(ctx, min(acceptWindow, e.stopWithin/3))
 	}
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -9,10 +9,11 @@
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
-// errClosed is the refusal of requests after the drain has ended.
+// errClosed is the refusal of requests after the drain has ended, or that might
+// not end before the process.
 var errClosed = &outcome.NotRun{
 	Reason:     outcome.ReasonDraining,
-	Detail:     "this entry has shut down; ask another one",
+	Detail:     "this entry is shutting down; ask another one",
 	RetryAfter: time.Second,
 }
 
@@ -24,6 +25,8 @@
 	open    int
 	leaving bool
 	closed  bool
+	// endsAt is when the entry ends even if requests are open, zero if that is not known.
+	endsAt time.Time
 	// keptUntil is the latest expiry of the address answers that name this
 	// entry.
 	keptUntil time.Time
@@ -31,11 +34,13 @@
 	idle chan struct{}
 }
 
-// enter counts a new request as open. It returns false if the entry is closed.
-func (d *drainState) enter() bool {
+// enter counts a new request as open. It returns false if the entry is closed, or
+// ends before the request's deadline, which is zero if there is none: the answer
+// might be cut.
+func (d *drainState) enter(deadline time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closed {
+	if d.closed || !d.endsAt.IsZero() && deadline.After(d.endsAt) {
 		return false
 	}
 	d.open++
@@ -79,10 +84,10 @@
 // startLeaving marks the entry as leaving. It returns the time until which
 // callers may still arrive: the latest expiry of address answers given by this
 // entry or, until peersUntil, by other entries.
-func (d *drainState) startLeaving(peersUntil time.Time) time.Time {
+func (d *drainState) startLeaving(peersUntil, endsAt time.Time) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.leaving = true
+	d.leaving, d.endsAt = true, endsAt
 	if peersUntil.After(d.keptUntil) {
 		return peersUntil
 	}
@@ -94,6 +99,10 @@
 // per second.
 const leaveNotice = 2 * time.Second
 
+// answerReserve is how long before the entry ends the last answers begin at the
+// latest.
+const answerReserve = 200 * time.Millisecond
+
 func (d *drainState) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -106,9 +115,14 @@
 // the last address answer that names it has expired, because callers with such
 // an answer do not request another address before and would be refused. Drain
 // then refuses new requests and returns when all open requests have ended, or
-// with the error of ctx when ctx ends.
+// with the error of ctx when ctx ends. Requests whose deadline is later than that
+// of ctx are refused from the beginning.
 func (e *Entry) Drain(ctx context.Context) error {
-	until := e.drain.startLeaving(time.Now().Add(leaveNotice + e.options.KeepAddress))
+	endsAt, bounded := ctx.Deadline()
+	if bounded {
+		endsAt = endsAt.Add(-answerReserve)
+	}
+	until := e.drain.startLeaving(time.Now().Add(leaveNotice+e.options.KeepAddress), endsAt)
 	e.options.Control.Leave()
 	e.options.Log.Info("draining", "serving_until", until)
 	wait := time.NewTimer(time.Until(until))
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -22,7 +22,7 @@
 		e.counts.refused.Inc()
 		return nil, err
 	}
-	if err := e.begin(prompt.Request); err != nil {
+	if err := e.begin(prompt.Request, j.deadline); err != nil {
 		e.counts.refused.Inc()
 		return nil, err
 	}
@@ -79,9 +79,9 @@
 	return now.Add(wait)
 }
 
-// begin registers a request. After success the caller must call end.
-func (e *Entry) begin(id requestID) error {
-	if !e.drain.enter() {
+// begin registers a request with a deadline, zero for none. After success the caller must call end.
+func (e *Entry) begin(id requestID, deadline time.Time) error {
+	if !e.drain.enter(deadline) {
 		return errClosed
 	}
 	e.mu.Lock()
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -55,7 +55,7 @@
 		e.counts.refused.Inc()
 		return ServiceAnswer{}, err
 	}
-	if err := e.begin(call.Request); err != nil {
+	if err := e.begin(call.Request, j.deadline); err != nil {
 		e.counts.refused.Inc()
 		return ServiceAnswer{}, err
 	}
--- a/internal/entry/services_test.go
+++ b/internal/entry/services_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -334,3 +335,39 @@
 		})
 	}
 }
+
+// Guards against a call that arrives while the entry drains, runs, and is cut at the end of the time for the
+// drain.
+func TestDrainRefusesWhatMayOutlastIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 5 * time.Second
+		b := newTestEntry(t)
+		service := b.service(t, "app-1")
+		caller, err := b.Authorize(digest(testToken))
+		if err != nil {
+			t.Fatal(err)
+		}
+		call := func(id byte) error {
+			answer, err := b.Call(t.Context(), ServiceCall{
+				Request: ident.Request{id}, Caller: caller, Service: "clock-app", Method: http.MethodPost, Path: "/bids", Key: fmt.Sprint("bid-", id), Deadline: limit,
+			})
+			if err == nil {
+				err = answer.Body.Close()
+			}
+			return err
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), limit+answerReserve)
+		defer cancel()
+		go func() { _ = b.Drain(ctx) }()
+		synctest.Wait()
+		if err := call(1); err != nil {
+			t.Errorf("a call that ends in time: %v", err)
+		}
+		time.Sleep(time.Millisecond)
+		if err := call(2); outcome.KindOf(err) != outcome.KindNotRun || len(service.calls) != 1 {
+			t.Errorf("%v, %d calls", err, len(service.calls))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/gateway/directory_test.go
+++ b/internal/gateway/directory_test.go
@@ -43,7 +43,7 @@
 	}
 	expired := false
 	g.options.ConfigExpired = func(time.Time) bool { return expired }
-	for _, unusable := range []func(){func() { expired = true }, func() { expired = false; g.Leave() }} {
+	for _, unusable := range []func(){func() { expired = true }, func() { expired = false; g.Leave(time.Time{}) }} {
 		if unusable(); g.Addresses("a", 64) != nil {
 			t.Error("an entry that takes no callers answers")
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,9 @@
 	options Options
 	state   *state
 	leaving atomic.Bool
-	open    atomic.Int64
+	// endsAt is when the process ends, once it leaves; nil if that is not known.
+	endsAt atomic.Pointer[time.Time]
+	open   atomic.Int64
 	// starting is the number of requests that wait for the first configuration.
 	starting atomic.Int64
 	meter    *meter
@@ -181,9 +183,21 @@
 	return g.state.addresses[:min(limit, len(g.state.addresses))]
 }
 
-// Leave announces to callers and control hosts that this entry takes no new callers. Requests
-// that still arrive are served.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
+// Leave announces to callers and control hosts that this entry takes no new callers and ends at a time, zero if
+// that is not known. Requests that still arrive are served if their time limit is before it, and else refused:
+// their answer might be cut.
+func (g *Gateway) Leave(endsAt time.Time) {
+	if !endsAt.IsZero() {
+		g.endsAt.Store(&endsAt)
+	}
+	g.leaving.Store(true)
+}
+
+// outlasts reports whether a request with a deadline may not end before this entry's process does.
+func (g *Gateway) outlasts(deadline time.Time) bool {
+	endsAt := g.endsAt.Load()
+	return endsAt != nil && deadline.After(*endsAt)
+}
 
 // Leaving reports whether Leave was called.
 func (g *Gateway) Leaving() bool { return g.leaving.Load() }
@@ -345,6 +359,9 @@
 	}
 	timeout = min(timeout, route.Timeout)
 	r.deadline = request.Arrived.Add(timeout)
+	if g.outlasts(r.deadline) {
+		return nil, notRun(outcome.ReasonDraining, 0, "this entry stops before the time for the request is up; another one takes it at once")
+	}
 	r.usualWait = g.state.observeWait(route.Name, timeout)
 	r.service = pickTarget(route.Targets)
 	if waited && g.state.cannotBeServed(r, time.Now()) {
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -92,7 +92,7 @@
 // countedReasons are the reasons with a counter of their own.
 var countedReasons = []outcome.Reason{
 	ReasonNoConfig, ReasonNoRoute, ReasonTooLong, outcome.ReasonUnauthorized, outcome.ReasonOverloaded, outcome.ReasonNoUpstream,
-	outcome.ReasonDial, ReasonConnections, ReasonPeer, outcome.ReasonRefused, outcome.ReasonDeadline, ReasonOrigin, ReasonRestarted, outcome.ReasonQuarantinedPart,
+	outcome.ReasonDial, ReasonConnections, ReasonPeer, outcome.ReasonRefused, outcome.ReasonDeadline, outcome.ReasonDraining, ReasonOrigin, ReasonRestarted, outcome.ReasonQuarantinedPart,
 }
 
 func newMeter(s *state, open func() float64) *meter {
