An answer of HTTP 0, 2 or 9 on a connection of version 1 is none

What callers saw: the status line "HTTP/9.9 200 OK" was taken for that of an answer, in both pipelines and at the control hosts' calls.

Cause: net/http takes any two digits; the rest of the answer is read as version 1.

Change: the check of heads covers the version. Handled before, and kept: "1", "1.1.1" and "x.y".

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -23,6 +23,9 @@
 // protocol. net/http keeps fields whose names hold blanks, under those names: a length or an encoding among them
 // would be ignored, and the body be taken for another one.
 func Check(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return &Error{fmt.Sprintf("an answer of version %q", resp.Proto)}
+	}
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols {
 		return &Error{fmt.Sprintf("an answer with status %03d", resp.StatusCode)}
 	}
