--- a/internal/adapter/service/broken_test.go
+++ b/internal/adapter/service/broken_test.go
@@ -13,37 +13,10 @@
 	"github.com/lovagereach/lovagereach/ident"
 	"github.com/lovagereach/lovagereach/internal/adapter/httpsend"
 	"github.com/lovagereach/lovagereach/internal/port"
+	"github.com/lovagereach/lovagereach/internal/unframed/unframedtest"
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
-// earlyReplica answers each call after the first bytes of its body, without a length or chunks, and then ends
-// the connection by end.
-func earlyReplica(t *testing.T, end func(c *net.TCPConn)) *Client {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := io.ReadFull(c, make([]byte, 4<<10)); err != nil {
-					return
-				}
-				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 1\r\n\r\nanswer", httpsend.HeaderRequest, ident.Request{7}, httpsend.HeaderAttempt)
-				end(c.(*net.TCPConn))
-			}()
-		}
-	}()
-	return New(listener.Addr().String(), nil)
-}
-
 // forward makes a call with a body and returns the answer's.
 func forward(t *testing.T, client *Client, bytes int) (string, error) {
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
@@ -73,7 +46,8 @@
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			client := earlyReplica(t, c.end)
+			head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 1\r\n\r\n", httpsend.HeaderRequest, ident.Request{7}, httpsend.HeaderAttempt)
+			client := New(unframedtest.AnswerEarly(t, head+"half", c.end).Addr().String(), nil)
 			for _, bytes := range c.bytes {
 				whole := 0
 				for range plays {
