The result of a native request's write can be asked for more than once

Cause: the result was taken from a channel, so that a second read at the end of an answer without framing would have waited until the call's deadline. Found when the change was read; today's callers don't read again. It is a field now, set once.

--- a/internal/adapter/httpsend/send.go
+++ b/internal/adapter/httpsend/send.go
@@ -79,7 +79,7 @@
 // sendOnce sends the request on one connection. unsent is true if this was a reused one,
 // no byte of the request was written to it, and it is closed to later writes.
 func (t *Transport) sendOnce(req *http.Request, request ident.Request, attempt uint32) (resp *http.Response, unsent bool, err error) {
-	tracker := &connTracker{wrote: make(chan error, 1)}
+	tracker := &connTracker{written: make(chan struct{})}
 	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn, WroteRequest: tracker.wroteRequest}
 	traced := req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	traced.Header = req.Header.Clone()
@@ -148,8 +148,9 @@
 	// untracked is set if the request got a second connection or one that isn't a
 	// countedConn.
 	untracked bool
-	// wrote receives the result of writing the request.
-	wrote chan error
+	// written is closed once the request has been written, or could not be because of writeErr.
+	written  chan struct{}
+	writeErr error
 }
 
 func (w *connTracker) gotConn(info httptrace.GotConnInfo) {
--- a/internal/adapter/httpsend/written.go
+++ b/internal/adapter/httpsend/written.go
@@ -7,9 +7,13 @@
 
 // wroteRequest is called once the request has been written, or could not be.
 func (w *connTracker) wroteRequest(info httptrace.WroteRequestInfo) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	select {
-	case w.wrote <- info.Err:
+	case <-w.written:
 	default:
+		w.writeErr = info.Err
+		close(w.written)
 	}
 }
 
@@ -17,18 +21,15 @@
 // of an answer without framing, which ends a write that is still in progress.
 func (w *connTracker) awaitWritten(ctx context.Context) error {
 	select {
-	case err := <-w.wrote:
-		if err != nil {
-			return err
-		}
+	case <-w.written:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	w.mu.Lock()
-	conn := w.conn
+	conn, err := w.conn, w.writeErr
 	w.mu.Unlock()
-	if conn == nil {
-		return nil
+	if err != nil || conn == nil {
+		return err
 	}
 	return conn.writeError()
 }
