Answers that are recorded are read in turn too

Cause: an entry of the native interface keeps up to 4 MiB of the answer to each call that must run once, to record it. Answers without end to all of them are kept at the same time, as many as the services have slots.

Change: eight such answers beyond 64 KiB are read at the same time; a reader of long answers takes the number of its turns. More than one, since a call that waits for its turn until its deadline has run and has an unknown outcome. It takes any body now, so that a stated length over the limit is read up to the limit.

--- a/internal/adapter/httpcall/httpcall.go
+++ b/internal/adapter/httpcall/httpcall.go
@@ -80,7 +80,7 @@
 // response proves nothing, and a connection can be reused only after its response was
 // read.
 func (c *Caller) read(ctx context.Context, resp *http.Response, limit int64, answer any) error {
-	return c.transport.Answers.Read(ctx, resp, limit, func(data []byte) error {
+	return c.transport.Answers.Read(ctx, resp.Body, limit, func(data []byte) error {
 		if answer == nil || resp.StatusCode == http.StatusNoContent {
 			return nil
 		}
--- a/internal/adapter/httpsend/transport.go
+++ b/internal/adapter/httpsend/transport.go
@@ -47,7 +47,7 @@
 	// HTTP/2 is disabled because it has retry rules of its own.
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &Transport{Answers: longanswer.NewReader(), base: &http.Transport{
+	return &Transport{Answers: longanswer.NewReader(1), base: &http.Transport{
 		DialContext:            dial,
 		MaxIdleConns:           maxIdle,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/lovagereach/lovagereach/config"
 	"github.com/lovagereach/lovagereach/ident"
+	"github.com/lovagereach/lovagereach/internal/longanswer"
 	"github.com/lovagereach/lovagereach/outcome"
 	"github.com/lovagereach/lovagereach/prefix"
 	"github.com/lovagereach/lovagereach/retry"
@@ -25,6 +26,8 @@
 	// probes are the queued checks of upstreams with broken connections.
 	probes chan probe
 	drain  drainState
+	// recorded reads the answers that are recorded.
+	recorded *longanswer.Reader
 
 	// mu guards the decision state below. It is never held during I/O.
 	mu       sync.Mutex
@@ -91,6 +94,7 @@
 		counts:         newCounts(options.Metrics),
 		repairs:        make(chan ident.Upstream, maxRepairs),
 		probes:         make(chan probe, maxProbes),
+		recorded:       longanswer.NewReader(recordTurns),
 		registry:       registry,
 		planner:        planner,
 		policy:         retry.NewPolicy(retry.DefaultOptions(), budgets),
--- a/internal/entry/replay.go
+++ b/internal/entry/replay.go
@@ -2,30 +2,37 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"strings"
 
+	"github.com/lovagereach/lovagereach/internal/longanswer"
 	"github.com/lovagereach/lovagereach/once"
 	"github.com/lovagereach/lovagereach/outcome"
 )
 
 // recordAnswer reads the answer to its end, so that the record is complete, and
 // replaces its body by an in-memory copy for the caller.
-func recordAnswer(answer *ServiceAnswer) (once.Answer, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxServiceAnswer+1))
+func (e *Entry) recordAnswer(ctx context.Context, answer *ServiceAnswer) (once.Answer, error) {
+	var body []byte
+	err := e.recorded.Read(ctx, answer.Body, maxServiceAnswer, func(whole []byte) error {
+		body = whole
+		return nil
+	})
 	_ = answer.Body.Close()
-	if err != nil {
-		return once.Answer{}, &outcome.Unknown{Reason: outcome.ReasonConnectionLost, Detail: "the answer broke off: " + err.Error()}
-	}
-	if len(body) > maxServiceAnswer {
+	if errors.Is(err, longanswer.ErrTooLong) {
 		return once.Answer{}, &outcome.Unknown{
 			Reason: outcome.ReasonBadAnswer,
 			Detail: fmt.Sprintf("the answer is larger than %d bytes", maxServiceAnswer),
 		}
 	}
+	if err != nil {
+		return once.Answer{}, &outcome.Unknown{Reason: outcome.ReasonConnectionLost, Detail: "the answer broke off: " + err.Error()}
+	}
 	answer.Body = io.NopCloser(bytes.NewReader(body))
 	if !answer.Unframed {
 		answer.Length = int64(len(body))
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -26,6 +26,8 @@
 	// maxServiceAnswer bounds, in bytes, the answer to a call that is not
 	// repeatable: it is held in memory to be recorded.
 	maxServiceAnswer = 4 << 20
+	// recordTurns is the number of long answers that are recorded at the same time.
+	recordTurns = 8
 	// defaultServiceDeadline is used when neither class nor caller sets a
 	// deadline.
 	defaultServiceDeadline = 30 * time.Second
@@ -175,7 +177,7 @@
 		if err != nil {
 			return once.Answer{}, err
 		}
-		return recordAnswer(&sent)
+		return e.recordAnswer(ctx, &sent)
 	})
 	if err != nil {
 		return ServiceAnswer{}, err
--- a/internal/longanswer/longanswer.go
+++ b/internal/longanswer/longanswer.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 
 	"github.com/rotisserie/eris"
 )
@@ -19,20 +18,17 @@
 // ErrTooLong reports an answer beyond its limit.
 var ErrTooLong = errors.New("the answer is too long")
 
-// Reader reads answers. Those longer than ordinary ones are read one after another.
-type Reader struct{ turn chan struct{} }
+// Reader reads answers. Of those longer than ordinary ones it reads a number at the same time.
+type Reader struct{ turns chan struct{} }
 
-// NewReader returns a Reader.
-func NewReader() *Reader { return &Reader{turn: make(chan struct{}, 1)} }
+// NewReader returns a Reader that reads so many long answers at the same time.
+func NewReader(turns int) *Reader { return &Reader{turns: make(chan struct{}, turns)} }
 
-// Read reads the body of resp, of at most limit bytes, and passes it to decode. A long one waits for its turn,
-// which it has until it is decoded, while ctx is not done. An error is ErrTooLong, or that of ctx, of the body or
-// of decode.
-func (r *Reader) Read(ctx context.Context, resp *http.Response, limit int64, decode func([]byte) error) error {
-	if resp.ContentLength > limit {
-		return tooLong(limit)
-	}
-	body, err := readUpTo(resp.Body, min(limit, ordinary))
+// Read reads the body of an answer, of at most limit bytes, and passes it to decode. A long one waits for its
+// turn, which it has until it is decoded, while ctx is not done. An error is ErrTooLong, or that of ctx, of the
+// body or of decode.
+func (r *Reader) Read(ctx context.Context, from io.Reader, limit int64, decode func([]byte) error) error {
+	body, err := readUpTo(from, min(limit, ordinary))
 	if err == nil {
 		return decode(body)
 	}
@@ -40,12 +36,12 @@
 		return err
 	}
 	select {
-	case r.turn <- struct{}{}:
-		defer func() { <-r.turn }()
+	case r.turns <- struct{}{}:
+		defer func() { <-r.turns }()
 	case <-ctx.Done():
 		return eris.Wrap(ctx.Err(), "other long answers are read")
 	}
-	body, err = readUpTo(io.MultiReader(bytes.NewReader(body), resp.Body), limit)
+	body, err = readUpTo(io.MultiReader(bytes.NewReader(body), from), limit)
 	if err != nil {
 		return err
 	}
@@ -56,9 +52,7 @@
 func readUpTo(body io.Reader, limit int64) ([]byte, error) {
 	read, err := io.ReadAll(io.LimitReader(body, limit+1))
 	if err == nil && int64(len(read)) > limit {
-		err = tooLong(limit)
+		err = fmt.Errorf("%w: over %d bytes", ErrTooLong, limit)
 	}
 	return read, err
 }
-
-func tooLong(limit int64) error { return fmt.Errorf("%w: over %d bytes", ErrTooLong, limit) }
--- a/internal/longanswer/longanswer_test.go
+++ b/internal/longanswer/longanswer_test.go
@@ -4,17 +4,12 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 )
 
-func answerOf(body io.Reader) *http.Response {
-	return &http.Response{Body: io.NopCloser(body), ContentLength: -1}
-}
-
 // Guards against an answer that is cut, or that is longer than its limit, being decoded.
 func TestOnlyWholeAnswersWithinLimitAreDecoded(t *testing.T) {
 	broken := errors.New("broken")
@@ -31,7 +26,7 @@
 		t.Run(name, func(t *testing.T) {
 			body := io.MultiReader(strings.NewReader(strings.Repeat("x", c.size)), errorReader{c.end})
 			decoded := -1
-			err := NewReader().Read(t.Context(), answerOf(body), c.limit, func(body []byte) error {
+			err := NewReader(1).Read(t.Context(), body, c.limit, func(body []byte) error {
 				decoded = len(body)
 				return nil
 			})
@@ -50,29 +45,29 @@
 // is up, that wait for one without end.
 func TestLongAnswersAreReadInTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := NewReader()
+		r := NewReader(1)
 		long := strings.Repeat("x", ordinary+1)
 		decoded := func([]byte) error { return nil }
 		first, end := io.Pipe()
 		read := make(chan error, 1)
-		go func() { read <- r.Read(t.Context(), answerOf(first), 2*ordinary, decoded) }()
+		go func() { read <- r.Read(t.Context(), first, 2*ordinary, decoded) }()
 		if _, err := end.Write([]byte(long)); err != nil {
 			t.Fatal(err)
 		}
 		synctest.Wait()
-		if err := r.Read(t.Context(), answerOf(strings.NewReader("short")), 2*ordinary, decoded); err != nil {
+		if err := r.Read(t.Context(), strings.NewReader("short"), 2*ordinary, decoded); err != nil {
 			t.Errorf("an ordinary answer: %v", err)
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		if err := r.Read(ctx, answerOf(strings.NewReader(long)), 2*ordinary, decoded); !errors.Is(err, context.DeadlineExceeded) {
+		if err := r.Read(ctx, strings.NewReader(long), 2*ordinary, decoded); !errors.Is(err, context.DeadlineExceeded) {
 			t.Errorf("a second long answer: %v", err)
 		}
 		_ = end.Close()
 		if err := <-read; err != nil {
 			t.Errorf("the first long answer: %v", err)
 		}
-		if err := r.Read(t.Context(), answerOf(strings.NewReader(long)), 2*ordinary, decoded); err != nil {
+		if err := r.Read(t.Context(), strings.NewReader(long), 2*ordinary, decoded); err != nil {
 			t.Errorf("a long answer afterwards: %v", err)
 		}
 	})
