A long answer beyond its limit is not copied

Cause: an answer without end was read up to its limit and copied into one piece before it was refused.

An end that is not a regular one is an error at every byte; the test has such answers of several pieces.

--- a/internal/longanswer/longanswer_test.go
+++ b/internal/longanswer/longanswer_test.go
@@ -22,6 +22,9 @@
 		"empty": {0, 10, io.EOF, nil}, "at its limit": {10, 10, io.EOF, nil}, "over its limit": {11, 10, io.EOF, ErrTooLong}, "cut": {5, 10, broken, broken},
 		"ordinary": {ordinary, 2 * ordinary, io.EOF, nil}, "long": {ordinary + 1, 2 * ordinary, io.EOF, nil}, "long, at its limit": {2 * ordinary, 2 * ordinary, io.EOF, nil},
 		"long, over its limit": {2*ordinary + 1, 2 * ordinary, io.EOF, ErrTooLong}, "long, cut": {ordinary + 1, 2 * ordinary, broken, broken},
+		"cut by a connection's end": {5, 10, io.ErrUnexpectedEOF, io.ErrUnexpectedEOF}, "long, cut by a connection's end": {ordinary + 1, 2 * ordinary, io.ErrUnexpectedEOF, io.ErrUnexpectedEOF},
+		"several pieces": {3*pieceBytes + 5, 4 * pieceBytes, io.EOF, nil}, "several pieces, cut": {3 * pieceBytes, 4 * pieceBytes, io.ErrUnexpectedEOF, io.ErrUnexpectedEOF},
+		"several pieces, over the limit": {4*pieceBytes + 1, 4 * pieceBytes, io.EOF, ErrTooLong},
 	} {
 		t.Run(name, func(t *testing.T) {
 			body := io.MultiReader(strings.NewReader(strings.Repeat("x", c.size)), errorReader{c.end})
